--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,157 @@
+// Package config is the one place where configuration is read, checked and given defaults.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"olivebarrow"
+	"olivebarrow/internal/platform"
+	"olivebarrow/internal/wire"
+)
+
+// Config is all that a dispatcher is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Cores                   float64
+	Memory                  int64 // bytes
+	Sockets                 int
+	Settings                olivebarrow.Settings
+	Names                   platform.Names
+	ConnIdle                time.Duration // a backend closes an idle connection after this
+	Known                   platform.List // as last held, maybe old
+}
+
+type file struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    *float64 `json:"cores"`
+		MemoryMB *float64 `json:"memory_mb"`
+		Sockets  *int     `json:"sockets"`
+	} `json:"limits"`
+	Known    jsoniter.RawMessage `json:"known"`
+	Settings jsoniter.RawMessage `json:"settings"`
+}
+
+// rest is what the sockets need of the settings beyond the module's.
+type rest struct {
+	Allowed struct{ ConnIdleMs *float64 }
+	Classes []struct {
+		Name        string
+		HardLimitMs float64
+	}
+	Zones, Models []string
+	Report        struct{ Columns []string }
+}
+
+// Load reads the file that ROUTER_CONFIG names. The other variables stand in for keys that
+// the file lacks.
+func Load(env func(string) string) (*Config, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	return Parse(text, env)
+}
+
+// Parse reads a configuration. Keys it does not know are ignored; errors name the key.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := jsoniter.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c := &Config{Name: or(f.Name, env("ROUTER_NAME")), Listen: or(f.Listen, env("ROUTER_LISTEN")),
+		Discovery: or(f.Discovery, env("ROUTER_DISCOVERY")), Cores: 1, Memory: 192 << 20, Sockets: 1024,
+		ConnIdle: 10 * time.Second}
+	for _, a := range [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a[1]); err != nil {
+			return nil, fmt.Errorf("config: %s is %q, want host:port", a[0], a[1])
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("config: seed is %q, want up to 16 hexadecimal digits", f.Seed)
+	}
+	if v := f.Limits.Cores; v != nil {
+		if c.Cores = *v; c.Cores <= 0 {
+			return nil, fmt.Errorf("config: limits.cores is %v, want more than 0", *v)
+		}
+	}
+	if v := f.Limits.MemoryMB; v != nil {
+		if c.Memory = int64(*v * (1 << 20)); *v < 16 {
+			return nil, fmt.Errorf("config: limits.memory_mb is %v, want at least 16", *v)
+		}
+	}
+	if v := f.Limits.Sockets; v != nil {
+		if c.Sockets = *v; c.Sockets < 64 {
+			return nil, fmt.Errorf("config: limits.sockets is %d, want at least 64", *v)
+		}
+	}
+	if err := c.settings(seed, f.Settings); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		if c.Known, err = c.Names.ReadList(f.Known); err != nil {
+			return nil, fmt.Errorf("config: known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func (c *Config) settings(seed uint64, text []byte) (err error) {
+	if len(text) == 0 {
+		return fmt.Errorf("missing")
+	}
+	if c.Settings, err = wire.ParseSettings(seed, text); err != nil {
+		return err
+	}
+	var r rest
+	if err := jsoniter.Unmarshal(text, &r); err != nil {
+		return err
+	}
+	if v := r.Allowed.ConnIdleMs; v != nil {
+		if *v <= 0 {
+			return fmt.Errorf("Allowed.ConnIdleMs is %v, want more than 0", *v)
+		}
+		c.ConnIdle = millis(*v)
+	}
+	if c.Settings.ConnectTimeout <= 0 {
+		return fmt.Errorf("Allowed.ConnectTimeoutMs is %v, want more than 0", c.Settings.ConnectTimeout)
+	}
+	c.Names = platform.Names{Zones: r.Zones, Kinds: r.Models, Columns: r.Report.Columns}
+	for i, class := range r.Classes {
+		if class.Name == "" {
+			return fmt.Errorf("Classes[%d].Name is empty", i)
+		}
+		c.Names.Classes = append(c.Names.Classes, class.Name)
+		c.Names.Limits = append(c.Names.Limits, millis(class.HardLimitMs))
+	}
+	return nil
+}
+
+// Longest is the longest deadline of a class.
+func (c *Config) Longest() time.Duration {
+	most := time.Duration(0)
+	for _, l := range c.Names.Limits {
+		most = max(most, l)
+	}
+	return most
+}
+
+func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,448 @@
+// Package core drives the decision module with real events. It keeps the table of reqs,
+// the timers and the list of backends, and knows neither sockets nor any protocol: fronts
+// hand it reqs, a pool of backends carries out attempts, a director brings lists.
+//
+// One goroutine owns the module and the table. All else posts events, which are taken one
+// at a time; an action that fails at once becomes a later event, so that the module is
+// never entered while it acts.
+package core
+
+import (
+	"log"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"olivebarrow"
+	"olivebarrow/internal/counters"
+)
+
+// Job is what passes through to a backend unchanged. Its slices belong to the front, which
+// must leave them alone until the req's Answer says Free.
+type Job struct {
+	Method, Target string
+	ID             string // of the req, as the client gave it
+	IdempotencyKey string // empty if none
+	Body           []byte
+}
+
+// Verdict is what kind of final answer a req gets.
+type Verdict uint8
+
+// Verdicts.
+const (
+	ResultOf Verdict = iota // a backend's result
+	Refusal                 // a synthetic answer: trying again is harmless
+	Failure                 // no promise
+)
+
+// Answer is a req's one final answer.
+type Answer struct {
+	Verdict Verdict
+	Result  string
+	Pause   time.Duration // best time to stay away after a refusal, 0 for no advice
+	Free    bool          // no attempt will read the job any more
+}
+
+// Client is the side a req came from. Answer is called once, from the core's goroutine,
+// and must not block.
+type Client interface{ Answer(Answer) }
+
+// Backends carries out what the module decides. No method may block or call back at once.
+type Backends interface {
+	// Send begins an attempt and returns what stops it. The pool calls the attempt's Ended
+	// once, unless it was stopped.
+	Send(a *Attempt) (stop func())
+	// Probe asks for a load report and calls done once.
+	Probe(b *Backend, done func(Ending, []float32))
+	// HangUp closes idle connections to a backend.
+	HangUp(b *Backend)
+}
+
+// Director watches the list of backends.
+type Director interface{ Subscribe() }
+
+// Backend is a photo worker. Its fields but state are fixed: a backend that moves to another
+// address is replaced by a new one in the core's list.
+type Backend struct {
+	ID      olivebarrow.WorkerID
+	Name    string
+	Address string
+	ready   atomic.Bool
+}
+
+// Entry is a line of the director's list.
+type Entry struct {
+	olivebarrow.Worker
+	Name, Address string
+}
+
+// req is a request that is owed an answer, or has attempts out.
+type req struct {
+	id       olivebarrow.RequestID
+	client   Client
+	job      *Job
+	deadline float64
+	open     bool // a final answer is owed
+	attempts []*Attempt
+	out      int
+	cut      bool // an attempt was stopped from here, and may be reading the job still
+}
+
+// Attempt is one send of a req to a backend.
+type Attempt struct {
+	Job     *Job
+	Backend *Backend
+	Until   time.Time // the dispatcher waits no longer
+	core    *Core
+	req     *req
+	number  int
+	sent    float64
+	over    bool
+	stopped atomic.Bool
+	stop    func()
+}
+
+// MayBegin says, just before the first byte goes out, whether it still may. The list can
+// have changed while a connection was being made: nothing new may reach a backend that is
+// known to drain.
+func (a *Attempt) MayBegin() bool {
+	return a.Backend.ready.Load() && !a.stopped.Load() && time.Now().Before(a.Until)
+}
+
+// Started tells that the job has begun.
+func (a *Attempt) Started() { a.core.post(func() { a.core.progressed(a, true, 0) }) }
+
+// Progress tells how much of the job is done.
+func (a *Attempt) Progress(share float64) {
+	a.core.post(func() { a.core.progressed(a, false, share) })
+}
+
+// Ended tells how the attempt ended.
+func (a *Attempt) Ended(e Ending, result string, report []float32) {
+	a.core.post(func() { a.core.ended(a, e, result, report) })
+}
+
+// Core is the dispatcher without its connections.
+type Core struct {
+	clock    clock
+	count    *counters.Set
+	mod      *olivebarrow.Dispatcher
+	backends Backends
+	director Director
+	reqs     map[olivebarrow.RequestID]*req
+	listed   map[olivebarrow.WorkerID]*Backend
+	last     olivebarrow.RequestID
+	timers   timers
+	slack    float64
+	ready    atomic.Int32 // backends that may be sent to
+	open     atomic.Int32 // reqs owed an answer
+
+	mu     sync.Mutex
+	inbox  []func()
+	spare  []func()
+	posted chan struct{}
+}
+
+// New makes a core for the settings.
+func New(s olivebarrow.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
+	c := &Core{clock: newClock(), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack,
+		reqs: map[olivebarrow.RequestID]*req{}, listed: map[olivebarrow.WorkerID]*Backend{},
+		posted: make(chan struct{}, 1)}
+	var err error
+	c.mod, err = olivebarrow.New(s, actions{c})
+	return c, err
+}
+
+// Ready is how many backends may be sent to.
+func (c *Core) Ready() int { return int(c.ready.Load()) }
+
+// Open is how many reqs are owed an answer.
+func (c *Core) Open() int { return int(c.open.Load()) }
+
+func (c *Core) post(event func()) {
+	c.mu.Lock()
+	c.inbox = append(c.inbox, event)
+	c.mu.Unlock()
+	select {
+	case c.posted <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes events until stop is closed.
+func (c *Core) Run(stop <-chan struct{}) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		c.step()
+		wait := time.Hour
+		if len(c.timers.list) > 0 {
+			wait = time.Duration((c.timers.list[0].at - c.clock.now()) * float64(time.Millisecond))
+		}
+		alarm.Reset(max(wait, 0))
+		select {
+		case <-stop:
+			return
+		case <-c.posted:
+		case <-alarm.C:
+		}
+	}
+}
+
+// step takes what has been posted, then the timers that are due. What comes meanwhile waits
+// for the next step: an answer that is here already is seen before the time-out it beats.
+func (c *Core) step() {
+	c.mu.Lock()
+	events := c.inbox
+	c.inbox = c.spare[:0]
+	c.mu.Unlock()
+	for _, event := range events {
+		event()
+	}
+	clear(events)
+	c.spare = events
+	for do := c.timers.due(c.clock.now()); do != nil; do = c.timers.due(c.clock.now()) {
+		do()
+	}
+}
+
+// Ticket stands for a req that was taken.
+type Ticket struct {
+	core *Core
+	r    *req
+}
+
+// Take takes a req on: one final answer is owed from now on. came is the earliest time
+// known at which it was there, left how long its client waits from then.
+func (c *Core) Take(q olivebarrow.Request, job *Job, came time.Time, left time.Duration, client Client) Ticket {
+	r := &req{client: client, job: job, deadline: c.clock.millis(came.Add(left)), open: true}
+	c.open.Add(1)
+	c.post(func() {
+		c.last++
+		r.id, q.ID, q.Deadline = c.last, c.last, r.deadline
+		c.reqs[r.id] = r
+		// The module answers for itself by the deadline. Should it not, the core fails the req
+		// rather than leave a client without an answer.
+		c.timers.set(r.deadline+c.slack, func() {
+			if r.open {
+				c.count.Overlooked.Add(1)
+				c.answer(r, Answer{Verdict: Failure})
+				c.mod.Abandoned(c.clock.now(), r.id)
+				c.forget(r)
+			}
+		})
+		c.mod.Arrive(c.clock.now(), q)
+	})
+	return Ticket{c, r}
+}
+
+// Abandon tells that the client of a req has gone.
+func (t Ticket) Abandon() {
+	t.core.post(func() {
+		if t.r.open {
+			t.core.close(t.r)
+			t.core.mod.Abandoned(t.core.clock.now(), t.r.id)
+			t.core.forget(t.r)
+		}
+	})
+}
+
+func (c *Core) close(r *req) {
+	r.open = false
+	c.open.Add(-1)
+}
+
+// answer gives the one final answer of a req.
+func (c *Core) answer(r *req, a Answer) {
+	if !r.open {
+		return
+	}
+	c.close(r)
+	a.Free = r.out == 0 && !r.cut
+	switch a.Verdict {
+	case ResultOf:
+		c.count.AnswersServed.Add(1)
+	case Refusal:
+		c.count.AnswersRefused.Add(1)
+	case Failure:
+		c.count.AnswersFailed.Add(1)
+	}
+	r.client.Answer(a)
+}
+
+// forget drops a req once nothing can be heard of it any more.
+func (c *Core) forget(r *req) {
+	if !r.open && r.out == 0 {
+		delete(c.reqs, r.id)
+	}
+}
+
+func (c *Core) progressed(a *Attempt, started bool, share float64) {
+	if !a.over {
+		c.mod.Progressed(c.clock.now(), olivebarrow.Progress{ID: a.req.id, Attempt: a.number,
+			Worker: a.Backend.ID, Started: started, Done: share})
+	}
+}
+
+// ended passes an attempt's ending on, once. A result goes to the client before the module
+// hears of it, as the simulator has it.
+func (c *Core) ended(a *Attempt, e Ending, result string, report []float32) {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.req.out--
+	c.count.Endings[e].Add(1)
+	res, ok := e.Result()
+	if !ok {
+		log.Printf("an attempt ended as %v, which is no ending of an attempt", e)
+		res = olivebarrow.Reset
+	}
+	if e == Served {
+		c.answer(a.req, Answer{Verdict: ResultOf, Result: result})
+	}
+	now := c.clock.now()
+	c.mod.Answer(now, olivebarrow.Outcome{ID: a.req.id, Attempt: a.number, Worker: a.Backend.ID,
+		Result: res, Took: now - a.sent, Closed: !a.req.open, Report: report})
+	c.forget(a.req)
+}
+
+// cut stops an attempt from here.
+func (c *Core) cut(a *Attempt, e Ending) {
+	if !a.over {
+		a.stopped.Store(true)
+		a.req.cut = true
+		a.stop()
+		c.ended(a, e, "", nil)
+	}
+}
+
+// Listed brings a list of backends, or the news that a call for it failed.
+func (c *Core) Listed(kind olivebarrow.ListKind, list []Entry) {
+	c.post(func() { c.list(kind, list) })
+}
+
+func (c *Core) list(kind olivebarrow.ListKind, list []Entry) {
+	workers := make([]olivebarrow.Worker, len(list))
+	named := make(map[olivebarrow.WorkerID]bool, len(list))
+	for i := range list {
+		e := &list[i]
+		workers[i], named[e.ID] = e.Worker, true
+		b := c.listed[e.ID]
+		if b != nil && (b.Address != e.Address || e.State == olivebarrow.Gone) {
+			c.unlist(b)
+			b = nil
+		}
+		if e.State == olivebarrow.Gone {
+			continue
+		}
+		if b == nil {
+			b = &Backend{ID: e.ID, Name: e.Name, Address: e.Address}
+			c.listed[e.ID] = b
+		}
+		b.ready.Store(e.State == olivebarrow.Ready)
+	}
+	if kind == olivebarrow.ListFull || kind == olivebarrow.ListCached {
+		for id, b := range c.listed {
+			if !named[id] {
+				c.unlist(b)
+			}
+		}
+	}
+	ready := int32(0)
+	for _, b := range c.listed {
+		if b.ready.Load() {
+			ready++
+		}
+	}
+	c.ready.Store(ready)
+	c.mod.Workers(c.clock.now(), kind, workers)
+}
+
+func (c *Core) unlist(b *Backend) {
+	b.ready.Store(false)
+	delete(c.listed, b.ID)
+	c.backends.HangUp(b)
+}
+
+// actions carries out what the module decides. It is called while the module handles an
+// event, so that it must not call the module: what fails at once is posted.
+type actions struct{ c *Core }
+
+func (x actions) Dispatch(id olivebarrow.RequestID, to olivebarrow.WorkerID, within olivebarrow.Millis) {
+	c, r := x.c, x.c.reqs[id]
+	if r == nil {
+		return
+	}
+	now := c.clock.now()
+	until := r.deadline
+	if within != 0 {
+		until = min(until, now+within)
+	}
+	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, number: len(r.attempts), sent: now,
+		Until: c.clock.origin.Add(time.Duration((until - c.clock.unix) * float64(time.Millisecond)))}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if a.Backend == nil || !r.open || until <= now { // only ever to a listed backend
+		if a.Backend == nil {
+			a.Backend = &Backend{ID: to}
+		}
+		a.Ended(Unsent, "", nil)
+		return
+	}
+	c.count.Attempts.Add(1)
+	a.stop = c.backends.Send(a)
+	c.timers.set(until, func() { c.cut(a, Overdue) })
+}
+
+func (x actions) Refuse(id olivebarrow.RequestID, pause olivebarrow.Millis) {
+	x.end(id, Answer{Verdict: Refusal, Pause: time.Duration(pause * float64(time.Millisecond))})
+}
+
+func (x actions) Fail(id olivebarrow.RequestID) { x.end(id, Answer{Verdict: Failure}) }
+
+func (x actions) end(id olivebarrow.RequestID, a Answer) {
+	if r := x.c.reqs[id]; r != nil {
+		x.c.answer(r, a)
+		x.c.forget(r)
+	}
+}
+
+func (x actions) Cancel(id olivebarrow.RequestID, attempt int) {
+	if r := x.c.reqs[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
+		a := r.attempts[attempt]
+		x.c.post(func() { x.c.cut(a, Withdrawn) })
+	}
+}
+
+func (x actions) Probe(to olivebarrow.WorkerID) {
+	c, b, sent := x.c, x.c.listed[to], x.c.clock.now()
+	done := func(e Ending, report []float32) {
+		c.post(func() {
+			res, _ := e.Result()
+			now := c.clock.now()
+			c.mod.Probed(now, olivebarrow.ProbeResult{Worker: to, Result: res, Took: now - sent, Report: report})
+		})
+	}
+	if b == nil {
+		done(Unsent, nil)
+		return
+	}
+	c.count.Probes.Add(1)
+	c.backends.Probe(b, done)
+}
+
+func (x actions) HangUp(to olivebarrow.WorkerID) {
+	if b := x.c.listed[to]; b != nil {
+		x.c.backends.HangUp(b)
+	}
+}
+
+func (x actions) Wake(in olivebarrow.Millis, token uint64) {
+	c := x.c
+	c.timers.set(c.clock.now()+in, func() { c.mod.Wake(c.clock.now(), token) })
+}
+
+func (x actions) Subscribe()      { x.c.director.Subscribe() }
+func (x actions) Log(line string) { log.Print(line) }
--- /dev/null
+++ b/internal/core/queue.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock tells the module's time: Unix milliseconds at the start of the program, carried on
+// by the monotonic clock. Start times of backends, which are Unix time, need no conversion,
+// a step of the system's clock moves nothing, and no start reads as "long past" (zero or
+// less) merely because it lies before this program's own.
+type clock struct {
+	origin time.Time
+	unix   float64
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{origin: now, unix: float64(now.UnixMicro()) / 1000}
+}
+
+func (c clock) millis(t time.Time) float64 {
+	return c.unix + float64(t.Sub(c.origin))/float64(time.Millisecond)
+}
+
+func (c clock) now() float64 { return c.millis(time.Now()) }
+
+// timer is something to do at a time. Timers of one time run in the order they were set.
+type timer struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+type timers struct {
+	list []timer
+	seq  uint64
+}
+
+func (t *timers) Len() int { return len(t.list) }
+func (t *timers) Less(i, j int) bool {
+	a, b := &t.list[i], &t.list[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (t *timers) Swap(i, j int) { t.list[i], t.list[j] = t.list[j], t.list[i] }
+func (t *timers) Push(x any)    { t.list = append(t.list, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(t.list) - 1
+	x := t.list[last]
+	t.list[last] = timer{} // lets go of what it holds
+	t.list = t.list[:last]
+	return x
+}
+
+func (t *timers) set(at float64, do func()) {
+	t.seq++
+	heap.Push(t, timer{at, t.seq, do})
+}
+
+// due takes the earliest timer if its time has come.
+func (t *timers) due(now float64) func() {
+	if len(t.list) == 0 || t.list[0].at > now {
+		return nil
+	}
+	return heap.Pop(t).(timer).do
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,36 @@
+// Package counters counts what the dispatcher takes in, sends and answers.
+package counters
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// Set holds all counters. Endings is indexed by the core's endings, which Print names.
+type Set struct {
+	ClientSessions, ReqsTaken, ReqsBad, ReqsShed         atomic.Int64
+	AnswersServed, AnswersRefused, AnswersFailed         atomic.Int64
+	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
+	DirectorCalls, Overlooked                            atomic.Int64
+	Endings                                              [32]atomic.Int64
+}
+
+// Print writes a line for each counter that has counted, all others as zero in one place.
+func (s *Set) Print(w io.Writer, endings []fmt.Stringer) {
+	for _, c := range []struct {
+		name string
+		n    *atomic.Int64
+	}{
+		{"client_sessions", &s.ClientSessions}, {"reqs_taken", &s.ReqsTaken}, {"reqs_bad", &s.ReqsBad},
+		{"reqs_shed", &s.ReqsShed}, {"answers_served", &s.AnswersServed}, {"answers_refused", &s.AnswersRefused},
+		{"answers_failed", &s.AnswersFailed}, {"attempts", &s.Attempts}, {"probes", &s.Probes},
+		{"backend_connections", &s.BackendConnections}, {"backend_retired", &s.BackendRetired},
+		{"director_calls", &s.DirectorCalls}, {"overlooked", &s.Overlooked},
+	} {
+		fmt.Fprintf(w, "counter %s %d\n", c.name, c.n.Load())
+	}
+	for i, name := range endings {
+		fmt.Fprintf(w, "counter ending_%s %d\n", name, s.Endings[i].Load())
+	}
+}
--- /dev/null
+++ b/internal/network/backends.go
@@ -0,0 +1,185 @@
+package network
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"olivebarrow"
+	"olivebarrow/internal/core"
+	"olivebarrow/internal/counters"
+	"olivebarrow/internal/platform"
+)
+
+// Pool keeps connections to backends and carries out attempts on them.
+type Pool struct {
+	Names   *platform.Names
+	Count   *counters.Set
+	Connect time.Duration // a connection that is not up by then is given up
+	Idle    time.Duration // an idle connection is closed by us after this, before the backend does
+	Most    int           // connections open or being made
+
+	mu   sync.Mutex
+	idle map[olivebarrow.WorkerID][]*link // the last used is last
+	open int
+}
+
+// exchange is one request on a connection and what its reply tells. Its callbacks come from
+// the connection's goroutines.
+type exchange struct {
+	backend *core.Backend
+	ctx     context.Context
+	cancel  context.CancelFunc
+	unhook  func() bool // from cancel
+	head    func(left time.Duration) []byte
+	body    []byte
+	until   time.Time
+	probe   bool // the body is a load report, not lines
+	id      string
+	may     func() bool
+	started func()
+	share   func(float64)
+	ended   func(core.Ending, string, []float32)
+}
+
+// verdict is how an exchange ended.
+type verdict struct {
+	ending core.Ending
+	result string
+	report []float32
+	whole  bool // the reply is all here, and the connection may carry another
+	due    bool // the end of the reply is still to come
+}
+
+// Send begins an attempt.
+func (p *Pool) Send(a *core.Attempt) func() {
+	x := &exchange{backend: a.Backend, body: a.Job.Body, until: a.Until, id: a.Job.ID, may: a.MayBegin,
+		started: a.Started, share: a.Progress, ended: a.Ended}
+	x.head = func(left time.Duration) []byte {
+		return platform.AppendJob(make([]byte, 0, 384), a.Job, a.Backend.Address, left)
+	}
+	return p.begin(x)
+}
+
+// probeWait is how long a probe may take: longer ones say nothing that an attempt would not.
+const probeWait = 2 * time.Second
+
+// Probe asks a backend for its load.
+func (p *Pool) Probe(b *core.Backend, done func(core.Ending, []float32)) {
+	x := &exchange{backend: b, until: time.Now().Add(probeWait), probe: true, may: func() bool { return true }}
+	x.head = func(time.Duration) []byte { return platform.AppendGet(nil, "/stats", b.Address) }
+	var once sync.Once
+	end := func(e core.Ending, report []float32) { once.Do(func() { done(e, report) }) }
+	x.ended = func(e core.Ending, _ string, report []float32) { end(e, report) }
+	stop := p.begin(x)
+	time.AfterFunc(probeWait, func() { stop(); end(core.Overdue, nil) })
+}
+
+// begin finds or makes a connection in the background. The function it returns gives the
+// exchange up by closing whatever it is on.
+func (p *Pool) begin(x *exchange) func() {
+	x.ctx, x.cancel = context.WithCancel(context.Background())
+	go p.run(x)
+	return x.cancel
+}
+
+func (p *Pool) run(x *exchange) {
+	if l := p.take(x.backend); l != nil {
+		l.send(x)
+		return
+	}
+	if !p.reserve() {
+		x.end(verdict{ending: core.Unsent})
+		return
+	}
+	d := net.Dialer{Timeout: p.Connect}
+	conn, err := d.DialContext(x.ctx, "tcp", x.backend.Address)
+	if err != nil {
+		p.release()
+		x.end(verdict{ending: core.Unreached})
+		return
+	}
+	p.Count.BackendConnections.Add(1)
+	l := &link{pool: p, conn: conn, backend: x.backend, in: platform.NewReplies(false, platform.MaxLine), state: taken}
+	go l.read()
+	l.send(x)
+}
+
+func (x *exchange) end(v verdict) {
+	if x.unhook != nil {
+		x.unhook()
+	}
+	x.cancel()
+	x.ended(v.ending, v.result, v.report)
+}
+
+// take claims the connection that was idle for the shortest time, or returns nil.
+func (p *Pool) take(b *core.Backend) *link {
+	for {
+		p.mu.Lock()
+		list := p.idle[b.ID]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		l := list[len(list)-1]
+		p.idle[b.ID] = list[:len(list)-1]
+		p.mu.Unlock()
+		if l.backend != b { // to an address that the backend had before
+			l.conn.Close()
+		} else if l.claim() {
+			return l
+		}
+	}
+}
+
+// reserve makes room for one more connection, if need be by closing the one that has been
+// idle for the longest time.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.Most {
+		var oldest *link
+		for _, list := range p.idle {
+			if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+				oldest = list[0]
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		p.drop(oldest)
+		oldest.conn.Close() // its reader sees that, and counts it as closed a moment later
+	}
+	p.open++
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// drop takes a connection out of the idle ones. p.mu is held.
+func (p *Pool) drop(l *link) {
+	list := p.idle[l.backend.ID]
+	for i := range list {
+		if list[i] == l {
+			p.idle[l.backend.ID] = append(list[:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// HangUp closes the idle connections to a backend.
+func (p *Pool) HangUp(b *core.Backend) {
+	p.mu.Lock()
+	list := p.idle[b.ID]
+	delete(p.idle, b.ID)
+	p.mu.Unlock()
+	for _, l := range list {
+		l.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/network/budget.go
@@ -0,0 +1,20 @@
+// Package network holds the thin drivers between sockets and the protocol's state machines:
+// client sessions, the pool of connections to backends, and the director's watch.
+package network
+
+// Budget shares out the file descriptors that the process may hold.
+type Budget struct {
+	Clients  int // client sessions
+	Backends int // connections to backends, those being made among them
+}
+
+// kept is how many descriptors are left for the runtime, the listener, the director, the log,
+// and for clients beyond the budget while they are told to come back.
+const kept = 48
+
+// Share divides a limit. A req takes one descriptor on each side, a second copy one more at
+// the backends, and idle connections there save handshakes: backends get the larger part.
+func Share(limit int) Budget {
+	free := max(limit-kept, 16)
+	return Budget{Clients: free * 9 / 20, Backends: free - free*9/20}
+}
--- /dev/null
+++ b/internal/network/director.go
@@ -0,0 +1,146 @@
+package network
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"olivebarrow"
+	"olivebarrow/internal/core"
+	"olivebarrow/internal/counters"
+	"olivebarrow/internal/platform"
+)
+
+// Times of a call to the director.
+const (
+	watchWait = 4 * time.Second         // for news; short, so that a director gone silent is noticed
+	callGrace = 3500 * time.Millisecond // longer for the answer: calls queue there
+)
+
+// Director watches the director's list. Each answer is followed at once by the next call,
+// which keeps the watch one and the same.
+type Director struct {
+	Names   *platform.Names
+	Count   *counters.Set
+	Address string
+	Ask     time.Duration // we are counted as told if we have not asked for this long
+	Told    func(olivebarrow.ListKind, []core.Entry)
+
+	index uint64
+	whole bool // the next call asks for the whole list
+	on    atomic.Bool
+	conn  net.Conn
+	in    *platform.Replies
+}
+
+// Subscribe starts the watch. Once it runs, it goes on by itself through all failures.
+func (d *Director) Subscribe() {
+	if d.on.CompareAndSwap(false, true) {
+		go d.watch()
+	}
+}
+
+// Start tells which version is known.
+func (d *Director) Start(index uint64) { d.index = index }
+
+func (d *Director) watch() {
+	for failed := 0; ; {
+		list, e := d.call()
+		d.Count.Endings[e].Add(1)
+		if e == core.ListTold {
+			failed = 0
+			d.take(list)
+			continue
+		}
+		d.close()
+		d.Told(olivebarrow.ListFailed, nil)
+		time.Sleep(d.backoff(failed))
+		failed++
+	}
+}
+
+// backoff is how long to stay away after some failures in a row: longer each time, so that
+// dispatchers do not add to a jam, but within the time we may go without asking.
+func (d *Director) backoff(failed int) time.Duration {
+	most := min(100*time.Millisecond<<min(failed, 8), d.Ask/5)
+	return most/2 + rand.N(most/2+1)
+}
+
+func (d *Director) take(list platform.List) {
+	switch {
+	case list.Full:
+		d.index, d.whole = list.Index, false
+		d.Told(olivebarrow.ListFull, list.Entries)
+	case list.Index < d.index: // its versions began anew: changes would not apply
+		d.whole = true
+	default:
+		d.index = list.Index
+		if len(list.Entries) > 0 {
+			d.Told(olivebarrow.ListDelta, list.Entries)
+		}
+	}
+}
+
+func (d *Director) close() {
+	if d.conn != nil {
+		d.conn.Close()
+		d.conn = nil
+	}
+}
+
+// call makes one call, on the connection that the last one left open if there is one.
+func (d *Director) call() (platform.List, core.Ending) {
+	d.Count.DirectorCalls.Add(1)
+	if d.conn == nil {
+		conn, err := net.DialTimeout("tcp", d.Address, callGrace)
+		if err != nil {
+			return platform.List{}, core.ListUnanswered
+		}
+		d.conn, d.in = conn, platform.NewReplies(true, platform.MaxList)
+	}
+	target, wait := string(platform.AppendWatch(nil, d.index, watchWait)), watchWait
+	if d.whole {
+		target, wait = platform.ListTarget, 0
+	}
+	d.conn.SetDeadline(time.Now().Add(wait + callGrace))
+	if _, err := d.conn.Write(platform.AppendGet(nil, target, d.Address)); err != nil {
+		return platform.List{}, core.ListUnanswered
+	}
+	return d.answer()
+}
+
+func (d *Director) answer() (list platform.List, e core.Ending) {
+	e = core.ListUnread
+	var closed error
+	for {
+		part, body, err := d.in.Next()
+		switch {
+		case err != nil:
+			return list, core.ListUnread
+		case part == platform.Line && d.in.Status == 200:
+			if list, err = d.Names.ReadList(body); err == nil {
+				e = core.ListTold
+			}
+		case part == platform.End:
+			if d.in.Status != 200 {
+				return list, core.ListRefused
+			}
+			if !d.in.Keep {
+				d.close()
+			}
+			return list, e
+		case part == platform.More:
+			if closed != nil {
+				return list, core.ListUnanswered
+			}
+			n, err := d.conn.Read(d.in.Space())
+			d.in.Filled(n)
+			if err != nil && !(errors.Is(err, io.EOF) && d.in.Closed()) {
+				closed = err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/list.go
@@ -0,0 +1,96 @@
+package platform
+
+import (
+	"errors"
+	"math"
+	"slices"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"olivebarrow"
+	"olivebarrow/internal/core"
+)
+
+// List is what the director tells.
+type List struct {
+	Index   uint64
+	Full    bool
+	Entries []core.Entry
+}
+
+var errList = errors.New("not a list of the protocol")
+
+// ReadList reads a list. One that is bad in any entry is bad as a whole: half a list would
+// drop backends that are there.
+func (n *Names) ReadList(text []byte) (List, error) {
+	it := json.BorrowIterator(text)
+	defer json.ReturnIterator(it)
+	return n.readList(it)
+}
+
+func (n *Names) readList(it *jsoniter.Iterator) (list List, err error) {
+	index, endpoints := false, false
+	for field := it.ReadObject(); field != ""; field = it.ReadObject() {
+		switch field {
+		case "index":
+			list.Index, index = it.ReadUint64(), true
+		case "snapshot":
+			list.Full = it.ReadBool()
+		case "endpoints":
+			endpoints = true
+			for it.ReadArray() {
+				e, ok := n.entry(it)
+				if !ok {
+					return List{}, errList
+				}
+				list.Entries = append(list.Entries, e)
+			}
+		default:
+			it.Skip()
+		}
+	}
+	if it.Error != nil || it.WhatIsNext() != jsoniter.InvalidValue || !index || !endpoints {
+		return List{}, errList
+	}
+	return list, nil
+}
+
+// entry reads one line of a list. An unknown zone or kind reads as the first, an unknown
+// status as Terminating: nothing new goes to a backend in a state that is not known.
+func (n *Names) entry(it *jsoniter.Iterator) (e core.Entry, ok bool) {
+	status := ""
+	for field := it.ReadObject(); field != ""; field = it.ReadObject() {
+		switch field {
+		case "name":
+			e.Name = it.ReadString()
+		case "address":
+			e.Address = it.ReadString()
+		case "zone":
+			e.Zone = max(slices.Index(n.Zones, it.ReadString()), 0)
+		case "type":
+			e.Kind = max(slices.Index(n.Kinds, it.ReadString()), 0)
+		case "group":
+			e.Cell = it.ReadInt()
+		case "status":
+			status = it.ReadString()
+		case "weight":
+			e.Weight = it.ReadFloat64()
+		case "since_ms":
+			e.Started = it.ReadFloat64()
+		default:
+			it.Skip()
+		}
+	}
+	switch status {
+	case "Ready":
+		e.State = olivebarrow.Ready
+	case "Gone":
+		e.State = olivebarrow.Gone
+	default:
+		e.State = olivebarrow.Draining
+	}
+	e.ID = olivebarrow.WorkerID(Hash(e.Name))
+	ok = it.Error == nil && e.Name != "" && status != "" && (e.Address != "" || e.State == olivebarrow.Gone) &&
+		!math.IsInf(e.Weight, 0) && !math.IsInf(e.Started, 0)
+	return e, ok
+}
--- /dev/null
+++ b/internal/platform/reply.go
@@ -0,0 +1,373 @@
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"olivebarrow/internal/core"
+)
+
+// Part is what Replies finds in a peer's bytes.
+type Part uint8
+
+// Parts of a reply.
+const (
+	More Part = iota // more bytes are due
+	Head             // a head: see Status, Load and the rest
+	Line             // a line of the body, or all of it at once
+	End              // the reply is whole; Keep says whether another may follow
+)
+
+// Replies takes in what a backend or the director sends: a head, and a body in chunks, of a
+// stated length, or up to the connection's end.
+type Replies struct {
+	buffer
+	Status      int
+	Unprocessed bool   // it says that the req never ran
+	Load        string // a load report in the head
+	Keep        bool
+	whole       bool // bodies come as one part
+	most        int  // bytes of a part
+	state       replyState
+	chunked     bool
+	left        int // of the chunk or body; -1 for all up to the connection's end
+	from, to    int // what is decoded and not handed out lies in the buffer from here to here
+	scanned     int // no line ends before this
+}
+
+type replyState uint8
+
+const (
+	inHead replyState = iota
+	inSize
+	inData
+	inBreak // the line end behind a chunk
+	inTrailer
+	inTail // handing out what is left of the body
+)
+
+// NewReplies makes a machine that hands out bodies by line, or whole.
+func NewReplies(whole bool, most int) *Replies { return &Replies{whole: whole, most: most} }
+
+var errReply = errors.New("not a reply of the protocol")
+
+// Space is where the next bytes are to be read.
+func (m *Replies) Space() []byte {
+	if len(m.b)-m.w < room/4 { // what is decoded moves on with what is not
+		start := min(m.from, m.r)
+		if m.from == m.to {
+			start = m.r
+		}
+		size := m.w - start
+		next := make([]byte, max(2*size, size+room))
+		copy(next, m.b[start:m.w])
+		m.from, m.to, m.scanned = max(m.from-start, 0), max(m.to-start, 0), max(m.scanned-start, 0)
+		m.b, m.r, m.w = next, m.r-start, size
+	}
+	return m.b[m.w:]
+}
+
+// Next returns the next part. The bytes of a Line stay as they are until Space is called.
+func (m *Replies) Next() (Part, []byte, error) {
+	for {
+		switch m.state {
+		case inHead:
+			if m.r == m.w { // nothing that was handed out is in use when the next reply begins
+				m.r, m.w = 0, 0
+			}
+			block, err := m.block()
+			if block == nil {
+				return More, nil, err
+			}
+			if err := m.readHead(block); err != nil {
+				return More, nil, err
+			}
+			if m.Status < 200 {
+				continue // an interim answer
+			}
+			m.from, m.to, m.scanned = m.r, m.r, m.r
+			return Head, nil, nil
+		case inData:
+			n := m.w - m.r
+			if m.left >= 0 {
+				n = min(n, m.left)
+			}
+			if m.from == m.to {
+				m.from, m.to, m.scanned = m.r, m.r, m.r
+			}
+			if m.to != m.r { // close the gap that the framing left
+				copy(m.b[m.to:], m.b[m.r:m.r+n])
+			}
+			m.to, m.r = m.to+n, m.r+n
+			if m.left >= 0 {
+				m.left -= n
+			}
+			if m.to-m.from > m.most {
+				return More, nil, errReply
+			}
+			if m.left == 0 {
+				if m.state = inTail; m.chunked {
+					m.state = inBreak
+				}
+			}
+			if line := m.line(); line != nil {
+				return Line, line, nil
+			}
+			if m.left != 0 {
+				return More, nil, nil
+			}
+		case inBreak, inSize, inTrailer:
+			if line := m.line(); line != nil { // lines that the last chunk still holds
+				return Line, line, nil
+			}
+			text, ok := m.text()
+			if !ok {
+				if m.w-m.r > MaxHead {
+					return More, nil, errReply
+				}
+				return More, nil, nil
+			}
+			if err := m.frame(text); err != nil {
+				return More, nil, err
+			}
+		case inTail:
+			if line := m.line(); line != nil {
+				return Line, line, nil
+			}
+			if m.from < m.to {
+				tail := m.b[m.from:m.to]
+				m.from = m.to
+				return Line, tail, nil
+			}
+			m.state = inHead
+			return End, nil, nil
+		}
+	}
+}
+
+// Closed tells that the connection ended. A body without a stated length is whole by that.
+func (m *Replies) Closed() (whole bool) {
+	if m.state == inData && m.left < 0 {
+		m.state, m.left = inTail, 0
+		return true
+	}
+	return false
+}
+
+func (m *Replies) line() []byte {
+	if m.whole {
+		return nil
+	}
+	for m.scanned < m.to {
+		i := bytes.IndexByte(m.b[m.scanned:m.to], '\n')
+		if i < 0 {
+			m.scanned = m.to
+			break
+		}
+		line := bytes.TrimSpace(m.b[m.from : m.scanned+i])
+		m.scanned += i + 1
+		m.from = m.scanned
+		if len(line) > 0 {
+			return line
+		}
+	}
+	return nil
+}
+
+// text is the next line of the framing.
+func (m *Replies) text() (string, bool) {
+	i := bytes.IndexByte(m.rest(), '\n')
+	if i < 0 {
+		return "", false
+	}
+	s := strings.TrimSuffix(string(m.b[m.r:m.r+i]), "\r")
+	m.r += i + 1
+	return s, true
+}
+
+func (m *Replies) frame(text string) error {
+	switch m.state {
+	case inBreak:
+		m.state = inSize
+		if text != "" {
+			return errReply
+		}
+	case inSize:
+		size, _, _ := strings.Cut(text, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil || int(n) > m.most {
+			return errReply
+		}
+		if m.left, m.state = int(n), inData; n == 0 {
+			m.state = inTrailer
+		}
+	case inTrailer:
+		if text == "" {
+			m.state = inTail
+		}
+	}
+	return nil
+}
+
+func (m *Replies) readHead(block []byte) error {
+	h, err := parseHead(block)
+	if err != nil {
+		return errReply
+	}
+	version, rest, _ := strings.Cut(h.first, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.ParseUint(code, 10, 10)
+	if err != nil || status < 100 || status > 599 || !strings.HasPrefix(version, "HTTP/1.") {
+		return errReply
+	}
+	m.Status = int(status)
+	if status < 200 {
+		return nil
+	}
+	unprocessed, _ := h.one("X-Unprocessed")
+	m.Unprocessed = unprocessed == "1"
+	m.Load, _ = h.one("X-Backend-Load")
+	m.Keep = !h.has("Connection", "close") && version != "HTTP/1.0"
+	m.chunked = h.has("Transfer-Encoding", "chunked")
+	m.state = inData
+	if m.chunked {
+		m.state, m.left = inSize, 0
+		return nil
+	}
+	if m.left, err = h.length(); err != nil || m.left > m.most {
+		return errReply
+	}
+	if status == 204 || status == 304 {
+		m.left = 0
+	}
+	if m.left < 0 {
+		m.Keep = false
+	}
+	return nil
+}
+
+// News is what a line of a backend says.
+type News struct {
+	Last     bool // the attempt has ended, as Ending
+	Ending   core.Ending
+	Started  bool
+	Progress float64
+	Result   string // a copy: it goes to the client when the buffer is another req's
+	Report   []float32
+}
+
+var errLine = errors.New("not a line of the protocol")
+
+var json = jsoniter.ConfigDefault
+
+// ReadLine reads a backend's line about the req with this id.
+func (n *Names) ReadLine(line []byte, id string) (news News, err error) {
+	it := json.BorrowIterator(line)
+	defer json.ReturnIterator(it)
+	var got, state string
+	result := false
+	for field := it.ReadObject(); field != ""; field = it.ReadObject() {
+		switch field {
+		case "id":
+			got = it.ReadString()
+		case "state":
+			state = it.ReadString()
+		case "share":
+			news.Progress = it.ReadFloat64()
+		case "result":
+			result = true
+			if it.WhatIsNext() == jsoniter.StringValue {
+				news.Result = it.ReadString()
+			} else {
+				news.Result = string(it.SkipAndReturnBytes())
+			}
+		case "load":
+			news.Report = n.report(it)
+		default:
+			it.Skip()
+		}
+	}
+	if it.Error != nil || it.WhatIsNext() != jsoniter.InvalidValue || got != id {
+		return News{}, errLine
+	}
+	news.Last = true
+	switch state {
+	case "started":
+		news.Last, news.Started = false, true
+	case "running":
+		news.Last = false
+	case "done":
+		if news.Ending = core.Served; !result {
+			return News{}, errLine
+		}
+	case "failed":
+		news.Ending = core.Failed
+	case "returned":
+		news.Ending = core.Returned
+	case "lost":
+		news.Ending = core.Lost
+	default:
+		return News{}, errLine
+	}
+	return news, nil
+}
+
+// report reads a load report into the settings' order of columns. A column that is absent
+// is zero, as on the simulator's wire.
+func (n *Names) report(it *jsoniter.Iterator) []float32 {
+	if it.WhatIsNext() != jsoniter.ObjectValue {
+		it.Skip()
+		return nil
+	}
+	values := make([]float32, len(n.Columns))
+	any := false
+	for field := it.ReadObject(); field != ""; field = it.ReadObject() {
+		at := -1
+		for i, c := range n.Columns {
+			if c == field {
+				at = i
+			}
+		}
+		if at < 0 || it.WhatIsNext() != jsoniter.NumberValue {
+			it.Skip()
+			continue
+		}
+		v := it.ReadFloat64()
+		if any = true; math.Abs(v) <= math.MaxFloat32 {
+			values[at] = float32(v)
+		}
+	}
+	if !any {
+		return nil
+	}
+	return values
+}
+
+// ReadLoad reads a load report that stands alone; one that cannot be read is none.
+func (n *Names) ReadLoad(text string) []float32 {
+	if text == "" {
+		return nil
+	}
+	it := json.BorrowIterator([]byte(text))
+	defer json.ReturnIterator(it)
+	if values := n.report(it); it.Error == nil {
+		return values
+	}
+	return nil
+}
+
+// Ending is how an attempt ended that was answered with this head, if it is not 200.
+func (m *Replies) Ending() core.Ending {
+	if m.Unprocessed && (m.Status == 503 || m.Status == 504) {
+		return core.Returned
+	}
+	return core.Failed
+}
+
+// Partial says whether bytes are there that no request asked for.
+func (m *Replies) Partial() bool { return m.r < m.w }
--- /dev/null
+++ b/internal/platform/request.go
@@ -0,0 +1,229 @@
+package platform
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"olivebarrow"
+)
+
+// Bad is why a client's bytes are refused, as the status of the answer.
+type Bad struct {
+	Status int
+	Reason string
+}
+
+func (b *Bad) Error() string { return fmt.Sprintf("%d: %s", b.Status, b.Reason) }
+
+// Request is a whole message of a client. Body is a slice of the buffer it came in.
+type Request struct {
+	Method, Target string
+	Body           []byte
+	Close          bool // the client will send no more on this connection
+	head           head
+}
+
+// Requests takes in what a client sends.
+type Requests struct {
+	buffer
+	cur  *Request
+	need int // bytes of the body
+	bad  error
+	cont bool
+}
+
+// Next returns the next whole request, or nil while more bytes are due. An error is a *Bad
+// and ends the session.
+func (m *Requests) Next() (*Request, error) {
+	if m.bad != nil {
+		return nil, m.bad
+	}
+	if m.cur == nil {
+		for m.r < m.w && (m.b[m.r] == '\r' || m.b[m.r] == '\n') { // empty lines before a request
+			m.r++
+		}
+		block, err := m.block()
+		if err != nil {
+			return nil, m.fail(431, err.Error())
+		}
+		if block == nil {
+			return nil, nil
+		}
+		if m.cur, m.need, err = readRequest(block); err != nil {
+			m.bad = err
+			return nil, err
+		}
+		if m.need > MaxBody {
+			return nil, m.fail(413, "the body is too long")
+		}
+		m.cont = m.need > 0 && m.cur.head.has("Expect", "100-continue")
+		if len(m.b)-m.r < m.need {
+			m.grow(m.need)
+		}
+	}
+	if m.w-m.r < m.need {
+		return nil, nil
+	}
+	q := m.cur
+	q.Body = m.b[m.r : m.r+m.need : m.r+m.need]
+	m.r += m.need
+	m.cur, m.cont = nil, false
+	return q, nil
+}
+
+func (m *Requests) fail(status int, reason string) error {
+	m.bad = &Bad{status, reason}
+	return m.bad
+}
+
+// Continue says, once for each such request, that the client waits to be told to send on.
+func (m *Requests) Continue() bool {
+	c := m.cont
+	m.cont = false
+	return c
+}
+
+// Partial says whether a request has begun and is not whole.
+func (m *Requests) Partial() bool { return m.cur != nil || m.r < m.w }
+
+// Done tells that the last request is answered; free, that its bytes are in no use.
+func (m *Requests) Done(free bool) {
+	if free {
+		m.rewind()
+	}
+}
+
+func badRequest(reason string) error { return &Bad{400, reason} }
+
+func readRequest(block []byte) (*Request, int, error) {
+	h, err := parseHead(block)
+	if err != nil {
+		return nil, 0, badRequest("a bad head")
+	}
+	parts := strings.Split(h.first, " ")
+	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[1], "/") || !strings.HasPrefix(parts[2], "HTTP/1.") {
+		return nil, 0, badRequest("a bad request line")
+	}
+	for _, c := range []byte(parts[0] + parts[1]) { // goes into a head of our own
+		if c <= ' ' || c >= 0x7f {
+			return nil, 0, badRequest("a bad request line")
+		}
+	}
+	if len(h.fields["Transfer-Encoding"]) > 0 {
+		return nil, 0, &Bad{411, "a length is required"}
+	}
+	n, err := h.length()
+	if err != nil {
+		return nil, 0, badRequest(err.Error())
+	}
+	q := &Request{Method: parts[0], Target: parts[1], head: h}
+	q.Close = h.has("Connection", "close") || parts[2] == "HTTP/1.0" && !h.has("Connection", "keep-alive")
+	return q, max(n, 0), nil
+}
+
+// Path is the target without its query.
+func (q *Request) Path() string {
+	path, _, _ := strings.Cut(q.Target, "?")
+	return path
+}
+
+// Names are the names that stand on the sockets for the module's numbers.
+type Names struct {
+	Classes []string
+	Limits  []time.Duration // how long a client of each class waits in all
+	Zones   []string
+	Kinds   []string
+	Columns []string // of a load report
+}
+
+// Work is what a client asks for.
+type Work struct {
+	Ask            olivebarrow.Request // ID and Deadline are the core's to set
+	ID             string
+	IdempotencyKey string
+	Left           time.Duration
+}
+
+// Read makes a req of a POST. What is absent stays zero, as it does for the simulator's
+// adapter.
+func (n *Names) Read(q *Request) (w Work, err error) {
+	bad := func(status int, reason string) (Work, error) { return Work{}, &Bad{status, reason} }
+	var single [6]bool
+	var class, left, repeat, facts string
+	w.ID, single[0] = q.head.one("X-Correlation-Id")
+	class, single[1] = q.head.one("X-Service-Class")
+	left, single[2] = q.head.one("X-Time-Left-Ms")
+	w.IdempotencyKey, single[3] = q.head.one("Idempotency-Key")
+	repeat, single[4] = q.head.one("X-Repeat")
+	facts, single[5] = q.head.one("X-Facts")
+	if single != [6]bool{true, true, true, true, true, true} {
+		return bad(400, "a field stands there twice")
+	}
+	if w.ID == "" {
+		return bad(400, "no X-Correlation-Id")
+	}
+	first, rest, _ := strings.Cut(strings.TrimPrefix(q.Path(), "/"), "/")
+	if class == "" {
+		class = first
+	}
+	w.Ask.Class = -1
+	for i, name := range n.Classes {
+		if name == class {
+			w.Ask.Class = i
+		}
+	}
+	if w.Ask.Class < 0 {
+		return bad(404, "an unknown class")
+	}
+	if w.Left = n.Limits[w.Ask.Class]; left != "" {
+		ms, err := strconv.ParseUint(left, 10, 31)
+		if err != nil {
+			return bad(400, "a bad X-Time-Left-Ms")
+		}
+		w.Left = time.Duration(ms) * time.Millisecond
+	}
+	w.Ask.Retry = repeat == "1"
+	w.Ask.Key = key(rest)
+	for fact := range strings.SplitSeq(facts, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(fact), "=")
+		var to *float64
+		switch name {
+		case "slots":
+			to = &w.Ask.Slots
+		case "memory":
+			to = &w.Ask.Memory
+		default:
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 32)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return bad(400, "a bad X-Facts")
+		}
+		*to = float64(float32(v)) // as wide as the simulator's
+	}
+	return w, nil
+}
+
+// key is what a request concerns: the last part of a path that has more than the class.
+// A hexadecimal number is taken as it is, other text by its hash; 0 is none.
+func key(rest string) uint64 {
+	last := rest[strings.LastIndexByte(rest, '/')+1:]
+	if last == "" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(last, 16, 64); err == nil {
+		return v
+	}
+	return Hash(last)
+}
+
+// Hash spreads a name over 64 bits, alike at every dispatcher.
+func Hash(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/platform/write.go
@@ -0,0 +1,79 @@
+package platform
+
+import (
+	"strconv"
+	"time"
+
+	"olivebarrow/internal/core"
+)
+
+// AppendJob writes the head of a job for a backend; the body follows as it is.
+func AppendJob(b []byte, j *core.Job, host string, left time.Duration) []byte {
+	b = append(b, j.Method...)
+	b = append(b, ' ')
+	b = append(b, j.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\nX-Correlation-Id: "...)
+	b = append(b, j.ID...)
+	if j.IdempotencyKey != "" {
+		b = append(b, "\r\nIdempotency-Key: "...)
+		b = append(b, j.IdempotencyKey...)
+	}
+	b = append(b, "\r\nX-Time-Left-Ms: "...)
+	b = strconv.AppendInt(b, max(left.Milliseconds(), 1), 10)
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(j.Body)), 10)
+	return append(b, "\r\n\r\n"...)
+}
+
+// AppendGet writes a request without a body.
+func AppendGet(b []byte, target, host string) []byte {
+	b = append(append(b, "GET "...), target...)
+	b = append(append(b, " HTTP/1.1\r\nHost: "...), host...)
+	return append(b, "\r\n\r\n"...)
+}
+
+// ListTarget is the target of a call for the whole list.
+const ListTarget = "/registry/instances"
+
+// AppendWatch is the target of a watch for what is newer than index.
+func AppendWatch(b []byte, index uint64, wait time.Duration) []byte {
+	b = append(b, "/registry/instances?since="...)
+	b = strconv.AppendUint(b, index, 10)
+	b = append(b, "&timeout_ms="...)
+	return strconv.AppendInt(b, wait.Milliseconds(), 10)
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	502: "Bad Gateway", 503: "Service Unavailable"}
+
+// AppendAnswer writes an answer to a client.
+func AppendAnswer(b []byte, status int, pause time.Duration, closing bool, body string) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(b, ' '), reasons[status]...)
+	if pause > 0 {
+		b = append(b, "\r\nRetry-After: "...)
+		b = strconv.AppendFloat(b, pause.Seconds(), 'f', 3, 64)
+	}
+	if closing {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, body...)
+}
+
+// AppendFinal writes a req's final answer. Only a backend's result is ever a 200.
+func AppendFinal(b []byte, a core.Answer, closing bool) []byte {
+	switch a.Verdict {
+	case core.ResultOf:
+		return AppendAnswer(b, 200, 0, closing, a.Result)
+	case core.Refusal:
+		return AppendAnswer(b, 503, a.Pause, closing, "")
+	}
+	return AppendAnswer(b, 502, 0, closing, "")
+}
