--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -1,34 +1,160 @@
 package platform
 
 import (
+	"errors"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"olivebarrow"
 )
 
-func feed(m interface {
-	Space() []byte
-	Filled(int)
-}, s string) {
-	for len(s) > 0 {
-		n := copy(m.Space(), s)
-		m.Filled(n)
-		s = s[n:]
+var testNames = &Names{Classes: []string{"ingest"}, Limits: []time.Duration{5 * time.Second},
+	Zones: []string{"a", "b"}, Kinds: []string{"fast", "std"}, Columns: []string{"failed_ps", "x0"}}
+
+// front lets a scenario run on the machine of a client session. Each request is answered at
+// once, its bytes given up by turns.
+type front struct {
+	Requests
+	n int
+}
+
+func (f *front) next() string {
+	if f.Continue() {
+		return "continue"
+	}
+	q, err := f.Next()
+	var bad *Bad
+	switch {
+	case errors.As(err, &bad):
+		return fmt.Sprint("bad ", bad.Status)
+	case q == nil:
+		if f.Continue() {
+			return "continue"
+		}
+		return "more"
+	}
+	s := fmt.Sprintf("%s %s %q", q.Method, q.Target, q.Body)
+	if q.Close {
+		s += " close"
+	}
+	f.n++
+	f.Done(f.n%2 == 1)
+	return s
+}
+
+func (f *front) closed() string {
+	if f.Partial() {
+		return "cut"
+	}
+	return ""
+}
+
+func TestRequests(t *testing.T) {
+	play(t, func() machine { return &front{} }, []script{
+		{"one after another", `
+			send POST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\none
+			expect POST /c "one"
+			send POST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo
+			expect POST /c "two"
+			expect more
+			close`},
+		{"sent ahead", `
+			send POST /c?q=1 HTTP/1.1\r\ncontent-length: 1\r\n\r\n1\r\nGET /h HTTP/1.1\r\nConnection: Close\r\n\r\n
+			expect POST /c?q=1 "1"
+			expect GET /h "" close`},
+		{"the client waits to be told to go on", `
+			send POST /c HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n
+			expect continue
+			wait
+			expect more
+			send ab
+			expect POST /c "ab"`},
+		{"old clients close", `
+			send GET /h HTTP/1.0\r\n\r\n
+			expect GET /h "" close`},
+		{"closed within a req", `
+			send POST /c HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf
+			close
+			expect cut`},
+		{"not a request line", "send nonsense\\r\\n\\r\\n\nexpect bad 400"},
+		{"a target that would split a head", "send GET /a\tb HTTP/1.1\\r\\n\\r\\n\nexpect bad 400"},
+		{"two lengths", "send POST /c HTTP/1.1\\r\\nContent-Length: 1\\r\\nContent-Length: 2\\r\\n\\r\\n\nexpect bad 400"},
+		{"a signed length", "send POST /c HTTP/1.1\\r\\nContent-Length: +1\\r\\n\\r\\n\nexpect bad 400"},
+		{"chunks from a client", "send POST /c HTTP/1.1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n\nexpect bad 411"},
+		{"a body too long", "send POST /c HTTP/1.1\\r\\nContent-Length: 65537\\r\\n\\r\\n\nexpect bad 413"},
+		{"a head without end", "send GET /{{17000*a}}\nexpect bad 431"},
+	})
+}
+
+// TestLongestBody: a body of 64 KiB moves to a buffer that holds it, and the next req starts small.
+func TestLongestBody(t *testing.T) {
+	f := &front{}
+	playOne(t, f, `send POST /c HTTP/1.1\r\nContent-Length: 65536\r\n\r\n{{65536*z}}`+
+		"\nsend GET /h HTTP/1.1\\r\\n\\r\\n\nexpect POST /c \""+unquote(t, "{{65536*z}}")+"\"\nexpect GET /h \"\"", 1000)
+	assert.LessOrEqual(t, len(f.b), 4*room)
+}
+
+// TestReadWork compares what the module is given with what the simulator's adapter gives it:
+// the same figures for the same request, zero for what is absent.
+func TestReadWork(t *testing.T) {
+	const head = "POST /ingest%s HTTP/1.1\r\n%s\r\n"
+	const id = "X-Correlation-Id: 9b\r\n"
+	for _, c := range []struct {
+		name, path, fields string
+		want               olivebarrow.Request
+		left               time.Duration
+		bad                int
+	}{
+		{"all absent", "", id, olivebarrow.Request{}, 5 * time.Second, 0},
+		{"all there", "/7f3a9c21e0b4d655", id + "X-Service-Class: ingest\r\nX-Time-Left-Ms: 480\r\nX-Repeat: 1\r\nX-Facts: slots=2,memory=1.433\r\n",
+			olivebarrow.Request{Key: 0x7f3a9c21e0b4d655, Slots: 2, Memory: float64(float32(1.433)), Retry: true}, 480 * time.Millisecond, 0},
+		{"a key in words", "/a/family%20album?x=1", id, olivebarrow.Request{Key: Hash("family%20album")}, 5 * time.Second, 0},
+		{"facts not known", "", id + "X-Facts: tint=4, slots=1\r\n", olivebarrow.Request{Slots: 1}, 5 * time.Second, 0},
+		{"no id", "", "X-Facts: slots=1\r\n", olivebarrow.Request{}, 0, 400},
+		{"two ids", "", id + id, olivebarrow.Request{}, 0, 400},
+		{"a bad time", "", id + "X-Time-Left-Ms: -3\r\n", olivebarrow.Request{}, 0, 400},
+		{"bad facts", "", id + "X-Facts: slots=NaN\r\n", olivebarrow.Request{}, 0, 400},
+		{"an unknown class", "", id + "X-Service-Class: other\r\n", olivebarrow.Request{}, 0, 404},
+	} {
+		var m Requests
+		m.Filled(copy(m.Space(), fmt.Sprintf(head, c.path, c.fields)))
+		q, err := m.Next()
+		require.NoError(t, err, c.name)
+		w, err := testNames.Read(q)
+		var bad *Bad
+		if errors.As(err, &bad) {
+			assert.Equal(t, c.bad, bad.Status, c.name)
+			continue
+		}
+		require.Zero(t, c.bad, c.name)
+		assert.Equal(t, c.want, w.Ask, c.name)
+		assert.Equal(t, c.left, w.Left, c.name)
+		assert.Equal(t, "9b", w.ID, c.name)
 	}
 }
 
-// TestNextReqBehindTheLast: the bytes of the next req lie behind those of the one that is
-// being answered. Giving up the one must keep the other.
-func TestNextReqBehindTheLast(t *testing.T) {
-	var m Requests
-	feed(&m, "POST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\none")
-	q, err := m.Next()
-	require.NoError(t, err)
-	feed(&m, "POST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo")
-	assert.Equal(t, "one", string(q.Body))
-	m.Done(true)
-	q, err = m.Next()
-	require.NoError(t, err)
-	assert.Equal(t, "two", string(q.Body))
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte("POST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\noneGET / HTTP/1.0\r\n\r\n"), 1)
+	f.Add([]byte("POST /c HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Facts: slots=,=\r\n\r\n"), 7)
+	f.Fuzz(func(t *testing.T, bytes []byte, piece int) {
+		var m Requests
+		for piece = max(piece, 1); len(bytes) > 0; {
+			n := copy(m.Space(), bytes[:min(piece, len(bytes))])
+			m.Filled(n)
+			bytes = bytes[n:]
+			for {
+				q, err := m.Next()
+				if q == nil || err != nil {
+					break
+				}
+				assert.LessOrEqual(t, len(q.Body), MaxBody)
+				_, _ = testNames.Read(q)
+				m.Done(true)
+			}
+		}
+	})
 }
