Module: a started job is not taken for silent where backends tell no progress

Checked: settings here say ProgressMs 0, TellsStart true, so Progressed set a timer of 2.5 x 0 and overdue (dispatcher.go) found any silence too long 2 ms after each start: every backend struck, a second copy spent.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -349,6 +349,9 @@
 func (d *Dispatcher) overdue(now Millis, r *request, k int) {
 	a, silence := &r.attempts[k], 2.5*d.set.ProgressEvery
 	if a.started > 0 {
+		if silence == 0 { // the timer was set before the start, for an attempt that had to wait
+			return
+		}
 		if now-a.news < silence {
 			d.watch(r, k, silence-(now-a.news))
 			return
@@ -420,7 +423,9 @@
 	a.news = now
 	if a.started == 0 {
 		a.started = now
-		d.watch(r, p.Attempt, 2.5*d.set.ProgressEvery)
+		if d.set.ProgressEvery > 0 { // where no progress is told, silence after a start says nothing
+			d.watch(r, p.Attempt, 2.5*d.set.ProgressEvery)
+		}
 	}
 	if p.Started {
 		w, c, wait := &d.workers[a.worker], &d.set.Classes[r.Class], now-a.sent
