Scenarios for the whole dispatcher on pipes under a fake clock; mend reqs sent ahead

Seen: the scenario 'sent ahead' hung: a req that lay in the buffer before its forerunner was answered was taken up only when more bytes came (clients.go, await). await now looks first. An id or key with control characters is refused, as it goes into a head of our own.

--- a/cmd/tinsail/main.go
+++ b/cmd/tinsail/main.go
@@ -37,9 +37,9 @@
 	debug.SetGCPercent(200)
 
 	count, share := &counters.Set{}, network.Share(cfg.Sockets)
-	pool := &network.Pool{Names: &cfg.Names, Count: count, Most: share.Backends, Idle: cfg.ConnIdle * 7 / 10,
+	pool := &network.Pool{Names: &cfg.Names, Count: count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
-	director := &network.Director{Names: &cfg.Names, Count: count, Address: cfg.Discovery}
+	director := &network.Director{Names: &cfg.Names, Count: count, Address: cfg.Discovery, Dial: network.TCP}
 	director.Ask = time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond))
 	c, err := core.New(cfg.Settings, pool, director, count)
 	if err != nil {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"olivebarrow"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8081","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964","later":1,
+ "limits":{"cores":0.4,"memory_mb":100,"sockets":512},
+ "known":{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.3:1","zone":"z","type":"b","status":"Ready","weight":4}]},
+ "settings":{"Allowed":{"ConnIdleMs":8000.0,"ConnectTimeoutMs":120.0,"MaxAttempts":5},"Classes":[{"AimMs":120,
+ "HardLimitMs":5000.0,"Effect":"read_like","Name":"ingest"}],"Models":["a","b"],"Zones":["z"],"Report":{"Columns":["failed_ps","x0"]}}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	require.NoError(t, err)
+	assert.Equal(t, "n3", c.Name)
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), c.Settings.Seed)
+	assert.Equal(t, 0.4, c.Cores)
+	assert.Equal(t, int64(100<<20), c.Memory)
+	assert.Equal(t, 512, c.Sockets)
+	assert.Equal(t, 8*time.Second, c.ConnIdle)
+	assert.Equal(t, 5*time.Second, c.Longest())
+	assert.Equal(t, uint64(41), c.Known.Index)
+	assert.Equal(t, 1, c.Known.Entries[0].Kind)
+	assert.Equal(t, olivebarrow.Ready, c.Known.Entries[0].State)
+	assert.Equal(t, []string{"failed_ps", "x0"}, c.Names.Columns)
+}
+
+func TestDefaults(t *testing.T) {
+	text := strings.Replace(good, `"limits":{"cores":0.4,"memory_mb":100,"sockets":512},`, "", 1)
+	text = strings.Replace(text, `"listen":"127.0.0.1:8081",`, "", 1)
+	text = strings.Replace(text, `"ConnIdleMs":8000.0,`, "", 1)
+	c, err := Parse([]byte(text), func(key string) string { return map[string]string{"ROUTER_LISTEN": "127.0.0.9:1"}[key] })
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.9:1", c.Listen)
+	assert.Equal(t, []any{1.0, int64(192 << 20), 1024, 10 * time.Second}, []any{c.Cores, c.Memory, c.Sockets, c.ConnIdle})
+}
+
+// TestFaultsNameTheKey: whoever reads the message must know what to mend.
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"listen":"127.0.0.1:8081"`, `"listen":"here"`, "listen"},
+		{`"discovery":"127.0.0.2:8500",`, ``, "discovery"},
+		{`"8c1f30d27a5be964"`, `"tea"`, "seed"},
+		{`"cores":0.4`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":100`, `"memory_mb":1`, "limits.memory_mb"},
+		{`"sockets":512`, `"sockets":3`, "limits.sockets"},
+		{`"index":41,`, ``, "known"},
+		{`"ConnIdleMs":8000.0`, `"ConnIdleMs":0`, "Allowed.ConnIdleMs"},
+		{`"ConnectTimeoutMs":120.0`, `"ConnectTimeoutMs":0`, "Allowed.ConnectTimeoutMs"},
+		{`"Name":"ingest"`, `"Name":""`, "Classes[0].Name"},
+		{`"read_like"`, `"odd"`, "class 0"},
+		{`"settings":`, `"other":`, "settings"},
+		{`"name":"n3"`, `"name":3`, "Name"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), none)
+		assert.ErrorContains(t, err, c.want)
+	}
+	_, err := Load(none)
+	assert.ErrorContains(t, err, "ROUTER_CONFIG")
+}
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -12,6 +12,15 @@
 	"olivebarrow/internal/platform"
 )
 
+// Dial makes a connection.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// TCP is the Dial of the real program.
+func TCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Pool keeps connections to backends and carries out attempts on them.
 type Pool struct {
 	Names   *platform.Names
@@ -19,6 +28,7 @@
 	Connect time.Duration // a connection that is not up by then is given up
 	Idle    time.Duration // an idle connection is closed by us after this, before the backend does
 	Most    int           // connections open or being made
+	Dial    Dial
 
 	mu   sync.Mutex
 	idle map[olivebarrow.WorkerID][]*link // the last used is last
@@ -93,8 +103,9 @@
 		x.end(verdict{ending: core.Unsent})
 		return
 	}
-	d := net.Dialer{Timeout: p.Connect}
-	conn, err := d.DialContext(x.ctx, "tcp", x.backend.Address)
+	ctx, cancel := context.WithTimeout(x.ctx, p.Connect)
+	conn, err := p.Dial(ctx, x.backend.Address)
+	cancel()
 	if err != nil {
 		p.release()
 		x.end(verdict{ending: core.Unreached})
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -69,9 +69,6 @@
 // Serve accepts eagerly until the listener is closed: a req counts as taken as soon as the
 // kernel has it.
 func (c *Clients) Serve(l net.Listener) {
-	c.mu.Lock()
-	c.sessions, c.left = map[*session]struct{}{}, make(chan struct{}, 1)
-	c.mu.Unlock()
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -92,6 +89,9 @@
 	now := time.Now()
 	s := &session{clients: c, conn: conn, since: now, answer: make(chan core.Answer, 1)}
 	c.mu.Lock()
+	if c.sessions == nil {
+		c.sessions, c.left = map[*session]struct{}{}, make(chan struct{}, 1)
+	}
 	n := len(c.sessions)
 	if n >= c.Most {
 		s.excess = !c.shedOne()
@@ -262,9 +262,15 @@
 func (s *session) await(t core.Ticket, closing bool) (core.Ending, bool) {
 	gone, done := make(chan struct{}), make(chan written, 1)
 	go s.reply(closing, gone, done)
-	n, err := s.conn.Read(s.in.Space())
 	var w written
-	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) { // sent ahead, or told to look
+	if s.in.Partial() { // sent ahead: what is here is to be taken up next, and nothing wakes a read
+		w = <-done
+		s.came = time.Now()
+		s.in.Done(w.free)
+		return core.SessionDone, w.closing || w.err != nil
+	}
+	n, err := s.conn.Read(s.in.Space())
+	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) { // more has come, or the session is told to look
 		w = <-done
 	} else {
 		select {
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -1,6 +1,7 @@
 package network
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -27,6 +28,8 @@
 	Count   *counters.Set
 	Address string
 	Ask     time.Duration // we are counted as told if we have not asked for this long
+	Dial    Dial
+	Stop    <-chan struct{} // ends the watch; may be nil
 	Told    func(olivebarrow.ListKind, []core.Entry)
 
 	index uint64
@@ -57,7 +60,11 @@
 		}
 		d.close()
 		d.Told(olivebarrow.ListFailed, nil)
-		time.Sleep(d.backoff(failed))
+		select {
+		case <-time.After(d.backoff(failed)):
+		case <-d.Stop:
+			return
+		}
 		failed++
 	}
 }
@@ -95,7 +102,9 @@
 func (d *Director) call() (platform.List, core.Ending) {
 	d.Count.DirectorCalls.Add(1)
 	if d.conn == nil {
-		conn, err := net.DialTimeout("tcp", d.Address, callGrace)
+		ctx, cancel := context.WithTimeout(context.Background(), callGrace)
+		conn, err := d.Dial(ctx, d.Address)
+		cancel()
 		if err != nil {
 			return platform.List{}, core.ListUnanswered
 		}
--- /dev/null
+++ b/internal/network/network_test.go
@@ -0,0 +1,245 @@
+package network
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"olivebarrow"
+)
+
+func TestOneBackend(t *testing.T) {
+	for name, text := range map[string]string{
+		"served, and both connections used again": `
+			c1 send {req 9b photo}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 photo
+			s1/1 send {started 9b}
+			c1 expect nothing
+			wait 300ms
+			s1/1 send {done 9b small}
+			c1 expect 200 small
+			c1 send {req 9c photo}
+			s1/1 expect POST /ingest?v=1 9c k9c 2000 photo
+			s1/1 send {started 9c}{done 9c tiny}
+			c1 expect 200 tiny
+			s1/2 expect no connection`,
+		"the answer does not wait for the end of the reply": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 send {started 9b}{last 9b r}
+			c1 expect 200 r
+			c2 send {req 9c x}
+			s1/2 expect POST /ingest?v=1 9c k9c 2000 x
+			s1/1 send 0\r\n\r\n
+			c1 send {req 9d x}
+			s1/1 expect POST /ingest?v=1 9d k9d 2000 x`,
+		"no connection proves that it never ran": `
+			s1 close
+			c1 send {req 9b x}
+			c1 expect 503 after 0.120`,
+		"a connection that never comes up has a timer": `
+			s1 wait 1h
+			c1 send {req 9b x}
+			wait 119ms
+			c1 expect nothing
+			wait 1ms
+			c1 expect 503 after 0.120`,
+		"turned away": `
+			c1 send {req 9b x}
+			s1/1 send HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n
+			c1 expect 503 after 0.120`,
+		"a break after the last byte may have run": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 close
+			c1 expect 502`,
+		"a reply that ends before the last line": `
+			c1 send {req 9b x}
+			s1/1 send {started 9b}0\r\n\r\n
+			c1 expect 502`,
+		"failed, and the connection stays": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 send {started 9b}{failed 9b}
+			c1 expect 502
+			s1/1 expect nothing`,
+		"a bad line ends the attempt and its connection": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 send {started 9b}{done other r}
+			c1 expect 502
+			s1/1 expect closed`,
+		"silence lasts to the deadline, and gives the attempt up": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			wait 1990ms
+			c1 expect nothing
+			wait 10ms
+			c1 expect 502
+			s1/1 expect closed`,
+		"a deadline counts from the first byte": `
+			c1 send POST /ingest HTTP/1.1\r\nX-Correlation-Id: 9b\r\nX-Time-Left-Ms: 2000\r\nContent-Length: 2\r\n\r\na
+			wait 500ms
+			c1 send b
+			s1/1 expect POST /ingest 9b 1500 ab
+			wait 1500ms
+			c1 expect 502`,
+		"a client that goes away is not answered, and its attempt goes on": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			c1 close
+			s1/1 send {started 9b}{done 9b r}
+			c2 send {req 9c x}
+			s1/1 expect POST /ingest?v=1 9c k9c 2000 x`,
+		"an idle connection is retired before the backend does it": `
+			c1 send {req 9b x}
+			s1/1 send {started 9b}{done 9b r}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			wait 6990ms
+			s1/1 expect nothing
+			wait 10ms
+			s1/1 expect closed`,
+		"an idle connection that broke is not written to": `
+			c1 send {req 9b x}
+			s1/1 send {started 9b}{done 9b r}
+			s1/1 close
+			c1 expect 200 r
+			c1 send {req 9c x}
+			s1/2 expect POST /ingest?v=1 9c k9c 2000 x`,
+		"bytes that nobody asked for end an idle connection": `
+			c1 send {req 9b x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 send {started 9b}{done 9b r}
+			s1/1 send HTTP/1.1
+			s1/1 expect closed`,
+		"sent ahead": `
+			c1 send {req 9b x}{req 9c y}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 expect nothing
+			s1/1 send {started 9b}{done 9b r}
+			c1 expect 200 r
+			s1/1 expect POST /ingest?v=1 9c k9c 2000 y`,
+		"nonsense": `
+			c1 send nonsense\r\n\r\n
+			c1 expect 400 close 400: a bad request line
+			c1 close`,
+		"what is not a job": `
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 200
+			c1 send GET /counters HTTP/1.1\r\n\r\n
+			c1 expect 200 counters
+			c1 send GET /ingest HTTP/1.1\r\n\r\n
+			c1 expect 404
+			c1 send PUT /ingest HTTP/1.1\r\nContent-Length: 0\r\n\r\n
+			c1 expect 405`,
+	} {
+		t.Run(name, func(t *testing.T) { run(t, list(olivebarrow.Ready, "s1"), 9, text) })
+	}
+}
+
+// TestDrainedWhileConnecting: a backend that drains while a connection to it is being made
+// gets nothing, not even what was decided before.
+func TestDrainedWhileConnecting(t *testing.T) {
+	run(t, list(olivebarrow.Ready, "s1"), 9, "s1 wait 100ms\nc1 send {req 9b x}\nwait 50ms",
+		func(w *world) { w.core.Listed(olivebarrow.ListDelta, list(olivebarrow.Draining, "s1")) }, `
+		wait 60ms
+		s1/1 expect closed
+		c2 send GET /health/ready HTTP/1.1\r\n\r\n
+		c2 expect 503
+		wait 1900ms
+		c1 expect 503 after 0.120`)
+}
+
+// TestNotReadyWithoutBackends: the front must not admit a dispatcher that cannot serve.
+func TestNotReadyWithoutBackends(t *testing.T) {
+	run(t, nil, 9, `
+		c1 send GET /health/ready HTTP/1.1\r\n\r\n
+		c1 expect 503
+		c1 send GET /health/live HTTP/1.1\r\n\r\n
+		c1 expect 200`)
+}
+
+// TestMovedBackend: nothing goes to an address that the list no longer gives.
+func TestMovedBackend(t *testing.T) {
+	moved := list(olivebarrow.Ready, "s1")
+	moved[0].Address = "s2"
+	run(t, list(olivebarrow.Ready, "s1"), 9, `
+		c1 send {req 9b x}
+		s1/1 send {started 9b}{done 9b r}
+		c1 expect 200 r`,
+		func(w *world) { w.core.Listed(olivebarrow.ListDelta, moved) }, `
+		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+		s1/1 expect closed
+		c1 send {req 9c x}
+		s2/1 expect POST /ingest?v=1 9c k9c 2000 x`)
+}
+
+// TestBudgets: the idlest session makes room for a new one. Where all are busy, a client is
+// told to come back; where all connections to backends are, its req is refused.
+func TestBudgets(t *testing.T) {
+	run(t, list(olivebarrow.Ready, "s1"), 1, `
+		c1 send GET /health/live HTTP/1.1\r\n\r\n
+		c1 expect 200
+		c2 send {req 9b x}
+		c1 expect closed
+		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+		c3 send {req 9c x}
+		c3 expect 503 after 0.500 close
+		s1/1 send {started 9b}{done 9b r}
+		c2 expect 200 r`)
+}
+
+// TestDirector: the watch goes on at once after each answer, from the version it has; a list
+// that cannot be read changes nothing.
+func TestDirector(t *testing.T) {
+	run(t, list(olivebarrow.Ready, "s1"), 9, `
+		wait 2600ms
+		d/1 expect GET /registry/instances?since=41&timeout_ms=4000
+		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":43,"snapshot":false,"endpoints":[]}
+		d/1 expect GET /registry/instances?since=43&timeout_ms=4000
+		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{"in
+		wait 1s
+		d/1 expect closed
+		d/2 expect GET /registry/instances?since=43&timeout_ms=4000
+		c1 send GET /health/ready HTTP/1.1\r\n\r\n
+		c1 expect 200
+		d/2 send HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n{"index":44,"snapshot":true,"endpoints":[]}
+		c1 send GET /health/ready HTTP/1.1\r\n\r\n
+		c1 expect 503
+		d/2 expect GET /registry/instances?since=44&timeout_ms=4000
+		d/2 send HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n{"index":2,"snapshot":false,"endpoints":[]}
+		d/2 expect GET /registry/instances
+		wait 4s
+		d/3 expect GET /registry/instances`)
+}
+
+// TestDrain: after SIGTERM new connections and reqs are still answered, with Connection:
+// close; sessions between reqs are closed once the front sends no more.
+func TestDrain(t *testing.T) {
+	done := make(chan time.Duration, 1)
+	run(t, list(olivebarrow.Ready, "s1"), 9, `
+		c1 send {req 9b x}
+		c2 send GET /health/live HTTP/1.1\r\n\r\n
+		c2 expect 200`,
+		func(w *world) {
+			go func() {
+				begun := time.Now()
+				w.clients.Drain(6 * time.Second)
+				done <- time.Since(begun)
+			}()
+		}, `
+		wait 300ms
+		c3 send {req 9c x}
+		c4 send GET /health/ready HTTP/1.1\r\n\r\n
+		c4 expect 503 close
+		s1/2 send {started 9c}{done 9c r}
+		c3 expect 200 close r
+		c2 expect nothing
+		wait 400ms
+		c2 expect closed
+		s1/1 send {started 9b}{done 9b late}
+		c1 expect 200 close late
+		wait 100ms`,
+		func(*world) { assert.InDelta(t, 720*time.Millisecond, <-done, float64(30*time.Millisecond)) })
+}
--- /dev/null
+++ b/internal/network/scenario_test.go
@@ -0,0 +1,257 @@
+package network
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"olivebarrow"
+	"olivebarrow/internal/core"
+	"olivebarrow/internal/counters"
+	"olivebarrow/internal/platform"
+	"olivebarrow/internal/scenario"
+)
+
+// world is a whole dispatcher on pipes, under a clock that moves only when all is at rest.
+// Its peers are named in scenarios: clients c1, c2 and so on; s1/2 is the second connection
+// made to backend s1, d/1 the first to the director; s1 or d alone is all that is to come.
+type world struct {
+	t       *testing.T
+	core    *core.Core
+	clients *Clients
+	count   *counters.Set
+	mu      sync.Mutex
+	peers   map[string]*peer
+	refuse  map[string]bool
+	slow    map[string]time.Duration
+	made    map[string]int
+}
+
+// peer is the far end of a connection.
+type peer struct {
+	conn net.Conn
+	mu   sync.Mutex
+	got  []byte
+	over bool
+}
+
+func (w *world) pipe(name string) net.Conn {
+	near, far := net.Pipe()
+	p := &peer{conn: far}
+	w.peers[name] = p
+	go func() {
+		b := make([]byte, 1<<17)
+		for {
+			n, err := far.Read(b)
+			p.mu.Lock()
+			p.got, p.over = append(p.got, b[:n]...), err != nil
+			p.mu.Unlock()
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return near
+}
+
+func (w *world) dial(ctx context.Context, name string) (net.Conn, error) {
+	w.mu.Lock()
+	slow := w.slow[name]
+	w.mu.Unlock()
+	select {
+	case <-time.After(slow):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refuse[name] {
+		return nil, errors.New("refused")
+	}
+	w.made[name]++
+	return w.pipe(fmt.Sprint(name, "/", w.made[name])), nil
+}
+
+// list names backends: s1 is of cell 1 and so on.
+func list(state olivebarrow.State, names ...string) (list []core.Entry) {
+	for i, n := range names {
+		list = append(list, core.Entry{Name: n, Address: n, Worker: olivebarrow.Worker{
+			ID: olivebarrow.WorkerID(platform.Hash(n)), State: state, Weight: 4, Cell: i + 1}})
+	}
+	return list
+}
+
+// run plays scenarios and functions in turn, in a world with these backends.
+func run(t *testing.T, backends []core.Entry, most int, parts ...any) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := olivebarrow.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 5, MayDuplicate: true,
+			TellsStart: true, MaxPause: 2000, ConnectTimeout: 120, Tick: 2, Subscribe: true,
+			Rules:   olivebarrow.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
+			Classes: []olivebarrow.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: olivebarrow.Deduped, Scope: olivebarrow.ScopeCell, RepeatWindow: 7500}}}
+		names := &platform.Names{Classes: []string{"ingest"}, Limits: []time.Duration{5 * time.Second}, Columns: []string{"x0"}}
+		w := &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{},
+			slow: map[string]time.Duration{}, made: map[string]int{}}
+		pool := &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: most, Dial: w.dial}
+		stop := make(chan struct{})
+		d := &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: stop}
+		var err error
+		w.core, err = core.New(s, pool, d, w.count)
+		require.NoError(t, err)
+		d.Told = w.core.Listed
+		d.Start(41)
+		w.core.Listed(olivebarrow.ListCached, backends)
+		go w.core.Run(stop)
+		w.clients = &Clients{Names: names, Count: w.count, Core: w.core, Most: most, Stats: func() string { return "counters" }}
+		defer func() {
+			w.mu.Lock()
+			w.refuse["d"], w.refuse["s1"], w.refuse["s2"] = true, true, true
+			for _, p := range w.peers {
+				p.conn.Close()
+			}
+			w.mu.Unlock()
+			time.Sleep(10 * time.Second) // all that waits for something gives up
+			close(stop)
+		}()
+		for _, p := range parts {
+			synctest.Wait()
+			switch p := p.(type) {
+			case string:
+				w.play(p)
+			case func(*world):
+				p(w)
+			}
+		}
+	})
+}
+
+var macro = regexp.MustCompile(`\{(\w+) ?([^\s}]*) ?([^}]*)\}`)
+
+// expand writes out what peers say again and again: {req ID BODY} of a client, {started ID},
+// {done ID RESULT} and {failed ID} of a backend, {last ID RESULT} without the reply's end.
+func expand(s string) string {
+	return macro.ReplaceAllStringFunc(s, func(m string) string {
+		p := macro.FindStringSubmatch(m)
+		line := func(rest string) string { return fmt.Sprintf(`{"id":"%s","from":"s",%s}`+"\n", p[2], rest) }
+		chunk := func(l string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(l), l) }
+		switch p[1] {
+		case "req":
+			return fmt.Sprintf("POST /ingest?v=1 HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Time-Left-Ms: 2000\r\nIdempotency-Key: k%s\r\nContent-Length: %d\r\n\r\n%s", p[2], p[2], len(p[3]), p[3])
+		case "started":
+			return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line(`"state":"started"`))
+		case "done":
+			return chunk(line(`"state":"done","result":"`+p[3]+`"`)) + "0\r\n\r\n"
+		case "last":
+			return chunk(line(`"state":"done","result":"` + p[3] + `"`))
+		case "failed":
+			return chunk(line(`"state":"failed"`)) + "0\r\n\r\n"
+		}
+		return m
+	})
+}
+
+func (w *world) play(text string) {
+	w.t.Helper()
+	for _, s := range scenario.Steps(w.t, text) {
+		w.mu.Lock()
+		p := w.peers[s.Who]
+		if p == nil && s.Verb == "send" && s.Who[0] == 'c' {
+			conn := w.pipe(s.Who)
+			p = w.peers[s.Who]
+			go w.clients.admit(conn)
+		}
+		if s.Verb == "close" && p == nil {
+			w.refuse[s.Who] = true
+		}
+		w.mu.Unlock()
+		switch {
+		case s.Verb == "wait":
+			d, err := time.ParseDuration(s.Arg)
+			require.NoError(w.t, err, s.Line)
+			if s.Who != "" { // its connections take so long
+				w.mu.Lock()
+				w.slow[s.Who] = d
+				w.mu.Unlock()
+			} else {
+				time.Sleep(d)
+			}
+		case s.Verb == "expect":
+			got := "no connection"
+			if p != nil {
+				got = p.next(s.Who[0] == 'c')
+			}
+			require.Equal(w.t, s.Arg, got, s.Line)
+		case p == nil:
+		case s.Verb == "send":
+			_, err := p.conn.Write([]byte(expand(s.Arg)))
+			require.NoError(w.t, err, s.Line)
+		case s.Verb == "close":
+			p.conn.Close()
+		}
+		synctest.Wait()
+	}
+}
+
+// next reads the next message that has come, by the standard library's word of it.
+func (p *peer) next(client bool) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.got) == 0 {
+		if p.over {
+			return "closed"
+		}
+		return "nothing"
+	}
+	src := bytes.NewReader(p.got)
+	r := bufio.NewReader(src)
+	var b strings.Builder
+	var body io.Reader
+	if client {
+		m, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return err.Error()
+		}
+		fmt.Fprint(&b, m.StatusCode)
+		if after := m.Header.Get("Retry-After"); after != "" {
+			b.WriteString(" after " + after)
+		}
+		if m.Close {
+			b.WriteString(" close")
+		}
+		body = m.Body
+	} else {
+		m, err := http.ReadRequest(r)
+		if err != nil {
+			return err.Error()
+		}
+		b.WriteString(m.Method + " " + m.RequestURI)
+		for _, h := range []string{"X-Correlation-Id", "Idempotency-Key", "X-Time-Left-Ms"} {
+			if v := m.Header.Get(h); v != "" {
+				b.WriteString(" " + v)
+			}
+		}
+		body = m.Body
+	}
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return err.Error()
+	}
+	if len(text) > 0 {
+		b.WriteString(" " + strings.TrimSpace(string(text)))
+	}
+	p.got = p.got[len(p.got)-src.Len()-r.Buffered():]
+	return b.String()
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -108,10 +108,8 @@
 	if len(parts) != 3 || parts[0] == "" || !strings.HasPrefix(parts[1], "/") || !strings.HasPrefix(parts[2], "HTTP/1.") {
 		return nil, 0, badRequest("a bad request line")
 	}
-	for _, c := range []byte(parts[0] + parts[1]) { // goes into a head of our own
-		if c <= ' ' || c >= 0x7f {
-			return nil, 0, badRequest("a bad request line")
-		}
+	if !plain(parts[0] + parts[1]) {
+		return nil, 0, badRequest("a bad request line")
 	}
 	if len(h.fields["Transfer-Encoding"]) > 0 {
 		return nil, 0, &Bad{411, "a length is required"}
@@ -125,6 +123,17 @@
 	return q, max(n, 0), nil
 }
 
+// plain says whether a text may go into a head of our own: with a stray line end, one req
+// could pass for two.
+func plain(text string) bool {
+	for _, c := range []byte(text) {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 // Path is the target without its query.
 func (q *Request) Path() string {
 	path, _, _ := strings.Cut(q.Target, "?")
@@ -163,8 +172,8 @@
 	if single != [6]bool{true, true, true, true, true, true} {
 		return bad(400, "a field stands there twice")
 	}
-	if w.ID == "" {
-		return bad(400, "no X-Correlation-Id")
+	if w.ID == "" || !plain(w.ID) || !plain(w.IdempotencyKey) {
+		return bad(400, "a bad X-Correlation-Id or Idempotency-Key")
 	}
 	first, rest, _ := strings.Cut(strings.TrimPrefix(q.Path(), "/"), "/")
 	if class == "" {
--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,7 +95,7 @@
 func TestLongestBody(t *testing.T) {
 	f := &front{}
 	playOne(t, f, `send POST /c HTTP/1.1\r\nContent-Length: 65536\r\n\r\n{{65536*z}}`+
-		"\nsend GET /h HTTP/1.1\\r\\n\\r\\n\nexpect POST /c \""+unquote(t, "{{65536*z}}")+"\"\nexpect GET /h \"\"", 1000)
+		"\nsend GET /h HTTP/1.1\\r\\n\\r\\n\nexpect POST /c \""+strings.Repeat("z", MaxBody)+"\"\nexpect GET /h \"\"", 1000)
 	assert.LessOrEqual(t, len(f.b), 4*room)
 }
 
@@ -115,6 +116,7 @@
 		{"a key in words", "/a/family%20album?x=1", id, olivebarrow.Request{Key: Hash("family%20album")}, 5 * time.Second, 0},
 		{"facts not known", "", id + "X-Facts: tint=4, slots=1\r\n", olivebarrow.Request{Slots: 1}, 5 * time.Second, 0},
 		{"no id", "", "X-Facts: slots=1\r\n", olivebarrow.Request{}, 0, 400},
+		{"an id that would split a head", "", "X-Correlation-Id: 9\tb\r\n", olivebarrow.Request{}, 0, 400},
 		{"two ids", "", id + id, olivebarrow.Request{}, 0, 400},
 		{"a bad time", "", id + "X-Time-Left-Ms: -3\r\n", olivebarrow.Request{}, 0, 400},
 		{"bad facts", "", id + "X-Facts: slots=NaN\r\n", olivebarrow.Request{}, 0, 400},
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -6,17 +6,14 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"olivebarrow/internal/scenario"
 )
 
-// The scenario language. A scenario is a text of one step a line, run on a state machine:
-//
-//	send TEXT    the peer's bytes; \r, \n and the like as in Go, and {{N*C}} for N times C
-//	expect TEXT  what the machine finds next; "more" where it wants more bytes
-//	close        the connection ends
-//	wait         the machine is asked again with nothing new
-//
-// Each scenario is run with its bytes in one piece, byte by byte, and in threes: how a peer's
-// bytes are split must change nothing.
+// Scenarios run on the machines: send gives a machine a peer's bytes, expect is what it finds
+// next ("more" where it wants more bytes), close ends the connection, wait asks it again with
+// nothing new. Each is run with its bytes in one piece, byte by byte, and in threes: how a
+// peer's bytes are split must change nothing.
 
 // machine is what a scenario runs on. next says what was found, in one word or a few.
 type machine interface {
@@ -48,12 +45,10 @@
 			over = strings.HasPrefix(f, "bad")
 		}
 	}
-	for line := range strings.Lines(text) {
-		verb, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
-		switch verb {
-		case "":
+	for _, s := range scenario.Steps(t, text) {
+		switch s.Verb {
 		case "send":
-			for bytes := unquote(t, rest); len(bytes) > 0 && !over; {
+			for bytes := s.Arg; len(bytes) > 0 && !over; {
 				n := copy(m.Space(), bytes[:min(piece, len(bytes))])
 				m.Filled(n)
 				bytes = bytes[n:]
@@ -71,29 +66,8 @@
 			if len(found) > 0 {
 				got, found = found[0], found[1:]
 			}
-			require.Equal(t, rest, got, line)
-		default:
-			t.Fatalf("no such step: %s", line)
+			require.Equal(t, s.Arg, got, s.Line)
 		}
 	}
 	require.Empty(t, found, "found and not expected")
 }
-
-// unquote reads a text's escapes, and {{N*C}} as N times C.
-func unquote(t *testing.T, s string) string {
-	t.Helper()
-	s = strings.NewReplacer(`\r`, "\r", `\n`, "\n", `\t`, "\t", `\0`, "\x00").Replace(s)
-	for {
-		from := strings.IndexByte(s, '{')
-		to := strings.Index(s, "}}")
-		var n int
-		var c string
-		if from < 0 || to < 0 {
-			return s
-		}
-		if _, err := fmt.Sscanf(s[from:to], "{{%d*%s", &n, &c); err != nil {
-			t.Fatal(err)
-		}
-		s = s[:from] + strings.Repeat(c, n) + s[to+2:]
-	}
-}
