Shut down only after a quiet moment; tests that every checked line is needed

Checked by changing 15 lines on purpose, one at a time: four changes passed the tests (a break before the last byte, a client gone, a connection to an old address, the width of a figure). Three got tests; the fourth line did nothing and is gone. A client whose req crosses the closing of its session comes back at once, so the drain now waits for 100 ms without a session.

--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -23,6 +23,8 @@
 	lingerWait = 500 * time.Millisecond // for a client to read why it is turned away
 	lateFront  = 600 * time.Millisecond // after SIGTERM, the front may still send new connections
 	shedPause  = 500 * time.Millisecond // advice to a client that there is no descriptor for
+	lookEvery  = 20 * time.Millisecond  // while shutting down
+	quietLooks = 5                      // without a session, before the end
 )
 
 // Clients takes in client sessions.
@@ -349,22 +351,22 @@
 func (s *session) Answer(a core.Answer) { s.answer <- a }
 
 // Drain shuts the front down without losing a req: it goes on accepting and answering, says
-// Connection: close, closes sessions between reqs once the front sends no new ones, and
-// returns when none is left or at the latest after most.
+// Connection: close, and closes sessions between reqs once the front sends no new ones. It
+// returns when none has been left for a moment (a client whose req crossed the closing of its
+// session comes back at once), or at the latest after most.
 func (c *Clients) Drain(most time.Duration) {
 	c.draining.Store(true)
 	begun := time.Now()
 	time.Sleep(lateFront)
-	for time.Since(begun) < most {
+	for quiet := 0; quiet < quietLooks && time.Since(begun) < most; time.Sleep(lookEvery) {
 		c.mu.Lock()
 		for s := range c.sessions {
 			s.shut()
 		}
 		n := len(c.sessions)
 		c.mu.Unlock()
-		if n == 0 && c.Core.Open() == 0 {
-			return
+		if quiet++; n > 0 || c.Core.Open() > 0 {
+			quiet = 0
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 }
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -1,12 +1,19 @@
 package network
 
 import (
+	"context"
+	"io"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"olivebarrow"
+	"olivebarrow/internal/core"
+	"olivebarrow/internal/counters"
+	"olivebarrow/internal/platform"
 )
 
 func TestOneBackend(t *testing.T) {
@@ -151,6 +158,52 @@
 		c1 expect 503 after 0.120`)
 }
 
+// TestAbandoned: a client that goes away while its attempt is out is owed nothing any more.
+func TestAbandoned(t *testing.T) {
+	run(t, list(olivebarrow.Ready, "s1"), 9, "c1 send {req 9b x}",
+		func(w *world) { assert.Equal(t, 1, w.core.Open()) }, "c1 close",
+		func(w *world) { assert.Equal(t, 0, w.core.Open()) })
+}
+
+// brittle breaks after it has taken so many bytes.
+type brittle struct {
+	net.Conn
+	room int
+}
+
+func (b *brittle) Write(p []byte) (int, error) {
+	n := min(len(p), b.room)
+	if b.room -= n; n < len(p) {
+		b.Close()
+		return n, io.ErrClosedPipe
+	}
+	return n, nil
+}
+
+// TestBreakWhileWriting: only before a req's last byte is written does a break prove that it
+// never ran.
+func TestBreakWhileWriting(t *testing.T) {
+	job := &core.Job{Method: "POST", Target: "/ingest", ID: "9b", Body: []byte("photo")}
+	whole := len(platform.AppendJob(nil, job, "s1", time.Minute)) + len(job.Body)
+	for room, want := range map[int]core.Ending{0: core.Unreached, 9: core.Unreached, whole - 1: core.Unreached, whole: core.Broken} {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			p := &Pool{Names: &platform.Names{}, Count: &counters.Set{}, Connect: time.Second, Idle: time.Second, Most: 1}
+			p.Dial = func(context.Context, string) (net.Conn, error) { return &brittle{near, room}, nil }
+			var got []core.Ending
+			x := &exchange{backend: &core.Backend{}, body: job.Body, until: time.Now().Add(time.Minute), id: job.ID,
+				may: func() bool { return true }, ended: func(e core.Ending, _ string, _ []float32) { got = append(got, e) }}
+			x.head = func(left time.Duration) []byte { return platform.AppendJob(nil, job, "s1", left) }
+			p.begin(x)
+			synctest.Wait()
+			far.Close()
+			synctest.Wait()
+			assert.Equal(t, []core.Ending{want}, got, room)
+			assert.Zero(t, p.open, room)
+		})
+	}
+}
+
 // TestNotReadyWithoutBackends: the front must not admit a dispatcher that cannot serve.
 func TestNotReadyWithoutBackends(t *testing.T) {
 	run(t, nil, 9, `
@@ -173,6 +226,12 @@
 		s1/1 expect closed
 		c1 send {req 9c x}
 		s2/1 expect POST /ingest?v=1 9c k9c 2000 x`)
+	run(t, list(olivebarrow.Ready, "s1"), 9, "c1 send {req 9b x}",
+		func(w *world) { w.core.Listed(olivebarrow.ListDelta, moved) }, `
+		s1/1 send {started 9b}{done 9b r}
+		c1 expect 200 r
+		c1 send {req 9c x}
+		s2/1 expect POST /ingest?v=1 9c k9c 2000 x`)
 }
 
 // TestBudgets: the idlest session makes room for a new one. Where all are busy, a client is
@@ -240,6 +299,13 @@
 		c2 expect closed
 		s1/1 send {started 9b}{done 9b late}
 		c1 expect 200 close late
-		wait 100ms`,
-		func(*world) { assert.InDelta(t, 720*time.Millisecond, <-done, float64(30*time.Millisecond)) })
+		wait 40ms
+		c5 send {req 9d x}
+		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+		s1/1 expect POST /ingest?v=1 9d k9d 2000 x
+		wait 200ms
+		s1/1 send {started 9d}{done 9d r}
+		c5 expect 200 close r
+		wait 150ms`,
+		func(*world) { assert.InDelta(t, 1040*time.Millisecond, <-done, float64(30*time.Millisecond)) })
 }
--- a/internal/platform/reply_test.go
+++ b/internal/platform/reply_test.go
@@ -199,3 +199,28 @@
 		assert.True(t, strings.HasPrefix(got, want), got)
 	}
 }
+
+// BenchmarkReply is a reply of the usual size: framing, head, two lines read as JSON.
+func BenchmarkReply(b *testing.B) {
+	started := `{"from":"s-3d5f7874","id":"9b","state":"started"}` + "\n"
+	done := `{"from":"s-3d5f7874","id":"9b","load":{"failed_ps":0.0,"x0":3.1},"result":"` + strings.Repeat("e4", 600) + `","state":"done"}` + "\n"
+	text := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n",
+		len(started), started, len(done), done)
+	m := NewReplies(false, MaxLine)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Filled(copy(m.Space(), text))
+		for {
+			part, line, err := m.Next()
+			if part == Line {
+				_, err = testNames.ReadLine(line, "9b")
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			if part == More {
+				break
+			}
+		}
+	}
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -208,11 +208,11 @@
 		default:
 			continue
 		}
-		v, err := strconv.ParseFloat(value, 32)
+		v, err := strconv.ParseFloat(value, 32) // as wide as the simulator's
 		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
 			return bad(400, "a bad X-Facts")
 		}
-		*to = float64(float32(v)) // as wide as the simulator's
+		*to = v
 	}
 	return w, nil
 }
--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -160,3 +160,21 @@
 		}
 	})
 }
+
+// BenchmarkRequest is a req of the usual size: framing, textproto's reading of its head, and
+// what the dispatcher takes from it.
+func BenchmarkRequest(b *testing.B) {
+	text := []byte("POST /ingest HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: debdb788934a96db\r\nX-Service-Class: ingest\r\n" +
+		"X-Time-Left-Ms: 4998\r\nIdempotency-Key: 71593e6acbef1ca7795da9e901c059a9\r\nX-Facts: slots=1,memory=1.433\r\n" +
+		"Content-Length: 800\r\n\r\n" + strings.Repeat("x", 800))
+	var m Requests
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Filled(copy(m.Space(), text))
+		q, _ := m.Next()
+		if _, err := testNames.Read(q); err != nil {
+			b.Fatal(err)
+		}
+		m.Done(true)
+	}
+}
