--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,17 +38,6 @@
 	Settings jsoniter.RawMessage `json:"settings"`
 }
 
-// rest is what the sockets need of the settings beyond the module's.
-type rest struct {
-	Allowed struct{ ConnIdleMs *float64 }
-	Classes []struct {
-		Name        string
-		HardLimitMs float64
-	}
-	Zones, Models []string
-	Report        struct{ Columns []string }
-}
-
 // Load reads the file that ROUTER_CONFIG names. The other variables stand in for keys that
 // the file lacks.
 func Load(env func(string) string) (*Config, error) {
@@ -111,14 +100,11 @@
 	if len(text) == 0 {
 		return fmt.Errorf("missing")
 	}
-	if c.Settings, err = wire.ParseSettings(seed, text); err != nil {
-		return err
-	}
-	var r rest
-	if err := jsoniter.Unmarshal(text, &r); err != nil {
+	var names wire.Names
+	if c.Settings, names, err = wire.ParseNamed(seed, text); err != nil {
 		return err
 	}
-	if v := r.Allowed.ConnIdleMs; v != nil {
+	if v := names.ConnIdleMs; v != nil {
 		if *v <= 0 {
 			return fmt.Errorf("Allowed.ConnIdleMs is %v, want more than 0", *v)
 		}
@@ -127,13 +113,12 @@
 	if c.Settings.ConnectTimeout <= 0 {
 		return fmt.Errorf("Allowed.ConnectTimeoutMs is %v, want more than 0", c.Settings.ConnectTimeout)
 	}
-	c.Names = platform.Names{Zones: r.Zones, Kinds: r.Models, Columns: r.Report.Columns}
-	for i, class := range r.Classes {
-		if class.Name == "" {
+	c.Names = platform.Names{Classes: names.Classes, Zones: names.Zones, Kinds: names.Models, Columns: names.Columns}
+	for i, name := range names.Classes {
+		if name == "" {
 			return fmt.Errorf("Classes[%d].Name is empty", i)
 		}
-		c.Names.Classes = append(c.Names.Classes, class.Name)
-		c.Names.Limits = append(c.Names.Limits, millis(class.HardLimitMs))
+		c.Names.Limits = append(c.Names.Limits, millis(c.Settings.Classes[i].Deadline))
 	}
 	return nil
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,9 +1,10 @@
 package wire
 
 import (
-	"encoding/json"
 	"fmt"
 
+	jsoniter "github.com/json-iterator/go"
+
 	"olivebarrow"
 )
 
@@ -11,12 +12,13 @@
 	Allowed struct {
 		Cancel, MayDuplicate, Probes, RetryAfter bool
 		ConnectTimeoutMs, MaxRetryAfterMs        float64
+		ConnIdleMs                               *float64
 		MaxAttempts                              int
 	}
 	Balancers int
 	Classes   []struct {
 		AimMs, HardLimitMs, LateShare, RepeatWindowMs, Worth, AimStretch float64
-		DedupScope, Effect                                               string
+		DedupScope, Effect, Name                                         string
 	}
 	FamilyInfo struct {
 		ClassKind, ClassPriority []int
@@ -75,12 +77,26 @@
 	"live":    olivebarrow.WeightLive,
 }
 
+// Names is what the settings hold for those who speak with names, on sockets, and the module
+// does not need.
+type Names struct {
+	Classes, Zones, Models, Columns []string
+	ConnIdleMs                      *float64 // nil if not told
+}
+
 // ParseSettings reads an instance's settings. Keys it does not know are ignored.
 func ParseSettings(seed uint64, text []byte) (olivebarrow.Settings, error) {
+	s, _, err := ParseNamed(seed, text)
+	return s, err
+}
+
+// ParseNamed reads an instance's settings with their names.
+func ParseNamed(seed uint64, text []byte) (olivebarrow.Settings, Names, error) {
 	var j settingsJSON
-	if err := json.Unmarshal(text, &j); err != nil {
-		return olivebarrow.Settings{}, fmt.Errorf("reading the settings: %w", err)
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &j); err != nil {
+		return olivebarrow.Settings{}, Names{}, fmt.Errorf("reading the settings: %w", err)
 	}
+	names := Names{Zones: j.Zones, Models: j.Models, Columns: j.Report.Columns, ConnIdleMs: j.Allowed.ConnIdleMs}
 	s := olivebarrow.Settings{
 		Seed: seed, Self: j.Me, Instances: max(1, j.Balancers), Zone: j.MyZone,
 		Zones: max(1, len(j.Zones)), Kinds: max(1, len(j.Models)), Prices: j.Prices, Mix: j.ResultMix,
@@ -110,12 +126,13 @@
 	for i, c := range j.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return s, fmt.Errorf("class %d: unknown effect %q", i, c.Effect)
+			return s, names, fmt.Errorf("class %d: unknown effect %q", i, c.Effect)
 		}
 		scope, ok := scopes[c.DedupScope]
 		if !ok && effect == olivebarrow.Deduped {
-			return s, fmt.Errorf("class %d: unknown dedup scope %q", i, c.DedupScope)
+			return s, names, fmt.Errorf("class %d: unknown dedup scope %q", i, c.DedupScope)
 		}
+		names.Classes = append(names.Classes, c.Name)
 		s.Classes = append(s.Classes, olivebarrow.Class{
 			Worth: c.Worth, LateWorth: c.LateShare, Aim: c.AimMs, Deadline: c.HardLimitMs,
 			Effect: effect, Scope: scope, RepeatWindow: c.RepeatWindowMs,
@@ -124,7 +141,7 @@
 			Priority: at(j.FamilyInfo.ClassPriority, i, 0),
 		})
 	}
-	return s, nil
+	return s, names, nil
 }
 
 // at is the i-th value of a list, or def where the list is shorter.
