Do not shed a client session before its first req; look once more before closing one

To blame: shedOne and shut (clients.go) took a session that was accepted a moment ago for the idlest when all others were busy; its req was on its way, and a client does not repeat the first on a connection. Also, a read whose deadline is past does not look whether bytes are there, so a req could lie unread. Now a session counts as idle only after an answer or a second without a req, and one more look is taken before any session between reqs is closed. This guards planned restarts as well. Ruled out: memory (11 MB of 64) and descriptors (128 of 160). Fewer descriptors are set aside now: 32, of which about 12 are used and 16 are for refusals.

--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -8,13 +8,13 @@
 	Backends int // connections to backends, those being made among them
 }
 
-// kept is how many descriptors are left for the runtime, the listener, the director, the log,
-// and for clients beyond the budget while they are told to come back.
-const kept = 48
+// kept is how many descriptors are left for the runtime, the listener, the director and the
+// log, a dozen or so in all, and for the clients beyond the budget that are told to come back.
+const kept = 16 + excessMost
 
 // Share divides a limit. A req takes one descriptor on each side, a second copy one more at
 // the backends, and idle connections there save handshakes: backends get the larger part.
 func Share(limit int) Budget {
-	free := max(limit-kept, 16)
+	free := max(limit-kept, 2)
 	return Budget{Clients: free * 9 / 20, Backends: free - free*9/20}
 }
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -23,6 +23,8 @@
 	lingerWait = 500 * time.Millisecond // for a client to read why it is turned away
 	lateFront  = 600 * time.Millisecond // after SIGTERM, the front may still send new connections
 	shedPause  = 500 * time.Millisecond // advice to a client that there is no descriptor for
+	freshWait  = time.Second            // a client that has just connected is about to send
+	lastLook   = 5 * time.Millisecond   // for a req that came as its session was to be closed
 	lookEvery  = 20 * time.Millisecond  // while shutting down
 	quietLooks = 5                      // without a session, before the end
 )
@@ -50,11 +52,13 @@
 	answer  chan core.Answer
 
 	// Touched by the reading goroutine alone.
-	in   platform.Requests
-	came time.Time // when the first byte came of what is being read
+	in     platform.Requests
+	came   time.Time // when the first byte came of what is being read
+	looked bool      // its time is up, and this is the last look for a req
 
 	mu    sync.Mutex
 	busy  bool // a req has begun to come in or is being answered
+	used  bool // it has had an answer
 	shed  bool // told to close
 	since time.Time
 }
@@ -115,7 +119,7 @@
 	var oldest *session
 	for s := range c.sessions {
 		s.mu.Lock()
-		if !s.busy && !s.shed && (oldest == nil || s.since.Before(oldest.since)) {
+		if s.idle() && (oldest == nil || s.since.Before(oldest.since)) {
 			oldest = s
 		}
 		s.mu.Unlock()
@@ -123,11 +127,18 @@
 	return oldest != nil && oldest.shut()
 }
 
+// idle says whether the session may be closed: it is between reqs. Before its first req a
+// client is given time, for that is on its way, and a client does not repeat it by itself as
+// it does one that crosses the closing of a session in use. s.mu is held.
+func (s *session) idle() bool {
+	return !s.busy && !s.shed && (s.used || time.Since(s.since) >= freshWait)
+}
+
 // shut closes the session if it is between reqs.
 func (s *session) shut() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy || s.shed {
+	if !s.idle() {
 		return false
 	}
 	s.shed = true
@@ -169,6 +180,11 @@
 		s.wait(partial)
 		n, err := s.conn.Read(s.in.Space())
 		if n == 0 && err != nil {
+			// A read whose time is up does not look whether bytes are there. One more does.
+			if !partial && !s.looked && errors.Is(err, os.ErrDeadlineExceeded) {
+				s.looked = true
+				continue
+			}
 			return s.readEnding(err)
 		}
 		s.filled(n, partial)
@@ -181,6 +197,7 @@
 		s.came = time.Now()
 	}
 	s.in.Filled(n)
+	s.looked = false
 	s.mu.Lock()
 	s.busy = true
 	s.mu.Unlock()
@@ -194,11 +211,13 @@
 	switch {
 	case partial:
 		s.conn.SetReadDeadline(time.Now().Add(reqWait))
-	case s.shed:
-		s.conn.SetReadDeadline(time.Now())
+	case s.shed || s.looked:
+		s.conn.SetReadDeadline(time.Now().Add(lastLook))
 	default:
-		s.since = time.Now()
-		s.conn.SetReadDeadline(s.since.Add(idleWait))
+		if s.used {
+			s.since = time.Now()
+		}
+		s.conn.SetReadDeadline(time.Now().Add(idleWait))
 	}
 }
 
@@ -294,9 +313,8 @@
 		return core.ClientClosed, true
 	case w.closing:
 		return core.SessionDone, true
-	case n == 0:
-		return s.readEnding(err), true
 	}
+	s.looked = n == 0 // its time is up, or it is told to close
 	return 0, false
 }
 
@@ -312,7 +330,7 @@
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
 	s.mu.Lock()
 	closing = closing || s.shed
-	s.busy, s.since = false, time.Now()
+	s.busy, s.used, s.since = false, true, time.Now()
 	if closing || err != nil {
 		s.conn.SetReadDeadline(s.since)
 	} else {
@@ -341,6 +359,9 @@
 	}
 	closing := q.Close || draining
 	s.in.Done(true)
+	s.mu.Lock()
+	s.used = true
+	s.mu.Unlock()
 	if s.write(platform.AppendAnswer(nil, status, 0, closing, body)) != nil {
 		return core.ClientClosed, true
 	}
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -241,6 +242,7 @@
 		c1 send GET /health/live HTTP/1.1\r\n\r\n
 		c1 expect 200
 		c2 send {req 9b x}
+		wait 10ms
 		c1 expect closed
 		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
 		c3 send {req 9c x}
@@ -249,6 +251,60 @@
 		c2 expect 200 r`)
 }
 
+// TestShare: under any limit that the configuration lets pass, all budgets fit.
+func TestShare(t *testing.T) {
+	for _, limit := range []int{64, 160, 1024} {
+		b := Share(limit)
+		assert.LessOrEqual(t, b.Clients+b.Backends+kept, limit)
+		assert.GreaterOrEqual(t, b.Backends, b.Clients)
+		assert.Positive(t, b.Clients)
+	}
+}
+
+// TestFreshSessionIsKept: the req of a client that has just connected is on its way. Closing
+// its session would lose it, so that others are turned away instead.
+func TestFreshSessionIsKept(t *testing.T) {
+	run(t, list(olivebarrow.Ready, "s1"), 1, `
+		c1 send
+		c2 send
+		c3 send {req 9b x}
+		c3 expect 503 after 0.500 close
+		c1 send {req 9c x}
+		s1/1 expect POST /ingest?v=1 9c k9c 2000 x
+		c2 send {req 9d x}
+		c2 expect 503 after 0.500 close
+		c4 send
+		wait 1s
+		c5 send GET /health/live HTTP/1.1\r\n\r\n
+		c5 expect 200
+		wait 10ms
+		c4 expect closed`)
+}
+
+// late is a connection whose bytes lie there when the time to read is up.
+type late struct {
+	net.Conn
+	up bool
+}
+
+func (l *late) Read(p []byte) (int, error) {
+	if !l.up {
+		l.up = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	return l.Conn.Read(p)
+}
+
+// TestLastLook: a req that is there when its session is to be closed is answered first.
+func TestLastLook(t *testing.T) {
+	run(t, list(olivebarrow.Ready, "s1"), 9, func(w *world) {
+		go w.clients.admit(&late{Conn: w.pipe("c1")})
+		go w.peers["c1"].conn.Write([]byte(expand("{req 9b x}")))
+	}, `
+		s1/1 send {started 9b}{done 9b r}
+		c1 expect 200 r`)
+}
+
 // TestDirector: the watch goes on at once after each answer, from the version it has; a list
 // that cannot be read changes nothing.
 func TestDirector(t *testing.T) {
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -171,7 +171,7 @@
 		if p == nil && s.Verb == "send" && s.Who[0] == 'c' {
 			conn := w.pipe(s.Who)
 			p = w.peers[s.Who]
-			go w.clients.admit(conn)
+			go w.clients.admit(conn) // "send" with no text only connects
 		}
 		if s.Verb == "close" && p == nil {
 			w.refuse[s.Who] = true
