--- a/cmd/tinsail/main.go
+++ b/cmd/tinsail/main.go
@@ -53,6 +53,9 @@
 	}
 	c.Listed(olivebarrow.ListCached, cfg.Known.Entries)
 	go c.Run(nil)
+	if !cfg.Settings.Subscribe { // the module expects a list that comes unasked; on sockets none does
+		director.Subscribe()
+	}
 	stats := func() string {
 		var b strings.Builder
 		count.Print(&b, core.Endings())
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -205,6 +205,28 @@
 	}
 }
 
+// TestProbe: a probe brings a load report, and silence has an end.
+func TestProbe(t *testing.T) {
+	type found struct {
+		ending core.Ending
+		report []float32
+	}
+	var got []found
+	backend := &core.Backend{Address: "s1"}
+	probe := func(w *world) {
+		w.pool.Probe(backend, func(e core.Ending, r []float32) { got = append(got, found{e, r}) })
+	}
+	run(t, nil, 9, probe, `
+		s1/1 expect GET /stats
+		s1/1 send HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"x0":2.5}`, probe, `
+		s1/1 expect GET /stats
+		s1/1 send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n`, probe, `
+		s1/1 expect GET /stats
+		wait 2s
+		s1/1 expect closed`)
+	assert.Equal(t, []found{{core.Served, []float32{2.5}}, {core.Failed, nil}, {core.Overdue, nil}}, got)
+}
+
 // TestNotReadyWithoutBackends: the front must not admit a dispatcher that cannot serve.
 func TestNotReadyWithoutBackends(t *testing.T) {
 	run(t, nil, 9, `
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -31,6 +31,7 @@
 type world struct {
 	t       *testing.T
 	core    *core.Core
+	pool    *Pool
 	clients *Clients
 	count   *counters.Set
 	mu      sync.Mutex
@@ -105,11 +106,11 @@
 		names := &platform.Names{Classes: []string{"ingest"}, Limits: []time.Duration{5 * time.Second}, Columns: []string{"x0"}}
 		w := &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{},
 			slow: map[string]time.Duration{}, made: map[string]int{}}
-		pool := &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: most, Dial: w.dial}
+		w.pool = &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: most, Dial: w.dial}
 		stop := make(chan struct{})
 		d := &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: stop}
 		var err error
-		w.core, err = core.New(s, pool, d, w.count)
+		w.core, err = core.New(s, w.pool, d, w.count)
 		require.NoError(t, err)
 		d.Told = w.core.Listed
 		d.Start(41)
