Reload on SIGHUP: the director's watch moves to the new address at once

Checked: main.go asked signal.Notify for SIGTERM, SIGINT and SIGUSR1 alone (line 71), so that SIGHUP had its default effect; director.go fixed its address at the start and had no way to cut a call in flight. Ruled out: the limits (5 of 64 MB, 146 of 384 descriptors), a panic (the log is empty). A reload reads the file through internal/config; a bad one is counted, logged with its key and changes nothing; keys that hold from the start only are named in the log. A new address cuts a call, a dial or a pause under way, is asked for the whole list at once, and answers of the old one are dropped. A dial to the director now ends after 1 s (3.5 s before), so that an address that swallows packets does not use up the time in which we must have asked. Conclusion: the crash is mended; the shutdown comes next.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -123,6 +124,30 @@
 	return nil
 }
 
+// Fixed names the keys that another configuration changes and that hold from the start of
+// the program to its end. What is known of backends is no such key: it is old by then.
+func (c *Config) Fixed(other *Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen},
+		{"limits", c.Cores == other.Cores && c.Memory == other.Memory && c.Sockets == other.Sockets},
+		{"settings", c.ConnIdle == other.ConnIdle && reflect.DeepEqual(c.Names, other.Names) && sameSettings(c.Settings, other.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+// sameSettings leaves the seed aside: it is for a start, and each start has its own.
+func sameSettings(a, b olivebarrow.Settings) bool {
+	a.Seed = b.Seed
+	return reflect.DeepEqual(a, b)
+}
+
 // Longest is the longest deadline of a class.
 func (c *Config) Longest() time.Duration {
 	most := time.Duration(0)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -68,3 +68,26 @@
 	_, err := Load(none)
 	assert.ErrorContains(t, err, "ROUTER_CONFIG")
 }
+
+// TestFixed: what a new file changes in vain is named, and nothing else is.
+func TestFixed(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	require.NoError(t, err)
+	for _, f := range []struct {
+		from, to string
+		want     []string
+	}{
+		{`127.0.0.2:8500`, `127.0.0.4:8500`, nil},
+		{`8c1f30d27a5be964`, `1`, nil},
+		{`"index":41`, `"index":42`, nil},
+		{`"n3"`, `"n4"`, []string{"name"}},
+		{`127.0.0.1:8081`, `127.0.0.1:8082`, []string{"listen"}},
+		{`"sockets":512`, `"sockets":256`, []string{"limits"}},
+		{`"MaxAttempts":5`, `"MaxAttempts":4`, []string{"settings"}},
+		{`"ConnIdleMs":8000.0`, `"ConnIdleMs":9000.0`, []string{"settings"}},
+	} {
+		other, err := Parse([]byte(strings.Replace(good, f.from, f.to, 1)), none)
+		require.NoError(t, err)
+		assert.Equal(t, f.want, c.Fixed(other), f.to)
+	}
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -12,7 +12,7 @@
 	ClientSessions, ReqsTaken, ReqsBad, ReqsShed         atomic.Int64
 	AnswersServed, AnswersRefused, AnswersFailed         atomic.Int64
 	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
-	DirectorCalls, Overlooked                            atomic.Int64
+	DirectorCalls, Overlooked, Reloads, ReloadsBad       atomic.Int64
 	Endings                                              [32]atomic.Int64
 }
 
@@ -27,6 +27,7 @@
 		{"answers_failed", &s.AnswersFailed}, {"attempts", &s.Attempts}, {"probes", &s.Probes},
 		{"backend_connections", &s.BackendConnections}, {"backend_retired", &s.BackendRetired},
 		{"director_calls", &s.DirectorCalls}, {"overlooked", &s.Overlooked},
+		{"reloads", &s.Reloads}, {"reloads_bad", &s.ReloadsBad},
 	} {
 		fmt.Fprintf(w, "counter %s %d\n", c.name, c.n.Load())
 	}
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,10 @@
 const (
 	watchWait = 4 * time.Second         // for news; short, so that a director gone silent is noticed
 	callGrace = 3500 * time.Millisecond // longer for the answer: calls queue there
+
+	// A connection that is not up by then never comes up: the machine is cut off, and waiting
+	// for it would use up the time in which we must have asked.
+	connectWait = time.Second
 )
 
 // Director watches the director's list. Each answer is followed at once by the next call,
@@ -32,11 +37,24 @@
 	Stop    <-chan struct{} // ends the watch; may be nil
 	Told    func(olivebarrow.ListKind, []core.Entry)
 
+	// Touched by the watching goroutine alone.
 	index uint64
 	whole bool // the next call asks for the whole list
-	on    atomic.Bool
 	conn  net.Conn
 	in    *platform.Replies
+
+	on    atomic.Bool
+	mu    sync.Mutex
+	place *place // where calls go now; nil until the first
+}
+
+// place is one address of the director for as long as it stands. Its context ends with it,
+// and what is under way there: a call, the making of a connection, a pause after a failure.
+type place struct {
+	address string
+	moved   bool // another address stood before it
+	ctx     context.Context
+	leave   context.CancelFunc
 }
 
 // Subscribe starts the watch. Once it runs, it goes on by itself through all failures.
@@ -49,10 +67,56 @@
 // Start tells which version is known.
 func (d *Director) Start(index uint64) { d.index = index }
 
+// Redirect sends the watch to another address, from now on. What is under way at the old
+// one is cut, and nothing that it still says is believed.
+func (d *Director) Redirect(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address == d.Address {
+		return
+	}
+	d.Address = address
+	if d.place != nil {
+		d.place.leave()
+	}
+	d.place = newPlace(address, true)
+}
+
+func newPlace(address string, moved bool) *place {
+	p := &place{address: address, moved: moved}
+	p.ctx, p.leave = context.WithCancel(context.Background())
+	return p
+}
+
+// here is where the next call goes.
+func (d *Director) here() *place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.place == nil {
+		d.place = newPlace(d.Address, false)
+	}
+	return d.place
+}
+
 func (d *Director) watch() {
+	var last *place
 	for failed := 0; ; {
-		list, e := d.call()
+		at := d.here()
+		if at != last && at.moved {
+			// Versions count anew at each address: what is newer than one of the old address's
+			// may miss changes at the new one. The whole list is asked for until it has come.
+			d.close()
+			d.whole, failed = true, 0
+		}
+		last = at
+		list, e := d.call(at)
+		if e == core.ListTold && d.whole && !list.Full { // changes say nothing without what they change
+			e = core.ListUnread
+		}
 		d.Count.Endings[e].Add(1)
+		if at.ctx.Err() != nil { // moved meanwhile: an old list must not overwrite a newer one
+			continue
+		}
 		if e == core.ListTold {
 			failed = 0
 			d.take(list)
@@ -62,6 +126,7 @@
 		d.Told(olivebarrow.ListFailed, nil)
 		select {
 		case <-time.After(d.backoff(failed)):
+		case <-at.ctx.Done():
 		case <-d.Stop:
 			return
 		}
@@ -99,23 +164,25 @@
 }
 
 // call makes one call, on the connection that the last one left open if there is one.
-func (d *Director) call() (platform.List, core.Ending) {
+func (d *Director) call(at *place) (platform.List, core.Ending) {
 	d.Count.DirectorCalls.Add(1)
 	if d.conn == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), callGrace)
-		conn, err := d.Dial(ctx, d.Address)
+		ctx, cancel := context.WithTimeout(at.ctx, connectWait)
+		conn, err := d.Dial(ctx, at.address)
 		cancel()
 		if err != nil {
 			return platform.List{}, core.ListUnanswered
 		}
 		d.conn, d.in = conn, platform.NewReplies(true, platform.MaxList)
 	}
+	conn := d.conn
+	defer context.AfterFunc(at.ctx, func() { conn.Close() })()
 	target, wait := string(platform.AppendWatch(nil, d.index, watchWait)), watchWait
 	if d.whole {
 		target, wait = platform.ListTarget, 0
 	}
 	d.conn.SetDeadline(time.Now().Add(wait + callGrace))
-	if _, err := d.conn.Write(platform.AppendGet(nil, target, d.Address)); err != nil {
+	if _, err := d.conn.Write(platform.AppendGet(nil, target, at.address)); err != nil {
 		return platform.List{}, core.ListUnanswered
 	}
 	return d.answer()
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -351,6 +351,46 @@
 		d/3 expect GET /registry/instances`)
 }
 
+// TestRedirect: a new address of the director cuts what is under way at the old one, whether
+// a call, a connection in the making or a pause, and is asked for the whole list until it has
+// told it. What the old one still says changes nothing.
+func TestRedirect(t *testing.T) {
+	to := func(address string) func(*world) { return func(w *world) { w.watch.Redirect(address) } }
+	const whole = `HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n{"index":7,"snapshot":true,"endpoints":[]}`
+	for name, parts := range map[string][]any{
+		"while a call waits": {`
+			wait 2600ms
+			d/1 expect GET /registry/instances?since=41&timeout_ms=4000`, to("e"), `
+			d/1 expect closed
+			e/1 expect GET /registry/instances
+			e/1 send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
+			wait 1s
+			e/2 expect GET /registry/instances
+			e/2 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":99,"snapshot":false,"endpoints":[]}
+			wait 1s
+			e/3 expect GET /registry/instances
+			e/3 send ` + whole + `
+			e/3 expect GET /registry/instances?since=7&timeout_ms=4000
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 503`},
+		"while a connection is made": {"d wait 900ms\nwait 2600ms", to("e"), "e/1 expect GET /registry/instances"},
+		"twice, and to the same one": {"wait 2600ms", to("e"), "e/1 expect GET /registry/instances", to("d"), `
+			e/1 expect closed
+			d/2 expect GET /registry/instances`, to("d"), "d/2 expect nothing"},
+		"in a pause after a failure": {"d close\nwait 8s", to("e"), "e/1 expect GET /registry/instances"},
+		"before the first call":      {to("e"), "wait 2600ms\ne/1 expect GET /registry/instances\nd/1 expect no connection"},
+		"in the midst of an answer": {`
+			wait 2600ms
+			d/1 send HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n{"index":44,"snapshot":true,`, to("e"), `
+			d/1 expect GET /registry/instances?since=41&timeout_ms=4000
+			d/1 expect closed
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 200`},
+	} {
+		t.Run(name, func(t *testing.T) { run(t, list(olivebarrow.Ready, "s1"), 9, parts...) })
+	}
+}
+
 // TestDrain: after SIGTERM new connections and reqs are still answered, with Connection:
 // close; sessions between reqs are closed once the front sends no more.
 func TestDrain(t *testing.T) {
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -33,6 +33,7 @@
 	core    *core.Core
 	pool    *Pool
 	clients *Clients
+	watch   *Director
 	count   *counters.Set
 	mu      sync.Mutex
 	peers   map[string]*peer
@@ -110,6 +111,7 @@
 		stop := make(chan struct{})
 		d := &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: stop}
 		var err error
+		w.watch = d
 		w.core, err = core.New(s, w.pool, d, w.count)
 		require.NoError(t, err)
 		d.Told = w.core.Listed
@@ -119,7 +121,7 @@
 		w.clients = &Clients{Names: names, Count: w.count, Core: w.core, Most: most, Stats: func() string { return "counters" }}
 		defer func() {
 			w.mu.Lock()
-			w.refuse["d"], w.refuse["s1"], w.refuse["s2"] = true, true, true
+			w.refuse["d"], w.refuse["e"], w.refuse["s1"], w.refuse["s2"] = true, true, true, true
 			for _, p := range w.peers {
 				p.conn.Close()
 			}
