Forget a backend's reply when it ends, so that it cannot answer the next req

Checked: link.go, parts(): `got` and `last` live as long as the connection and were reset only by the next reply's head. When a connection broke after the next req was written, read() called parts() once more, found More with last still true, and finished the new req with the old reply, as served: a client got another client's result. Half a head did the same. Ruled out: the answer's writing (AppendFinal takes 200 from ResultOf alone) and the core (ended() trusts the ending it is given). Change: a reply's end forgets it (End in parts()), and the first verdict of a connection is Broken. Tests: two scenarios, a reset at the second req and half a head; both answered 200 with the old result before. Conclusion: worse than a lost req; nothing else takes its verdict from an earlier reply.

--- a/internal/network/link.go
+++ b/internal/network/link.go
@@ -169,7 +169,7 @@
 		l.pool.open--
 		l.pool.mu.Unlock()
 	}()
-	var got verdict // of the reply that is coming in
+	got := verdict{ending: core.Broken} // of the reply that is coming in
 	last := false
 	for {
 		n, err := l.conn.Read(l.in.Space())
@@ -278,6 +278,9 @@
 			} else {
 				l.finish(*got)
 			}
+			// What this reply said is over with it. Left standing, it would be taken for the answer
+			// to the connection's next req as soon as that breaks, or before its head is whole.
+			*got, *last = verdict{ending: core.Broken}, false
 		}
 	}
 }
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -108,6 +108,24 @@
 			s1/1 expect nothing
 			wait 10ms
 			s1/1 expect closed`,
+		"a reset at the second req is not the first one's answer": `
+			c1 send {req 9b x}
+			s1/1 send {started 9b}{done 9b r}
+			c1 expect 200 r
+			c1 send {req 9c x}
+			s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+			s1/1 expect POST /ingest?v=1 9c k9c 2000 x
+			s1/1 close
+			c1 expect 502`,
+		"nor is half a head": `
+			c1 send {req 9b x}
+			s1/1 send {started 9b}{done 9b r}
+			c1 expect 200 r
+			c1 send {req 9c x}
+			s1/1 send HTTP/1.1 2
+			c1 expect nothing
+			s1/1 send 00 OK\r\nContent-Length: 0\r\n\r\n
+			c1 expect 502`,
 		"an idle connection that broke is not written to": `
 			c1 send {req 9b x}
 			s1/1 send {started 9b}{done 9b r}
