Shed silent clients first, refuse repeated ids and serve on while shutting down alone

Checked: clients.go admit() blocked accepting as soon as the budget was used by sessions that were not idle, and shedOne() took a silent session for busy until 1 s had passed; reqWait was 10 s. reply() said Connection: close from SIGTERM on, and the front has no other dispatcher here (Balancers is 1). Read from the trace: an empty X-Time-Left-Ms was taken for an absent one and served; ids were not compared at all. Ruled out: memory (20 of 192 MB), CPU (0.21 s in the worst second), descriptors (512 of 1024). Change: - network/table.go ranks the sessions (refused, only asked, silent, half a req, idle after a job) and sheds from the front; accepting never waits but for those that are closing. What is over is told unread. - The first req has 2.5 s from connecting, a later one from its first byte; then 408. - Bodies over 4 KiB count against an eighth of the memory and are refused by their declared length, before there is space for them; lingers after a refusal are bounded and the first to be shed. - 409 for the id of a req that is open, has attempts out or was over less than 10 s ago; 400 for empty fields, overlong ids and a keyed class without its key; 404 where path and class differ. - A dispatcher that is alone keeps its sessions until 3.1 s after SIGTERM and only then says Connection: close; no req that came after 0.6 s outlasts 3.5 s, the kill comes at 3.7 s. With others, as before. Conclusion: the ranks hold the usual clients' sessions through any number of others.

--- a/cmd/tinsail/main.go
+++ b/cmd/tinsail/main.go
@@ -62,7 +62,8 @@
 		count.Print(&b, core.Endings())
 		return b.String()
 	}
-	clients := &network.Clients{Names: &cfg.Names, Count: count, Core: c, Most: share.Clients, Stats: stats}
+	clients := &network.Clients{Names: &cfg.Names, Count: count, Core: c, Most: share.Clients, Held: cfg.Memory / 8,
+		Longest: cfg.Longest(), Alone: cfg.Settings.Instances == 1, Stats: stats}
 	go clients.Serve(listener)
 
 	sig.mind(minded{
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,6 +119,7 @@
 		if name == "" {
 			return fmt.Errorf("Classes[%d].Name is empty", i)
 		}
+		c.Names.Keyed = append(c.Names.Keyed, c.Settings.Classes[i].Effect == olivebarrow.Deduped)
 		c.Names.Limits = append(c.Names.Limits, millis(c.Settings.Classes[i].Deadline))
 	}
 	return nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,6 +138,8 @@
 	ready    atomic.Int32 // backends that may be sent to
 	open     atomic.Int32 // reqs owed an answer
 
+	ids ids
+
 	mu     sync.Mutex
 	inbox  []func()
 	spare  []func()
@@ -214,8 +216,13 @@
 }
 
 // Take takes a req on: one final answer is owed from now on. came is the earliest time
-// known at which it was there, left how long its client waits from then.
-func (c *Core) Take(q olivebarrow.Request, job *Job, came time.Time, left time.Duration, client Client) Ticket {
+// known at which it was there, left how long its client waits from then. It is not taken, and
+// nothing is owed, if its id is that of another: backends would take one for the other.
+func (c *Core) Take(q olivebarrow.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
+	if !c.ids.take(job.ID, time.Now()) {
+		c.count.ReqsRepeated.Add(1)
+		return Ticket{}, false
+	}
 	r := &req{client: client, job: job, deadline: c.clock.millis(came.Add(left)), open: true}
 	c.open.Add(1)
 	c.post(func() {
@@ -234,7 +241,7 @@
 		})
 		c.mod.Arrive(c.clock.now(), q)
 	})
-	return Ticket{c, r}
+	return Ticket{c, r}, true
 }
 
 // Abandon tells that the client of a req has gone.
@@ -273,8 +280,9 @@
 
 // forget drops a req once nothing can be heard of it any more.
 func (c *Core) forget(r *req) {
-	if !r.open && r.out == 0 {
+	if !r.open && r.out == 0 && c.reqs[r.id] == r {
 		delete(c.reqs, r.id)
+		c.ids.drop(r.job.ID, time.Now())
 	}
 }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -9,7 +9,8 @@
 
 // Set holds all counters. Endings is indexed by the core's endings, which Print names.
 type Set struct {
-	ClientSessions, ReqsTaken, ReqsBad, ReqsShed         atomic.Int64
+	ClientSessions, SessionsRefused, BodiesShed          atomic.Int64
+	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated           atomic.Int64
 	AnswersServed, AnswersRefused, AnswersFailed         atomic.Int64
 	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
 	DirectorCalls, Overlooked, Reloads, ReloadsBad       atomic.Int64
@@ -22,7 +23,8 @@
 		name string
 		n    *atomic.Int64
 	}{
-		{"client_sessions", &s.ClientSessions}, {"reqs_taken", &s.ReqsTaken}, {"reqs_bad", &s.ReqsBad},
+		{"client_sessions", &s.ClientSessions}, {"sessions_refused", &s.SessionsRefused},
+		{"bodies_shed", &s.BodiesShed}, {"reqs_taken", &s.ReqsTaken}, {"reqs_bad", &s.ReqsBad}, {"reqs_repeated", &s.ReqsRepeated},
 		{"reqs_shed", &s.ReqsShed}, {"answers_served", &s.AnswersServed}, {"answers_refused", &s.AnswersRefused},
 		{"answers_failed", &s.AnswersFailed}, {"attempts", &s.Attempts}, {"probes", &s.Probes},
 		{"backend_connections", &s.BackendConnections}, {"backend_retired", &s.BackendRetired},
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -2,11 +2,9 @@
 
 import (
 	"errors"
-	"io"
 	"log"
 	"net"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,35 +15,48 @@
 
 // Times of a client session.
 const (
-	reqWait    = 10 * time.Second       // for the rest of a req that has begun
-	idleWait   = 3 * time.Minute        // between reqs
-	writeWait  = 5 * time.Second        // for an answer to be taken
-	lingerWait = 500 * time.Millisecond // for a client to read why it is turned away
-	lateFront  = 600 * time.Millisecond // after SIGTERM, the front may still send new connections
-	shedPause  = 500 * time.Millisecond // advice to a client that there is no descriptor for
-	freshWait  = time.Second            // a client that has just connected is about to send
-	lastLook   = 5 * time.Millisecond   // for a req that came as its session was to be closed
-	lookEvery  = 20 * time.Millisecond  // while shutting down
+	firstWait  = 2500 * time.Millisecond // for the first req to be whole, from connecting
+	reqWait    = 2500 * time.Millisecond // for the rest of a later req that has begun
+	idleWait   = 3 * time.Minute         // between reqs
+	writeWait  = 5 * time.Second         // for an answer to be taken
+	lingerWait = 500 * time.Millisecond  // for a client to read why it is turned away
+	shedPause  = 500 * time.Millisecond  // advice to a client that there is no descriptor for
+	lastLook   = 5 * time.Millisecond    // for a req that came as its session was to be closed
+	roomWait   = 20 * time.Millisecond   // for a session that is being shed to be gone
+)
+
+// Times of a shutdown, from SIGTERM on.
+const (
+	lateFront  = 600 * time.Millisecond // the front may still send new connections
+	ownReqs    = 700 * time.Millisecond // what comes later is lost if the kill finds it unanswered
+	killFloor  = 3 * time.Second        // the kill comes ownReqs after this, or after the longest deadline if that is less
+	killMargin = 200 * time.Millisecond // answers are out so long before the kill
+	lastReqs   = 400 * time.Millisecond // for the last reqs to be answered in: most take half of it
+	lookEvery  = 20 * time.Millisecond  // for whether all is answered
 	quietLooks = 5                      // without a session, before the end
 )
 
 // Clients takes in client sessions.
 type Clients struct {
-	Names *platform.Names
-	Count *counters.Set
-	Core  *core.Core
-	Most  int // sessions; beyond it the idlest goes, and if none is idle a few are told to come back
-	Stats func() string
+	Names   *platform.Names
+	Count   *counters.Set
+	Core    *core.Core
+	Most    int   // sessions; beyond it one that asks for nothing goes, and if there is none a few are told to come back
+	Held    int64 // bytes of bodies that may be held for all sessions together
+	Longest time.Duration
+	Alone   bool // no other dispatcher can take over what a shutdown turns away
+	Stats   func() string
 
-	draining atomic.Bool
-	mu       sync.Mutex
-	sessions map[*session]struct{}
-	left     chan struct{} // a session has ended
+	draining, closing atomic.Bool  // a shutdown has begun; answers end their sessions
+	until             atomic.Int64 // of reqs that come late in a shutdown: Unix ns, 0 for no end
+	held              atomic.Int64
+	table             table
 }
 
 // session is one client's connection. Its goroutine reads; the answer of a req is written by
 // another, so that a client that goes away meanwhile is noticed.
 type session struct {
+	seat
 	clients *Clients
 	conn    net.Conn
 	excess  bool // beyond the budget: turned away at its first req
@@ -55,12 +66,7 @@
 	in     platform.Requests
 	came   time.Time // when the first byte came of what is being read
 	looked bool      // its time is up, and this is the last look for a req
-
-	mu    sync.Mutex
-	busy  bool // a req has begun to come in or is being answered
-	used  bool // it has had an answer
-	shed  bool // told to close
-	since time.Time
+	held   int64     // of the body that is being read or answered
 }
 
 // written tells the reading goroutine that the answer has gone out.
@@ -89,75 +95,31 @@
 	}
 }
 
-// admit begins a session. The budget is kept by closing the session that has been idle for
-// the longest time; where none is, by turning new ones away.
+// admit begins a session. The budget is kept by closing one that asks for nothing; where all
+// ask, a few are read so that they can be told, and the rest is told unread: to wait for them
+// would leave the usual clients in the kernel's queue behind those who fill it.
 func (c *Clients) admit(conn net.Conn) {
-	now := time.Now()
-	s := &session{clients: c, conn: conn, since: now, answer: make(chan core.Answer, 1)}
-	c.mu.Lock()
-	if c.sessions == nil {
-		c.sessions, c.left = map[*session]struct{}{}, make(chan struct{}, 1)
-	}
-	n := len(c.sessions)
-	if n >= c.Most {
-		s.excess = !c.shedOne()
-	}
-	c.sessions[s] = struct{}{}
-	c.mu.Unlock()
+	s := &session{clients: c, conn: conn, answer: make(chan core.Answer, 1)}
+	s.in.Admit = s.hold
 	c.Count.ClientSessions.Add(1)
-	go s.run()
-	for n >= c.Most+excessMost { // the kernel's queue holds what comes now
-		<-c.left
-		c.mu.Lock()
-		n = len(c.sessions)
-		c.mu.Unlock()
-	}
-}
-
-// shedOne closes the idlest session, if any is idle. c.mu is held.
-func (c *Clients) shedOne() bool {
-	var oldest *session
-	for s := range c.sessions {
-		s.mu.Lock()
-		if s.idle() && (oldest == nil || s.since.Before(oldest.since)) {
-			oldest = s
-		}
-		s.mu.Unlock()
-	}
-	return oldest != nil && oldest.shut()
-}
-
-// idle says whether the session may be closed: it is between reqs. Before its first req a
-// client is given time, for that is on its way, and a client does not repeat it by itself as
-// it does one that crosses the closing of a session in use. s.mu is held.
-func (s *session) idle() bool {
-	return !s.busy && !s.shed && (s.used || time.Since(s.since) >= freshWait)
-}
-
-// shut closes the session if it is between reqs.
-func (s *session) shut() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.idle() {
-		return false
+	n, shed := c.table.enter(s, c.Most)
+	s.excess = n > c.Most && !shed
+	if n > c.Most+excessMost && !c.table.waitBelow(c.Most+excessMost, roomWait) {
+		c.Count.SessionsRefused.Add(1)
+		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
+		conn.Close()
+		c.table.leave(s)
+		return
 	}
-	s.shed = true
-	s.conn.SetReadDeadline(time.Now()) // its goroutine wakes, sees whether a req came after all, and closes
-	return true
+	go s.run()
 }
 
 func (s *session) run() {
 	e := s.serve()
 	s.conn.Close()
-	c := s.clients
-	c.Count.Endings[e].Add(1)
-	c.mu.Lock()
-	delete(c.sessions, s)
-	c.mu.Unlock()
-	select {
-	case c.left <- struct{}{}:
-	default:
-	}
+	s.release()
+	s.clients.Count.Endings[e].Add(1)
+	s.clients.table.leave(s)
 }
 
 // serve reads reqs and has them answered, one at a time.
@@ -185,12 +147,35 @@
 				s.looked = true
 				continue
 			}
-			return s.readEnding(err)
+			return s.readEnding(err, partial)
 		}
 		s.filled(n, partial)
 	}
 }
 
+// smallBody is the longest that a session has space for anyhow.
+const smallBody = 4 << 10
+
+// hold takes the body of the req that is coming in out of the bytes that all sessions
+// together may hold. Its length is known from its head: what cannot be held is not read.
+func (s *session) hold(n int) error {
+	if n <= smallBody {
+		return nil
+	}
+	if c := s.clients; c.held.Add(int64(n)) > c.Held {
+		c.held.Add(-int64(n))
+		c.Count.BodiesShed.Add(1)
+		return &platform.Bad{Status: 503, Reason: "no room for the body now", Pause: shedPause}
+	}
+	s.held = int64(n)
+	return nil
+}
+
+func (s *session) release() {
+	s.clients.held.Add(-s.held)
+	s.held = 0
+}
+
 // filled takes in bytes. A req is there from its first byte on.
 func (s *session) filled(n int, partial bool) {
 	if !partial {
@@ -198,57 +183,78 @@
 	}
 	s.in.Filled(n)
 	s.looked = false
-	s.mu.Lock()
-	s.busy = true
-	s.mu.Unlock()
+	s.clients.table.begun(s)
 }
 
-// wait sets the time to wait for bytes.
+// wait sets the time to wait for bytes. The first req has its time from connecting on, however
+// few its bytes: who says nothing, or not all, must not keep a descriptor.
 func (s *session) wait(partial bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy = partial
+	t := &s.clients.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	switch {
-	case partial:
-		s.conn.SetReadDeadline(time.Now().Add(reqWait))
-	case s.shed || s.looked:
+	case partial && s.used:
+		s.conn.SetReadDeadline(s.came.Add(reqWait))
+	case partial && s.shed:
+		s.conn.SetReadDeadline(time.Now())
+	case !partial && (s.shed || s.looked):
 		s.conn.SetReadDeadline(time.Now().Add(lastLook))
+	case !s.used:
+		s.conn.SetReadDeadline(s.since.Add(firstWait))
 	default:
-		if s.used {
-			s.since = time.Now()
-		}
-		s.conn.SetReadDeadline(time.Now().Add(idleWait))
+		s.conn.SetReadDeadline(s.since.Add(idleWait))
 	}
 }
 
-func (s *session) readEnding(err error) core.Ending {
+// readEnding ends a session from which nothing more came. A client that has sent half a req
+// is told why.
+func (s *session) readEnding(err error, partial bool) core.Ending {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return core.ClientClosed
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.shed {
-		return core.SessionShed
+	e := core.ClientSilent
+	if s.clients.table.isShed(s) {
+		e = core.SessionShed
+	}
+	switch {
+	case !partial:
+	case e == core.SessionShed:
+		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
+	default:
+		s.write(platform.AppendAnswer(nil, 408, 0, true, "408: the rest of the request did not come\n"))
 	}
-	return core.ClientSilent
+	return e
 }
 
 // refuse tells a client what is wrong with what it sent. What it goes on sending is read for
-// a moment, so that the answer is not lost to a reset.
+// a moment, so that the answer is not lost to a reset; but not without end, and by few
+// sessions at a time, which are the first to go when descriptors are short.
 func (s *session) refuse(err error) core.Ending {
-	s.clients.Count.ReqsBad.Add(1)
-	status := 400
-	var bad *platform.Bad
-	if errors.As(err, &bad) {
-		status = bad.Status
+	c := s.clients
+	bad, e := &platform.Bad{Status: 400}, core.ClientBad
+	errors.As(err, &bad)
+	if bad.Status == 503 {
+		c.Count.ReqsShed.Add(1)
+		e = core.SessionShed
+	} else {
+		c.Count.ReqsBad.Add(1)
+	}
+	if s.write(platform.AppendAnswer(nil, bad.Status, bad.Pause, true, err.Error()+"\n")) != nil {
+		return core.ClientClosed
 	}
-	s.write(platform.AppendAnswer(nil, status, 0, true, err.Error()+"\n"))
-	if tcp, ok := s.conn.(*net.TCPConn); ok {
+	tcp, ok := s.conn.(*net.TCPConn)
+	if ok && c.table.linger(s, c.Most/8+1) {
 		tcp.CloseWrite()
 		s.conn.SetReadDeadline(time.Now().Add(lingerWait))
-		io.Copy(io.Discard, io.LimitReader(s.conn, 4*platform.MaxBody))
+		waste := s.in.Waste()
+		for left := 4 * platform.MaxBody; left > 0; {
+			n, err := s.conn.Read(waste)
+			if left -= n; err != nil {
+				break
+			}
+		}
 	}
-	return core.ClientBad
+	return e
 }
 
 func (s *session) write(b []byte) error {
@@ -268,14 +274,21 @@
 		return s.refuse(err), true
 	}
 	if s.excess {
-		c.Count.ReqsShed.Add(1)
-		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
-		return core.SessionShed, true
+		return s.refuse(&platform.Bad{Status: 503, Reason: "too many clients", Pause: shedPause}), true
 	}
-	c.Count.ReqsTaken.Add(1)
+	left := w.Left
+	if until := c.until.Load(); until != 0 {
+		left = max(min(left, time.Unix(0, until).Sub(s.came)), 0)
+	}
+	c.table.taken(s)
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
+	ticket, fresh := c.Core.Take(w.Ask, job, s.came, left, s)
+	if !fresh {
+		return s.refuse(&platform.Bad{Status: 409, Reason: "this X-Correlation-Id has been used"}), true
+	}
+	c.Count.ReqsTaken.Add(1)
 	s.conn.SetReadDeadline(time.Time{})
-	return s.await(c.Core.Take(w.Ask, job, s.came, w.Left, s), q.Close)
+	return s.await(ticket, q.Close)
 }
 
 // await waits for the answer to be written, and for the client to send its next req or to
@@ -287,7 +300,8 @@
 	if s.in.Partial() { // sent ahead: what is here is to be taken up next, and nothing wakes a read
 		w = <-done
 		s.came = time.Now()
-		s.in.Done(w.free)
+		s.done(w.free)
+		s.clients.table.begun(s)
 		return core.SessionDone, w.closing || w.err != nil
 	}
 	n, err := s.conn.Read(s.in.Space())
@@ -307,17 +321,22 @@
 	if n > 0 {
 		s.filled(n, false)
 	}
-	s.in.Done(w.free)
+	s.done(w.free)
 	switch {
 	case w.err != nil:
 		return core.ClientClosed, true
 	case w.closing:
 		return core.SessionDone, true
 	}
-	s.looked = n == 0 // its time is up, or it is told to close
+	s.looked = n == 0 && s.clients.table.over(s)
 	return 0, false
 }
 
+func (s *session) done(free bool) {
+	s.in.Done(free)
+	s.release()
+}
+
 // reply writes the answer once it is there.
 func (s *session) reply(closing bool, gone chan struct{}, done chan written) {
 	var a core.Answer
@@ -326,30 +345,21 @@
 	case <-gone:
 		return
 	}
-	closing = closing || s.clients.draining.Load()
+	closing = closing || s.clients.closing.Load()
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
-	s.mu.Lock()
-	closing = closing || s.shed
-	s.busy, s.used, s.since = false, true, time.Now()
-	if closing || err != nil {
-		s.conn.SetReadDeadline(s.since)
-	} else {
-		s.conn.SetReadDeadline(s.since.Add(idleWait))
-	}
-	s.mu.Unlock()
+	closing = s.clients.table.answered(s, true, closing || err != nil, s.held > 0)
 	done <- written{a.Free, closing, err}
 }
 
 // plain answers what is not a job.
 func (s *session) plain(q *platform.Request) (core.Ending, bool) {
 	c := s.clients
-	draining := c.draining.Load()
 	status, body := 404, ""
 	switch {
 	case q.Method != "GET":
 		status = 405
 	case q.Path() == "/health/ready":
-		if status = 503; !draining && c.Core.Ready() > 0 {
+		if status = 503; !c.draining.Load() && c.Core.Ready() > 0 {
 			status = 200
 		}
 	case q.Path() == "/health/live":
@@ -357,36 +367,40 @@
 	case q.Path() == "/counters":
 		status, body = 200, c.Stats()
 	}
-	closing := q.Close || draining
-	s.in.Done(true)
-	s.mu.Lock()
-	s.used = true
-	s.mu.Unlock()
+	closing := q.Close || c.closing.Load()
+	s.done(true)
 	if s.write(platform.AppendAnswer(nil, status, 0, closing, body)) != nil {
 		return core.ClientClosed, true
 	}
-	return core.SessionDone, closing
+	return core.SessionDone, c.table.answered(s, false, closing, false)
 }
 
 // Answer takes the final answer of the req; the session's own goroutines write it.
 func (s *session) Answer(a core.Answer) { s.answer <- a }
 
-// Drain shuts the front down without losing a req: it goes on accepting and answering, says
-// Connection: close, and closes sessions between reqs once the front sends no new ones. It
-// returns when none has been left for a moment (a client whose req crossed the closing of its
-// session comes back at once), or at the latest after most.
+// Drain shuts the front down without losing a req: it goes on accepting and answering, then
+// says Connection: close and closes sessions between reqs, and returns when none has been left
+// for a moment (a client whose req crossed the closing of its session comes back at once), or
+// at the latest after most.
+//
+// Where other dispatchers run, clients are sent there as soon as the front sends no new ones
+// here. A dispatcher that is alone goes on for as long as it can: those whose sessions it
+// closed would have nowhere to go until its successor is up.
 func (c *Clients) Drain(most time.Duration) {
-	c.draining.Store(true)
 	begun := time.Now()
+	kill := begun.Add(min(c.Longest, killFloor) + ownReqs)
+	stay := lateFront
+	if c.Alone {
+		stay = max(stay, time.Until(kill)-killMargin-lastReqs)
+	}
+	c.draining.Store(true)
+	c.closing.Store(!c.Alone)
 	time.Sleep(lateFront)
+	c.until.Store(kill.Add(-killMargin).UnixNano()) // a little before ownReqs: no late req slips by
+	time.Sleep(stay - lateFront)
+	c.closing.Store(true)
 	for quiet := 0; quiet < quietLooks && time.Since(begun) < most; time.Sleep(lookEvery) {
-		c.mu.Lock()
-		for s := range c.sessions {
-			s.shut()
-		}
-		n := len(c.sessions)
-		c.mu.Unlock()
-		if quiet++; n > 0 || c.Core.Open() > 0 {
+		if quiet++; c.table.shutIdle() > 0 || c.Core.Open() > 0 {
 			quiet = 0
 		}
 	}
--- /dev/null
+++ b/internal/network/table.go
@@ -0,0 +1,196 @@
+package network
+
+import (
+	linked "container/list"
+	"sync"
+	"time"
+)
+
+// rank says what a session is good for, from the first to be shed when descriptors are short
+// to the last. A session that is owed an answer has none of these ranks and is never shed.
+type rank uint8
+
+const (
+	lingering rank = iota // refused, and only kept so that the refusal is read
+	asked                 // idle, and has never sent a job: a check of health, or one who only connects
+	silent                // has not sent a byte
+	half                  // has not sent the whole of its first req
+	resting               // idle after a job: a usual client's, that will send another
+	working               // a req is being read or answered
+	leaving               // told to close
+	ranks
+)
+
+// sparedFor is how long a session of a rank is kept at least. The first req of a client that
+// has just connected is on its way, and a client does not repeat it by itself as it does one
+// that crosses the closing of a session in use. One that sends slowly gets longer.
+var sparedFor = [working]time.Duration{silent: 250 * time.Millisecond, half: 750 * time.Millisecond}
+
+// seat is what the table knows of a session. The table's lock guards it.
+type seat struct {
+	rank  rank
+	place *linked.Element
+	since time.Time // of connecting until the first answer, of the last answer from then on
+	used  bool      // it has had an answer
+	job   bool      // ... to a job
+	shed  bool      // told to close
+}
+
+// table holds all sessions by rank, and within a rank by since, so that the one to shed is at
+// the front of a list however many there are.
+type table struct {
+	mu    sync.Mutex
+	rows  [ranks]linked.List
+	count int
+	left  chan struct{} // a session has ended
+}
+
+// enter seats a new session. Beyond most, one is shed if any may be.
+func (t *table) enter(s *session, most int) (n int, shed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left == nil {
+		t.left = make(chan struct{}, 1)
+	}
+	if t.count++; t.count > most {
+		shed = t.shedOne()
+	}
+	s.since = time.Now()
+	s.rank = silent
+	s.place = t.rows[silent].PushBack(s)
+	return t.count, shed
+}
+
+func (t *table) leave(s *session) {
+	t.mu.Lock()
+	t.rows[s.rank].Remove(s.place)
+	t.count--
+	t.mu.Unlock()
+	select {
+	case t.left <- struct{}{}:
+	default:
+	}
+}
+
+// waitBelow waits until there are no more than n sessions, for a while at most, and only
+// while some are about to close.
+func (t *table) waitBelow(n int, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		count, closing := t.count, t.rows[leaving].Len()
+		t.mu.Unlock()
+		if count <= n || closing == 0 {
+			return count <= n
+		}
+		select {
+		case <-t.left:
+		case <-timer.C:
+			return false
+		}
+	}
+}
+
+// move puts a session at the end of a row, unless it is on its way out. t.mu is held.
+func (t *table) move(s *session, to rank) {
+	if s.rank == leaving {
+		return
+	}
+	t.rows[s.rank].Remove(s.place)
+	s.rank, s.place = to, t.rows[to].PushBack(s)
+}
+
+// begun tells that bytes of a req have come.
+func (t *table) begun(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch s.rank {
+	case silent:
+		t.move(s, half)
+	case asked, resting:
+		t.move(s, working)
+	}
+}
+
+// taken tells that a req is whole.
+func (t *table) taken(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.move(s, working)
+}
+
+// answered tells that a req was answered, and returns whether the session is to close. Its
+// goroutine is woken for that, or where it is to give up a long body. What wakes it is set
+// under the lock: it must not undo what shut has set.
+func (t *table) answered(s *session, job, closing, wake bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.used, s.job, s.since = true, s.job || job, time.Now()
+	if s.job {
+		t.move(s, resting)
+	} else {
+		t.move(s, asked)
+	}
+	if closing = closing || s.shed; closing || wake {
+		s.conn.SetReadDeadline(s.since)
+	} else {
+		s.conn.SetReadDeadline(s.since.Add(idleWait))
+	}
+	return closing
+}
+
+// linger lets a refused session stay until its client has read why, if no more than most do.
+func (t *table) linger(s *session, most int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.shed || t.rows[lingering].Len() >= most {
+		return false
+	}
+	t.move(s, lingering)
+	return true
+}
+
+// over says whether the session is to end for want of another req.
+func (t *table) over(s *session) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.shed || time.Since(s.since) >= idleWait
+}
+
+func (t *table) isShed(s *session) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.shed
+}
+
+// shedOne tells the first session that may go to close. t.mu is held.
+func (t *table) shedOne() bool {
+	for r := lingering; r < working; r++ {
+		if e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*session).since) >= sparedFor[r] {
+			t.shut(e.Value.(*session))
+			return true
+		}
+	}
+	return false
+}
+
+// shut wakes a session's goroutine, which looks whether a req came after all, and closes.
+func (t *table) shut(s *session) {
+	t.move(s, leaving)
+	s.shed = true
+	s.conn.SetReadDeadline(time.Now())
+}
+
+// shutIdle tells all sessions between reqs to close, and new ones after a while. It returns
+// how many there are of any kind.
+func (t *table) shutIdle() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for r := lingering; r < working; r++ {
+		for e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*session).since) >= sparedFor[r]; e = t.rows[r].Front() {
+			t.shut(e.Value.(*session))
+		}
+	}
+	return t.count
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -15,6 +15,7 @@
 type Bad struct {
 	Status int
 	Reason string
+	Pause  time.Duration // advice when to come back, 0 for none
 }
 
 func (b *Bad) Error() string { return fmt.Sprintf("%d: %s", b.Status, b.Reason) }
@@ -30,10 +31,12 @@
 // Requests takes in what a client sends.
 type Requests struct {
 	buffer
-	cur  *Request
-	need int // bytes of the body
-	bad  error
-	cont bool
+	// Admit, if set, is asked before space for a body is made, and refuses it by an error.
+	Admit func(length int) error
+	cur   *Request
+	need  int // bytes of the body
+	bad   error
+	cont  bool
 }
 
 // Next returns the next whole request, or nil while more bytes are due. An error is a *Bad
@@ -60,6 +63,11 @@
 		if m.need > MaxBody {
 			return nil, m.fail(413, "the body is too long")
 		}
+		if m.Admit != nil {
+			if m.bad = m.Admit(m.need); m.bad != nil {
+				return nil, m.bad
+			}
+		}
 		m.cont = m.need > 0 && m.cur.head.has("Expect", "100-continue")
 		if len(m.b)-m.r < m.need {
 			m.grow(m.need)
@@ -76,7 +84,7 @@
 }
 
 func (m *Requests) fail(status int, reason string) error {
-	m.bad = &Bad{status, reason}
+	m.bad = &Bad{Status: status, Reason: reason}
 	return m.bad
 }
 
@@ -90,6 +98,14 @@
 // Partial says whether a request has begun and is not whole.
 func (m *Requests) Partial() bool { return m.cur != nil || m.r < m.w }
 
+// Waste is space for bytes that nobody will read.
+func (m *Requests) Waste() []byte {
+	if len(m.b) < room {
+		m.b = make([]byte, room)
+	}
+	return m.b
+}
+
 // Done tells that the last request is answered; free, that its bytes are in no use.
 func (m *Requests) Done(free bool) {
 	if free {
@@ -97,7 +113,7 @@
 	}
 }
 
-func badRequest(reason string) error { return &Bad{400, reason} }
+func badRequest(reason string) error { return &Bad{Status: 400, Reason: reason} }
 
 func readRequest(block []byte) (*Request, int, error) {
 	h, err := parseHead(block)
@@ -112,7 +128,7 @@
 		return nil, 0, badRequest("a bad request line")
 	}
 	if len(h.fields["Transfer-Encoding"]) > 0 {
-		return nil, 0, &Bad{411, "a length is required"}
+		return nil, 0, &Bad{Status: 411, Reason: "a length is required"}
 	}
 	n, err := h.length()
 	if err != nil {
@@ -140,9 +156,13 @@
 	return path
 }
 
+// maxID is the longest id or key that is passed on. Ids are remembered for a while.
+const maxID = 256
+
 // Names are the names that stand on the sockets for the module's numbers.
 type Names struct {
 	Classes []string
+	Keyed   []bool          // a class's reqs carry an Idempotency-Key
 	Limits  []time.Duration // how long a client of each class waits in all
 	Zones   []string
 	Kinds   []string
@@ -160,8 +180,13 @@
 // Read makes a req of a POST. What is absent stays zero, as it does for the simulator's
 // adapter.
 func (n *Names) Read(q *Request) (w Work, err error) {
-	bad := func(status int, reason string) (Work, error) { return Work{}, &Bad{status, reason} }
+	bad := func(status int, reason string) (Work, error) { return Work{}, &Bad{Status: status, Reason: reason} }
 	var single [6]bool
+	for _, name := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms", "Idempotency-Key"} {
+		if v := q.head.fields[name]; len(v) > 0 && v[0] == "" { // not the same as absent: it was to say something
+			return bad(400, "an empty "+name)
+		}
+	}
 	var class, left, repeat, facts string
 	w.ID, single[0] = q.head.one("X-Correlation-Id")
 	class, single[1] = q.head.one("X-Service-Class")
@@ -172,13 +197,16 @@
 	if single != [6]bool{true, true, true, true, true, true} {
 		return bad(400, "a field stands there twice")
 	}
-	if w.ID == "" || !plain(w.ID) || !plain(w.IdempotencyKey) {
+	if w.ID == "" || !plain(w.ID) || !plain(w.IdempotencyKey) || len(w.ID) > maxID || len(w.IdempotencyKey) > maxID {
 		return bad(400, "a bad X-Correlation-Id or Idempotency-Key")
 	}
 	first, rest, _ := strings.Cut(strings.TrimPrefix(q.Path(), "/"), "/")
 	if class == "" {
 		class = first
 	}
+	if class != first { // two readings of one request: backends could take another than we do
+		return bad(404, "a path that is not of the class")
+	}
 	w.Ask.Class = -1
 	for i, name := range n.Classes {
 		if name == class {
@@ -188,6 +216,9 @@
 	if w.Ask.Class < 0 {
 		return bad(404, "an unknown class")
 	}
+	if n.Keyed[w.Ask.Class] && w.IdempotencyKey == "" { // no backend could tell its repeat
+		return bad(400, "no Idempotency-Key")
+	}
 	if w.Left = n.Limits[w.Ask.Class]; left != "" {
 		ms, err := strconv.ParseUint(left, 10, 31)
 		if err != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -1,7 +1,7 @@
 // Package scenario is the language of the tests. A scenario is a text of one step a line:
 //
 //	send TEXT    bytes from a peer; \r, \n and \t as in Go, and {{N*C}} for N times C
-//	expect TEXT  what is found next
+//	expect TEXT  what is found next; {{N*C}} here too
 //	close        the peer ends its connection, or refuses new ones
 //	wait TIME    time passes
 //
@@ -38,16 +38,16 @@
 			t.Fatalf("no such step: %s", line)
 		}
 		if s.Verb == "send" {
-			s.Arg = unquote(t, s.Arg)
+			s.Arg = strings.NewReplacer(`\r`, "\r", `\n`, "\n", `\t`, "\t").Replace(s.Arg)
 		}
+		s.Arg = repeat(t, s.Arg)
 		steps = append(steps, s)
 	}
 	return steps
 }
 
-func unquote(t *testing.T, s string) string {
+func repeat(t *testing.T, s string) string {
 	t.Helper()
-	s = strings.NewReplacer(`\r`, "\r", `\n`, "\n", `\t`, "\t").Replace(s)
 	for {
 		from, to := strings.Index(s, "{{"), strings.Index(s, "}}")
 		var n int
