Keep client sessions through a shutdown whether or not other dispatchers run

The first one got SIGTERM at 13.0 s and was gone at 13.7 s; the second got it at 16.0 s, before the front knew of the first one's successor, and its clients, told Connection: close, had nowhere to go. Ruled out: the reload (both moves logged within 10 ms, lists told), backends (resets 0). At fault: Drain() closed at once where Settings.Instances was over 1.

--- a/cmd/tinsail/main.go
+++ b/cmd/tinsail/main.go
@@ -63,7 +63,7 @@
 		return b.String()
 	}
 	clients := &network.Clients{Names: &cfg.Names, Count: count, Core: c, Most: share.Clients, Held: cfg.Memory / 8,
-		Longest: cfg.Longest(), Alone: cfg.Settings.Instances == 1, Stats: stats}
+		Longest: cfg.Longest(), Stats: stats}
 	go clients.Serve(listener)
 
 	sig.mind(minded{
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -44,7 +44,6 @@
 	Most    int   // sessions; beyond it one that asks for nothing goes, and if there is none a few are told to come back
 	Held    int64 // bytes of bodies that may be held for all sessions together
 	Longest time.Duration
-	Alone   bool // no other dispatcher can take over what a shutdown turns away
 	Stats   func() string
 
 	draining, closing atomic.Bool  // a shutdown has begun; answers end their sessions
@@ -383,21 +382,16 @@
 // for a moment (a client whose req crossed the closing of its session comes back at once), or
 // at the latest after most.
 //
-// Where other dispatchers run, clients are sent there as soon as the front sends no new ones
-// here. A dispatcher that is alone goes on for as long as it can: those whose sessions it
-// closed would have nowhere to go until its successor is up.
+// Sessions stay for as long as reqs can be answered before the kill. The front brings a client
+// whose session is closed to another dispatcher, if it knows of one that is up: not where this
+// one is alone, nor while the one that was restarted before it has yet to be noticed.
 func (c *Clients) Drain(most time.Duration) {
 	begun := time.Now()
 	kill := begun.Add(min(c.Longest, killFloor) + ownReqs)
-	stay := lateFront
-	if c.Alone {
-		stay = max(stay, time.Until(kill)-killMargin-lastReqs)
-	}
 	c.draining.Store(true)
-	c.closing.Store(!c.Alone)
 	time.Sleep(lateFront)
 	c.until.Store(kill.Add(-killMargin).UnixNano()) // a little before ownReqs: no late req slips by
-	time.Sleep(stay - lateFront)
+	time.Sleep(time.Until(kill) - killMargin - lastReqs)
 	c.closing.Store(true)
 	for quiet := 0; quiet < quietLooks && time.Since(begun) < most; time.Sleep(lookEvery) {
 		if quiet++; c.table.shutIdle() > 0 || c.Core.Open() > 0 {
