Module: call off waiting copies at the first start, copy only to free slots

Change: at a start the req's other attempts that have not started are cancelled; a copy goes only where a slot is free by what is known; a crowd is met beyond half the aim plus (stretch - 1) / 4 of the running time.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -360,13 +360,18 @@
 	}
 	cost := d.runs[r.Class] * r.Slots
 	if d.copies >= cost && d.room(r) && d.set.MayDuplicate && len(r.attempts) < d.set.MaxAttempts {
-		if i := d.pick(now, r); i >= 0 {
+		if i := d.pick(now, r); i >= 0 && d.free(now, &d.workers[i], r) {
 			d.copies -= cost
 			d.send(now, r, i)
 		}
 	}
 }
 
+// free says whether a job would start at once at a worker, by what is known.
+func (d *Dispatcher) free(now Millis, w *worker, r *request) bool {
+	return w.own+trust*d.crowd(now, w)+r.Slots <= w.size*d.warmth(now, w)
+}
+
 // Answer takes an attempt's outcome, learns from it and goes on with the request.
 func (d *Dispatcher) Answer(now Millis, o Outcome) {
 	r, a := d.find(o.ID, o.Attempt)
@@ -428,8 +433,14 @@
 		}
 	}
 	if p.Started {
+		for k := range r.attempts { // what still waits would run the job twice and keep others waiting
+			if k != p.Attempt && r.attempts[k].out && r.attempts[k].started == 0 && d.set.MayCancel {
+				d.act.Cancel(r.ID, k)
+			}
+		}
 		w, c, wait := &d.workers[a.worker], &d.set.Classes[r.Class], now-a.sent
-		bad := c.Aim/2 + c.LateWorth*c.Stretch*d.runs[r.Class] // more where a late answer still earns
+		// More may be waited where a late answer still earns, or the aim grows with the job's own work.
+		bad := c.Aim/2 + max(c.LateWorth*c.Stretch, (c.Stretch-1)/4)*d.runs[r.Class]
 		d.learnCrowd(now, w, w.size*min(wait/d.run, 2), wait > bad)
 	}
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -729,6 +729,63 @@
 	}
 }
 
+// TestWaitingCopyGoes: once one attempt has started, those that still wait in a queue are
+// called off: there is nothing to gain from running the job twice. One that runs is left.
+func TestWaitingCopyGoes(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		d, rec := start(t, testSettings(), fleet(9))
+		d.copies = 1e6
+		first := sent(d, rec, 10, req(1, 0))
+		d.Wake(10+d.patience(d.reqs[1]), 1<<8)
+		second := rec.only("dispatch")[0].worker
+		if running {
+			d.Progressed(300, Progress{ID: 1, Worker: first, Started: true})
+			rec.acts = rec.acts[:0]
+		}
+		d.Progressed(301, Progress{ID: 1, Attempt: 1, Worker: second, Started: true})
+		if a := rec.only("cancel"); (len(a) == 1 && a[0].n == 0) == running {
+			t.Errorf("first one running %v: cancelled %v", running, a)
+		}
+	}
+}
+
+// TestStretchedAimAllowsAWait: where the aim grows with a job's own work, a wait that takes
+// only a part of that is no crowd.
+func TestStretchedAimAllowsAWait(t *testing.T) {
+	for _, c := range []struct {
+		stretch float64
+		wait    Millis
+		crowd   bool
+	}{{0, 199, false}, {0, 201, true}, {2, 299, false}, {2, 301, true}} {
+		s := testSettings()
+		s.Classes[0].Stretch = c.stretch
+		d, rec := start(t, s, fleet(9))
+		d.runs[0] = 400
+		limit := d.limit
+		w := sent(d, rec, 10, req(1, 0))
+		d.Progressed(10+c.wait, Progress{ID: 1, Worker: w, Started: true})
+		if (d.limit < limit) != c.crowd {
+			t.Errorf("stretch %v, waited %v: limit %v, was %v", c.stretch, c.wait, d.limit, limit)
+		}
+	}
+}
+
+// TestNoCopyBehindAQueue: a second copy that would wait as well only makes the queues longer.
+func TestNoCopyBehindAQueue(t *testing.T) {
+	for _, free := range []float64{0, 1} {
+		d, rec := start(t, testSettings(), fleet(9))
+		d.copies, d.limit = 1e6, 1e6
+		sent(d, rec, 10, req(1, 0))
+		for i := range d.workers {
+			d.workers[i].own = d.workers[i].size - free
+		}
+		d.Wake(10+d.patience(d.reqs[1]), 1<<8)
+		if a := rec.only("dispatch"); len(a) != int(free) {
+			t.Errorf("%v slots free: %d copies", free, len(a))
+		}
+	}
+}
+
 // TestBurstDoesNotRaiseItsOwnShare: the part of all traffic that scales a quota must not
 // hold the burst, or tenants within their shares pay for it.
 func TestBurstDoesNotRaiseItsOwnShare(t *testing.T) {
