Tell the answering goroutine of a long body instead of reading it there: a data race

Seen: go test -race failed once on a scenario that had passed before. Checked: reply() read session.held, which the reading goroutine clears in run() when a client goes away; at fault is the call added with the bound on bodies. Now await() passes it on.

--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -294,7 +294,7 @@
 // go away.
 func (s *session) await(t core.Ticket, closing bool) (core.Ending, bool) {
 	gone, done := make(chan struct{}), make(chan written, 1)
-	go s.reply(closing, gone, done)
+	go s.reply(closing, s.held > 0, gone, done)
 	var w written
 	if s.in.Partial() { // sent ahead: what is here is to be taken up next, and nothing wakes a read
 		w = <-done
@@ -336,8 +336,9 @@
 	s.release()
 }
 
-// reply writes the answer once it is there.
-func (s *session) reply(closing bool, gone chan struct{}, done chan written) {
+// reply writes the answer once it is there. long says that the req's body is to be given up
+// at once; it is told, since the reading goroutine may have ended meanwhile.
+func (s *session) reply(closing, long bool, gone chan struct{}, done chan written) {
 	var a core.Answer
 	select {
 	case a = <-s.answer:
@@ -346,7 +347,7 @@
 	}
 	closing = closing || s.clients.closing.Load()
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
-	closing = s.clients.table.answered(s, true, closing || err != nil, s.held > 0)
+	closing = s.clients.table.answered(s, true, closing || err != nil, long)
 	done <- written{a.Free, closing, err}
 }
 
