Close the idlest usual sessions before clients run out of connections

Ruled out: shedding of usual clients' first reqs (first bytes came within 5 ms of connecting in all 2677 sessions that sent any; those shed as silent never sent one), the module, memory (10 of 64 MB), the restarts (15 to 20 s has none). At fault: nothing closed an idle session after a job but the dispatcher's own budget of 45%, which silent ones kept from being reached (table.go, rank resting). Usual clients' idle sessions used up their own third. Change: beyond a quarter of the descriptors of sessions that serve jobs, the one idle for longest is closed, if it has been idle for 100 ms. A req that crosses that is sent again by its client.

--- a/cmd/tinsail/main.go
+++ b/cmd/tinsail/main.go
@@ -62,7 +62,7 @@
 		count.Print(&b, core.Endings())
 		return b.String()
 	}
-	clients := &network.Clients{Names: &cfg.Names, Count: count, Core: c, Most: share.Clients, Held: cfg.Memory / 8,
+	clients := &network.Clients{Names: &cfg.Names, Count: count, Core: c, Most: share.Clients, Usual: share.Usual, Held: cfg.Memory / 8,
 		Longest: cfg.Longest(), Stats: stats}
 	go clients.Serve(listener)
 
--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -5,6 +5,7 @@
 // Budget shares out the file descriptors that the process may hold.
 type Budget struct {
 	Clients  int // client sessions
+	Usual    int // of those that have had a job answered, or have one: beyond it idle ones are closed
 	Backends int // connections to backends, those being made among them
 }
 
@@ -14,7 +15,9 @@
 
 // Share divides a limit. A req takes one descriptor on each side, a second copy one more at
 // the backends, and idle connections there save handshakes: backends get the larger part.
+// Usual clients hold a third of the limit at most, idle sessions among them: one that is at
+// its end cannot send a req, however idle this dispatcher is. Usual stays below that.
 func Share(limit int) Budget {
 	free := max(limit-kept, 2)
-	return Budget{Clients: free * 9 / 20, Backends: free - free*9/20}
+	return Budget{Clients: free * 9 / 20, Usual: limit / 4, Backends: free - free*9/20}
 }
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -42,6 +42,7 @@
 	Count   *counters.Set
 	Core    *core.Core
 	Most    int   // sessions; beyond it one that asks for nothing goes, and if there is none a few are told to come back
+	Usual   int   // sessions that serve jobs; beyond it the one that has been idle longest goes
 	Held    int64 // bytes of bodies that may be held for all sessions together
 	Longest time.Duration
 	Stats   func() string
@@ -348,6 +349,7 @@
 	closing = closing || s.clients.closing.Load()
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
 	closing = s.clients.table.answered(s, true, closing || err != nil, long)
+	s.clients.table.trim(s.clients.Usual)
 	done <- written{a.Free, closing, err}
 }
 
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -344,6 +344,7 @@
 		assert.LessOrEqual(t, b.Clients+b.Backends+kept, limit)
 		assert.GreaterOrEqual(t, b.Backends, b.Clients)
 		assert.Positive(t, b.Clients)
+		assert.Less(t, b.Usual, limit/3)
 	}
 }
 
@@ -389,6 +390,24 @@
 		c7 expect nothing`)
 }
 
+// TestUsualSessionsStayFew: usual clients can hold only so many sessions. Where their idle ones
+// add up, the one idle for longest is closed before they run out, but none that was just used.
+func TestUsualSessionsStayFew(t *testing.T) {
+	serve := func(c, id, conn string) string {
+		return fmt.Sprintf("%s send {req %s x}\n%s send {started %s}{done %s r}\n%s expect 200 r\n", c, id, conn, id, id, c)
+	}
+	run(t, list(olivebarrow.Ready, "s1"), 9, func(w *world) { w.clients.Usual = 2 },
+		serve("c1", "9a", "s1/1")+"wait 50ms\n"+serve("c2", "9b", "s1/1")+serve("c3", "9c", "s1/1")+`
+		wait 6ms
+		c1 expect nothing
+		wait 50ms
+		`+serve("c3", "9d", "s1/1")+`
+		wait 6ms
+		c1 expect closed
+		c2 expect nothing
+		`+serve("c2", "9e", "s1/1"))
+}
+
 // TestFull: where all sessions are owed an answer, new ones are told at once, and accepting
 // goes on.
 func TestFull(t *testing.T) {
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -118,7 +118,7 @@
 		d.Start(41)
 		w.core.Listed(olivebarrow.ListCached, backends)
 		go w.core.Run(stop)
-		w.clients = &Clients{Names: names, Count: w.count, Core: w.core, Most: most, Held: 8 << 10, Longest: 5 * time.Second, Stats: func() string { return "counters" }}
+		w.clients = &Clients{Names: names, Count: w.count, Core: w.core, Most: most, Usual: 9, Held: 8 << 10, Longest: 5 * time.Second, Stats: func() string { return "counters" }}
 		defer func() {
 			w.mu.Lock()
 			w.refuse["d"], w.refuse["e"], w.refuse["s1"], w.refuse["s2"] = true, true, true, true
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -26,6 +26,9 @@
 // that crosses the closing of a session in use. One that sends slowly gets longer.
 var sparedFor = [working]time.Duration{silent: 250 * time.Millisecond, half: 750 * time.Millisecond}
 
+// restedFor is how long a session is idle at least before others' number is a ground to close it.
+const restedFor = 100 * time.Millisecond
+
 // seat is what the table knows of a session. The table's lock guards it.
 type seat struct {
 	rank  rank
@@ -175,6 +178,19 @@
 	return false
 }
 
+// trim keeps the sessions that serve jobs to a number, as far as some are idle and will
+// hardly be used again at once.
+func (t *table) trim(most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows[resting].Len()+t.rows[working].Len() <= most {
+		return
+	}
+	if e := t.rows[resting].Front(); e != nil && time.Since(e.Value.(*session).since) >= restedFor {
+		t.shut(e.Value.(*session))
+	}
+}
+
 // shut wakes a session's goroutine, which looks whether a req came after all, and closes.
 func (t *table) shut(s *session) {
 	t.move(s, leaving)
