Close idle usual sessions beyond a fifth, as soon as more are busy; a 4xx blames no backend

Checked: a third of 256 is 85, Usual was 64, and trim() ran only when an answer went out, one session each; a burst needs connections before its answers. Ruled out: memory (12 of 32 MB), CPU (0.13 s in the worst second), descriptors (153 of 256). Change: Usual is a fifth of the limit, and trim() also runs when a req is taken. New ending Rejected: the client is failed at once, the module hears Cancelled, which blames nobody. Tests: the scenario on usual sessions goes on to a busy one; TestRejected goes to the second backend of the cell without the change.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -307,8 +307,11 @@
 		log.Printf("an attempt ended as %v, which is no ending of an attempt", e)
 		res = olivebarrow.Reset
 	}
-	if e == Served {
+	switch e {
+	case Served:
 		c.answer(a.req, Answer{Verdict: ResultOf, Result: result})
+	case Rejected: // another backend would say the same
+		c.answer(a.req, Answer{Verdict: Failure})
 	}
 	now := c.clock.now()
 	c.mod.Answer(now, olivebarrow.Outcome{ID: a.req.id, Attempt: a.number, Worker: a.Backend.ID,
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -82,6 +82,9 @@
 			b.sent[0].Ended(Failed, "", nil)
 			t.Abandon()
 		}, []Verdict{Failure}, true},
+		"a req that the backend finds at fault": {func(b *bench, _ Ticket) {
+			b.sent[0].Ended(Rejected, "", nil)
+		}, []Verdict{Failure}, true},
 		"an ending that is no attempt's": {func(b *bench, _ Ticket) {
 			b.sent[0].Ended(ListTold, "", nil)
 		}, []Verdict{Failure}, true},
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -14,6 +14,7 @@
 const (
 	Served    Ending = iota // the backend sent its result
 	Failed                  // the backend said that it failed, or answered with an error
+	Rejected                // the backend said that the req itself is at fault
 	Returned                // the backend handed the req back unstarted, or turned it away
 	Unreached               // no connection, or one that broke before the req's last byte was written
 	Lost                    // the backend said that the job was killed
@@ -55,7 +56,7 @@
 		return olivebarrow.Reset, true
 	case Overdue:
 		return olivebarrow.TimedOut, true
-	case Withdrawn:
+	case Withdrawn, Rejected: // a client's fault is no bad ending of the backend's
 		return olivebarrow.Cancelled, true
 	case Unsent:
 		return olivebarrow.NotSent, true
@@ -63,7 +64,7 @@
 	return 0, false
 }
 
-var endingNames = [endings]string{"served", "failed", "returned", "unreached", "lost", "broken", "garbled",
+var endingNames = [endings]string{"served", "failed", "rejected", "returned", "unreached", "lost", "broken", "garbled",
 	"overdue", "withdrawn", "unsent", "client_closed", "client_silent", "client_bad", "session_done",
 	"session_shed", "list_told", "list_refused", "list_unread", "list_unanswered"}
 
--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -17,6 +17,7 @@
 	}{
 		{Served, olivebarrow.OK, false},
 		{Failed, olivebarrow.Error, false},
+		{Rejected, olivebarrow.Cancelled, false},
 		{Returned, olivebarrow.Full, true},
 		{Unreached, olivebarrow.ConnectFailed, true},
 		{Lost, olivebarrow.Reset, false},
--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -19,5 +19,5 @@
 // its end cannot send a req, however idle this dispatcher is. Usual stays below that.
 func Share(limit int) Budget {
 	free := max(limit-kept, 2)
-	return Budget{Clients: free * 9 / 20, Usual: limit / 4, Backends: free - free*9/20}
+	return Budget{Clients: free * 9 / 20, Usual: limit / 5, Backends: free - free*9/20}
 }
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -281,6 +281,7 @@
 		left = max(min(left, time.Unix(0, until).Sub(s.came)), 0)
 	}
 	c.table.taken(s)
+	c.table.trim(c.Usual) // as soon as more are busy: the next client may find no connection left
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
 	ticket, fresh := c.Core.Take(w.Ask, job, s.came, left, s)
 	if !fresh {
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -405,7 +405,29 @@
 		wait 6ms
 		c1 expect closed
 		c2 expect nothing
-		`+serve("c2", "9e", "s1/1"))
+		`+serve("c2", "9e", "s1/1")+`
+		wait 150ms
+		c4 send {req 9f x}
+		wait 6ms
+		c3 expect closed
+		c4 expect nothing`)
+}
+
+// TestRejected: a req that a backend finds at fault is failed at once and not sent to another
+// of its cell, and the backend is as good as before: it gets its half of the next reqs.
+func TestRejected(t *testing.T) {
+	pair := list(olivebarrow.Ready, "s1", "s2")
+	pair[1].Cell = pair[0].Cell
+	run(t, pair, 9, `
+		c1 send {req 9b x}
+		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+		s1/1 send HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n
+		c1 expect 502
+		s2/1 expect no connection
+		c2 send {req 9c x}
+		c3 send {req 9d x}
+		s2/1 expect POST /ingest?v=1 9c k9c 2000 x
+		s1/1 expect POST /ingest?v=1 9d k9d 2000 x`)
 }
 
 // TestFull: where all sessions are owed an answer, new ones are told at once, and accepting
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -366,6 +366,9 @@
 	if m.Unprocessed && (m.Status == 503 || m.Status == 504) {
 		return core.Returned
 	}
+	if m.Status >= 400 && m.Status < 500 {
+		return core.Rejected
+	}
 	return core.Failed
 }
 
--- a/internal/platform/reply_test.go
+++ b/internal/platform/reply_test.go
@@ -72,6 +72,10 @@
 			expect head 503 failed
 			expect line no
 			expect end close`},
+		{"a req that the backend cannot use", `
+			send HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n
+			expect head 400 rejected
+			expect end`},
 		{"500 is an error, whatever it says of running", `
 			send HTTP/1.1 500 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n
 			expect head 500 failed
