Module: a worker twice slower than its kind gets one job at a time, with rests

Checked: the site's record has backends that run 2.1 to 9.8 times slower; JFSQ gives one the same queue as any other, and speed breaks ties only (shortest()), so that at three jobs out it holds a tenth of all jobs, all late. Pace is learned already. Change, in trusted(), which is where the module leaves out workers that must not win by a short queue: at a pace of 2 or more it gets a job only when it has none, and rests twice its own job's time after each. Others stay ranked as JFSQ ranks them.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -45,6 +45,7 @@
 	perCross  = 30.0    // slots that another zone counts as more, on average, by its price; one at least ...
 	aside     = 0.75    // ... and an unlinked worker of the own zone
 	copyShare = 0.2     // work of second copies, as a share of that of first tries
+	ill       = 2.0     // times slower than its kind: such a worker is not used on an equal footing
 	reserve   = 0.4     // part of the limit that worthless requests leave free
 	fewest    = 8.0     // of slots or links: fewer say more about chance than about load
 	window    = 2000.0  // ms over which rates are measured: shorter than a surge, longer than a cluster
@@ -242,11 +243,12 @@
 // ---- Health ----
 
 // trusted keeps a worker out of the choice after bad endings: a low count must not make a
-// broken worker win. When its rest is over it gets one job at a time until one ends well.
+// broken worker win. When its rest is over it gets one job at a time until one ends well. One
+// that has become far slower than its kind is treated alike: its short queue is no short wait.
 // After failures at several of a zone and kind, a hall cut off say, the rest is tried by chance.
 func (d *Dispatcher) trusted(now Millis, w *worker, luck float64) bool {
 	lost := d.lost[w.Zone*d.set.Kinds+w.Kind]
-	return now >= w.until && (w.strikes == 0 || w.own == 0) && luck >= lost*lost
+	return now >= w.until && (w.strikes == 0 && w.pace < ill || w.own == 0) && luck >= lost*lost
 }
 
 // strike counts a bad ending: no connection, a reset, an error, silence. The worker rests,
@@ -393,7 +395,9 @@
 		if a.started > 0 && d.set.TellsStart {
 			o.Took = now - a.started
 		}
-		d.learnRun(r, w, o.Took)
+		if d.learnRun(r, w, o.Took); w.pace >= ill { // now and then a job, to see whether it still is
+			w.until = now + 2*d.run*w.pace
+		}
 		for k := range r.attempts { // copies that lost go, unless their starts will still tell of a crowd
 			if r.attempts[k].out && d.set.MayCancel && !d.set.TellsStart {
 				d.act.Cancel(r.ID, k)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -770,6 +770,35 @@
 	}
 }
 
+// TestSlowWorkersAreLeft: a worker that has become far slower than its kind has a short queue
+// and long waits. It gets one job at a time, with rests, until it has recovered.
+func TestSlowWorkersAreLeft(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(1))
+	w, now := &d.workers[0], Millis(10)
+	for _, c := range []struct {
+		pace, own float64
+		want      bool
+	}{{1.5, 3, true}, {2.5, 0, true}, {2.5, 1, false}} {
+		w.pace, w.own = c.pace, c.own
+		if got := d.trusted(now, w, 1); got != c.want {
+			t.Errorf("pace %v with %v slots out: trusted %v", c.pace, c.own, got)
+		}
+	}
+	w.pace, w.own = 4, 0
+	for id := 1; id <= 40; id++ {
+		sent(d, rec, now, Request{ID: RequestID(id), Deadline: now + 9000, Slots: 1})
+		d.Progressed(now, Progress{ID: RequestID(id), Worker: w.ID, Started: true})
+		d.Answer(now+400, Outcome{ID: RequestID(id), Worker: w.ID, Took: 400, Closed: true})
+		if rests := w.until > now+400; rests != (w.pace >= ill) {
+			t.Errorf("job %d, pace %v: rests %v", id, w.pace, rests)
+		}
+		now = max(now+400, w.until)
+	}
+	if w.pace >= ill || !d.trusted(now, w, 1) {
+		t.Errorf("after 40 jobs of the usual time its pace is %v", w.pace)
+	}
+}
+
 // TestNoCopyBehindAQueue: a second copy that would wait as well only makes the queues longer.
 func TestNoCopyBehindAQueue(t *testing.T) {
 	for _, free := range []float64{0, 1} {
