--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -177,6 +177,9 @@
 func FuzzRequests(f *testing.F) {
 	f.Add([]byte("POST /c HTTP/1.1\r\nContent-Length: 3\r\n\r\noneGET / HTTP/1.0\r\n\r\n"), 1)
 	f.Add([]byte("POST /c HTTP/1.1\r\nX-Correlation-Id: 1\r\nX-Facts: slots=,=\r\n\r\n"), 7)
+	f.Add([]byte("POST /c HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n"), 3)
+	f.Add([]byte("POST /c HTTP/1.1\r\nContent-Length: -1\r\nContent-Length:\r\n\r\n"), 1)
+	f.Add([]byte("POST /keyed HTTP/1.1\r\nX-Correlation-Id:\r\nX-Time-Left-Ms: x\r\n\r\n"), 2)
 	f.Fuzz(func(t *testing.T, bytes []byte, piece int) {
 		var m Requests
 		for piece = max(piece, 1); len(bytes) > 0; {
