--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	go test -race ./...
 
 lint:
-	@out=$$(gofmt -l ./*.go cmd internal); test -z "$$out" || { echo "not gofmt-formatted: $$out"; exit 1; }
+	@out=$$(gofmt -l cmd internal); test -z "$$out" || { echo "not gofmt-formatted: $$out"; exit 1; }
 	go vet ./...
 
 run: build
--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -5,14 +5,14 @@
 	"fmt"
 	"io"
 
-	"olivebarrow"
-	"olivebarrow/internal/wire"
+	"tinsail/internal/balance"
+	"tinsail/internal/wire"
 )
 
 // host routes the events of a batch to the dispatchers of this process.
 type host struct {
 	instances map[uint16]*instance
-	sheets    [16][]olivebarrow.Worker
+	sheets    [16][]balance.Worker
 	buf       []byte
 	reply     wire.Reply
 	report    []float32
@@ -26,7 +26,7 @@
 type instance struct {
 	h  *host
 	id uint16
-	d  *olivebarrow.Dispatcher
+	d  *balance.Dispatcher
 }
 
 func newHost() *host { return &host{instances: map[uint16]*instance{}} }
@@ -117,7 +117,7 @@
 	case wire.EvRequest:
 		d.Arrive(now, decodeRequest(&f))
 	case wire.EvAbandoned:
-		d.Abandoned(now, olivebarrow.RequestID(f.U32()))
+		d.Abandoned(now, balance.RequestID(f.U32()))
 	case wire.EvAnswer:
 		o, err := h.decodeOutcome(&f)
 		if err != nil {
@@ -125,12 +125,12 @@
 		}
 		d.Answer(now, o)
 	case wire.EvProgress:
-		p := olivebarrow.Progress{ID: olivebarrow.RequestID(f.U32()), Attempt: int(f.U8())}
+		p := balance.Progress{ID: balance.RequestID(f.U32()), Attempt: int(f.U8())}
 		p.Started = f.U8() == 1
-		p.Worker, p.Done = olivebarrow.WorkerID(f.Worker()), f.F32()
+		p.Worker, p.Done = balance.WorkerID(f.Worker()), f.F32()
 		d.Progressed(now, p)
 	case wire.EvProbed:
-		p := olivebarrow.ProbeResult{Worker: olivebarrow.WorkerID(f.Worker())}
+		p := balance.ProbeResult{Worker: balance.WorkerID(f.Worker())}
 		res, err := result(f.U16())
 		if err != nil {
 			return err
@@ -156,7 +156,7 @@
 		return fmt.Errorf("instance %d: %w", h.curID, err)
 	}
 	in := &instance{h: h, id: h.curID}
-	if in.d, err = olivebarrow.New(s, in); err != nil {
+	if in.d, err = balance.New(s, in); err != nil {
 		return fmt.Errorf("instance %d: %w", h.curID, err)
 	}
 	h.instances[h.curID], h.cur = in, in
@@ -174,10 +174,10 @@
 	}
 	list := h.sheets[slot][:0]
 	for ; n > 0; n-- {
-		var w olivebarrow.Worker
+		var w balance.Worker
 		w.Started = f.F64()
 		w.Kind = int(f.U16())
-		w.ID = olivebarrow.WorkerID(f.Worker())
+		w.ID = balance.WorkerID(f.Worker())
 		w.Cell = int(f.U16())
 		w.State = states[min(int(f.U8()), len(states)-1)]
 		w.Weight = f.F32()
@@ -188,9 +188,9 @@
 	return nil
 }
 
-var states = [...]olivebarrow.State{olivebarrow.Gone, olivebarrow.Ready, olivebarrow.Draining, olivebarrow.Draining}
+var states = [...]balance.State{balance.Gone, balance.Ready, balance.Draining, balance.Draining}
 
-func (h *host) update(now float64, d *olivebarrow.Dispatcher, f wire.Fields) error {
+func (h *host) update(now float64, d *balance.Dispatcher, f wire.Fields) error {
 	kind := f.U8()
 	f.U32() // the list's version: deltas come in order and without gaps
 	slot := f.U16()
@@ -198,17 +198,17 @@
 	case kind > 3:
 		return fmt.Errorf("update of unknown kind %d", kind)
 	case kind == 3:
-		d.Workers(now, olivebarrow.ListFailed, nil)
+		d.Workers(now, balance.ListFailed, nil)
 	case int(slot) >= len(h.sheets):
 		return fmt.Errorf("update names sheet %d, which does not exist", slot)
 	default:
-		d.Workers(now, olivebarrow.ListKind(kind), h.sheets[slot])
+		d.Workers(now, balance.ListKind(kind), h.sheets[slot])
 	}
 	return nil
 }
 
-func decodeRequest(f *wire.Fields) olivebarrow.Request {
-	r := olivebarrow.Request{ID: olivebarrow.RequestID(f.U32()), Class: int(f.U8())}
+func decodeRequest(f *wire.Fields) balance.Request {
+	r := balance.Request{ID: balance.RequestID(f.U32()), Class: int(f.U8())}
 	r.Tenant = int(f.U32())
 	r.Key = f.U64()
 	r.Deadline = f.F64()
@@ -222,9 +222,9 @@
 	return r
 }
 
-func (h *host) decodeOutcome(f *wire.Fields) (olivebarrow.Outcome, error) {
-	o := olivebarrow.Outcome{ID: olivebarrow.RequestID(f.U32()), Attempt: int(f.U8())}
-	o.Worker = olivebarrow.WorkerID(f.Worker())
+func (h *host) decodeOutcome(f *wire.Fields) (balance.Outcome, error) {
+	o := balance.Outcome{ID: balance.RequestID(f.U32()), Attempt: int(f.U8())}
+	o.Worker = balance.WorkerID(f.Worker())
 	var err error
 	o.Result, err = result(f.U16())
 	o.Took = f.F64()
@@ -235,11 +235,11 @@
 	return o, err
 }
 
-func result(code uint16) (olivebarrow.Result, error) {
+func result(code uint16) (balance.Result, error) {
 	if code < 10 || code > 80 || code%10 != 0 {
 		return 0, errors.New("unknown outcome " + fmt.Sprint(code))
 	}
-	return olivebarrow.Result(code/10 - 1), nil
+	return balance.Result(code/10 - 1), nil
 }
 
 // say names the instance in the reply, where the last action was another's.
@@ -252,18 +252,18 @@
 	return &h.reply
 }
 
-func (in *instance) Dispatch(id olivebarrow.RequestID, to olivebarrow.WorkerID, within float64) {
+func (in *instance) Dispatch(id balance.RequestID, to balance.WorkerID, within float64) {
 	in.say().Dispatch(uint32(id), uint64(to), within)
 }
-func (in *instance) Refuse(id olivebarrow.RequestID, pause float64) {
+func (in *instance) Refuse(id balance.RequestID, pause float64) {
 	in.say().Refuse(uint32(id), pause)
 }
-func (in *instance) Fail(id olivebarrow.RequestID) { in.say().Fail(uint32(id)) }
-func (in *instance) Cancel(id olivebarrow.RequestID, attempt int) {
+func (in *instance) Fail(id balance.RequestID) { in.say().Fail(uint32(id)) }
+func (in *instance) Cancel(id balance.RequestID, attempt int) {
 	in.say().Cancel(uint32(id), uint8(attempt))
 }
-func (in *instance) HangUp(to olivebarrow.WorkerID)   { in.say().HangUp(uint64(to)) }
-func (in *instance) Probe(to olivebarrow.WorkerID)    { in.say().Probe(uint64(to)) }
+func (in *instance) HangUp(to balance.WorkerID)       { in.say().HangUp(uint64(to)) }
+func (in *instance) Probe(to balance.WorkerID)        { in.say().Probe(uint64(to)) }
 func (in *instance) Wake(after float64, token uint64) { in.say().Wake(after, token) }
 func (in *instance) Subscribe()                       { in.say().Subscribe() }
 func (in *instance) Log(line string)                  { in.say().Log(line) }
--- a/cmd/tinsail/main.go
+++ b/cmd/tinsail/main.go
@@ -14,11 +14,11 @@
 	"syscall"
 	"time"
 
-	"olivebarrow"
-	"olivebarrow/internal/config"
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/network"
+	"tinsail/internal/balance"
+	"tinsail/internal/config"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/network"
 )
 
 func main() {
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	c.Listed(olivebarrow.ListCached, cfg.Known.Entries)
+	c.Listed(balance.ListCached, cfg.Known.Entries)
 	go c.Run(nil)
 	if !cfg.Settings.Subscribe { // the module expects a list that comes unasked; on sockets none does
 		director.Subscribe()
--- a/cmd/tinsail/main_test.go
+++ b/cmd/tinsail/main_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"olivebarrow/internal/config"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/network"
+	"tinsail/internal/config"
+	"tinsail/internal/counters"
+	"tinsail/internal/network"
 )
 
 // TestSignals: no signal that operators send ends the program but by a shutdown, and none is
--- a/api.go
+++ b/internal/balance/api.go
@@ -1,4 +1,4 @@
-// Package olivebarrow makes the decisions of a dispatcher that pushes jobs to
+// Package balance makes the decisions of a dispatcher that pushes jobs to
 // workers. It extends Join-the-Fastest-of-the-Shortest-Queues (JFSQ): a job goes
 // to the capable worker with the fewest of this dispatcher's own slots in flight,
 // then to the faster worker, then to chance.
@@ -7,7 +7,7 @@
 // Events are methods on a Dispatcher that take the clock; actions go to the
 // Actions that the caller supplied. The package starts no goroutine, takes no
 // lock and reads no clock: a Dispatcher is driven by one caller at a time.
-package olivebarrow
+package balance
 
 // Millis is a time or a duration in milliseconds. The clock that events carry may
 // start anywhere but never goes back.
--- a/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -1,4 +1,4 @@
-package olivebarrow
+package balance
 
 // All decisions are made in this file. The interface (settings, events, actions) is in api.go,
 // what is remembered of workers and requests in state.go. Reading order: ordinary path,
--- a/state.go
+++ b/internal/balance/state.go
@@ -1,4 +1,4 @@
-package olivebarrow
+package balance
 
 import (
 	"errors"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,9 +11,9 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"olivebarrow"
-	"olivebarrow/internal/platform"
-	"olivebarrow/internal/wire"
+	"tinsail/internal/balance"
+	"tinsail/internal/platform"
+	"tinsail/internal/wire"
 )
 
 // Config is all that a dispatcher is told at its start.
@@ -22,7 +22,7 @@
 	Cores                   float64
 	Memory                  int64 // bytes
 	Sockets                 int
-	Settings                olivebarrow.Settings
+	Settings                balance.Settings
 	Names                   platform.Names
 	ConnIdle                time.Duration // a backend closes an idle connection after this
 	Known                   platform.List // as last held, maybe old
@@ -119,7 +119,7 @@
 		if name == "" {
 			return fmt.Errorf("Classes[%d].Name is empty", i)
 		}
-		c.Names.Keyed = append(c.Names.Keyed, c.Settings.Classes[i].Effect == olivebarrow.Deduped)
+		c.Names.Keyed = append(c.Names.Keyed, c.Settings.Classes[i].Effect == balance.Deduped)
 		c.Names.Limits = append(c.Names.Limits, millis(c.Settings.Classes[i].Deadline))
 	}
 	return nil
@@ -144,7 +144,7 @@
 }
 
 // sameSettings leaves the seed aside: it is for a start, and each start has its own.
-func sameSettings(a, b olivebarrow.Settings) bool {
+func sameSettings(a, b balance.Settings) bool {
 	a.Seed = b.Seed
 	return reflect.DeepEqual(a, b)
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:8081","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964","later":1,
@@ -31,7 +31,7 @@
 	assert.Equal(t, 5*time.Second, c.Longest())
 	assert.Equal(t, uint64(41), c.Known.Index)
 	assert.Equal(t, 1, c.Known.Entries[0].Kind)
-	assert.Equal(t, olivebarrow.Ready, c.Known.Entries[0].State)
+	assert.Equal(t, balance.Ready, c.Known.Entries[0].State)
 	assert.Equal(t, []string{"failed_ps", "x0"}, c.Names.Columns)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"olivebarrow"
-	"olivebarrow/internal/counters"
+	"tinsail/internal/balance"
+	"tinsail/internal/counters"
 )
 
 // Job is what passes through to a backend unchanged. Its slices belong to the front, which
@@ -65,7 +65,7 @@
 // Backend is a photo worker. Its fields but state are fixed: a backend that moves to another
 // address is replaced by a new one in the core's list.
 type Backend struct {
-	ID      olivebarrow.WorkerID
+	ID      balance.WorkerID
 	Name    string
 	Address string
 	ready   atomic.Bool
@@ -73,13 +73,13 @@
 
 // Entry is a line of the director's list.
 type Entry struct {
-	olivebarrow.Worker
+	balance.Worker
 	Name, Address string
 }
 
 // req is a request that is owed an answer, or has attempts out.
 type req struct {
-	id       olivebarrow.RequestID
+	id       balance.RequestID
 	client   Client
 	job      *Job
 	deadline float64
@@ -127,12 +127,12 @@
 type Core struct {
 	clock    clock
 	count    *counters.Set
-	mod      *olivebarrow.Dispatcher
+	mod      *balance.Dispatcher
 	backends Backends
 	director Director
-	reqs     map[olivebarrow.RequestID]*req
-	listed   map[olivebarrow.WorkerID]*Backend
-	last     olivebarrow.RequestID
+	reqs     map[balance.RequestID]*req
+	listed   map[balance.WorkerID]*Backend
+	last     balance.RequestID
 	timers   timers
 	slack    float64
 	ready    atomic.Int32 // backends that may be sent to
@@ -147,12 +147,12 @@
 }
 
 // New makes a core for the settings.
-func New(s olivebarrow.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
+func New(s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
 	c := &Core{clock: newClock(), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack,
-		reqs: map[olivebarrow.RequestID]*req{}, listed: map[olivebarrow.WorkerID]*Backend{},
+		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
 		posted: make(chan struct{}, 1)}
 	var err error
-	c.mod, err = olivebarrow.New(s, actions{c})
+	c.mod, err = balance.New(s, actions{c})
 	return c, err
 }
 
@@ -218,7 +218,7 @@
 // Take takes a req on: one final answer is owed from now on. came is the earliest time
 // known at which it was there, left how long its client waits from then. It is not taken, and
 // nothing is owed, if its id is that of another: backends would take one for the other.
-func (c *Core) Take(q olivebarrow.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
+func (c *Core) Take(q balance.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
 	if !c.ids.take(job.ID, time.Now()) {
 		c.count.ReqsRepeated.Add(1)
 		return Ticket{}, false
@@ -288,7 +288,7 @@
 
 func (c *Core) progressed(a *Attempt, started bool, share float64) {
 	if !a.over {
-		c.mod.Progressed(c.clock.now(), olivebarrow.Progress{ID: a.req.id, Attempt: a.number,
+		c.mod.Progressed(c.clock.now(), balance.Progress{ID: a.req.id, Attempt: a.number,
 			Worker: a.Backend.ID, Started: started, Done: share})
 	}
 }
@@ -305,7 +305,7 @@
 	res, ok := e.Result()
 	if !ok {
 		log.Printf("an attempt ended as %v, which is no ending of an attempt", e)
-		res = olivebarrow.Reset
+		res = balance.Reset
 	}
 	switch e {
 	case Served:
@@ -314,7 +314,7 @@
 		c.answer(a.req, Answer{Verdict: Failure})
 	}
 	now := c.clock.now()
-	c.mod.Answer(now, olivebarrow.Outcome{ID: a.req.id, Attempt: a.number, Worker: a.Backend.ID,
+	c.mod.Answer(now, balance.Outcome{ID: a.req.id, Attempt: a.number, Worker: a.Backend.ID,
 		Result: res, Took: now - a.sent, Closed: !a.req.open, Report: report})
 	c.forget(a.req)
 }
@@ -330,31 +330,31 @@
 }
 
 // Listed brings a list of backends, or the news that a call for it failed.
-func (c *Core) Listed(kind olivebarrow.ListKind, list []Entry) {
+func (c *Core) Listed(kind balance.ListKind, list []Entry) {
 	c.post(func() { c.list(kind, list) })
 }
 
-func (c *Core) list(kind olivebarrow.ListKind, list []Entry) {
-	workers := make([]olivebarrow.Worker, len(list))
-	named := make(map[olivebarrow.WorkerID]bool, len(list))
+func (c *Core) list(kind balance.ListKind, list []Entry) {
+	workers := make([]balance.Worker, len(list))
+	named := make(map[balance.WorkerID]bool, len(list))
 	for i := range list {
 		e := &list[i]
 		workers[i], named[e.ID] = e.Worker, true
 		b := c.listed[e.ID]
-		if b != nil && (b.Address != e.Address || e.State == olivebarrow.Gone) {
+		if b != nil && (b.Address != e.Address || e.State == balance.Gone) {
 			c.unlist(b)
 			b = nil
 		}
-		if e.State == olivebarrow.Gone {
+		if e.State == balance.Gone {
 			continue
 		}
 		if b == nil {
 			b = &Backend{ID: e.ID, Name: e.Name, Address: e.Address}
 			c.listed[e.ID] = b
 		}
-		b.ready.Store(e.State == olivebarrow.Ready)
+		b.ready.Store(e.State == balance.Ready)
 	}
-	if kind == olivebarrow.ListFull || kind == olivebarrow.ListCached {
+	if kind == balance.ListFull || kind == balance.ListCached {
 		for id, b := range c.listed {
 			if !named[id] {
 				c.unlist(b)
@@ -381,7 +381,7 @@
 // event, so that it must not call the module: what fails at once is posted.
 type actions struct{ c *Core }
 
-func (x actions) Dispatch(id olivebarrow.RequestID, to olivebarrow.WorkerID, within olivebarrow.Millis) {
+func (x actions) Dispatch(id balance.RequestID, to balance.WorkerID, within balance.Millis) {
 	c, r := x.c, x.c.reqs[id]
 	if r == nil {
 		return
@@ -407,33 +407,33 @@
 	c.timers.set(until, func() { c.cut(a, Overdue) })
 }
 
-func (x actions) Refuse(id olivebarrow.RequestID, pause olivebarrow.Millis) {
+func (x actions) Refuse(id balance.RequestID, pause balance.Millis) {
 	x.end(id, Answer{Verdict: Refusal, Pause: time.Duration(pause * float64(time.Millisecond))})
 }
 
-func (x actions) Fail(id olivebarrow.RequestID) { x.end(id, Answer{Verdict: Failure}) }
+func (x actions) Fail(id balance.RequestID) { x.end(id, Answer{Verdict: Failure}) }
 
-func (x actions) end(id olivebarrow.RequestID, a Answer) {
+func (x actions) end(id balance.RequestID, a Answer) {
 	if r := x.c.reqs[id]; r != nil {
 		x.c.answer(r, a)
 		x.c.forget(r)
 	}
 }
 
-func (x actions) Cancel(id olivebarrow.RequestID, attempt int) {
+func (x actions) Cancel(id balance.RequestID, attempt int) {
 	if r := x.c.reqs[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
 		a := r.attempts[attempt]
 		x.c.post(func() { x.c.cut(a, Withdrawn) })
 	}
 }
 
-func (x actions) Probe(to olivebarrow.WorkerID) {
+func (x actions) Probe(to balance.WorkerID) {
 	c, b, sent := x.c, x.c.listed[to], x.c.clock.now()
 	done := func(e Ending, report []float32) {
 		c.post(func() {
 			res, _ := e.Result()
 			now := c.clock.now()
-			c.mod.Probed(now, olivebarrow.ProbeResult{Worker: to, Result: res, Took: now - sent, Report: report})
+			c.mod.Probed(now, balance.ProbeResult{Worker: to, Result: res, Took: now - sent, Report: report})
 		})
 	}
 	if b == nil {
@@ -444,13 +444,13 @@
 	c.backends.Probe(b, done)
 }
 
-func (x actions) HangUp(to olivebarrow.WorkerID) {
+func (x actions) HangUp(to balance.WorkerID) {
 	if b := x.c.listed[to]; b != nil {
 		x.c.backends.HangUp(b)
 	}
 }
 
-func (x actions) Wake(in olivebarrow.Millis, token uint64) {
+func (x actions) Wake(in balance.Millis, token uint64) {
 	c := x.c
 	c.timers.set(c.clock.now()+in, func() { c.mod.Wake(c.clock.now(), token) })
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"olivebarrow"
-	"olivebarrow/internal/counters"
+	"tinsail/internal/balance"
+	"tinsail/internal/counters"
 )
 
 // bench stands in for all that is around a core.
@@ -29,24 +29,24 @@
 func (b *bench) Subscribe()                                     {}
 func (b *bench) Answer(a Answer)                                { b.answers = append(b.answers, a) }
 
-func start(t *testing.T, states ...olivebarrow.State) *bench {
+func start(t *testing.T, states ...balance.State) *bench {
 	b := &bench{}
 	var err error
-	b.core, err = New(olivebarrow.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 2, TellsStart: true,
-		MayDuplicate: true, ConnectTimeout: 120, Tick: 2, Rules: olivebarrow.Rules{AnswerSlack: 8},
-		Classes: []olivebarrow.Class{{Worth: 1, Aim: 120, Deadline: 5000, Kind: -1, Effect: olivebarrow.Unsafe}}}, b, b, &counters.Set{})
+	b.core, err = New(balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 2, TellsStart: true,
+		MayDuplicate: true, ConnectTimeout: 120, Tick: 2, Rules: balance.Rules{AnswerSlack: 8},
+		Classes: []balance.Class{{Worth: 1, Aim: 120, Deadline: 5000, Kind: -1, Effect: balance.Unsafe}}}, b, b, &counters.Set{})
 	require.NoError(t, err)
 	var list []Entry
 	for i, s := range states {
-		list = append(list, Entry{Worker: olivebarrow.Worker{ID: olivebarrow.WorkerID(i + 1), State: s, Weight: 4}})
+		list = append(list, Entry{Worker: balance.Worker{ID: balance.WorkerID(i + 1), State: s, Weight: 4}})
 	}
-	b.core.Listed(olivebarrow.ListFull, list)
+	b.core.Listed(balance.ListFull, list)
 	b.core.step()
 	return b
 }
 
 func (b *bench) take() Ticket {
-	t, _ := b.core.Take(olivebarrow.Request{Slots: 1}, &Job{}, time.Now(), 2*time.Second, b)
+	t, _ := b.core.Take(balance.Request{Slots: 1}, &Job{}, time.Now(), 2*time.Second, b)
 	b.core.step()
 	return t
 }
@@ -90,7 +90,7 @@
 		}, []Verdict{Failure}, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			b := start(t, olivebarrow.Ready)
+			b := start(t, balance.Ready)
 			ticket := b.take()
 			require.Len(t, b.sent, 1, name)
 			c.do(b, ticket)
@@ -111,7 +111,7 @@
 // TestFailsAtOnce: an action that fails while the module acts becomes a later event.
 func TestFailsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := start(t, olivebarrow.Ready)
+		b := start(t, balance.Ready)
 		b.take()
 		act := actions{b.core}
 		act.Dispatch(1, 77, 0) // was never listed
@@ -136,14 +136,14 @@
 	}{
 		"nothing happened": {func(*bench) {}, true},
 		"drains": {func(b *bench) {
-			b.core.Listed(olivebarrow.ListDelta, []Entry{{Worker: olivebarrow.Worker{ID: 1, State: olivebarrow.Draining}}})
+			b.core.Listed(balance.ListDelta, []Entry{{Worker: balance.Worker{ID: 1, State: balance.Draining}}})
 		}, false},
-		"gone from a whole list": {func(b *bench) { b.core.Listed(olivebarrow.ListFull, nil) }, false},
-		"a failed call":          {func(b *bench) { b.core.Listed(olivebarrow.ListFailed, nil) }, true},
+		"gone from a whole list": {func(b *bench) { b.core.Listed(balance.ListFull, nil) }, false},
+		"a failed call":          {func(b *bench) { b.core.Listed(balance.ListFailed, nil) }, true},
 		"too late":               {func(*bench) { time.Sleep(2 * time.Second) }, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			b := start(t, olivebarrow.Ready)
+			b := start(t, balance.Ready)
 			b.take()
 			c.do(b)
 			b.core.mu.Lock()
@@ -174,9 +174,9 @@
 // gone keeps its id for as long as a backend may speak of it.
 func TestIDs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := start(t, olivebarrow.Ready)
+		b := start(t, balance.Ready)
 		take := func(id string) bool {
-			_, fresh := b.core.Take(olivebarrow.Request{Slots: 1}, &Job{ID: id}, time.Now(), 20*time.Second, b)
+			_, fresh := b.core.Take(balance.Request{Slots: 1}, &Job{ID: id}, time.Now(), 20*time.Second, b)
 			b.core.step()
 			return fresh
 		}
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 // Ending is a way in which a connection, or one exchange on it, can end. Drivers report an
@@ -42,24 +42,24 @@
 // Result is the one place where an ending becomes the module's result. Only what proves
 // that a req never ran may map to Full, ConnectFailed or NotSent: the rule on duplicated
 // effects rests on it. ok is false for endings that are not an attempt's.
-func (e Ending) Result() (r olivebarrow.Result, ok bool) {
+func (e Ending) Result() (r balance.Result, ok bool) {
 	switch e {
 	case Served:
-		return olivebarrow.OK, true
+		return balance.OK, true
 	case Failed:
-		return olivebarrow.Error, true
+		return balance.Error, true
 	case Returned:
-		return olivebarrow.Full, true
+		return balance.Full, true
 	case Unreached:
-		return olivebarrow.ConnectFailed, true
+		return balance.ConnectFailed, true
 	case Lost, Broken, Garbled:
-		return olivebarrow.Reset, true
+		return balance.Reset, true
 	case Overdue:
-		return olivebarrow.TimedOut, true
+		return balance.TimedOut, true
 	case Withdrawn, Rejected: // a client's fault is no bad ending of the backend's
-		return olivebarrow.Cancelled, true
+		return balance.Cancelled, true
 	case Unsent:
-		return olivebarrow.NotSent, true
+		return balance.NotSent, true
 	}
 	return 0, false
 }
--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -5,32 +5,32 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 // TestEndingResult holds the protocol's table of outcomes. never is what "has it run?" says.
 func TestEndingResult(t *testing.T) {
 	for _, c := range []struct {
 		e     Ending
-		want  olivebarrow.Result
+		want  balance.Result
 		never bool
 	}{
-		{Served, olivebarrow.OK, false},
-		{Failed, olivebarrow.Error, false},
-		{Rejected, olivebarrow.Cancelled, false},
-		{Returned, olivebarrow.Full, true},
-		{Unreached, olivebarrow.ConnectFailed, true},
-		{Lost, olivebarrow.Reset, false},
-		{Broken, olivebarrow.Reset, false},
-		{Garbled, olivebarrow.Reset, false},
-		{Overdue, olivebarrow.TimedOut, false},
-		{Withdrawn, olivebarrow.Cancelled, false},
-		{Unsent, olivebarrow.NotSent, true},
+		{Served, balance.OK, false},
+		{Failed, balance.Error, false},
+		{Rejected, balance.Cancelled, false},
+		{Returned, balance.Full, true},
+		{Unreached, balance.ConnectFailed, true},
+		{Lost, balance.Reset, false},
+		{Broken, balance.Reset, false},
+		{Garbled, balance.Reset, false},
+		{Overdue, balance.TimedOut, false},
+		{Withdrawn, balance.Cancelled, false},
+		{Unsent, balance.NotSent, true},
 	} {
 		got, ok := c.e.Result()
 		assert.True(t, ok, c.e)
 		assert.Equal(t, c.want, got, c.e)
-		never := got == olivebarrow.Full || got == olivebarrow.ConnectFailed || got == olivebarrow.NotSent
+		never := got == balance.Full || got == balance.ConnectFailed || got == balance.NotSent
 		assert.Equal(t, c.never, never, c.e)
 	}
 	for e := ClientClosed; e < endings; e++ {
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/platform"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
 )
 
 // Dial makes a connection.
@@ -31,7 +31,7 @@
 	Dial    Dial
 
 	mu   sync.Mutex
-	idle map[olivebarrow.WorkerID][]*link // the last used is last
+	idle map[balance.WorkerID][]*link // the last used is last
 	open int
 }
 
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/platform"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
 )
 
 // Times of a client session.
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/platform"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
 )
 
 // Times of a call to the director.
@@ -35,7 +35,7 @@
 	Ask     time.Duration // we are counted as told if we have not asked for this long
 	Dial    Dial
 	Stop    <-chan struct{} // ends the watch; may be nil
-	Told    func(olivebarrow.ListKind, []core.Entry)
+	Told    func(balance.ListKind, []core.Entry)
 
 	// Touched by the watching goroutine alone.
 	index uint64
@@ -123,7 +123,7 @@
 			continue
 		}
 		d.close()
-		d.Told(olivebarrow.ListFailed, nil)
+		d.Told(balance.ListFailed, nil)
 		select {
 		case <-time.After(d.backoff(failed)):
 		case <-at.ctx.Done():
@@ -145,13 +145,13 @@
 	switch {
 	case list.Full:
 		d.index, d.whole = list.Index, false
-		d.Told(olivebarrow.ListFull, list.Entries)
+		d.Told(balance.ListFull, list.Entries)
 	case list.Index < d.index: // its versions began anew: changes would not apply
 		d.whole = true
 	default:
 		d.index = list.Index
 		if len(list.Entries) > 0 {
-			d.Told(olivebarrow.ListDelta, list.Entries)
+			d.Told(balance.ListDelta, list.Entries)
 		}
 	}
 }
--- a/internal/network/link.go
+++ b/internal/network/link.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/platform"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/platform"
 )
 
 // link is a connection to a backend. One goroutine reads it for as long as it lives, so that
@@ -67,7 +67,7 @@
 	p.mu.Lock()
 	l.since = time.Now()
 	if p.idle == nil {
-		p.idle = map[olivebarrow.WorkerID][]*link{}
+		p.idle = map[balance.WorkerID][]*link{}
 	}
 	p.idle[l.backend.ID] = append(p.idle[l.backend.ID], l)
 	p.mu.Unlock()
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/platform"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
 )
 
 func TestOneBackend(t *testing.T) {
@@ -206,15 +206,15 @@
 			c1 send PUT /ingest HTTP/1.1\r\nContent-Length: 0\r\n\r\n
 			c1 expect 405`,
 	} {
-		t.Run(name, func(t *testing.T) { run(t, list(olivebarrow.Ready, "s1"), 9, text) })
+		t.Run(name, func(t *testing.T) { run(t, list(balance.Ready, "s1"), 9, text) })
 	}
 }
 
 // TestDrainedWhileConnecting: a backend that drains while a connection to it is being made
 // gets nothing, not even what was decided before.
 func TestDrainedWhileConnecting(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 9, "s1 wait 100ms\nc1 send {req 9b x}\nwait 50ms",
-		func(w *world) { w.core.Listed(olivebarrow.ListDelta, list(olivebarrow.Draining, "s1")) }, `
+	run(t, list(balance.Ready, "s1"), 9, "s1 wait 100ms\nc1 send {req 9b x}\nwait 50ms",
+		func(w *world) { w.core.Listed(balance.ListDelta, list(balance.Draining, "s1")) }, `
 		wait 60ms
 		s1/1 expect closed
 		c2 send GET /health/ready HTTP/1.1\r\n\r\n
@@ -225,7 +225,7 @@
 
 // TestAbandoned: a client that goes away while its attempt is out is owed nothing any more.
 func TestAbandoned(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 9, "c1 send {req 9b x}",
+	run(t, list(balance.Ready, "s1"), 9, "c1 send {req 9b x}",
 		func(w *world) { assert.Equal(t, 1, w.core.Open()) }, "c1 close",
 		func(w *world) { assert.Equal(t, 0, w.core.Open()) })
 }
@@ -302,19 +302,19 @@
 
 // TestMovedBackend: nothing goes to an address that the list no longer gives.
 func TestMovedBackend(t *testing.T) {
-	moved := list(olivebarrow.Ready, "s1")
+	moved := list(balance.Ready, "s1")
 	moved[0].Address = "s2"
-	run(t, list(olivebarrow.Ready, "s1"), 9, `
+	run(t, list(balance.Ready, "s1"), 9, `
 		c1 send {req 9b x}
 		s1/1 send {started 9b}{done 9b r}
 		c1 expect 200 r`,
-		func(w *world) { w.core.Listed(olivebarrow.ListDelta, moved) }, `
+		func(w *world) { w.core.Listed(balance.ListDelta, moved) }, `
 		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
 		s1/1 expect closed
 		c1 send {req 9c x}
 		s2/1 expect POST /ingest?v=1 9c k9c 2000 x`)
-	run(t, list(olivebarrow.Ready, "s1"), 9, "c1 send {req 9b x}",
-		func(w *world) { w.core.Listed(olivebarrow.ListDelta, moved) }, `
+	run(t, list(balance.Ready, "s1"), 9, "c1 send {req 9b x}",
+		func(w *world) { w.core.Listed(balance.ListDelta, moved) }, `
 		s1/1 send {started 9b}{done 9b r}
 		c1 expect 200 r
 		c1 send {req 9c x}
@@ -324,7 +324,7 @@
 // TestBudgets: the idlest session makes room for a new one. Where all are busy, a client is
 // told to come back; where all connections to backends are, its req is refused.
 func TestBudgets(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 1, `
+	run(t, list(balance.Ready, "s1"), 1, `
 		c1 send GET /health/live HTTP/1.1\r\n\r\n
 		c1 expect 200
 		c2 send {req 9b x}
@@ -352,7 +352,7 @@
 // session last. One that has just connected is not silent yet; its first req, which no client
 // repeats by itself, is on its way.
 func TestWhoGoesFirst(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 4, `
+	run(t, list(balance.Ready, "s1"), 4, `
 		c1 send {req 9a x}
 		s1/1 send {started 9a}{done 9a r}
 		c1 expect 200 r
@@ -396,7 +396,7 @@
 	serve := func(c, id, conn string) string {
 		return fmt.Sprintf("%s send {req %s x}\n%s send {started %s}{done %s r}\n%s expect 200 r\n", c, id, conn, id, id, c)
 	}
-	run(t, list(olivebarrow.Ready, "s1"), 9, func(w *world) { w.clients.Usual = 2 },
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) { w.clients.Usual = 2 },
 		serve("c1", "9a", "s1/1")+"wait 50ms\n"+serve("c2", "9b", "s1/1")+serve("c3", "9c", "s1/1")+`
 		wait 6ms
 		c1 expect nothing
@@ -416,7 +416,7 @@
 // TestRejected: a req that a backend finds at fault is failed at once and not sent to another
 // of its cell, and the backend is as good as before: it gets its half of the next reqs.
 func TestRejected(t *testing.T) {
-	pair := list(olivebarrow.Ready, "s1", "s2")
+	pair := list(balance.Ready, "s1", "s2")
 	pair[1].Cell = pair[0].Cell
 	run(t, pair, 9, `
 		c1 send {req 9b x}
@@ -433,7 +433,7 @@
 // TestFull: where all sessions are owed an answer, new ones are told at once, and accepting
 // goes on.
 func TestFull(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 1, "c1 send {req 9a x}", func(w *world) {
+	run(t, list(balance.Ready, "s1"), 1, "c1 send {req 9a x}", func(w *world) {
 		for i := range excessMost + 1 {
 			w.play(fmt.Sprintf("cx%d send", i))
 		}
@@ -464,7 +464,7 @@
 
 // TestLastLook: a req that is there when its session is to be closed is answered first.
 func TestLastLook(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 9, func(w *world) {
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) {
 		go w.clients.admit(&late{Conn: w.pipe("c1")})
 		go w.peers["c1"].conn.Write([]byte(expand("{req 9b x}")))
 	}, `
@@ -475,7 +475,7 @@
 // TestDirector: the watch goes on at once after each answer, from the version it has; a list
 // that cannot be read changes nothing.
 func TestDirector(t *testing.T) {
-	run(t, list(olivebarrow.Ready, "s1"), 9, `
+	run(t, list(balance.Ready, "s1"), 9, `
 		wait 2600ms
 		d/1 expect GET /registry/instances?since=41&timeout_ms=4000
 		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":43,"snapshot":false,"endpoints":[]}
@@ -532,7 +532,7 @@
 			c1 send GET /health/ready HTTP/1.1\r\n\r\n
 			c1 expect 200`},
 	} {
-		t.Run(name, func(t *testing.T) { run(t, list(olivebarrow.Ready, "s1"), 9, parts...) })
+		t.Run(name, func(t *testing.T) { run(t, list(balance.Ready, "s1"), 9, parts...) })
 	}
 }
 
@@ -541,7 +541,7 @@
 // between reqs are closed, and no req that came late outlasts the kill.
 func TestDrain(t *testing.T) {
 	done := make(chan time.Duration, 1)
-	run(t, list(olivebarrow.Ready, "s1"), 9, `
+	run(t, list(balance.Ready, "s1"), 9, `
 		c1 send {req 9a x}
 		s1/1 expect POST /ingest?v=1 9a k9a 2000 x`,
 		func(w *world) {
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -18,11 +18,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
-	"olivebarrow/internal/counters"
-	"olivebarrow/internal/platform"
-	"olivebarrow/internal/scenario"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
+	"tinsail/internal/scenario"
 )
 
 // world is a whole dispatcher on pipes, under a clock that moves only when all is at rest.
@@ -88,10 +88,10 @@
 }
 
 // list names backends: s1 is of cell 1 and so on.
-func list(state olivebarrow.State, names ...string) (list []core.Entry) {
+func list(state balance.State, names ...string) (list []core.Entry) {
 	for i, n := range names {
-		list = append(list, core.Entry{Name: n, Address: n, Worker: olivebarrow.Worker{
-			ID: olivebarrow.WorkerID(platform.Hash(n)), State: state, Weight: 4, Cell: i + 1}})
+		list = append(list, core.Entry{Name: n, Address: n, Worker: balance.Worker{
+			ID: balance.WorkerID(platform.Hash(n)), State: state, Weight: 4, Cell: i + 1}})
 	}
 	return list
 }
@@ -100,10 +100,10 @@
 func run(t *testing.T, backends []core.Entry, most int, parts ...any) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := olivebarrow.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 5, MayDuplicate: true,
+		s := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 5, MayDuplicate: true,
 			TellsStart: true, MaxPause: 2000, ConnectTimeout: 120, Tick: 2, Subscribe: true,
-			Rules:   olivebarrow.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
-			Classes: []olivebarrow.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: olivebarrow.Deduped, Scope: olivebarrow.ScopeCell, RepeatWindow: 7500}}}
+			Rules:   balance.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
+			Classes: []balance.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: balance.Deduped, Scope: balance.ScopeCell, RepeatWindow: 7500}}}
 		names := &platform.Names{Classes: []string{"ingest"}, Keyed: []bool{true}, Limits: []time.Duration{5 * time.Second}, Columns: []string{"x0"}}
 		w := &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{},
 			slow: map[string]time.Duration{}, made: map[string]int{}}
@@ -116,7 +116,7 @@
 		require.NoError(t, err)
 		d.Told = w.core.Listed
 		d.Start(41)
-		w.core.Listed(olivebarrow.ListCached, backends)
+		w.core.Listed(balance.ListCached, backends)
 		go w.core.Run(stop)
 		w.clients = &Clients{Names: names, Count: w.count, Core: w.core, Most: most, Usual: 9, Held: 8 << 10, Longest: 5 * time.Second, Stats: func() string { return "counters" }}
 		defer func() {
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -7,8 +7,8 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
 )
 
 // List is what the director tells.
@@ -83,14 +83,14 @@
 	}
 	switch status {
 	case "Ready":
-		e.State = olivebarrow.Ready
+		e.State = balance.Ready
 	case "Gone":
-		e.State = olivebarrow.Gone
+		e.State = balance.Gone
 	default:
-		e.State = olivebarrow.Draining
+		e.State = balance.Draining
 	}
-	e.ID = olivebarrow.WorkerID(Hash(e.Name))
-	ok = it.Error == nil && e.Name != "" && status != "" && (e.Address != "" || e.State == olivebarrow.Gone) &&
+	e.ID = balance.WorkerID(Hash(e.Name))
+	ok = it.Error == nil && e.Name != "" && status != "" && (e.Address != "" || e.State == balance.Gone) &&
 		!math.IsInf(e.Weight, 0) && !math.IsInf(e.Started, 0)
 	return e, ok
 }
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -9,7 +9,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"olivebarrow/internal/core"
+	"tinsail/internal/core"
 )
 
 // Part is what Replies finds in a peer's bytes.
--- a/internal/platform/reply_test.go
+++ b/internal/platform/reply_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"olivebarrow"
-	"olivebarrow/internal/core"
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
 )
 
 // back lets a scenario run on the machine of a backend's connection.
@@ -153,13 +153,13 @@
 	const line = `{"name":"s-1","address":"127.0.0.1:1","zone":"b","type":"std","group":3,"status":"%s","weight":4.0,"since_ms":1700000000000.5}`
 	list, err := testNames.ReadList([]byte(`{"index":43,"snapshot":false,"later":1,"endpoints":[` + fmt.Sprintf(line, "Terminating") + `]}`))
 	assert.NoError(t, err)
-	want := core.Entry{Name: "s-1", Address: "127.0.0.1:1", Worker: olivebarrow.Worker{ID: olivebarrow.WorkerID(Hash("s-1")),
-		Started: 1700000000000.5, Kind: 1, Cell: 3, Zone: 1, State: olivebarrow.Draining, Weight: 4}}
+	want := core.Entry{Name: "s-1", Address: "127.0.0.1:1", Worker: balance.Worker{ID: balance.WorkerID(Hash("s-1")),
+		Started: 1700000000000.5, Kind: 1, Cell: 3, Zone: 1, State: balance.Draining, Weight: 4}}
 	assert.Equal(t, List{Index: 43, Entries: []core.Entry{want}}, list)
 	list, err = testNames.ReadList([]byte(`{"index":1,"snapshot":true,"endpoints":[{"name":"x","status":"Gone"},` + fmt.Sprintf(line, "Odd") + `]}`))
 	assert.NoError(t, err)
 	assert.True(t, list.Full)
-	assert.Equal(t, []olivebarrow.State{olivebarrow.Gone, olivebarrow.Draining}, []olivebarrow.State{list.Entries[0].State, list.Entries[1].State})
+	assert.Equal(t, []balance.State{balance.Gone, balance.Draining}, []balance.State{list.Entries[0].State, list.Entries[1].State})
 	for _, bad := range []string{``, `{}`, `{"index":1}`, `{"index":-1,"endpoints":[]}`, `{"index":1,"endpoints":[{}]}`,
 		`{"index":1,"endpoints":[{"name":"x","status":"Ready"}]}`, `{"index":1,"endpoints":[]`} {
 		_, err := testNames.ReadList([]byte(bad))
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 // Bad is why a client's bytes are refused, as the status of the answer.
@@ -171,7 +171,7 @@
 
 // Work is what a client asks for.
 type Work struct {
-	Ask            olivebarrow.Request // ID and Deadline are the core's to set
+	Ask            balance.Request // ID and Deadline are the core's to set
 	ID             string
 	IdempotencyKey string
 	Left           time.Duration
--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 var testNames = &Names{Classes: []string{"ingest", "keyed"}, Keyed: []bool{false, true}, Limits: []time.Duration{5 * time.Second, time.Second},
@@ -110,27 +110,27 @@
 	const id = "X-Correlation-Id: 9b\r\n"
 	for _, c := range []struct {
 		name, path, fields string
-		want               olivebarrow.Request
+		want               balance.Request
 		left               time.Duration
 		bad                int
 	}{
-		{"all absent", "", id, olivebarrow.Request{}, 5 * time.Second, 0},
+		{"all absent", "", id, balance.Request{}, 5 * time.Second, 0},
 		{"all there", "/7f3a9c21e0b4d655", id + "X-Service-Class: ingest\r\nX-Time-Left-Ms: 480\r\nX-Repeat: 1\r\nX-Facts: slots=2,memory=1.433\r\n",
-			olivebarrow.Request{Key: 0x7f3a9c21e0b4d655, Slots: 2, Memory: float64(float32(1.433)), Retry: true}, 480 * time.Millisecond, 0},
-		{"a key in words", "/a/family%20album?x=1", id, olivebarrow.Request{Key: Hash("family%20album")}, 5 * time.Second, 0},
-		{"facts not known", "", id + "X-Facts: tint=4, slots=1\r\n", olivebarrow.Request{Slots: 1}, 5 * time.Second, 0},
-		{"no id", "", "X-Facts: slots=1\r\n", olivebarrow.Request{}, 0, 400},
-		{"an id that would split a head", "", "X-Correlation-Id: 9\tb\r\n", olivebarrow.Request{}, 0, 400},
-		{"two ids", "", id + id, olivebarrow.Request{}, 0, 400},
-		{"a bad time", "", id + "X-Time-Left-Ms: -3\r\n", olivebarrow.Request{}, 0, 400},
-		{"bad facts", "", id + "X-Facts: slots=NaN\r\n", olivebarrow.Request{}, 0, 400},
-		{"an empty time", "", id + "X-Time-Left-Ms:\r\n", olivebarrow.Request{}, 0, 400},
-		{"an empty id", "", "X-Correlation-Id: \r\n", olivebarrow.Request{}, 0, 400},
-		{"an empty class", "", id + "X-Service-Class:\r\n", olivebarrow.Request{}, 0, 400},
-		{"an id that is too long", "", "X-Correlation-Id: " + strings.Repeat("9", maxID+1) + "\r\n", olivebarrow.Request{}, 0, 400},
-		{"a time that is too long", "", id + "X-Time-Left-Ms: 99999999999\r\n", olivebarrow.Request{}, 0, 400},
-		{"a path of another class", "2/7f", id + "X-Service-Class: ingest\r\n", olivebarrow.Request{}, 0, 404},
-		{"an unknown class", "", id + "X-Service-Class: other\r\n", olivebarrow.Request{}, 0, 404},
+			balance.Request{Key: 0x7f3a9c21e0b4d655, Slots: 2, Memory: float64(float32(1.433)), Retry: true}, 480 * time.Millisecond, 0},
+		{"a key in words", "/a/family%20album?x=1", id, balance.Request{Key: Hash("family%20album")}, 5 * time.Second, 0},
+		{"facts not known", "", id + "X-Facts: tint=4, slots=1\r\n", balance.Request{Slots: 1}, 5 * time.Second, 0},
+		{"no id", "", "X-Facts: slots=1\r\n", balance.Request{}, 0, 400},
+		{"an id that would split a head", "", "X-Correlation-Id: 9\tb\r\n", balance.Request{}, 0, 400},
+		{"two ids", "", id + id, balance.Request{}, 0, 400},
+		{"a bad time", "", id + "X-Time-Left-Ms: -3\r\n", balance.Request{}, 0, 400},
+		{"bad facts", "", id + "X-Facts: slots=NaN\r\n", balance.Request{}, 0, 400},
+		{"an empty time", "", id + "X-Time-Left-Ms:\r\n", balance.Request{}, 0, 400},
+		{"an empty id", "", "X-Correlation-Id: \r\n", balance.Request{}, 0, 400},
+		{"an empty class", "", id + "X-Service-Class:\r\n", balance.Request{}, 0, 400},
+		{"an id that is too long", "", "X-Correlation-Id: " + strings.Repeat("9", maxID+1) + "\r\n", balance.Request{}, 0, 400},
+		{"a time that is too long", "", id + "X-Time-Left-Ms: 99999999999\r\n", balance.Request{}, 0, 400},
+		{"a path of another class", "2/7f", id + "X-Service-Class: ingest\r\n", balance.Request{}, 0, 404},
+		{"an unknown class", "", id + "X-Service-Class: other\r\n", balance.Request{}, 0, 404},
 	} {
 		var m Requests
 		m.Filled(copy(m.Space(), fmt.Sprintf(head, c.path, c.fields)))
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"olivebarrow/internal/scenario"
+	"tinsail/internal/scenario"
 )
 
 // Scenarios run on the machines: send gives a machine a peer's bytes, expect is what it finds
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"olivebarrow/internal/core"
+	"tinsail/internal/core"
 )
 
 // AppendJob writes the head of a job for a backend; the body follows as it is.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 type settingsJSON struct {
@@ -36,45 +36,45 @@
 	}
 	OverShareWorth float64
 	Parties        []struct{ QuotaPerS, Share float64 }
-	Prices         olivebarrow.Prices
+	Prices         balance.Prices
 	RegistryMode   string
 	Report         struct {
 		Columns []string
 		How     string
 	}
-	ResultMix olivebarrow.Mix
+	ResultMix balance.Mix
 	Weights   string
 	WorthBy   string
 }
 
-var metrics = map[string]olivebarrow.Metric{
-	"busy_reqs": olivebarrow.MetricInFlight,
-	"pending":   olivebarrow.MetricWaiting,
-	"cpu_share": olivebarrow.MetricUtilisation,
-	"svc_ms":    olivebarrow.MetricServiceMs,
-	"served_ps": olivebarrow.MetricServedPerS,
-	"failed_ps": olivebarrow.MetricErrorsPerS,
-	"x0":        olivebarrow.MetricFreeSlots,
-	"x1":        olivebarrow.MetricFreeMemory,
+var metrics = map[string]balance.Metric{
+	"busy_reqs": balance.MetricInFlight,
+	"pending":   balance.MetricWaiting,
+	"cpu_share": balance.MetricUtilisation,
+	"svc_ms":    balance.MetricServiceMs,
+	"served_ps": balance.MetricServedPerS,
+	"failed_ps": balance.MetricErrorsPerS,
+	"x0":        balance.MetricFreeSlots,
+	"x1":        balance.MetricFreeMemory,
 }
 
-var effects = map[string]olivebarrow.Effect{
-	"read_like":       olivebarrow.Safe,
-	"idempotency_key": olivebarrow.Deduped,
-	"non_idempotent":  olivebarrow.Unsafe,
+var effects = map[string]balance.Effect{
+	"read_like":       balance.Safe,
+	"idempotency_key": balance.Deduped,
+	"non_idempotent":  balance.Unsafe,
 }
 
-var scopes = map[string]olivebarrow.Scope{
-	"all":  olivebarrow.ScopeAll,
-	"zone": olivebarrow.ScopeZone,
-	"cell": olivebarrow.ScopeCell,
+var scopes = map[string]balance.Scope{
+	"all":  balance.ScopeAll,
+	"zone": balance.ScopeZone,
+	"cell": balance.ScopeCell,
 }
 
-var weightMeanings = map[string]olivebarrow.WeightMeaning{
-	"none":    olivebarrow.WeightNone,
-	"nominal": olivebarrow.WeightSize,
-	"rough":   olivebarrow.WeightSize,
-	"live":    olivebarrow.WeightLive,
+var weightMeanings = map[string]balance.WeightMeaning{
+	"none":    balance.WeightNone,
+	"nominal": balance.WeightSize,
+	"rough":   balance.WeightSize,
+	"live":    balance.WeightLive,
 }
 
 // Names is what the settings hold for those who speak with names, on sockets, and the module
@@ -85,19 +85,19 @@
 }
 
 // ParseSettings reads an instance's settings. Keys it does not know are ignored.
-func ParseSettings(seed uint64, text []byte) (olivebarrow.Settings, error) {
+func ParseSettings(seed uint64, text []byte) (balance.Settings, error) {
 	s, _, err := ParseNamed(seed, text)
 	return s, err
 }
 
 // ParseNamed reads an instance's settings with their names.
-func ParseNamed(seed uint64, text []byte) (olivebarrow.Settings, Names, error) {
+func ParseNamed(seed uint64, text []byte) (balance.Settings, Names, error) {
 	var j settingsJSON
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &j); err != nil {
-		return olivebarrow.Settings{}, Names{}, fmt.Errorf("reading the settings: %w", err)
+		return balance.Settings{}, Names{}, fmt.Errorf("reading the settings: %w", err)
 	}
 	names := Names{Zones: j.Zones, Models: j.Models, Columns: j.Report.Columns, ConnIdleMs: j.Allowed.ConnIdleMs}
-	s := olivebarrow.Settings{
+	s := balance.Settings{
 		Seed: seed, Self: j.Me, Instances: max(1, j.Balancers), Zone: j.MyZone,
 		Zones: max(1, len(j.Zones)), Kinds: max(1, len(j.Models)), Prices: j.Prices, Mix: j.ResultMix,
 		Weight: weightMeanings[j.Weights], ReportInAnswer: j.Report.How == "answers",
@@ -107,7 +107,7 @@
 		MaxAttempts: j.Allowed.MaxAttempts, MayDuplicate: j.Allowed.MayDuplicate,
 		MayCancel: j.Allowed.Cancel, MayProbe: j.Allowed.Probes,
 		ConnectTimeout: j.Allowed.ConnectTimeoutMs, Tick: j.GranularityMs,
-		Rules: olivebarrow.Rules{
+		Rules: balance.Rules{
 			AnswerSlack: j.Obligations.AnswerSlackMs, AskEvery: j.Obligations.AskEveryMs,
 			FallMultiple: j.Obligations.FallMultiple, FallWindow: j.Obligations.FallMs,
 			StartCapacity: j.Obligations.StartCapacity, WarmAfter: j.Obligations.WarmAfterMs,
@@ -121,7 +121,7 @@
 		s.Metrics = append(s.Metrics, metrics[c])
 	}
 	for _, t := range j.Parties {
-		s.Tenants = append(s.Tenants, olivebarrow.Tenant{Share: t.Share, QuotaPerS: t.QuotaPerS})
+		s.Tenants = append(s.Tenants, balance.Tenant{Share: t.Share, QuotaPerS: t.QuotaPerS})
 	}
 	for i, c := range j.Classes {
 		effect, ok := effects[c.Effect]
@@ -129,11 +129,11 @@
 			return s, names, fmt.Errorf("class %d: unknown effect %q", i, c.Effect)
 		}
 		scope, ok := scopes[c.DedupScope]
-		if !ok && effect == olivebarrow.Deduped {
+		if !ok && effect == balance.Deduped {
 			return s, names, fmt.Errorf("class %d: unknown dedup scope %q", i, c.DedupScope)
 		}
 		names.Classes = append(names.Classes, c.Name)
-		s.Classes = append(s.Classes, olivebarrow.Class{
+		s.Classes = append(s.Classes, balance.Class{
 			Worth: c.Worth, LateWorth: c.LateShare, Aim: c.AimMs, Deadline: c.HardLimitMs,
 			Effect: effect, Scope: scope, RepeatWindow: c.RepeatWindowMs,
 			Stretch:  c.AimStretch + at(j.FamilyInfo.ClassStretch, i, 0),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"olivebarrow"
+	"tinsail/internal/balance"
 )
 
 func unhex(t *testing.T, s string) []byte {
@@ -121,14 +121,14 @@
 	c := s.Classes[0]
 	if s.Instances != 4 || s.Self != 2 || s.Zone != 1 || s.Zones != 2 || !s.Subscribe || !s.WorthByWork ||
 		s.MaxPause != 2000 || !s.MayCancel || s.Seed != 9 || s.Tenants[0].QuotaPerS != 20 ||
-		s.Weight != olivebarrow.WeightLive || s.Rules.FallWindow != 1500 || !s.ByPriority || !s.ReportInAnswer {
+		s.Weight != balance.WeightLive || s.Rules.FallWindow != 1500 || !s.ByPriority || !s.ReportInAnswer {
 		t.Errorf("settings read wrong: %+v", s)
 	}
-	if c.Effect != olivebarrow.Deduped || c.Scope != olivebarrow.ScopeCell || c.Stretch != 3 || c.Kind != 0 {
+	if c.Effect != balance.Deduped || c.Scope != balance.ScopeCell || c.Stretch != 3 || c.Kind != 0 {
 		t.Errorf("class read wrong: %+v", c)
 	}
-	if m := s.Metrics; len(m) != 3 || m[0] != olivebarrow.MetricServiceMs || m[1] != olivebarrow.MetricOther ||
-		m[2] != olivebarrow.MetricFreeSlots {
+	if m := s.Metrics; len(m) != 3 || m[0] != balance.MetricServiceMs || m[1] != balance.MetricOther ||
+		m[2] != balance.MetricFreeSlots {
 		t.Errorf("metrics read wrong: %v", m)
 	}
 	for name, text := range map[string]string{
