Settings as a Starlark script, checked by one schema; all faults of a file at once

Need: what the platform does not set needs a place of its own, with errors that name file, line and key; and `check` is to tell every fault of the platform's file, not its first.

Change: internal/settings runs a declarative part of Starlark (go.starlark.net): named calls, each at most once, load of files beside the script, bounded in steps, memory, file size and number of files. Functions, methods, tuples, ranges and products of anything but written numbers are refused before the run, since one step of them could use memory out of all proportion; what is left can at most double in a step, and allocation is looked at after each. One JSON Schema (santhosh-tekuri/jsonschema) checks the values, holds the defaults and writes docs/settings.md. internal/config gathers all faults with their lines.

A symlink out of the folder and a folder in place of a file are not read. Nothing is switched on by this.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,14 +3,13 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"reflect"
 	"strconv"
 	"time"
 
-	jsoniter "github.com/json-iterator/go"
-
 	"tinsail/internal/balance"
 	"tinsail/internal/platform"
 	"tinsail/internal/wire"
@@ -28,103 +27,112 @@
 	Known                   platform.List // as last held, maybe old
 }
 
-type file struct {
-	Name, Listen, Discovery, Seed string
-	Limits                        struct {
-		Cores    *float64 `json:"cores"`
-		MemoryMB *float64 `json:"memory_mb"`
-		Sockets  *int     `json:"sockets"`
-	} `json:"limits"`
-	Known    jsoniter.RawMessage `json:"known"`
-	Settings jsoniter.RawMessage `json:"settings"`
-}
-
 // Load reads the file that ROUTER_CONFIG names. The other variables stand in for keys that
-// the file lacks.
+// the file lacks. The error is Faults.
 func Load(env func(string) string) (*Config, error) {
 	path := env("ROUTER_CONFIG")
 	if path == "" {
-		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+		return nil, Faults{{Key: "ROUTER_CONFIG", Says: "is not set"}}
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+		return nil, Faults{{Key: "ROUTER_CONFIG", Says: err.Error()}}
 	}
 	return Parse(text, env)
 }
 
-// Parse reads a configuration. Keys it does not know are ignored; errors name the key.
+// Parse reads a configuration. Keys it does not know are ignored; the error is Faults, which
+// name every key that is wrong.
 func Parse(text []byte, env func(string) string) (*Config, error) {
-	var f file
-	if err := jsoniter.Unmarshal(text, &f); err != nil {
-		return nil, fmt.Errorf("config: %w", err)
-	}
-	c := &Config{Name: or(f.Name, env("ROUTER_NAME")), Listen: or(f.Listen, env("ROUTER_LISTEN")),
-		Discovery: or(f.Discovery, env("ROUTER_DISCOVERY")), Cores: 1, Memory: 192 << 20, Sockets: 1024,
+	r := reader{text: text}
+	top := r.object("", text)
+	limits := r.object("limits", top["limits"])
+	c := &Config{Name: or(r.text1("name", top), env("ROUTER_NAME")), Listen: or(r.text1("listen", top), env("ROUTER_LISTEN")),
+		Discovery: or(r.text1("discovery", top), env("ROUTER_DISCOVERY")), Cores: 1, Memory: 192 << 20, Sockets: 1024,
 		ConnIdle: 10 * time.Second}
 	for _, a := range [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a[1]); err != nil {
-			return nil, fmt.Errorf("config: %s is %q, want host:port", a[0], a[1])
+			r.fault(a[0], "is %q, want host:port", a[1])
 		}
 	}
-	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	seedText := r.text1("seed", top)
+	seed, err := strconv.ParseUint(seedText, 16, 64)
 	if err != nil {
-		return nil, fmt.Errorf("config: seed is %q, want up to 16 hexadecimal digits", f.Seed)
+		r.fault("seed", "is %q, want up to 16 hexadecimal digits", seedText)
 	}
-	if v := f.Limits.Cores; v != nil {
-		if c.Cores = *v; c.Cores <= 0 {
-			return nil, fmt.Errorf("config: limits.cores is %v, want more than 0", *v)
+	if v, ok := r.number("limits.cores", limits["cores"]); ok {
+		if c.Cores = v; v <= 0 {
+			r.fault("limits.cores", "is %v, want more than 0", v)
 		}
 	}
-	if v := f.Limits.MemoryMB; v != nil {
-		if c.Memory = int64(*v * (1 << 20)); *v < 16 {
-			return nil, fmt.Errorf("config: limits.memory_mb is %v, want at least 16", *v)
+	if v, ok := r.number("limits.memory_mb", limits["memory_mb"]); ok {
+		if c.Memory = int64(v * (1 << 20)); v < 16 {
+			r.fault("limits.memory_mb", "is %v, want at least 16", v)
 		}
 	}
-	if v := f.Limits.Sockets; v != nil {
-		if c.Sockets = *v; c.Sockets < 64 {
-			return nil, fmt.Errorf("config: limits.sockets is %d, want at least 64", *v)
+	if v, ok := r.number("limits.sockets", limits["sockets"]); ok {
+		if c.Sockets = int(v); v < 64 || v != math.Trunc(v) {
+			r.fault("limits.sockets", "is %v, want a whole number, at least 64", v)
 		}
 	}
-	if err := c.settings(seed, f.Settings); err != nil {
-		return nil, fmt.Errorf("config: settings: %w", err)
-	}
-	if len(f.Known) > 0 && string(f.Known) != "null" {
-		if c.Known, err = c.Names.ReadList(f.Known); err != nil {
-			return nil, fmt.Errorf("config: known: %w", err)
+	c.settings(&r, seed, top["settings"])
+	if known := top["known"]; len(known) > 0 && string(known) != "null" {
+		if c.Known, err = c.Names.ReadList(known); err != nil {
+			r.fault("known", "is %v", err)
 		}
 	}
+	if r.faults != nil {
+		return nil, r.faults
+	}
 	return c, nil
 }
 
-func (c *Config) settings(seed uint64, text []byte) (err error) {
+func (c *Config) settings(r *reader, seed uint64, text []byte) {
 	if len(text) == 0 {
-		return fmt.Errorf("missing")
+		r.fault("settings", "is missing")
+		return
 	}
 	var names wire.Names
+	var err error
 	if c.Settings, names, err = wire.ParseNamed(seed, text); err != nil {
-		return err
+		r.wire(err)
+		return
 	}
 	if v := names.ConnIdleMs; v != nil {
 		if *v <= 0 {
-			return fmt.Errorf("Allowed.ConnIdleMs is %v, want more than 0", *v)
+			r.fault("settings.Allowed.ConnIdleMs", "is %v, want more than 0", *v)
 		}
 		c.ConnIdle = millis(*v)
 	}
 	if c.Settings.ConnectTimeout <= 0 {
-		return fmt.Errorf("Allowed.ConnectTimeoutMs is %v, want more than 0", c.Settings.ConnectTimeout)
+		r.fault("settings.Allowed.ConnectTimeoutMs", "is %v, want more than 0", c.Settings.ConnectTimeout)
 	}
 	c.Names = platform.Names{Classes: names.Classes, Zones: names.Zones, Kinds: names.Models, Columns: names.Columns}
 	for i, name := range names.Classes {
+		at := fmt.Sprintf("settings.Classes[%d].", i)
 		if name == "" {
-			return fmt.Errorf("Classes[%d].Name is empty", i)
+			r.fault(at+"Name", "is empty")
+		}
+		if v := c.Settings.Classes[i].Aim; v <= 0 {
+			r.fault(at+"AimMs", "is %v, want more than 0", v)
+		}
+		if v := c.Settings.Classes[i].Deadline; v <= 0 {
+			r.fault(at+"HardLimitMs", "is %v, want more than 0", v)
 		}
 		c.Names.Keyed = append(c.Names.Keyed, c.Settings.Classes[i].Effect == balance.Deduped)
 		c.Names.Limits = append(c.Names.Limits, millis(c.Settings.Classes[i].Deadline))
 	}
-	return nil
+	if r.faults != nil {
+		return
+	}
+	if _, err := balance.New(c.Settings, inert{}); err != nil { // what else the module wants of them
+		r.fault("settings", "%v", err)
+	}
 }
 
+// inert stands where the module wants actions and is asked for none.
+type inert struct{ balance.Actions }
+
 // Fixed names the keys that another configuration changes and that hold from the start of
 // the program to its end. What is known of backends is no such key: it is old by then.
 func (c *Config) Fixed(other *Config) (keys []string) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -51,21 +51,26 @@
 		{`"listen":"127.0.0.1:8081"`, `"listen":"here"`, "listen"},
 		{`"discovery":"127.0.0.2:8500",`, ``, "discovery"},
 		{`"8c1f30d27a5be964"`, `"tea"`, "seed"},
-		{`"cores":0.4`, `"cores":0`, "limits.cores"},
+		{`"cores":0.4`, `"cores":0`, "line 2: limits.cores is 0, want more than 0"},
 		{`"memory_mb":100`, `"memory_mb":1`, "limits.memory_mb"},
 		{`"sockets":512`, `"sockets":3`, "limits.sockets"},
-		{`"index":41,`, ``, "known"},
+		{`"index":41,`, ``, "line 3: known"},
 		{`"ConnIdleMs":8000.0`, `"ConnIdleMs":0`, "Allowed.ConnIdleMs"},
 		{`"ConnectTimeoutMs":120.0`, `"ConnectTimeoutMs":0`, "Allowed.ConnectTimeoutMs"},
 		{`"Name":"ingest"`, `"Name":""`, "Classes[0].Name"},
-		{`"read_like"`, `"odd"`, "class 0"},
+		{`"read_like"`, `"odd"`, "line 5: settings.Classes[0].Effect is \"odd\""},
 		{`"settings":`, `"other":`, "settings"},
-		{`"name":"n3"`, `"name":3`, "Name"},
+		{`"name":"n3"`, `"name":3`, "line 1: name is 3, want a text"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), none)
 		assert.ErrorContains(t, err, c.want)
 	}
-	_, err := Load(none)
+	bad := strings.NewReplacer(`"cores":0.4`, `"cores":"x"`, `"sockets":512`, `"sockets":3`, `"read_like"`, `"odd"`).Replace(good)
+	_, err := Parse([]byte(bad), none)
+	assert.Len(t, err, 3, "all faults are told at once")
+	_, err = Parse([]byte("{"), none)
+	assert.ErrorContains(t, err, "config line 1")
+	_, err = Load(none)
 	assert.ErrorContains(t, err, "ROUTER_CONFIG")
 }
 
--- /dev/null
+++ b/internal/config/fault.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"bytes"
+	stdjson "encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"tinsail/internal/wire"
+)
+
+// Fault is one thing that is wrong with the configuration. Line counts from 1; it is 0 where
+// no line of the file is meant.
+type Fault struct {
+	Key  string
+	Line int
+	Says string
+}
+
+func (f Fault) Error() string {
+	where := "config"
+	if f.Line > 0 {
+		where += " line " + strconv.Itoa(f.Line)
+	}
+	if f.Key == "" {
+		return where + ": " + f.Says
+	}
+	return where + ": " + f.Key + " " + f.Says
+}
+
+// Faults are all that was found. It is the error of Load and Parse.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// reader takes values out of the file and notes what is wrong with each.
+type reader struct {
+	text   []byte
+	faults Faults
+}
+
+func (r *reader) fault(key, format string, args ...any) {
+	r.faults = append(r.faults, Fault{Key: key, Line: line(r.text, key), Says: fmt.Sprintf(format, args...)})
+}
+
+// object splits an object into its keys' texts; what is absent has none.
+func (r *reader) object(key string, text []byte) (m map[string]jsoniter.RawMessage) {
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &m); err != nil {
+			r.fault(key, "is no object: %v", err)
+		}
+	}
+	return m
+}
+
+func (r *reader) text1(key string, m map[string]jsoniter.RawMessage) (s string) {
+	if text := m[key]; len(text) > 0 && json.Unmarshal(text, &s) != nil {
+		r.fault(key, "is %s, want a text", text)
+	}
+	return s
+}
+
+func (r *reader) number(key string, text []byte) (v float64, ok bool) {
+	if len(text) == 0 || string(text) == "null" {
+		return 0, false
+	}
+	if json.Unmarshal(text, &v) != nil {
+		r.fault(key, "is %s, want a number", text)
+		return 0, false
+	}
+	return v, true
+}
+
+// wire notes what the reader of the settings found.
+func (r *reader) wire(err error) {
+	var all wire.Faults
+	if !errors.As(err, &all) {
+		r.fault("settings", "%v", err)
+	}
+	for _, f := range all {
+		r.fault("settings."+f.Key, "%s", f.Says)
+	}
+}
+
+// line is where a key stands, or what of it there is: with "a.b[2].c", the line of c in the
+// third value of b in a. It is found by the standard library's tokens, which know their
+// places; only a faulty file is read so.
+func line(text []byte, key string) int {
+	d := stdjson.NewDecoder(bytes.NewReader(text))
+	at := int64(0)
+	path := strings.FieldsFunc(key, func(r rune) bool { return r == '.' || r == '[' || r == ']' })
+	for i := 0; i < len(path) && descend(d, path[i], &at); i++ {
+	}
+	if at == 0 && key != "" {
+		return 0
+	}
+	return 1 + bytes.Count(text[:at], []byte("\n"))
+}
+
+// descend enters the value of a key, or of a place in a list, if it is there.
+func descend(d *stdjson.Decoder, want string, at *int64) bool {
+	open, err := d.Token()
+	if err != nil || open != stdjson.Delim('{') && open != stdjson.Delim('[') {
+		return false
+	}
+	for i := 0; d.More(); i++ {
+		name := strconv.Itoa(i)
+		if open == stdjson.Delim('{') {
+			t, err := d.Token()
+			if err != nil {
+				return false
+			}
+			name, _ = t.(string)
+		}
+		if name == want {
+			*at = d.InputOffset()
+			return true
+		}
+		var skip stdjson.RawMessage
+		if d.Decode(&skip) != nil {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/settings/script.go
@@ -0,0 +1,322 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"runtime/metrics"
+	"slices"
+	"strings"
+
+	"go.starlark.net/resolve"
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// Bounds on a run. Steps are Starlark's own: a declaration takes about ten. Memory is what the
+// process allocates while the script runs, looked at after every step; no single step can
+// more than double it, since the checks of the text leave no means for more (see check).
+const (
+	maxSteps  = 100_000
+	maxMemory = 32 << 20
+	maxDepth  = 4 // of values within values
+	maxValues = 4096
+)
+
+// call is one call that the script made: its values and where they stand.
+type call struct {
+	values map[string]any
+	at     syntax.Position
+	keys   map[string]syntax.Position
+}
+
+func (c *call) fault(name, key, says string) Fault {
+	at := c.at
+	if p, ok := c.keys[key]; ok {
+		at = p
+	}
+	if key != "" {
+		name += "." + key
+	}
+	return Fault{File: at.Filename(), Line: int(at.Line), Column: int(at.Col), Key: name, Says: says}
+}
+
+// module is a file that was run; while it runs, globals is nil.
+type module struct {
+	globals starlark.StringDict
+	done    bool
+}
+
+type script struct {
+	read    func(string) ([]byte, error)
+	calls   map[string]*call
+	modules map[string]*module
+	args    map[syntax.Position]map[string]syntax.Position // of each call's keys, by its bracket
+	thread  *starlark.Thread
+}
+
+// run executes the script and what it loads, in one thread and within one bound.
+func (s *script) run(name string) error {
+	start := allocated()
+	s.args = map[syntax.Position]map[string]syntax.Position{}
+	s.thread = &starlark.Thread{Name: name, Load: s.load, Print: func(*starlark.Thread, string) {}}
+	s.thread.SetMaxExecutionSteps(1) // so that OnMaxSteps is called at each
+	s.thread.OnMaxSteps = func(t *starlark.Thread) {
+		switch {
+		case t.Steps > maxSteps:
+			t.Cancel(fmt.Sprintf("the script takes more than %d steps", maxSteps))
+		case allocated()-start > maxMemory:
+			t.Cancel(fmt.Sprintf("the script uses more than %d MiB", maxMemory>>20))
+		}
+	}
+	_, err := s.exec(name)
+	return err
+}
+
+var allocSample = "/gc/heap/allocs:bytes"
+
+func allocated() uint64 {
+	sample := [1]metrics.Sample{{Name: allocSample}}
+	metrics.Read(sample[:])
+	return sample[0].Value.Uint64()
+}
+
+func (s *script) exec(name string) (starlark.StringDict, error) {
+	text, err := s.read(name)
+	if err != nil {
+		return nil, Fault{File: name, Says: err.Error()}
+	}
+	f, err := (&syntax.FileOptions{}).Parse(name, text, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.check(f); err != nil {
+		return nil, err
+	}
+	known := starlark.StringDict{}
+	for _, c := range calls() {
+		known[c] = starlark.NewBuiltin(c, s.called)
+	}
+	p, err := starlark.FileProgram(f, known.Has)
+	if err != nil {
+		return nil, err
+	}
+	g, err := p.Init(s.thread, known)
+	g.Freeze()
+	return g, err
+}
+
+func (s *script) load(_ *starlark.Thread, name string) (starlark.StringDict, error) {
+	if filepath.Base(name) != name || !strings.HasSuffix(name, ".star") {
+		return nil, fmt.Errorf("load takes the name of a .star file beside the script, not %q", name)
+	}
+	m := s.modules[name]
+	if m == nil {
+		if len(s.modules) >= maxFiles {
+			return nil, fmt.Errorf("more than %d files are loaded", maxFiles)
+		}
+		m = &module{}
+		s.modules[name] = m
+		g, err := s.exec(name)
+		if err != nil {
+			return nil, err
+		}
+		m.globals, m.done = g, true
+	}
+	if !m.done {
+		return nil, fmt.Errorf("%s is loaded by itself", name)
+	}
+	return m.globals, nil
+}
+
+// called is every call of the settings: it only takes the values down.
+func (s *script) called(t *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+	at := t.CallFrame(1).Pos
+	fault := func(key, says string) error {
+		c := call{at: at, keys: s.args[at]}
+		return c.fault(b.Name(), key, says)
+	}
+	if old := s.calls[b.Name()]; old != nil {
+		return nil, fault("", fmt.Sprintf("is called a second time, first at %s:%d", old.at.Filename(), old.at.Line))
+	}
+	if len(args) > 0 {
+		return nil, fault("", "takes named values only, as in "+b.Name()+"("+keys(b.Name())[0]+" = ...)")
+	}
+	c := &call{values: map[string]any{}, at: at, keys: s.args[at]}
+	left := maxValues
+	for _, kv := range kwargs {
+		key := string(kv[0].(starlark.String))
+		v, err := plain(kv[1], maxDepth, &left)
+		if err != nil {
+			return nil, fault(key, err.Error())
+		}
+		c.values[key] = v
+	}
+	s.calls[b.Name()] = c
+	return starlark.None, nil
+}
+
+// plain turns a value into what JSON knows. The bounds keep a list that holds itself, or one
+// list many times over, from growing without end.
+func plain(v starlark.Value, depth int, left *int) (any, error) {
+	if *left--; *left < 0 || depth < 0 {
+		return nil, errors.New("holds too much")
+	}
+	switch v := v.(type) {
+	case starlark.NoneType:
+		return nil, nil
+	case starlark.Bool:
+		return bool(v), nil
+	case starlark.String:
+		return string(v), nil
+	case starlark.Int:
+		if n, ok := v.Int64(); ok {
+			return n, nil
+		}
+		return nil, errors.New("is too large a number")
+	case starlark.Float:
+		return float64(v), nil
+	case *starlark.List:
+		list := make([]any, 0, min(v.Len(), *left+1))
+		for i := range v.Len() {
+			x, err := plain(v.Index(i), depth-1, left)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, x)
+		}
+		return list, nil
+	case *starlark.Dict:
+		m := map[string]any{}
+		for _, kv := range v.Items() {
+			k, ok := kv[0].(starlark.String)
+			if !ok {
+				return nil, errors.New("has a key that is no text")
+			}
+			x, err := plain(kv[1], depth-1, left)
+			if err != nil {
+				return nil, err
+			}
+			m[string(k)] = x
+		}
+		return m, nil
+	}
+	return nil, fmt.Errorf("is a %s, which no setting takes", v.Type())
+}
+
+// builtins are all of Starlark's own that a script may use. None of them makes a value that is
+// larger than what it was given.
+var builtins = []string{"None", "True", "False", "bool", "int", "float", "len"}
+
+// check reads a file's text before it runs. What could use memory or time out of proportion to
+// the steps that are counted is not part of the language: functions, methods (a join of many
+// long texts is one step), tuples (they can be hashed and written out, however deep), products
+// of anything but numbers written out, and ranges.
+func (s *script) check(f *syntax.File) error {
+	var faults Faults
+	bad := func(n syntax.Node, says string) {
+		at, _ := n.Span()
+		faults = append(faults, Fault{File: at.Filename(), Line: int(at.Line), Column: int(at.Col), Says: says})
+	}
+	keyNames := map[*syntax.Ident]bool{} // of arguments: no names that are looked up
+	syntax.Walk(f, func(n syntax.Node) bool {
+		switch n := n.(type) {
+		case *syntax.DefStmt:
+			bad(n, "the settings have no functions")
+			return false
+		case *syntax.LambdaExpr:
+			bad(n, "the settings have no functions")
+			return false
+		case *syntax.DotExpr:
+			bad(n, "the settings have no methods")
+			return false
+		case *syntax.TupleExpr:
+			bad(n, "the settings have no tuples, write a list: [...]")
+		case *syntax.AssignStmt:
+			if n.Op != syntax.EQ {
+				bad(n, "a name is given its value once, with =")
+			}
+		case *syntax.BinaryExpr:
+			if (n.Op == syntax.STAR || n.Op == syntax.PERCENT || n.Op == syntax.LTLT) && !(numeral(n.X) && numeral(n.Y)) {
+				bad(n, "* and % and << take numbers that are written out")
+			}
+		case *syntax.CallExpr:
+			s.args[n.Lparen] = map[string]syntax.Position{}
+			for _, a := range n.Args {
+				switch a := a.(type) {
+				case *syntax.BinaryExpr:
+					if id, ok := a.X.(*syntax.Ident); ok && a.Op == syntax.EQ {
+						s.args[n.Lparen][id.Name] = id.NamePos
+						keyNames[id] = true
+					}
+				case *syntax.UnaryExpr:
+					if a.Op == syntax.STAR {
+						bad(a, "write the values out, without *")
+					}
+				}
+			}
+		}
+		return true
+	})
+	syntax.Walk(f, func(n syntax.Node) bool {
+		if id, ok := n.(*syntax.Ident); ok && !keyNames[id] && !slices.Contains(builtins, id.Name) && starlark.Universe.Has(id.Name) {
+			bad(n, id.Name+" is not part of the settings")
+		}
+		return true
+	})
+	if faults != nil {
+		return faults
+	}
+	return nil
+}
+
+// numeral says whether an expression is made of numbers alone.
+func numeral(e syntax.Expr) bool {
+	switch e := e.(type) {
+	case *syntax.Literal:
+		return e.Token == syntax.INT || e.Token == syntax.FLOAT
+	case *syntax.ParenExpr:
+		return numeral(e.X)
+	case *syntax.UnaryExpr:
+		return numeral(e.X)
+	case *syntax.BinaryExpr:
+		return numeral(e.X) && numeral(e.Y)
+	}
+	return false
+}
+
+// faults turns whatever a run ended with into faults with their places.
+func (s *script) faults(name string, err error) Faults {
+	var all Faults
+	var one Fault
+	var list resolve.ErrorList
+	var syn syntax.Error
+	var eval *starlark.EvalError
+	switch {
+	case errors.As(err, &all):
+		return all
+	case errors.As(err, &one):
+		return Faults{one}
+	case errors.As(err, &list):
+		for _, e := range list {
+			f := Fault{File: e.Pos.Filename(), Line: int(e.Pos.Line), Column: int(e.Pos.Col), Says: e.Msg}
+			if what, ok := strings.CutPrefix(e.Msg, "undefined: "); ok {
+				what, _, _ = strings.Cut(what, " ")
+				f.Key, f.Says = what, "is not known, the calls are "+strings.Join(calls(), ", ")
+			}
+			all = append(all, f)
+		}
+		return all
+	case errors.As(err, &syn):
+		return Faults{{File: syn.Pos.Filename(), Line: int(syn.Pos.Line), Column: int(syn.Pos.Col), Says: syn.Msg}}
+	case errors.As(err, &eval):
+		f := Fault{File: name, Says: eval.Msg}
+		for i := range eval.CallStack {
+			if p := eval.CallStack[i].Pos; p.Line > 0 {
+				f.File, f.Line, f.Column = p.Filename(), int(p.Line), int(p.Col)
+			}
+		}
+		return Faults{f}
+	}
+	return Faults{{File: name, Says: err.Error()}}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,325 @@
+// Package settings reads the settings script: what is set here and not by the platform.
+//
+// The script is Starlark, cut down to a language of declarations: calls with named values, each
+// call at most once, such as
+//
+//	http2(listen = "127.0.0.1:8082", max_streams = 128)
+//
+// names for values, arithmetic on numbers written out, conditions, comprehensions over lists
+// that stand there, and load of files beside the script. schema.json is the one place that says
+// which calls and keys there are, what they take and what they default to; the check, the
+// defaults and the reference in docs all come from it.
+package settings
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+)
+
+// Settings is what a script yields. A part that the script does not name is nil, and off.
+type Settings struct {
+	HTTP2 *HTTP2 `json:"http2"`
+}
+
+// HTTP2 sets the HTTP/2 front; the schema says what each value means.
+type HTTP2 struct {
+	Listen         string `json:"listen"`
+	MaxStreams     int    `json:"max_streams"`
+	MaxHeaderBytes int    `json:"max_header_bytes"`
+	MaxFrameBytes  int    `json:"max_frame_bytes"`
+	OnReset        string `json:"on_reset"`
+	StallMS        int    `json:"stall_ms"`
+	DrainMS        int    `json:"drain_ms"`
+}
+
+// Stop says whether a reset calls off what is out at backends.
+func (h *HTTP2) Stop() bool { return h.OnReset == "stop" }
+
+// Stall is how long an answer waits for its client.
+func (h *HTTP2) Stall() time.Duration { return time.Duration(h.StallMS) * time.Millisecond }
+
+// Drain is how long the first GOAWAY may stay unacknowledged.
+func (h *HTTP2) Drain() time.Duration { return time.Duration(h.DrainMS) * time.Millisecond }
+
+// Fault is one thing that is wrong with a script. Line and Column count from 1 and are 0 where
+// the whole file is meant; Key is the call, or the call and its key with a dot between.
+type Fault struct {
+	File         string
+	Line, Column int
+	Key          string
+	Says         string
+}
+
+func (f Fault) Error() string {
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&b, ":%d:%d", f.Line, f.Column)
+	}
+	b.WriteString(": ")
+	if f.Key != "" {
+		b.WriteString(f.Key + ": ")
+	}
+	b.WriteString(f.Says)
+	return b.String()
+}
+
+// Faults are all that was found, in the order of their places. It is the error of Load and Parse.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// maxFile is the most bytes that a file of a script may have, and maxFiles how many it may load.
+const (
+	maxFile  = 256 << 10
+	maxFiles = 16
+)
+
+// Load reads the script at a path. Its load statements reach files of the same folder alone. No
+// path is no script: everything is off. The error is Faults.
+func Load(path string) (*Settings, error) {
+	if path == "" {
+		return &Settings{}, nil
+	}
+	root, err := os.OpenRoot(filepath.Dir(path))
+	if err != nil {
+		return nil, Faults{{File: path, Says: err.Error()}}
+	}
+	defer root.Close()
+	return Parse(filepath.Base(path), func(name string) ([]byte, error) {
+		f, err := root.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		if info, err := f.Stat(); err != nil || !info.Mode().IsRegular() { // a pipe would have us wait
+			return nil, fmt.Errorf("%s is no regular file", name)
+		}
+		text, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+		if err == nil && len(text) > maxFile {
+			err = fmt.Errorf("%s has more than %d bytes", name, maxFile)
+		}
+		return text, err
+	})
+}
+
+// Parse runs the script of a name; read brings the text of a file. The error is Faults.
+func Parse(name string, read func(name string) ([]byte, error)) (*Settings, error) {
+	s := script{read: read, calls: map[string]*call{}, modules: map[string]*module{}}
+	if err := s.run(name); err != nil {
+		return nil, s.faults(name, err)
+	}
+	doc := map[string]any{}
+	for call, c := range s.calls {
+		doc[call] = c.values
+	}
+	if err := schema.Validate(doc); err != nil {
+		return nil, s.judge(err)
+	}
+	for call, c := range s.calls {
+		for key, p := range properties(call) {
+			if _, set := c.values[key]; !set && p.Default != nil {
+				c.values[key] = p.Default
+			}
+		}
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		return nil, Faults{{File: name, Says: err.Error()}}
+	}
+	out := &Settings{}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields() // the schema and the struct must name the same
+	if err := d.Decode(out); err != nil {
+		return nil, Faults{{File: name, Says: err.Error()}}
+	}
+	return out, nil
+}
+
+// Change names what another script changes: what holds at once for new connections, and what
+// holds from the next start of the program.
+func (s *Settings) Change(other *Settings) (now, later []string) {
+	for _, call := range calls() {
+		a, b := s.part(call), other.part(call)
+		if a == nil && b == nil {
+			continue
+		}
+		if a == nil || b == nil { // a listener is opened and closed by the start alone
+			later = append(later, call)
+			continue
+		}
+		for _, key := range keys(call) {
+			if reflect.DeepEqual(a[key], b[key]) {
+				continue
+			}
+			if properties(call)[key].Holds == "next start" {
+				later = append(later, call+"."+key)
+			} else {
+				now = append(now, call+"."+key)
+			}
+		}
+	}
+	return now, later
+}
+
+// part is a call's values by key, or nil where it was not called.
+func (s *Settings) part(call string) map[string]any {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil
+	}
+	var all map[string]map[string]any
+	if json.Unmarshal(text, &all) != nil {
+		return nil
+	}
+	return all[call]
+}
+
+//go:embed schema.json
+var schemaText []byte
+
+// property is what the schema says of a key, or of a call.
+type property struct {
+	Description string              `json:"description"`
+	Type        string              `json:"type"`
+	Default     any                 `json:"default"`
+	Wanted      string              `json:"x-wanted"`
+	Holds       string              `json:"x-holds"`
+	Required    []string            `json:"required"`
+	Properties  map[string]property `json:"properties"`
+}
+
+var schema, root = compile()
+
+// compile reads the schema. It is part of the program: what is wrong with it is wrong at every
+// start, and the tests would not pass.
+func compile() (*jsonschema.Schema, property) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("settings.json", doc); err != nil {
+		panic(err)
+	}
+	var p property
+	if err := json.Unmarshal(schemaText, &p); err != nil {
+		panic(err)
+	}
+	return c.MustCompile("settings.json"), p
+}
+
+func calls() []string { return sorted(root.Properties) }
+
+func properties(call string) map[string]property { return root.Properties[call].Properties }
+
+// keys are a call's keys, those that must be there first.
+func keys(call string) []string {
+	p := root.Properties[call]
+	list := sorted(p.Properties)
+	slices.SortStableFunc(list, func(a, b string) int {
+		return rank(p, a) - rank(p, b)
+	})
+	return list
+}
+
+func rank(p property, key string) int {
+	if slices.Contains(p.Required, key) {
+		return 0
+	}
+	return 1
+}
+
+func sorted[T any](m map[string]T) []string {
+	list := make([]string, 0, len(m))
+	for k := range m {
+		list = append(list, k)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// judge turns what the schema finds into faults with their places in the script.
+func (s *script) judge(err error) Faults {
+	var faults Faults
+	var walk func(*jsonschema.ValidationError)
+	walk = func(e *jsonschema.ValidationError) {
+		if len(e.Causes) > 0 {
+			for _, c := range e.Causes {
+				walk(c)
+			}
+			return
+		}
+		c := s.calls[e.InstanceLocation[0]]
+		name := e.InstanceLocation[0]
+		switch k := e.ErrorKind.(type) {
+		case *kind.Required:
+			for _, key := range k.Missing {
+				faults = append(faults, c.fault(name, key, "is missing, want "+properties(name)[key].Wanted))
+			}
+		case *kind.AdditionalProperties:
+			for _, key := range k.Properties {
+				faults = append(faults, c.fault(name, key, "is no key of "+name+", want one of "+strings.Join(keys(name), ", ")))
+			}
+		default:
+			key := ""
+			if len(e.InstanceLocation) > 1 {
+				key = e.InstanceLocation[1]
+			}
+			got, _ := json.Marshal(c.values[key])
+			faults = append(faults, c.fault(name, key, fmt.Sprintf("is %s, want %s", got, properties(name)[key].Wanted)))
+		}
+	}
+	if v, ok := err.(*jsonschema.ValidationError); ok {
+		walk(v)
+	}
+	slices.SortFunc(faults, func(a, b Fault) int {
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return faults
+}
+
+// Reference writes what can be set, as Markdown, out of the schema.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# The settings script\n\nWritten from `internal/settings/schema.json` by `tinsail reference`.\n")
+	for _, call := range calls() {
+		p := root.Properties[call]
+		fmt.Fprintf(&b, "\n## %s(...)\n\n%s\n\n| key | wanted | default | a change holds for |\n| --- | --- | --- | --- |\n", call, p.Description)
+		for _, key := range keys(call) {
+			k := p.Properties[key]
+			def := "must be set"
+			if k.Default != nil {
+				text, _ := json.Marshal(k.Default)
+				def = "`" + string(text) + "`"
+			}
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", key, k.Wanted, def, "the "+strings.Replace(k.Holds, "new connections", "connections from then on", 1))
+		}
+		b.WriteString("\n")
+		for _, key := range keys(call) {
+			fmt.Fprintf(&b, "- `%s`: %s\n", key, p.Properties[key].Description)
+		}
+	}
+	return b.String()
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -84,6 +85,20 @@
 	ConnIdleMs                      *float64 // nil if not told
 }
 
+// Fault is a value that no settings may have; Key is its path within them.
+type Fault struct{ Key, Says string }
+
+// Faults are all that were found. It is an error of ParseNamed.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Key + " " + f[i].Says
+	}
+	return strings.Join(lines, "; ")
+}
+
 // ParseSettings reads an instance's settings. Keys it does not know are ignored.
 func ParseSettings(seed uint64, text []byte) (balance.Settings, error) {
 	s, _, err := ParseNamed(seed, text)
@@ -123,14 +138,15 @@
 	for _, t := range j.Parties {
 		s.Tenants = append(s.Tenants, balance.Tenant{Share: t.Share, QuotaPerS: t.QuotaPerS})
 	}
+	var faults Faults
 	for i, c := range j.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return s, names, fmt.Errorf("class %d: unknown effect %q", i, c.Effect)
+			faults = append(faults, Fault{fmt.Sprintf("Classes[%d].Effect", i), fmt.Sprintf("is %q, want read_like, idempotency_key or non_idempotent", c.Effect)})
 		}
 		scope, ok := scopes[c.DedupScope]
 		if !ok && effect == balance.Deduped {
-			return s, names, fmt.Errorf("class %d: unknown dedup scope %q", i, c.DedupScope)
+			faults = append(faults, Fault{fmt.Sprintf("Classes[%d].DedupScope", i), fmt.Sprintf("is %q, want all, zone or cell", c.DedupScope)})
 		}
 		names.Classes = append(names.Classes, c.Name)
 		s.Classes = append(s.Classes, balance.Class{
@@ -141,6 +157,9 @@
 			Priority: at(j.FamilyInfo.ClassPriority, i, 0),
 		})
 	}
+	if faults != nil {
+		return s, names, faults
+	}
 	return s, names, nil
 }
 
