A command line on cobra, logs on zerolog, and a demo with backends of its own

Need: the program could only be started bare, logged free text, and could not be tried without a platform around it.

`tinsail demo` runs a dispatcher between them; halfway one backend turns all away and one drains. run becomes `exec bin/tinsail serve`.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,14 @@
-.PHONY: build test lint run
+.PHONY: build demo test lint run
+
+# A fresh machine needs Go 1.26 and make; modules come by go.mod and go.sum.
 
 build:
 	mkdir -p bin && go build -buildvcs=false -o bin/ ./cmd/...
 
-test:
+demo: build
+	bin/tinsail demo
+
+test: build lint
 	go test -race ./...
 
 lint:
@@ -11,4 +16,4 @@
 	go vet ./...
 
 run: build
-	exec bin/tinsail
+	exec bin/tinsail serve
--- /dev/null
+++ b/cmd/tinsail/demo.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"tinsail/internal/config"
+	"tinsail/internal/logs"
+	"tinsail/internal/settings"
+	"tinsail/internal/standin/platform"
+)
+
+//go:embed demo.json
+var demoConfig []byte
+
+func demoCommand() *cobra.Command {
+	var o options
+	var keep bool
+	n := 400
+	c := &cobra.Command{
+		Use: "demo", Short: "Show a dispatcher at work, with a director and four backends of its own",
+		Long: `demo needs no file. It starts a director, four backends and a dispatcher between them,
+all in this process and on 127.0.0.1, sends reqs over every front and prints what came back.
+Halfway through, one backend begins to fail and another drains.
+
+Exit codes: 0 every req had one answer, 1 not, 2 faulty flags.`,
+		Example: `  tinsail demo
+  tinsail demo --reqs 2000
+  tinsail demo --keep --log-level info    # then curl, as the last lines say`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if n < 1 || n > 100_000 {
+				return faulty{fmt.Errorf("--reqs is %d, want 1 to 100000", n)}
+			}
+			log, err := logs.New(c.ErrOrStderr(), o.level, o.format)
+			if err != nil {
+				return faulty{err}
+			}
+			x, err := startDemo(log)
+			if err != nil {
+				return err
+			}
+			defer x.close()
+			if err := x.play(c.OutOrStdout(), n); err != nil {
+				return err
+			}
+			if keep {
+				x.wait(c.OutOrStdout())
+			}
+			return nil
+		},
+	}
+	o.add(c, true)
+	quiet := c.Flags().Lookup("log-level")
+	quiet.DefValue, o.level = "error", "error"
+	c.Flags().Lookup("settings").Hidden = true
+	c.Flags().BoolVar(&keep, "keep", false, "leave it running until Ctrl-C, for curl")
+	c.Flags().IntVar(&n, "reqs", n, "reqs over each front, 1 to 100000")
+	return c
+}
+
+// demo is a dispatcher with all that is around it.
+type demo struct {
+	dispatcher *dispatcher
+	director   *platform.Director
+	backends   []*platform.Backend
+}
+
+// kindOf is the kind of the i-th backend; the first of each pair is the faster one.
+func kindOf(i int) string { return []string{"fast", "std"}[i%2] }
+
+func startDemo(log zerolog.Logger) (*demo, error) {
+	x := &demo{}
+	var err error
+	if x.director, err = platform.StartDirector(); err != nil {
+		return nil, err
+	}
+	for i := range 4 {
+		work := time.Duration(10+10*(i%2)) * time.Millisecond
+		b, err := platform.StartBackend(fmt.Sprintf("backend-%d", i+1), 4, func(string) time.Duration { return work })
+		if err != nil {
+			x.close()
+			return nil, err
+		}
+		x.backends = append(x.backends, b)
+		x.director.Set(b.Entry(kindOf(i), "here", i/2, "Ready"))
+	}
+	cfg, err := config.Parse(demoConfig, func(string) string { return "" })
+	if err == nil {
+		cfg.Discovery = x.director.Address
+		x.dispatcher, err = assemble(cfg, &settings.Settings{}, log)
+	}
+	if err != nil {
+		x.close()
+		return nil, err
+	}
+	x.dispatcher.start()
+	return x, nil
+}
+
+func (x *demo) close() {
+	if x.dispatcher != nil {
+		x.dispatcher.listener.Close()
+	}
+	for _, b := range x.backends {
+		b.Close()
+	}
+	x.director.Close()
+}
+
+// front is one way in, and what came back by it.
+type front struct {
+	name, address string
+	client        *http.Client
+	workers       int
+	sent, served  atomic.Int64
+	refused       atomic.Int64
+	failed        atomic.Int64
+	mu            sync.Mutex
+	took          *hdrhistogram.Histogram // ms
+}
+
+func newFront(name, address string, workers int, h2 bool) *front {
+	t := &http.Transport{MaxIdleConnsPerHost: workers, Protocols: new(http.Protocols)}
+	t.Protocols.SetHTTP1(!h2)
+	t.Protocols.SetUnencryptedHTTP2(h2)
+	return &front{name: name, address: address, workers: workers, client: &http.Client{Transport: t, Timeout: 10 * time.Second},
+		took: hdrhistogram.New(1, 60_000, 3)}
+}
+
+// one sends a req and takes its answer down.
+func (f *front) one(id string) error {
+	r, err := http.NewRequest("POST", "http://"+f.address+"/photo/"+id, bytes.NewReader(make([]byte, 512)))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("X-Correlation-Id", id)
+	r.Header.Set("Idempotency-Key", "key-"+id)
+	r.Header.Set("X-Time-Left-Ms", "5000")
+	begun := time.Now()
+	f.sent.Add(1)
+	answer, err := f.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	switch answer.StatusCode {
+	case 200:
+		if want := "small " + id; string(body) != want {
+			return fmt.Errorf("%s was answered %q, want %q", id, body, want)
+		}
+		f.served.Add(1)
+	case 429, 503:
+		f.refused.Add(1)
+	default:
+		f.failed.Add(1)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.took.RecordValue(max(time.Since(begun).Milliseconds(), 1))
+}
+
+// play sends n reqs over each front and prints a table of the answers.
+func (x *demo) play(out io.Writer, n int) error {
+	ready, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for x.dispatcher.core.Ready() < len(x.backends) {
+		select {
+		case <-ready.Done():
+			return errors.New("the dispatcher has not heard of the backends")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	fronts := []*front{
+		newFront("HTTP/1.1", x.dispatcher.listener.Addr().String(), 16, false),
+	}
+	fmt.Fprintf(out, "a director, four backends and a dispatcher are up; %d reqs go over each front\n", n)
+	bad := make(chan error, 1)
+	var all sync.WaitGroup
+	for i, f := range fronts {
+		next := &atomic.Int64{}
+		for range f.workers {
+			all.Go(func() {
+				for k := next.Add(1); k <= int64(n); k = next.Add(1) {
+					if err := f.one(fmt.Sprintf("demo-%d-%d", i, k)); err != nil {
+						select {
+						case bad <- fmt.Errorf("%s: %w", f.name, err):
+						default:
+						}
+					}
+				}
+			})
+		}
+	}
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	x.watch(out, fronts, n, done)
+	table(out, fronts)
+	x.table(out)
+	select {
+	case err := <-bad:
+		return err
+	default:
+		return nil
+	}
+}
+
+// watch prints how far things are, and has two backends go wrong halfway.
+func (x *demo) watch(out io.Writer, fronts []*front, n int, done <-chan struct{}) {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	broken, shown := false, -1
+	for {
+		sum := int64(0)
+		for _, f := range fronts {
+			sum += f.sent.Load()
+		}
+		part := int(100 * sum / int64(n*len(fronts)))
+		if part/25 != shown {
+			shown = part / 25
+			fmt.Fprintf(out, "  %3d%% of the reqs sent, %d open\n", part, x.dispatcher.core.Open())
+		}
+		if part >= 50 && !broken {
+			broken = true
+			x.backends[0].Set(platform.Faults{Refuse: true})
+			x.director.Set(x.backends[1].Entry(kindOf(1), "here", 0, "Terminating"))
+			fmt.Fprintln(out, "  now backend-1 turns away all it gets, and backend-2 drains")
+		}
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func table(out io.Writer, fronts []*front) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "\nfront\treqs\tserved\trefused\tfailed\tms, median\tms, 99%\t")
+	for _, f := range fronts {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t\n", f.name, f.sent.Load(), f.served.Load(), f.refused.Load(), f.failed.Load(),
+			f.took.ValueAtQuantile(50), f.took.ValueAtQuantile(99))
+	}
+	w.Flush()
+}
+
+func (x *demo) table(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "\nbackend\tkind\tjobs\tstarted\tdone\t")
+	for i, b := range x.backends {
+		c := b.Counts()
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t\n", b.Name, kindOf(i), c.Jobs, c.Started, c.Done)
+	}
+	w.Flush()
+}
+
+// wait leaves all running until a signal.
+func (x *demo) wait(out io.Writer) {
+	x.backends[0].Set(platform.Faults{})
+	x.director.Set(x.backends[1].Entry(kindOf(1), "here", 0, "Ready"))
+	_, port, _ := net.SplitHostPort(x.dispatcher.listener.Addr().String())
+	fmt.Fprintf(out, `
+still running, until Ctrl-C:
+  curl http://127.0.0.1:%s/counters
+  curl -H 'X-Correlation-Id: c1' -H 'Idempotency-Key: k1' -d photo http://127.0.0.1:%s/photo/1
+`, port, port)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+}
--- a/cmd/tinsail/main_test.go
+++ b/cmd/tinsail/main_test.go
@@ -13,6 +13,7 @@
 	"tinsail/internal/config"
 	"tinsail/internal/counters"
 	"tinsail/internal/network"
+	"tinsail/internal/settings"
 )
 
 // TestSignals: no signal that operators send ends the program but by a shutdown, and none is
@@ -54,18 +55,83 @@
 	write(good)
 	cfg, err := config.Load(os.Getenv)
 	require.NoError(t, err)
-	d, count := &network.Director{Address: cfg.Discovery}, &counters.Set{}
+	set := &settings.Settings{}
+	d := &dispatcher{director: &network.Director{Address: cfg.Discovery}, count: &counters.Set{}}
 
 	write(strings.Replace(good, "127.0.0.2", "127.0.0.3", 1))
-	cfg = reload(cfg, d, count)
-	assert.Equal(t, "127.0.0.3:8500", d.Address)
+	cfg, set = d.reload(cfg, set, "")
+	assert.Equal(t, "127.0.0.3:8500", d.director.Address)
 	for _, bad := range []string{"{", strings.Replace(good, "127.0.0.2:8500", "nowhere", 1)} {
 		write(bad)
-		assert.Same(t, cfg, reload(cfg, d, count))
-		assert.Equal(t, "127.0.0.3:8500", d.Address)
+		same, _ := d.reload(cfg, set, "")
+		assert.Same(t, cfg, same)
+		assert.Equal(t, "127.0.0.3:8500", d.director.Address)
 	}
 	require.NoError(t, os.Remove(path)) // as while it is being replaced
-	assert.Same(t, cfg, reload(cfg, d, count))
-	assert.Equal(t, int64(1), count.Reloads.Load())
-	assert.Equal(t, int64(3), count.ReloadsBad.Load())
+	same, sameSet := d.reload(cfg, set, "")
+	assert.Same(t, cfg, same)
+	assert.Same(t, set, sameSet)
+	script := filepath.Join(t.TempDir(), "s.star")
+	require.NoError(t, os.WriteFile(script, []byte("http2(listen = 3)"), 0o600))
+	write(good)
+	_, sameSet = d.reload(cfg, set, script)
+	assert.Same(t, set, sameSet, "a faulty script")
+	assert.Equal(t, int64(1), d.count.Reloads.Load())
+	assert.Equal(t, int64(4), d.count.ReloadsBad.Load())
+}
+
+// TestCommandLine: what is faulty is named, and told by the exit code.
+func TestCommandLine(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	conf := write("c.json", string(demoConfig))
+	script := write("s.star", "http2(listen = \"127.0.0.1:9\")")
+	t.Setenv("ROUTER_CONFIG", conf)
+	for _, c := range []struct {
+		args string
+		code int
+		want []string
+	}{
+		{"check", exitOK, []string{"are well"}},
+		{"check --settings " + script, exitOK, []string{"are well"}},
+		{"check --settings " + write("bad.star", "\nhttp2(listen = 3,\n max_streams = 0)"), exitFaulty,
+			[]string{"bad.star:2:7: http2.listen: is 3, want host:port", "bad.star:3:2: http2.max_streams: is 0"}},
+		{"check --settings " + write("same.star", "http2(listen = \"127.0.0.1:0\")"), exitFaulty, []string{"where HTTP/1.1 listens already"}},
+		{"check --settings " + filepath.Join(dir, "none.star"), exitFaulty, []string{"none.star"}},
+		{"check --sets x", exitFaulty, []string{"unknown flag: --sets"}},
+		{"check it", exitFaulty, []string{`takes no "it", see tinsail check --help`}},
+		{"serve --log-level loud", exitFaulty, []string{"log level is \"loud\", want"}},
+		{"serve --log-format xml", exitFaulty, []string{"log format is \"xml\", want"}},
+		{"demo --reqs 0", exitFaulty, []string{"--reqs is 0, want 1 to 100000"}},
+		{"version", exitOK, []string{"tinsail ", "go1."}},
+		{"", exitOK, []string{"Exit codes", "serve", "demo"}},
+		{"serve --help", exitOK, []string{"SIGHUP", "Exit codes"}},
+		{"completion bash", exitOK, []string{"bash completion"}},
+		{"frob", exitFaulty, []string{`takes no "frob"`}},
+	} {
+		var out strings.Builder
+		assert.Equal(t, c.code, execute(strings.Fields(c.args), &out, &out), c.args)
+		for _, want := range c.want {
+			assert.Contains(t, out.String(), want, c.args)
+		}
+	}
+	t.Setenv("ROUTER_CONFIG", write("bad.json", "{\"listen\":\"x\",\n\"seed\":\"y\"}"))
+	var out strings.Builder
+	assert.Equal(t, exitFaulty, execute([]string{"check"}, &out, &out))
+	for _, want := range []string{"config line 1: listen is", "config line 2: seed is", "settings is missing"} {
+		assert.Contains(t, out.String(), want)
+	}
+}
+
+// TestDemo: every req of the demo has its answer, although a backend fails and one drains.
+func TestDemo(t *testing.T) {
+	var out strings.Builder
+	assert.Equal(t, exitOK, execute([]string{"demo", "--reqs", "300"}, &out, &out), out.String())
+	for _, want := range []string{"HTTP/1.1", "backend-2 drains", "99%"} {
+		assert.Contains(t, out.String(), want)
+	}
 }
--- /dev/null
+++ b/cmd/tinsail/serve.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/config"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/logs"
+	"tinsail/internal/network"
+	"tinsail/internal/settings"
+)
+
+func serve(o options, errs io.Writer) error {
+	sig := listen() // first of all: what is not listened for ends the program
+	log, err := logs.New(errs, o.level, o.format)
+	if err != nil {
+		return faulty{err}
+	}
+	cfg, err := config.Load(os.Getenv)
+	set, err2 := settings.Load(o.settings)
+	if err = errors.Join(err, err2, clash(cfg, set)); err != nil {
+		return faulty{err}
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
+	debug.SetGCPercent(200)
+	d, err := assemble(cfg, set, log)
+	if err != nil {
+		return err
+	}
+	d.start()
+	log.Info().Str("listen", cfg.Listen).Str("discovery", cfg.Discovery).Msg("serving")
+	sig.mind(minded{
+		reload: func() { cfg, set = d.reload(cfg, set, o.settings) },
+		stats:  d.tell,
+		drain:  d.drain,
+	})
+	d.tell()
+	log.Info().Msg("ended on a signal")
+	return nil
+}
+
+// clash finds what each file allows and both together do not. Either may be nil.
+func clash(cfg *config.Config, set *settings.Settings) error {
+	if cfg == nil || set == nil || set.HTTP2 == nil || set.HTTP2.Listen != cfg.Listen {
+		return nil
+	}
+	return settings.Faults{{File: "settings", Key: "http2.listen", Says: "is " + cfg.Listen + ", where HTTP/1.1 listens already"}}
+}
+
+// dispatcher is a whole dispatcher with its parts wired.
+type dispatcher struct {
+	cfg      *config.Config
+	log      zerolog.Logger
+	count    *counters.Set
+	core     *core.Core
+	pool     *network.Pool
+	director *network.Director
+	clients  *network.Clients
+	listener net.Listener
+}
+
+// assemble makes the parts and opens the listeners; nothing runs yet.
+func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger) (*dispatcher, error) {
+	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}}
+	share := network.Share(cfg.Sockets)
+	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
+		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
+	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: network.TCP}
+	d.director.Ask = time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond))
+	if set.HTTP2 != nil {
+		return nil, faulty{errors.New("http2: this build has no HTTP/2 front yet")}
+	}
+	var err error
+	if d.core, err = core.New(cfg.Settings, d.pool, d.director, d.count); err != nil {
+		return nil, err
+	}
+	d.core.Log = log
+	d.director.Told = d.core.Listed
+	d.clients = &network.Clients{Names: &cfg.Names, Count: d.count, Core: d.core, Most: share.Clients, Usual: share.Usual,
+		Held: cfg.Memory / 8, Longest: cfg.Longest(), Stats: d.stats, Log: log}
+	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return d, nil
+}
+
+// start has all parts run, in the background.
+func (d *dispatcher) start() {
+	d.director.Start(d.cfg.Known.Index)
+	d.core.Listed(balance.ListCached, d.cfg.Known.Entries)
+	go d.core.Run(nil)
+	if !d.cfg.Settings.Subscribe { // the module expects a list that comes unasked; on sockets none does
+		d.director.Subscribe()
+	}
+	go d.clients.Serve(d.listener)
+}
+
+func (d *dispatcher) drain() { d.clients.Drain(d.cfg.Longest() + 500*time.Millisecond) }
+
+func (d *dispatcher) stats() string {
+	var b strings.Builder
+	d.count.Print(&b, core.Endings())
+	return b.String()
+}
+
+// tell logs the counters that have counted.
+func (d *dispatcher) tell() {
+	e := d.log.Info()
+	d.count.Each(core.Endings(), func(name string, n int64) {
+		if n != 0 {
+			e.Int64(name, n)
+		}
+	})
+	e.Msg("counters")
+}
+
+// reload reads configuration and settings once more and returns those that hold from now on.
+// The director's address is taken over at once; what else has changed holds from the next
+// start. A faulty file must not stop a program that serves: it changes nothing.
+func (d *dispatcher) reload(cfg *config.Config, set *settings.Settings, path string) (*config.Config, *settings.Settings) {
+	next, err := config.Load(os.Getenv)
+	nextSet, err2 := settings.Load(path)
+	if err = errors.Join(err, err2, clash(next, nextSet)); err != nil {
+		d.count.ReloadsBad.Add(1)
+		d.log.Error().Err(err).Msg("not reloaded")
+		return cfg, set
+	}
+	d.count.Reloads.Add(1)
+	d.director.Redirect(next.Discovery)
+	now, later := set.Change(nextSet)
+	later = append(cfg.Fixed(next), later...)
+	d.log.Info().Str("discovery", next.Discovery).Strs("changed", now).Strs("next_start", later).Msg("reloaded")
+	return next, nextSet
+}
--- /dev/null
+++ b/cmd/tinsail/signals.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// heard are the signals that have come. Each kind has a channel of its own: a channel that is
+// full loses what comes next, and no heap of reloads may cost a shutdown its signal.
+type heard struct{ end, reload, stats chan os.Signal }
+
+func listen() heard {
+	h := heard{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(h.end, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(h.reload, syscall.SIGHUP)
+	signal.Notify(h.stats, syscall.SIGUSR1)
+	return h
+}
+
+// minded is what the signals ask for.
+type minded struct{ reload, stats, drain func() }
+
+// mind does what signals ask for until the shutdown that one of them asked for is over. It
+// goes on listening during the shutdown: one that comes then must not end the program early,
+// and the director may move while reqs are still to be sent.
+func (h heard) mind(m minded) {
+	var drained chan struct{}
+	for {
+		select {
+		case <-h.reload:
+			m.reload()
+		case <-h.stats:
+			m.stats()
+		case <-h.end:
+			if drained == nil {
+				drained = make(chan struct{})
+				go func() { m.drain(); close(drained) }()
+			}
+		case <-drained:
+			return
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,11 +8,12 @@
 package core
 
 import (
-	"log"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tinsail/internal/balance"
 	"tinsail/internal/counters"
 )
@@ -125,6 +126,9 @@
 
 // Core is the dispatcher without its connections.
 type Core struct {
+	// Log takes what the module and the core have to tell; set it before Run, if at all.
+	Log zerolog.Logger
+
 	clock    clock
 	count    *counters.Set
 	mod      *balance.Dispatcher
@@ -304,7 +308,7 @@
 	c.count.Endings[e].Add(1)
 	res, ok := e.Result()
 	if !ok {
-		log.Printf("an attempt ended as %v, which is no ending of an attempt", e)
+		c.Log.Error().Stringer("ending", e).Msg("not an attempt's ending")
 		res = balance.Reset
 	}
 	switch e {
@@ -456,4 +460,4 @@
 }
 
 func (x actions) Subscribe()      { x.c.director.Subscribe() }
-func (x actions) Log(line string) { log.Print(line) }
+func (x actions) Log(line string) { x.c.Log.Info().Str("line", line).Msg("module") }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -17,8 +17,8 @@
 	Endings                                              [32]atomic.Int64
 }
 
-// Print writes a line for each counter that has counted, all others as zero in one place.
-func (s *Set) Print(w io.Writer, endings []fmt.Stringer) {
+// Each calls f for every counter, in a fixed order, those of the endings last.
+func (s *Set) Each(endings []fmt.Stringer, f func(name string, n int64)) {
 	for _, c := range []struct {
 		name string
 		n    *atomic.Int64
@@ -31,9 +31,14 @@
 		{"director_calls", &s.DirectorCalls}, {"overlooked", &s.Overlooked},
 		{"reloads", &s.Reloads}, {"reloads_bad", &s.ReloadsBad},
 	} {
-		fmt.Fprintf(w, "counter %s %d\n", c.name, c.n.Load())
+		f(c.name, c.n.Load())
 	}
 	for i, name := range endings {
-		fmt.Fprintf(w, "counter ending_%s %d\n", name, s.Endings[i].Load())
+		f("ending_"+name.String(), s.Endings[i].Load())
 	}
 }
+
+// Print writes a line for each counter.
+func (s *Set) Print(w io.Writer, endings []fmt.Stringer) {
+	s.Each(endings, func(name string, n int64) { fmt.Fprintf(w, "counter %s %d\n", name, n) })
+}
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -2,12 +2,13 @@
 
 import (
 	"errors"
-	"log"
 	"net"
 	"os"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tinsail/internal/core"
 	"tinsail/internal/counters"
 	"tinsail/internal/platform"
@@ -46,6 +47,7 @@
 	Held    int64 // bytes of bodies that may be held for all sessions together
 	Longest time.Duration
 	Stats   func() string
+	Log     zerolog.Logger
 
 	draining, closing atomic.Bool  // a shutdown has begun; answers end their sessions
 	until             atomic.Int64 // of reqs that come late in a shutdown: Unix ns, 0 for no end
@@ -87,7 +89,7 @@
 			return
 		}
 		if err != nil { // out of descriptors, say: do not spin
-			log.Print("accepting: ", err)
+			c.Log.Warn().Err(err).Msg("accept failed")
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
