--- a/cmd/tinsail/demo.go
+++ b/cmd/tinsail/demo.go
@@ -103,7 +103,7 @@
 	cfg, err := config.Parse(demoConfig, func(string) string { return "" })
 	if err == nil {
 		cfg.Discovery = x.director.Address
-		x.dispatcher, err = assemble(cfg, &settings.Settings{}, log)
+		x.dispatcher, err = assemble(cfg, &settings.Settings{HTTP2: settings.DefaultHTTP2("127.0.0.1:0")}, log)
 	}
 	if err != nil {
 		x.close()
@@ -115,7 +115,7 @@
 
 func (x *demo) close() {
 	if x.dispatcher != nil {
-		x.dispatcher.listener.Close()
+		x.dispatcher.close()
 	}
 	for _, b := range x.backends {
 		b.Close()
@@ -192,6 +192,7 @@
 	}
 	fronts := []*front{
 		newFront("HTTP/1.1", x.dispatcher.listener.Addr().String(), 16, false),
+		newFront("HTTP/2", x.dispatcher.listener2.Addr().String(), 16, true),
 	}
 	fmt.Fprintf(out, "a director, four backends and a dispatcher are up; %d reqs go over each front\n", n)
 	bad := make(chan error, 1)
@@ -278,11 +279,13 @@
 	x.backends[0].Set(platform.Faults{})
 	x.director.Set(x.backends[1].Entry(kindOf(1), "here", 0, "Ready"))
 	_, port, _ := net.SplitHostPort(x.dispatcher.listener.Addr().String())
+	_, port2, _ := net.SplitHostPort(x.dispatcher.listener2.Addr().String())
 	fmt.Fprintf(out, `
 still running, until Ctrl-C:
   curl http://127.0.0.1:%s/counters
   curl -H 'X-Correlation-Id: c1' -H 'Idempotency-Key: k1' -d photo http://127.0.0.1:%s/photo/1
-`, port, port)
+  curl --http2-prior-knowledge -H 'X-Correlation-Id: c2' -H 'Idempotency-Key: k2' -d photo http://127.0.0.1:%s/photo/2
+`, port, port, port2)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -18,6 +18,7 @@
 	"tinsail/internal/config"
 	"tinsail/internal/core"
 	"tinsail/internal/counters"
+	"tinsail/internal/http2"
 	"tinsail/internal/logs"
 	"tinsail/internal/network"
 	"tinsail/internal/settings"
@@ -71,6 +72,14 @@
 	director *network.Director
 	clients  *network.Clients
 	listener net.Listener
+
+	http2     *network.HTTP2 // nil where it is off
+	listener2 net.Listener
+}
+
+func limits(h *settings.HTTP2) network.HTTP2Limits {
+	return network.HTTP2Limits{Streams: h.MaxStreams, HeaderBytes: h.MaxHeaderBytes, FrameBytes: h.MaxFrameBytes,
+		Stall: h.Stall(), DrainWait: h.Drain(), Stop: h.Stop()}
 }
 
 // assemble makes the parts and opens the listeners; nothing runs yet.
@@ -81,9 +90,6 @@
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
 	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: network.TCP}
 	d.director.Ask = time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond))
-	if set.HTTP2 != nil {
-		return nil, faulty{errors.New("http2: this build has no HTTP/2 front yet")}
-	}
 	var err error
 	if d.core, err = core.New(cfg.Settings, d.pool, d.director, d.count); err != nil {
 		return nil, err
@@ -95,6 +101,14 @@
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if set.HTTP2 != nil {
+		d.http2 = &network.HTTP2{Clients: d.clients}
+		d.http2.Set(limits(set.HTTP2))
+		if d.listener2, err = net.Listen("tcp", set.HTTP2.Listen); err != nil {
+			d.listener.Close()
+			return nil, fmt.Errorf("http2.listen: %w", err)
+		}
+	}
 	return d, nil
 }
 
@@ -107,20 +121,38 @@
 		d.director.Subscribe()
 	}
 	go d.clients.Serve(d.listener)
+	if d.http2 != nil {
+		go d.http2.Serve(d.listener2)
+	}
+}
+
+func (d *dispatcher) drain() {
+	if d.http2 != nil {
+		d.http2.Drain()
+	}
+	d.clients.Drain(d.cfg.Longest() + 500*time.Millisecond)
 }
 
-func (d *dispatcher) drain() { d.clients.Drain(d.cfg.Longest() + 500*time.Millisecond) }
+// close ends the listeners; what is open goes on.
+func (d *dispatcher) close() {
+	d.listener.Close()
+	if d.listener2 != nil {
+		d.listener2.Close()
+	}
+}
+
+var counterNames = counters.Names{Endings: core.Endings(), HTTP2Abuse: http2.AllAbuses()}
 
 func (d *dispatcher) stats() string {
 	var b strings.Builder
-	d.count.Print(&b, core.Endings())
+	d.count.Print(&b, counterNames)
 	return b.String()
 }
 
 // tell logs the counters that have counted.
 func (d *dispatcher) tell() {
 	e := d.log.Info()
-	d.count.Each(core.Endings(), func(name string, n int64) {
+	d.count.Each(counterNames, func(name string, n int64) {
 		if n != 0 {
 			e.Int64(name, n)
 		}
@@ -142,6 +174,9 @@
 	d.count.Reloads.Add(1)
 	d.director.Redirect(next.Discovery)
 	now, later := set.Change(nextSet)
+	if d.http2 != nil && nextSet.HTTP2 != nil {
+		d.http2.Set(limits(nextSet.HTTP2))
+	}
 	later = append(cfg.Fixed(next), later...)
 	d.log.Info().Str("discovery", next.Discovery).Strs("changed", now).Strs("next_start", later).Msg("reloaded")
 	return next, nextSet
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,6 +88,7 @@
 	attempts []*Attempt
 	out      int
 	cut      bool // an attempt was stopped from here, and may be reading the job still
+	gone     func()
 }
 
 // Attempt is one send of a req to a backend.
@@ -139,8 +140,10 @@
 	last     balance.RequestID
 	timers   timers
 	slack    float64
-	ready    atomic.Int32 // backends that may be sent to
-	open     atomic.Int32 // reqs owed an answer
+	// mayCancel says that the settings allow to call an attempt off.
+	mayCancel bool
+	ready     atomic.Int32 // backends that may be sent to
+	open      atomic.Int32 // reqs owed an answer
 
 	ids ids
 
@@ -152,7 +155,7 @@
 
 // New makes a core for the settings.
 func New(s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
-	c := &Core{clock: newClock(), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack,
+	c := &Core{clock: newClock(), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack, mayCancel: s.MayCancel,
 		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
 		posted: make(chan struct{}, 1)}
 	var err error
@@ -248,14 +251,22 @@
 	return Ticket{c, r}, true
 }
 
-// Abandon tells that the client of a req has gone.
-func (t Ticket) Abandon() {
+// Abandon tells that the client of a req has gone, and takes no answer any more. With stop,
+// what is out at backends is called off, where the settings allow that; else it runs on. over,
+// if not nil, is called once nothing of the req is out any more, from the core's goroutine; it
+// must not block.
+func (t Ticket) Abandon(stop bool, over func()) {
 	t.core.post(func() {
-		if t.r.open {
-			t.core.close(t.r)
-			t.core.mod.Abandoned(t.core.clock.now(), t.r.id)
-			t.core.forget(t.r)
+		c, r := t.core, t.r
+		r.gone = over
+		if r.open {
+			c.close(r)
+			c.mod.Abandoned(c.clock.now(), r.id)
+			for i := 0; stop && c.mayCancel && i < len(r.attempts); i++ {
+				c.cut(r.attempts[i], Withdrawn)
+			}
 		}
+		c.forget(r)
 	})
 }
 
@@ -284,10 +295,17 @@
 
 // forget drops a req once nothing can be heard of it any more.
 func (c *Core) forget(r *req) {
-	if !r.open && r.out == 0 && c.reqs[r.id] == r {
+	if r.open || r.out > 0 {
+		return
+	}
+	if c.reqs[r.id] == r {
 		delete(c.reqs, r.id)
 		c.ids.drop(r.job.ID, time.Now())
 	}
+	if gone := r.gone; gone != nil {
+		r.gone = nil
+		gone()
+	}
 }
 
 func (c *Core) progressed(a *Attempt, started bool, share float64) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -75,12 +75,12 @@
 			b.sent[0].Ended(Served, "r", nil)
 		}, []Verdict{ResultOf}, true},
 		"a client gone before": {func(b *bench, t Ticket) {
-			t.Abandon()
+			t.Abandon(false, nil)
 			b.sent[0].Ended(Served, "r", nil)
 		}, nil, false},
 		"a client gone after": {func(b *bench, t Ticket) {
 			b.sent[0].Ended(Failed, "", nil)
-			t.Abandon()
+			t.Abandon(false, nil)
 		}, []Verdict{Failure}, true},
 		"a req that the backend finds at fault": {func(b *bench, _ Ticket) {
 			b.sent[0].Ended(Rejected, "", nil)
@@ -198,3 +198,43 @@
 		assert.LessOrEqual(t, len(b.core.ids.over), idsMost)
 	})
 }
+
+// TestAbandon: what a client that goes away had asked for is called off at the backends where it
+// is to stop and the settings allow it, and the client's place is free once nothing of it is out.
+func TestAbandon(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		allowed   bool
+		stop      bool
+		answered  bool
+		wantStops int
+		freeAt    int // step: 0 at once, 1 when the attempt has ended
+	}{
+		{"called off", true, true, false, 1, 0},
+		{"not allowed", false, true, false, 0, 1},
+		{"not wanted", true, false, false, 0, 1},
+		{"crossing the answer", true, true, true, 0, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := start(t, balance.Ready)
+			b.core.mayCancel = c.allowed
+			ticket := b.take()
+			require.Len(t, b.sent, 1, c.name)
+			b.sent[0].Started()
+			b.core.step()
+			if c.answered {
+				b.sent[0].Ended(Served, "r", nil)
+			}
+			freed := 0
+			ticket.Abandon(c.stop, func() { freed++ })
+			b.core.step()
+			assert.Equal(t, c.wantStops, b.stopped, c.name)
+			assert.Equal(t, 1-c.freeAt, freed, c.name)
+			b.sent[0].Ended(Served, "r", nil)
+			b.core.step()
+			assert.Equal(t, 1, freed, c.name)
+			assert.Empty(t, b.core.reqs, c.name)
+			assert.Equal(t, c.answered, len(b.answers) == 1, c.name)
+		})
+	}
+}
--- a/internal/core/ending.go
+++ b/internal/core/ending.go
@@ -30,6 +30,7 @@
 	ClientBad    // the client sent what is not a req
 	SessionDone  // the last answer said Connection: close
 	SessionShed  // closed between reqs to make room, or for shutdown
+	StreamReset  // the client took back one req of many on a connection
 
 	// Endings of a call to the director.
 	ListTold       // an answer with a list
@@ -66,7 +67,7 @@
 
 var endingNames = [endings]string{"served", "failed", "rejected", "returned", "unreached", "lost", "broken", "garbled",
 	"overdue", "withdrawn", "unsent", "client_closed", "client_silent", "client_bad", "session_done",
-	"session_shed", "list_told", "list_refused", "list_unread", "list_unanswered"}
+	"session_shed", "stream_reset", "list_told", "list_refused", "list_unread", "list_unanswered"}
 
 func (e Ending) String() string { return endingNames[e] }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -7,18 +7,24 @@
 	"sync/atomic"
 )
 
-// Set holds all counters. Endings is indexed by the core's endings, which Print names.
+// Set holds all counters. Endings is indexed by the core's endings and HTTP2Abuse by the kinds of
+// package http2, which Each is told the names of.
 type Set struct {
 	ClientSessions, SessionsRefused, BodiesShed          atomic.Int64
 	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated           atomic.Int64
 	AnswersServed, AnswersRefused, AnswersFailed         atomic.Int64
 	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
 	DirectorCalls, Overlooked, Reloads, ReloadsBad       atomic.Int64
+	HTTP2Sessions, HTTP2Resets                           atomic.Int64
 	Endings                                              [32]atomic.Int64
+	HTTP2Abuse                                           [32]atomic.Int64
 }
 
-// Each calls f for every counter, in a fixed order, those of the endings last.
-func (s *Set) Each(endings []fmt.Stringer, f func(name string, n int64)) {
+// Names are those of the counters that are kept by number.
+type Names struct{ Endings, HTTP2Abuse []fmt.Stringer }
+
+// Each calls f for every counter, in a fixed order, those that are kept by number last.
+func (s *Set) Each(names Names, f func(name string, n int64)) {
 	for _, c := range []struct {
 		name string
 		n    *atomic.Int64
@@ -30,15 +36,19 @@
 		{"backend_connections", &s.BackendConnections}, {"backend_retired", &s.BackendRetired},
 		{"director_calls", &s.DirectorCalls}, {"overlooked", &s.Overlooked},
 		{"reloads", &s.Reloads}, {"reloads_bad", &s.ReloadsBad},
+		{"http2_sessions", &s.HTTP2Sessions}, {"http2_resets", &s.HTTP2Resets},
 	} {
 		f(c.name, c.n.Load())
 	}
-	for i, name := range endings {
+	for i, name := range names.Endings {
 		f("ending_"+name.String(), s.Endings[i].Load())
 	}
+	for i, name := range names.HTTP2Abuse {
+		f("http2_abuse_"+name.String(), s.HTTP2Abuse[i].Load())
+	}
 }
 
 // Print writes a line for each counter.
-func (s *Set) Print(w io.Writer, endings []fmt.Stringer) {
-	s.Each(endings, func(name string, n int64) { fmt.Fprintf(w, "counter %s %d\n", name, n) })
+func (s *Set) Print(w io.Writer, names Names) {
+	s.Each(names, func(name string, n int64) { fmt.Fprintf(w, "counter %s %d\n", name, n) })
 }
--- /dev/null
+++ b/internal/http2/conn.go
@@ -0,0 +1,651 @@
+// Package http2 is the server's side of an HTTP/2 connection in cleartext with prior knowledge
+// (RFC 9113) as a state machine: it is fed the bytes that a client sent, tells what they mean,
+// and holds the bytes that are to go out. It knows no socket and no clock; time is handed in.
+// golang.org/x/net/http2's Framer and hpack read and write the frames.
+//
+// A driver reads into Space, tells how much by Filled, takes Events by Next until there is none,
+// and writes what Take hands out. It owes every stream of a Whole event one Answer; a stream
+// ends with that answer's last byte or with one reset, never both and never neither, unless
+// the connection ends first. Methods are not for concurrent use.
+//
+// What a client can make the machine hold is bounded: one frame, one field block, the bodies
+// that Admit allowed, and the answers that the driver gave.
+package http2
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// Code is why a stream was reset or a connection ended (RFC 9113 section 7).
+type Code = http2.ErrCode
+
+// Codes that drivers use.
+const (
+	NoError    = http2.ErrCodeNo
+	Internal   = http2.ErrCodeInternal
+	Refused    = http2.ErrCodeRefusedStream
+	Cancel     = http2.ErrCodeCancel
+	EnhanceYou = http2.ErrCodeEnhanceYourCalm
+)
+
+// Config is what a connection is told at its start. All of it stays as it is.
+type Config struct {
+	Streams     int           // open at once, those that were reset and whose work still runs among them
+	HeaderBytes int           // of a decoded header list (RFC 9113 section 6.5.2)
+	FrameBytes  int           // of a frame's payload, 16,384 to 16,777,215
+	BodyBytes   int           // of a stream's body
+	Window      int           // bytes of bodies that the client may send ahead on the connection
+	BodyWait    time.Duration // between two pieces of a body
+	WholeWait   time.Duration // from a stream's head to the end of its body
+	Queue       int           // bytes of answers that may wait for the client's windows
+	Stall       time.Duration // that an answer waits for the client's window
+	DrainWait   time.Duration // that Drain waits for the client's acknowledgement
+	// Admit is asked before n more bytes of bodies are held, and Release told when they are
+	// not held any more. Where Admit says no, the stream is refused unprocessed.
+	Admit   func(n int) bool
+	Release func(n int)
+	// Count is told what a client did that costs without use. May be nil.
+	Count func(Abuse)
+}
+
+// Kind is what an Event tells.
+type Kind uint8
+
+// Kinds of events.
+const (
+	// Opened: a stream's head is here, whole and well formed. Its fields are valid until the
+	// next call of Next. The driver may answer at once; else a Whole or a Gone follows.
+	Opened Kind = iota
+	// Whole: the body of a stream is here too. It is the driver's until it calls Free.
+	Whole
+	// Gone: the client reset a stream that had been Opened. It takes no answer. If it was
+	// Whole, it keeps its place among the Streams until Free.
+	Gone
+	// Dropped: the machine ended a stream that was Opened and not Whole, by an answer or a
+	// reset of its own.
+	Dropped
+	// Over: the connection has ended, for Code. What Take still holds is to be written.
+	Over
+)
+
+// Event is what a client's bytes meant.
+type Event struct {
+	Kind   Kind
+	Stream *Stream
+	Code   Code
+	Reason string // of Over; empty where the client did nothing wrong
+}
+
+// Head is a request's head.
+type Head struct {
+	Method, Scheme, Path, Authority string
+	Fields                          []hpack.HeaderField // without the pseudo-fields, names in lower case
+	Length                          int64               // of Content-Length, -1 if there is none
+}
+
+// Bounds that are the same for all connections.
+const (
+	defaultWindow   = 65535      // RFC 9113 section 6.9.2
+	largestWindow   = 1<<31 - 1  // section 6.9.1
+	blockExtra      = 4 << 10    // of a compressed field block beyond HeaderBytes: Huffman can lengthen a text
+	continuations   = 32         // frames of a field block (CVE-2023-45288)
+	outPull         = 64 << 10   // bytes of output beyond which no more of answers is framed
+	outMost         = 256 << 10  // bytes of output that a client may provoke without reading (CVE-2019-9512, 9515)
+	tableMost       = 4096       // bytes of either HPACK table: what RFC 9113 starts with, and no more
+	dataMost        = 16 << 10   // bytes of a DATA frame of ours: small, so that streams take turns
+	readRoom        = 4 << 10    // least space offered for a read
+	resetsKept      = 128        // streams of which late frames are known to cross our reset
+	drainMark       = 0x7461696c // payload of the PING that asks whether the first GOAWAY has been read
+	smallHead       = 1 << 10    // of a header list, held without asking
+	prefaceLineMost = 8 << 10    // of a line that may be HTTP/1.1
+	unusedID        = 1<<31 - 1  // of a GOAWAY that leaves open which stream is the last
+)
+
+// Conn is one connection.
+type Conn struct {
+	cfg    Config
+	now    time.Time
+	begun  bool // the preface is here
+	set    bool // the client's first SETTINGS frame is here
+	over   bool
+	events []Event
+	next   int // event that Next returns
+
+	in   []byte
+	r, w int
+	src  bytes.Reader
+	fr   *http2.Framer
+	dec  *hpack.Decoder
+	enc  *hpack.Encoder
+	pack bytes.Buffer // of enc
+
+	out []byte
+
+	streams  map[uint32]*Stream
+	held     int    // streams in the map, of which the gone ones await Free
+	live     int    // streams that are neither gone nor ended
+	lastID   uint32 // highest that the client has opened
+	block    block
+	reset    [resetsKept]uint32
+	resets   int
+	window   int64 // the client's, for our DATA
+	initial  int64 // the client's, of a new stream
+	peerMax  int   // payload of our frames
+	room     int64 // ours, for the client's DATA
+	owed     int64 // of room, taken in and not given back yet
+	queue    []*Stream
+	waiting  int // bytes of answers that are not framed
+	moved    time.Time
+	drain    drainState
+	drainBy  time.Time
+	calm     calm
+	free     *Stream // streams for use again
+	settings int     // SETTINGS of ours that are not acknowledged
+}
+
+type drainState uint8
+
+const (
+	serving  drainState = iota
+	asking              // the first GOAWAY is out
+	draining            // the second one is: what comes later is not taken
+)
+
+// New makes a connection at a time. The client speaks first.
+func New(cfg Config, now time.Time) *Conn {
+	c := &Conn{cfg: cfg, now: now, moved: now, streams: map[uint32]*Stream{}, window: defaultWindow,
+		initial: defaultWindow, peerMax: dataMost, room: defaultWindow}
+	c.fr = http2.NewFramer(writer{c}, &c.src)
+	c.fr.SetReuseFrames()
+	c.fr.SetMaxReadFrameSize(uint32(cfg.FrameBytes))
+	c.dec = hpack.NewDecoder(tableMost, c.field)
+	c.dec.SetMaxStringLength(2 * (cfg.HeaderBytes + blockExtra))
+	c.enc = hpack.NewEncoder(&c.pack)
+	c.enc.SetMaxDynamicTableSizeLimit(tableMost)
+	c.calm = newCalm(cfg.Streams)
+	return c
+}
+
+// writer is where the Framer writes.
+type writer struct{ c *Conn }
+
+func (w writer) Write(p []byte) (int, error) {
+	w.c.out = append(w.c.out, p...)
+	return len(p), nil
+}
+
+// Space is where the next bytes are to be read.
+func (c *Conn) Space() []byte {
+	if c.r == c.w || c.over { // nothing is read any more of what comes after the end
+		c.r, c.w = 0, 0
+		if len(c.in) > readRoom && len(c.streams) == 0 { // one large frame must not be paid for as long as the connection lives
+			c.in = nil
+			clear(c.block.fields)
+		}
+	}
+	if len(c.in)-c.w < readRoom/4 {
+		n := max(c.w-c.r, c.frameLength()) + readRoom
+		if n <= len(c.in) {
+			c.w = copy(c.in, c.in[c.r:c.w])
+		} else {
+			next := make([]byte, n)
+			c.w = copy(next, c.in[c.r:c.w])
+			c.in = next
+		}
+		c.r = 0
+	}
+	return c.in[c.w:]
+}
+
+// frameLength is how long the frame is that is coming in, with its header; it has been checked
+// against the limit once the header is here.
+func (c *Conn) frameLength() int {
+	if rest := c.in[c.r:c.w]; c.begun && len(rest) >= frameHeader {
+		return min(frameHeader+length(rest), frameHeader+c.cfg.FrameBytes)
+	}
+	return 0
+}
+
+const frameHeader = 9 // RFC 9113 section 4.1
+
+func length(b []byte) int { return int(b[0])<<16 | int(b[1])<<8 | int(b[2]) }
+
+// Filled tells that n bytes have been read into Space, and when.
+func (c *Conn) Filled(n int, now time.Time) {
+	c.w += n
+	c.now = now
+}
+
+// Partial says whether something has begun to come in and is not whole: the preface, a frame.
+func (c *Conn) Partial() bool { return !c.set || c.r < c.w }
+
+// Begun says whether the client has shown that it speaks HTTP/2.
+func (c *Conn) Begun() bool { return c.set }
+
+// Live is how many streams are open, from their first frame to their answer's last byte.
+func (c *Conn) Live() int { return c.live }
+
+// Next returns what the bytes mean that are here, one event at a time.
+func (c *Conn) Next() (Event, bool) {
+	for {
+		for c.next < len(c.events) {
+			e := c.events[c.next]
+			c.next++
+			if e.Kind == Whole && e.Stream.answered { // at its Opened, by the driver
+				continue
+			}
+			return e, true
+		}
+		c.events, c.next = c.events[:0], 0
+		if c.over || !c.step() {
+			return Event{}, false
+		}
+	}
+}
+
+func (c *Conn) event(e Event) { c.events = append(c.events, e) }
+
+// step takes in one frame, or the preface, and says whether it was whole.
+func (c *Conn) step() bool {
+	rest := c.in[c.r:c.w]
+	if !c.begun {
+		return c.preface(rest)
+	}
+	if len(rest) < frameHeader {
+		return false
+	}
+	n := frameHeader + length(rest)
+	if n > frameHeader+c.cfg.FrameBytes {
+		c.fail(http2.ErrCodeFrameSize, "a frame that is too long")
+		return true
+	}
+	if len(rest) < n {
+		return false
+	}
+	c.r += n
+	c.src.Reset(rest[:n])
+	f, err := c.fr.ReadFrame()
+	if err != nil {
+		c.faulty(rest, err)
+		return true
+	}
+	if !c.set {
+		if s, ok := f.(*http2.SettingsFrame); !ok || s.IsAck() {
+			c.fail(http2.ErrCodeProtocol, "the first frame is not SETTINGS")
+			return true
+		}
+		c.set = true
+	}
+	c.frame(f)
+	if len(c.out) > outMost {
+		c.abuse(Unread)
+	}
+	return true
+}
+
+// faulty ends what the Framer could not read: a stream where that is allowed, else all.
+func (c *Conn) faulty(raw []byte, err error) {
+	var se http2.StreamError
+	var ce http2.ConnectionError
+	switch {
+	// A field block that is not decoded leaves the tables unequal: no other stream could be
+	// read any more (RFC 9113 section 4.3).
+	case errors.As(err, &se) && http2.FrameType(raw[3]) != http2.FrameHeaders:
+		if c.set {
+			c.streamError(se.StreamID, se.Code)
+			return
+		}
+		c.fail(http2.ErrCodeProtocol, "the first frame is not SETTINGS")
+	case errors.As(err, &se):
+		c.fail(se.Code, "a bad HEADERS frame")
+	case errors.As(err, &ce):
+		c.fail(Code(ce), "a bad frame")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF): // a field that its frame has no room for
+		c.fail(http2.ErrCodeFrameSize, "a frame that is too short")
+	default:
+		c.fail(http2.ErrCodeProtocol, "a bad frame")
+	}
+}
+
+// preface reads the client's (RFC 9113 section 3.4). What looks like HTTP/1 is told so in its
+// own words; anything else is cut off.
+func (c *Conn) preface(rest []byte) bool {
+	n := min(len(rest), len(http2.ClientPreface))
+	if string(rest[:n]) == http2.ClientPreface[:n] {
+		if n < len(http2.ClientPreface) {
+			return false
+		}
+		c.r += n
+		c.begun = true
+		c.greet()
+		return true
+	}
+	end := bytes.IndexByte(rest, '\n')
+	if end < 0 && len(rest) < prefaceLineMost && printable(rest) {
+		return false
+	}
+	c.over = true
+	if end >= 0 && isHTTP1(rest[:end]) {
+		const text = "505: this port speaks HTTP/2 with prior knowledge only\n"
+		c.out = append(c.out, "HTTP/1.1 505 HTTP Version Not Supported\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: "...)
+		c.out = append(c.out, byte('0'+len(text)/10), byte('0'+len(text)%10))
+		c.out = append(append(c.out, "\r\n\r\n"...), text...)
+		c.event(Event{Kind: Over, Code: http2.ErrCodeHTTP11Required, Reason: "HTTP/1"})
+		return true
+	}
+	_ = c.fr.WriteGoAway(0, http2.ErrCodeProtocol, nil)
+	c.event(Event{Kind: Over, Code: http2.ErrCodeProtocol, Reason: "not the preface"})
+	return true
+}
+
+func printable(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\r' && c != '\t' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func isHTTP1(line []byte) bool {
+	parts := bytes.Split(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	return len(parts) == 3 && bytes.HasPrefix(parts[2], []byte("HTTP/1."))
+}
+
+// greet writes our SETTINGS and widens the connection's window to what may be sent ahead.
+func (c *Conn) greet() {
+	_ = c.fr.WriteSettings(
+		http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(c.cfg.Streams)},
+		http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(c.streamRoom())},
+		http2.Setting{ID: http2.SettingMaxFrameSize, Val: uint32(c.cfg.FrameBytes)},
+		http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: uint32(c.cfg.HeaderBytes)})
+	c.settings++
+	if more := int64(c.cfg.Window) - c.room; more > 0 {
+		_ = c.fr.WriteWindowUpdate(0, uint32(more))
+		c.room += more
+	}
+}
+
+// streamRoom is the window of a new stream: a whole body, so that only padding is ever given
+// back. It holds from the client's acknowledgement on; until then a client may send the
+// default, which is less or hardly more.
+func (c *Conn) streamRoom() int { return max(c.cfg.BodyBytes, defaultWindow) }
+
+func (c *Conn) frame(f http2.Frame) {
+	switch f := f.(type) {
+	case *http2.DataFrame:
+		c.data(f)
+	case *http2.HeadersFrame:
+		c.headers(f)
+	case *http2.ContinuationFrame:
+		c.continuation(f)
+	case *http2.SettingsFrame:
+		c.settingsFrame(f)
+	case *http2.WindowUpdateFrame:
+		c.windowUpdate(f)
+	case *http2.RSTStreamFrame:
+		c.rst(f)
+	case *http2.PingFrame:
+		c.ping(f)
+	case *http2.PriorityFrame:
+		if f.StreamDep == f.StreamID { // RFC 7540 section 5.3.1; RFC 9113 does not say
+			if c.idle(f.StreamID) {
+				c.fail(http2.ErrCodeProtocol, "a stream that depends on itself")
+			} else {
+				c.streamError(f.StreamID, http2.ErrCodeProtocol)
+			}
+			return
+		}
+		c.useless(Priority, 0)
+	case *http2.GoAwayFrame: // the client opens no more streams by itself; those it has are served
+		c.useless(Unknown, int(f.Length))
+	case *http2.PushPromiseFrame:
+		c.fail(http2.ErrCodeProtocol, "a client that pushes")
+	default: // to be ignored (RFC 9113 section 5.5)
+		c.useless(Unknown, int(f.Header().Length))
+	}
+}
+
+func (c *Conn) settingsFrame(f *http2.SettingsFrame) {
+	if f.IsAck() {
+		if c.settings == 0 {
+			c.useless(Settings, 0)
+			return
+		}
+		c.settings--
+		return
+	}
+	if !c.calm.settings.AllowN(c.now, 1) {
+		c.abuse(Settings)
+		return
+	}
+	err := f.ForeachSetting(func(s http2.Setting) error {
+		if err := s.Valid(); err != nil {
+			return err
+		}
+		switch s.ID {
+		case http2.SettingHeaderTableSize:
+			c.enc.SetMaxDynamicTableSize(min(s.Val, tableMost))
+		case http2.SettingInitialWindowSize:
+			return c.rewindow(int64(s.Val))
+		case http2.SettingMaxFrameSize:
+			c.peerMax = min(int(s.Val), dataMost)
+		}
+		return nil
+	})
+	var ce http2.ConnectionError
+	if errors.As(err, &ce) {
+		c.fail(Code(ce), "a bad setting")
+		return
+	}
+	_ = c.fr.WriteSettingsAck()
+}
+
+// rewindow changes the windows of all streams by what the initial one changes (RFC 9113
+// section 6.9.2); they may fall below zero.
+func (c *Conn) rewindow(initial int64) error {
+	by := initial - c.initial
+	c.initial = initial
+	for _, s := range c.streams {
+		if s.window += by; s.window > largestWindow {
+			return http2.ConnectionError(http2.ErrCodeFlowControl)
+		}
+	}
+	if by > 0 {
+		for _, s := range c.streams {
+			c.unblock(s)
+		}
+	}
+	return nil
+}
+
+func (c *Conn) windowUpdate(f *http2.WindowUpdateFrame) {
+	by := int64(f.Increment)
+	if f.StreamID == 0 {
+		if c.window += by; c.window > largestWindow {
+			c.count(Overflow)
+			c.fail(http2.ErrCodeFlowControl, "a window that is too large")
+			return
+		}
+		c.useless(WindowUpdate, 0)
+		return
+	}
+	s := c.streams[f.StreamID]
+	if s == nil || s.gone {
+		if c.idle(f.StreamID) {
+			c.fail(http2.ErrCodeProtocol, "WINDOW_UPDATE for a stream that is idle")
+			return
+		}
+		c.useless(WindowUpdate, 0)
+		return
+	}
+	if s.window += by; s.window > largestWindow {
+		c.count(Overflow)
+		c.streamError(s.ID, http2.ErrCodeFlowControl)
+		return
+	}
+	c.unblock(s)
+	c.useless(WindowUpdate, 0)
+}
+
+// idle says whether a stream has not been opened yet. Even ones would be ours, and we open none.
+// In a drain, those after the last one that is served are known to the client, not to us.
+func (c *Conn) idle(id uint32) bool { return id > c.lastID && c.drain != draining || id%2 == 0 }
+
+func (c *Conn) ping(f *http2.PingFrame) {
+	if f.IsAck() {
+		if c.drain == asking && binary.BigEndian.Uint32(f.Data[:]) == drainMark {
+			c.settle()
+			return
+		}
+		c.useless(Ping, 0)
+		return
+	}
+	if !c.calm.pings.AllowN(c.now, 1) {
+		c.abuse(Ping)
+		return
+	}
+	_ = c.fr.WritePing(true, f.Data)
+}
+
+// Drain begins a shutdown without loss (RFC 9113 section 6.8): a first GOAWAY leaves open which
+// stream is the last; once the client has shown that it read it, or DrainWait is over, a
+// second one names the last that was opened, and later ones are not taken.
+func (c *Conn) Drain(now time.Time) {
+	c.now = now
+	if c.drain != serving || c.over {
+		return
+	}
+	if !c.begun {
+		c.over = true
+		c.event(Event{Kind: Over, Code: NoError})
+		return
+	}
+	c.drain, c.drainBy = asking, now.Add(c.cfg.DrainWait)
+	_ = c.fr.WriteGoAway(unusedID, NoError, nil)
+	var mark [8]byte
+	binary.BigEndian.PutUint32(mark[:], drainMark)
+	_ = c.fr.WritePing(false, mark)
+}
+
+// Settle ends the wait that Drain began, or drains at once: what has been opened is served,
+// and nothing later is taken.
+func (c *Conn) Settle(now time.Time) {
+	c.now = now
+	if c.drain == draining || c.over {
+		return
+	}
+	if !c.begun {
+		c.Drain(now)
+		return
+	}
+	c.settle()
+}
+
+func (c *Conn) settle() {
+	c.drain = draining
+	_ = c.fr.WriteGoAway(c.lastID, NoError, nil)
+	c.finish()
+}
+
+// finish ends a connection that drains and has no stream left.
+func (c *Conn) finish() {
+	if c.drain == draining && c.live == 0 && !c.over {
+		c.over = true
+		c.event(Event{Kind: Over, Code: NoError})
+	}
+}
+
+// fail ends the connection for a fault of the client's (RFC 9113 section 5.4.1).
+func (c *Conn) fail(code Code, reason string) {
+	if c.over {
+		return
+	}
+	c.over = true
+	_ = c.fr.WriteGoAway(c.lastID, code, []byte(reason))
+	c.event(Event{Kind: Over, Code: code, Reason: reason})
+}
+
+// End ends the connection from the driver's side, with a reason for the client.
+func (c *Conn) End(code Code, reason string) {
+	if !c.begun && !c.over {
+		c.greet()
+	}
+	c.fail(code, reason)
+}
+
+// Close lets go of all that is held for streams, when the connection is gone. It returns the
+// streams that were Opened, not answered in full and not told as Gone.
+func (c *Conn) Close() (left []*Stream) {
+	c.over = true
+	for _, s := range c.streams {
+		c.letGo(s)
+		if s.opened && !s.gone {
+			left = append(left, s)
+		}
+	}
+	c.queue, c.live = nil, 0
+	clear(c.streams)
+	return left
+}
+
+// Expire does what is due at a time, and returns when something may be due next; zero is never.
+func (c *Conn) Expire(now time.Time) (next time.Time) {
+	c.now = now
+	if c.over {
+		return next
+	}
+	if c.drain == asking {
+		if !now.Before(c.drainBy) {
+			c.settle()
+		} else {
+			next = c.drainBy
+		}
+	}
+	stalled := 0
+	for _, s := range c.streams {
+		var due time.Time
+		switch {
+		case s.gone:
+			continue
+		case !s.ended:
+			due = earlier(s.since.Add(c.cfg.BodyWait), s.opensAt.Add(c.cfg.WholeWait))
+			if !now.Before(due) {
+				c.count(Unfinished)
+				c.turnAway(s, "408")
+				continue
+			}
+		case s.waiting:
+			due = s.since.Add(c.cfg.Stall)
+			if !now.Before(due) {
+				stalled++
+				c.count(Stalled)
+				c.resetStream(s, Cancel)
+				continue
+			}
+		default:
+			continue
+		}
+		next = earlier(next, due)
+	}
+	// Where not one byte of any answer moved for as long, the client has stopped reading.
+	if stalled > 0 && now.Sub(c.moved) >= c.cfg.Stall {
+		c.fail(EnhanceYou, "the window stays shut")
+	}
+	return next
+}
+
+// earlier is the earlier of two times of which zero is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -60,7 +60,6 @@
 type session struct {
 	seat
 	clients *Clients
-	conn    net.Conn
 	excess  bool // beyond the budget: turned away at its first req
 	answer  chan core.Answer
 
@@ -82,7 +81,9 @@
 
 // Serve accepts eagerly until the listener is closed: a req counts as taken as soon as the
 // kernel has it.
-func (c *Clients) Serve(l net.Listener) {
+func (c *Clients) Serve(l net.Listener) { c.accept(l, c.admit) }
+
+func (c *Clients) accept(l net.Listener, admit func(net.Conn)) {
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -93,7 +94,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c.admit(conn)
+		admit(conn)
 	}
 }
 
@@ -101,27 +102,36 @@
 // ask, a few are read so that they can be told, and the rest is told unread: to wait for them
 // would leave the usual clients in the kernel's queue behind those who fill it.
 func (c *Clients) admit(conn net.Conn) {
-	s := &session{clients: c, conn: conn, answer: make(chan core.Answer, 1)}
+	s := &session{seat: seat{conn: conn}, clients: c, answer: make(chan core.Answer, 1)}
 	s.in.Admit = s.hold
-	c.Count.ClientSessions.Add(1)
-	n, shed := c.table.enter(s, c.Most)
-	s.excess = n > c.Most && !shed
-	if n > c.Most+excessMost && !c.table.waitBelow(c.Most+excessMost, roomWait) {
-		c.Count.SessionsRefused.Add(1)
+	excess, room := c.enter(&s.seat)
+	if s.excess = excess; !room {
 		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
 		conn.Close()
-		c.table.leave(s)
+		c.table.leave(&s.seat)
 		return
 	}
 	go s.run()
 }
 
+// enter seats a session of either front. excess says that it is beyond the budget and all others
+// are owed an answer, room whether it can be read to be told so.
+func (c *Clients) enter(s *seat) (excess, room bool) {
+	c.Count.ClientSessions.Add(1)
+	n, shed := c.table.enter(s, c.Most)
+	if n > c.Most+excessMost && !c.table.waitBelow(c.Most+excessMost, roomWait) {
+		c.Count.SessionsRefused.Add(1)
+		return true, false
+	}
+	return n > c.Most && !shed, true
+}
+
 func (s *session) run() {
 	e := s.serve()
 	s.conn.Close()
 	s.release()
 	s.clients.Count.Endings[e].Add(1)
-	s.clients.table.leave(s)
+	s.clients.table.leave(&s.seat)
 }
 
 // serve reads reqs and has them answered, one at a time.
@@ -164,15 +174,23 @@
 	if n <= smallBody {
 		return nil
 	}
-	if c := s.clients; c.held.Add(int64(n)) > c.Held {
-		c.held.Add(-int64(n))
-		c.Count.BodiesShed.Add(1)
+	if !s.clients.hold(n) {
 		return &platform.Bad{Status: 503, Reason: "no room for the body now", Pause: shedPause}
 	}
 	s.held = int64(n)
 	return nil
 }
 
+// hold takes n bytes of a body out of what all sessions may hold, if they are there.
+func (c *Clients) hold(n int) bool {
+	if c.held.Add(int64(n)) > c.Held {
+		c.held.Add(-int64(n))
+		c.Count.BodiesShed.Add(1)
+		return false
+	}
+	return true
+}
+
 func (s *session) release() {
 	s.clients.held.Add(-s.held)
 	s.held = 0
@@ -185,7 +203,7 @@
 	}
 	s.in.Filled(n)
 	s.looked = false
-	s.clients.table.begun(s)
+	s.clients.table.begun(&s.seat)
 }
 
 // wait sets the time to wait for bytes. The first req has its time from connecting on, however
@@ -215,7 +233,7 @@
 		return core.ClientClosed
 	}
 	e := core.ClientSilent
-	if s.clients.table.isShed(s) {
+	if s.clients.table.isShed(&s.seat) {
 		e = core.SessionShed
 	}
 	switch {
@@ -245,7 +263,7 @@
 		return core.ClientClosed
 	}
 	tcp, ok := s.conn.(*net.TCPConn)
-	if ok && c.table.linger(s, c.Most/8+1) {
+	if ok && c.table.linger(&s.seat, c.Most/8+1) {
 		tcp.CloseWrite()
 		s.conn.SetReadDeadline(time.Now().Add(lingerWait))
 		waste := s.in.Waste()
@@ -278,11 +296,8 @@
 	if s.excess {
 		return s.refuse(&platform.Bad{Status: 503, Reason: "too many clients", Pause: shedPause}), true
 	}
-	left := w.Left
-	if until := c.until.Load(); until != 0 {
-		left = max(min(left, time.Unix(0, until).Sub(s.came)), 0)
-	}
-	c.table.taken(s)
+	left := c.patience(w.Left, s.came)
+	c.table.taken(&s.seat)
 	c.table.trim(c.Usual) // as soon as more are busy: the next client may find no connection left
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
 	ticket, fresh := c.Core.Take(w.Ask, job, s.came, left, s)
@@ -294,6 +309,14 @@
 	return s.await(ticket, q.Close)
 }
 
+// patience is how long a req that came at a time may take: in a shutdown, not past its end.
+func (c *Clients) patience(left time.Duration, came time.Time) time.Duration {
+	if until := c.until.Load(); until != 0 {
+		left = max(min(left, time.Unix(0, until).Sub(came)), 0)
+	}
+	return left
+}
+
 // await waits for the answer to be written, and for the client to send its next req or to
 // go away.
 func (s *session) await(t core.Ticket, closing bool) (core.Ending, bool) {
@@ -304,7 +327,7 @@
 		w = <-done
 		s.came = time.Now()
 		s.done(w.free)
-		s.clients.table.begun(s)
+		s.clients.table.begun(&s.seat)
 		return core.SessionDone, w.closing || w.err != nil
 	}
 	n, err := s.conn.Read(s.in.Space())
@@ -315,7 +338,7 @@
 		case w = <-done:
 		default:
 			close(gone)
-			t.Abandon()
+			t.Abandon(false, nil)
 			return core.ClientClosed, true
 		}
 	}
@@ -331,7 +354,7 @@
 	case w.closing:
 		return core.SessionDone, true
 	}
-	s.looked = n == 0 && s.clients.table.over(s)
+	s.looked = n == 0 && s.clients.table.over(&s.seat)
 	return 0, false
 }
 
@@ -351,7 +374,7 @@
 	}
 	closing = closing || s.clients.closing.Load()
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
-	closing = s.clients.table.answered(s, true, closing || err != nil, long)
+	closing = s.clients.table.answered(&s.seat, true, closing || err != nil, long)
 	s.clients.table.trim(s.clients.Usual)
 	done <- written{a.Free, closing, err}
 }
@@ -359,25 +382,31 @@
 // plain answers what is not a job.
 func (s *session) plain(q *platform.Request) (core.Ending, bool) {
 	c := s.clients
-	status, body := 404, ""
-	switch {
-	case q.Method != "GET":
-		status = 405
-	case q.Path() == "/health/ready":
-		if status = 503; !c.draining.Load() && c.Core.Ready() > 0 {
-			status = 200
-		}
-	case q.Path() == "/health/live":
-		status = 200
-	case q.Path() == "/counters":
-		status, body = 200, c.Stats()
-	}
+	status, body := c.look(q.Method, q.Path())
 	closing := q.Close || c.closing.Load()
 	s.done(true)
 	if s.write(platform.AppendAnswer(nil, status, 0, closing, body)) != nil {
 		return core.ClientClosed, true
 	}
-	return core.SessionDone, c.table.answered(s, false, closing, false)
+	return core.SessionDone, c.table.answered(&s.seat, false, closing, false)
+}
+
+// look answers what asks how things are.
+func (c *Clients) look(method, path string) (status int, body string) {
+	switch {
+	case method != "GET":
+		return 405, ""
+	case path == "/health/ready":
+		if c.draining.Load() || c.Core.Ready() == 0 {
+			return 503, ""
+		}
+		return 200, ""
+	case path == "/health/live":
+		return 200, ""
+	case path == "/counters":
+		return 200, c.Stats()
+	}
+	return 404, ""
 }
 
 // Answer takes the final answer of the req; the session's own goroutines write it.
--- /dev/null
+++ b/internal/network/http2.go
@@ -0,0 +1,506 @@
+package network
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/http2/hpack"
+
+	"tinsail/internal/core"
+	"tinsail/internal/http2"
+	"tinsail/internal/platform"
+)
+
+// HTTP2 is the second front for clients: HTTP/2 in cleartext, through the same table of
+// sessions, budgets, core and drain as Clients. Set may be called at any time and holds for new
+// connections.
+type HTTP2 struct {
+	Clients *Clients
+	limits  atomic.Pointer[HTTP2Limits]
+	open    sync.Map // *streams of this front, for Drain
+}
+
+// HTTP2Limits are what a new connection is told, and what becomes of reqs that are reset.
+type HTTP2Limits struct {
+	Streams, HeaderBytes, FrameBytes int
+	Stall, DrainWait                 time.Duration
+	Stop                             bool // a reset calls off what is out at backends
+}
+
+// Set changes the limits for connections from now on.
+func (f *HTTP2) Set(l HTTP2Limits) { f.limits.Store(&l) }
+
+// Serve accepts until the listener is closed. Set must have been called.
+func (f *HTTP2) Serve(l net.Listener) { f.Clients.accept(l, f.admit) }
+
+// Windows and queues of a connection, by the memory that all bodies may take.
+const (
+	windowLeast = 64 << 10
+	windowMost  = 1 << 20
+)
+
+// streams is one client's connection. A goroutine reads and one writes; the machine is under
+// mu, which is never held while either waits. The core's goroutine only leaves its answers in
+// the mail.
+type streams struct {
+	seat
+	front  *HTTP2
+	limits *HTTP2Limits
+	excess bool
+
+	mu     sync.Mutex
+	m      *http2.Conn
+	busy   bool // the table knows that there are streams
+	over   bool
+	ending core.Ending // once over
+
+	mail struct {
+		sync.Mutex
+		list, spare []letter
+	}
+	wake    chan struct{} // to the writer
+	flushed chan struct{} // closed by the writer, after the last byte
+	quit    chan struct{} // closed by the reader, when the connection is gone
+}
+
+// letter is news of a stream from the core: its final answer, or that nothing of it is out any
+// more after it was abandoned.
+type letter struct {
+	id     uint32
+	free   bool
+	answer core.Answer
+}
+
+// streamReq is a stream that carries a req, and the req's Client.
+type streamReq struct {
+	s      *streams
+	id     uint32
+	came   time.Time
+	work   platform.Work
+	job    core.Job
+	taken  bool
+	ticket core.Ticket
+}
+
+// Answer leaves the final answer in the mail.
+func (r *streamReq) Answer(a core.Answer) { r.s.post(letter{id: r.id, answer: a}) }
+
+func (r *streamReq) abandon() {
+	if r.taken {
+		r.ticket.Abandon(r.s.limits.Stop, func() { r.s.post(letter{id: r.id, free: true}) })
+	}
+}
+
+func (s *streams) post(l letter) {
+	s.mail.Lock()
+	s.mail.list = append(s.mail.list, l)
+	s.mail.Unlock()
+	s.nudge()
+}
+
+func (s *streams) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *HTTP2) admit(conn net.Conn) {
+	c, l := f.Clients, f.limits.Load()
+	s := &streams{seat: seat{conn: conn}, front: f, limits: l, wake: make(chan struct{}, 1),
+		flushed: make(chan struct{}), quit: make(chan struct{})}
+	window := int(min(max(c.Held/8, windowLeast), windowMost))
+	s.m = http2.New(http2.Config{Streams: l.Streams, HeaderBytes: l.HeaderBytes, FrameBytes: l.FrameBytes,
+		BodyBytes: platform.MaxBody, Window: window, Queue: window, BodyWait: reqWait, WholeWait: max(c.Longest, reqWait),
+		Stall: l.Stall, DrainWait: l.DrainWait,
+		Admit: c.hold, Release: func(n int) { c.held.Add(-int64(n)) },
+		Count: func(a http2.Abuse) { c.Count.HTTP2Abuse[a].Add(1) }}, time.Now())
+	c.Count.HTTP2Sessions.Add(1)
+	excess, room := c.enter(&s.seat)
+	if s.excess = excess; !room {
+		s.m.End(http2.EnhanceYou, "too many clients")
+		s.conn.SetWriteDeadline(time.Now().Add(l.Stall))
+		s.conn.Write(s.m.Take(nil))
+		conn.Close()
+		c.table.leave(&s.seat)
+		return
+	}
+	f.open.Store(s, nil)
+	go s.run()
+}
+
+// run reads until the connection ends.
+func (s *streams) run() {
+	c := s.front.Clients
+	go s.write()
+	e := s.read()
+	s.mu.Lock()
+	if s.over {
+		e = s.ending
+	}
+	s.over = true
+	left := s.m.Close()
+	s.mu.Unlock()
+	close(s.quit)
+	s.conn.Close()
+	for _, st := range left {
+		if r, ok := st.Data.(*streamReq); ok {
+			r.abandon()
+		}
+	}
+	s.front.open.Delete(s)
+	c.Count.Endings[e].Add(1)
+	c.table.leave(&s.seat)
+}
+
+func (s *streams) read() core.Ending {
+	for {
+		s.mu.Lock()
+		space, over, begun, live := s.m.Space(), s.over, s.m.Begun(), s.m.Live()
+		s.mu.Unlock()
+		if over {
+			return s.linger()
+		}
+		s.wait(begun, live)
+		n, err := s.conn.Read(space)
+		if n == 0 && err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				return core.ClientClosed
+			}
+			if e, ends := s.late(); ends {
+				return e
+			}
+			continue
+		}
+		s.mu.Lock()
+		s.m.Filled(n, time.Now())
+		if !begun { // bytes that make no preface are no reason to be kept longer than silence
+			s.front.Clients.table.begun(&s.seat)
+		}
+		s.events()
+		pending := s.m.Pending()
+		s.mu.Unlock()
+		if pending {
+			s.nudge()
+		}
+	}
+}
+
+// wait sets the time to wait for bytes: for the preface from connecting on, between reqs as
+// long as HTTP/1.1 does, and without end while streams are open, which have times of their own.
+func (s *streams) wait(begun bool, live int) {
+	t := &s.front.Clients.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case s.shed:
+		s.conn.SetReadDeadline(time.Now().Add(lastLook))
+	case !begun:
+		s.conn.SetReadDeadline(s.since.Add(firstWait))
+	case live > 0:
+		s.conn.SetReadDeadline(time.Time{})
+	default:
+		s.conn.SetReadDeadline(s.since.Add(idleWait))
+	}
+}
+
+// late finds out why a read ended without bytes: the writer has ended the connection, the
+// session is shed, or its client was silent for too long.
+func (s *streams) late() (core.Ending, bool) {
+	t := &s.front.Clients.table
+	shed := t.isShed(&s.seat)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.over:
+		return 0, false
+	case shed:
+		s.ending = core.SessionShed
+		s.m.Settle(time.Now())
+	case s.m.Live() > 0:
+		return 0, false
+	case !s.m.Begun():
+		return core.ClientSilent, true
+	case !t.over(&s.seat):
+		return 0, false
+	default:
+		s.ending = core.ClientSilent
+		s.m.Settle(time.Now())
+	}
+	s.events()
+	s.nudge()
+	return 0, false
+}
+
+// linger waits until the last bytes are written, and lets the client read them: a close with
+// unread bytes would destroy them on their way.
+func (s *streams) linger() core.Ending {
+	<-s.flushed
+	c := s.front.Clients
+	if tcp, ok := s.conn.(*net.TCPConn); ok && (s.ending == core.SessionDone || c.table.linger(&s.seat, c.Most/8+1)) {
+		tcp.CloseWrite()
+		s.conn.SetReadDeadline(time.Now().Add(lingerWait))
+		waste := make([]byte, 4<<10)
+		for left := 4 * platform.MaxBody; left > 0; {
+			n, err := s.conn.Read(waste)
+			if left -= n; err != nil {
+				break
+			}
+		}
+	}
+	return s.ending
+}
+
+// write writes what the machine has, whenever there is something, and minds the machine's times.
+func (s *streams) write() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var spare []byte
+	for {
+		select {
+		case <-s.wake:
+		case <-timer.C:
+		case <-s.quit:
+			return
+		}
+		for {
+			s.mu.Lock()
+			s.sort()
+			next := s.m.Expire(time.Now())
+			s.events()
+			s.m.Pending()
+			s.events() // the last answer of a connection that drains has been framed
+			b := s.m.Take(spare)
+			over := s.over
+			s.mu.Unlock()
+			if next.IsZero() {
+				timer.Stop()
+			} else {
+				timer.Reset(max(time.Until(next), time.Millisecond))
+			}
+			if len(b) > 0 {
+				s.conn.SetWriteDeadline(time.Now().Add(s.limits.Stall))
+				if _, err := s.conn.Write(b); err != nil {
+					s.conn.Close() // the reader sees that
+					if over {
+						close(s.flushed)
+						return
+					}
+					<-s.quit
+					return
+				}
+			}
+			if spare = b; cap(spare) > keepMost {
+				spare = nil
+			}
+			if len(b) > 0 {
+				continue
+			}
+			if over {
+				close(s.flushed)
+				s.conn.SetReadDeadline(time.Now())
+				return
+			}
+			break
+		}
+	}
+}
+
+// keepMost is the largest buffer that an idle connection keeps for output.
+const keepMost = 16 << 10
+
+// sort takes what is in the mail to the machine. s.mu is held.
+func (s *streams) sort() {
+	s.mail.Lock()
+	list := s.mail.list
+	s.mail.list = s.mail.spare[:0]
+	s.mail.Unlock()
+	now := time.Now()
+	for i := range list {
+		l := &list[i]
+		if l.free {
+			s.m.Free(l.id)
+			continue
+		}
+		switch l.answer.Verdict {
+		case core.ResultOf:
+			s.m.Answer(l.id, 200, 0, l.answer.Result, now)
+		case core.Refusal:
+			s.m.Answer(l.id, 503, l.answer.Pause, "", now)
+		default:
+			s.m.Answer(l.id, 502, 0, "", now)
+		}
+	}
+	clear(list)
+	if s.mail.spare = list; cap(list) > 1024 {
+		s.mail.spare = nil
+	}
+	s.settle()
+}
+
+// settle tells the table when the last stream has ended. s.mu is held.
+func (s *streams) settle() {
+	if !s.busy || s.m.Live() > 0 || s.over {
+		return
+	}
+	s.m.Pending() // frames what is to go out: a stream ends with that
+	if s.m.Live() > 0 {
+		return
+	}
+	s.busy = false
+	t := &s.front.Clients.table
+	if t.answered(&s.seat, true, false, false) {
+		s.ending = core.SessionShed
+		s.m.Settle(time.Now())
+	}
+	t.trim(s.front.Clients.Usual)
+}
+
+// events does what the machine tells. s.mu is held.
+func (s *streams) events() {
+	c := s.front.Clients
+	for e, ok := s.m.Next(); ok; e, ok = s.m.Next() {
+		switch e.Kind {
+		case http2.Opened:
+			s.opened(e.Stream)
+		case http2.Whole:
+			s.whole(e.Stream)
+		case http2.Gone:
+			c.Count.HTTP2Resets.Add(1)
+			c.Count.Endings[core.StreamReset].Add(1)
+			if r, ok := e.Stream.Data.(*streamReq); ok && r.taken {
+				r.abandon()
+			} else {
+				s.m.Free(e.Stream.ID)
+			}
+		case http2.Dropped:
+			c.Count.ReqsBad.Add(1)
+		case http2.Over:
+			s.over = true
+			switch {
+			case e.Reason != "":
+				s.ending = core.ClientBad
+				c.Log.Debug().Stringer("client", s.conn.RemoteAddr()).Stringer("code", e.Code).Str("reason", e.Reason).Msg("http2 connection ended")
+			case s.ending == 0:
+				s.ending = core.SessionDone
+			}
+			s.nudge()
+		}
+	}
+	s.settle()
+}
+
+// names finds the fields of a req by their names in HTTP/2.
+var names = func() map[string]platform.Field {
+	m := map[string]platform.Field{}
+	for f, name := range platform.FieldNames {
+		b := []byte(name)
+		for i := range b {
+			if 'A' <= b[i] && b[i] <= 'Z' {
+				b[i] += 'a' - 'A'
+			}
+		}
+		m[string(b)] = platform.Field(f)
+	}
+	return m
+}()
+
+func fields(list []hpack.HeaderField) (f platform.Fields) {
+	for i := range list {
+		if name, ok := names[list[i].Name]; ok {
+			f.Add(name, list[i].Value)
+		}
+	}
+	return f
+}
+
+// opened reads a head. What is answered without the core is known by then; its body is counted
+// and not kept, and the answer given once all is here: a client's fault that shows only at its
+// end is told before any other.
+func (s *streams) opened(st *http2.Stream) {
+	c := s.front.Clients
+	st.Data = nil
+	if !s.busy {
+		s.busy = true
+		c.table.taken(&s.seat)
+	}
+	q := platform.Request{Method: st.Head.Method, Target: st.Head.Path, Fields: fields(st.Head.Fields)}
+	var err error
+	var w platform.Work
+	switch {
+	case q.Method == "GET" || q.Method == "HEAD":
+		st.Data, st.Discard = look{q.Path()}, true
+		return
+	case q.Method != "POST":
+		err = &platform.Bad{Status: 405, Reason: "a method that is not POST"}
+	default:
+		w, err = c.Names.Read(&q)
+	}
+	if err != nil {
+		st.Data, st.Discard = err, true
+		return
+	}
+	if s.excess { // the module has not seen it: another dispatcher may
+		c.Count.ReqsShed.Add(1)
+		s.m.Reset(st.ID, http2.Refused)
+		return
+	}
+	r := &streamReq{s: s, id: st.ID, came: time.Now(), work: w}
+	r.job = core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey}
+	st.Data = r
+}
+
+// look is a stream that asks how things are.
+type look struct{ path string }
+
+// whole hands a req to the core.
+func (s *streams) whole(st *http2.Stream) {
+	c := s.front.Clients
+	var r *streamReq
+	switch d := st.Data.(type) {
+	case *streamReq:
+		r = d
+	case look:
+		status, body := c.look("GET", d.path)
+		s.m.Answer(st.ID, status, 0, body, time.Now())
+		return
+	case error:
+		s.refuse(st, d)
+		return
+	}
+	r.job.Body = st.Body
+	r.taken = true // before its answer can come
+	var fresh bool
+	if r.ticket, fresh = c.Core.Take(r.work.Ask, &r.job, r.came, c.patience(r.work.Left, r.came), r); !fresh {
+		r.taken = false
+		s.refuse(st, &platform.Bad{Status: 409, Reason: "this X-Correlation-Id has been used"})
+		return
+	}
+	c.Count.ReqsTaken.Add(1)
+}
+
+func (s *streams) refuse(st *http2.Stream, err error) {
+	bad := &platform.Bad{Status: 400}
+	errors.As(err, &bad)
+	s.front.Clients.Count.ReqsBad.Add(1)
+	s.m.Answer(st.ID, bad.Status, bad.Pause, err.Error()+"\n", time.Now())
+	s.m.Blame()
+}
+
+// Drain has all connections go away without loss, and new ones as soon as they have begun. The
+// sessions themselves are in Clients' table, and its Drain waits for them.
+func (f *HTTP2) Drain() {
+	f.open.Range(func(key, _ any) bool {
+		s := key.(*streams)
+		s.mu.Lock()
+		s.m.Drain(time.Now())
+		s.events()
+		s.mu.Unlock()
+		s.nudge()
+		return true
+	})
+}
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -2,6 +2,7 @@
 
 import (
 	linked "container/list"
+	"net"
 	"sync"
 	"time"
 )
@@ -29,8 +30,10 @@
 // restedFor is how long a session is idle at least before others' number is a ground to close it.
 const restedFor = 100 * time.Millisecond
 
-// seat is what the table knows of a session. The table's lock guards it.
+// seat is what the table knows of a session, of either front. The table's lock guards it, but
+// for conn, which stays as it is.
 type seat struct {
+	conn  net.Conn
 	rank  rank
 	place *linked.Element
 	since time.Time // of connecting until the first answer, of the last answer from then on
@@ -49,7 +52,7 @@
 }
 
 // enter seats a new session. Beyond most, one is shed if any may be.
-func (t *table) enter(s *session, most int) (n int, shed bool) {
+func (t *table) enter(s *seat, most int) (n int, shed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.left == nil {
@@ -64,7 +67,7 @@
 	return t.count, shed
 }
 
-func (t *table) leave(s *session) {
+func (t *table) leave(s *seat) {
 	t.mu.Lock()
 	t.rows[s.rank].Remove(s.place)
 	t.count--
@@ -96,7 +99,7 @@
 }
 
 // move puts a session at the end of a row, unless it is on its way out. t.mu is held.
-func (t *table) move(s *session, to rank) {
+func (t *table) move(s *seat, to rank) {
 	if s.rank == leaving {
 		return
 	}
@@ -105,7 +108,7 @@
 }
 
 // begun tells that bytes of a req have come.
-func (t *table) begun(s *session) {
+func (t *table) begun(s *seat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch s.rank {
@@ -117,7 +120,7 @@
 }
 
 // taken tells that a req is whole.
-func (t *table) taken(s *session) {
+func (t *table) taken(s *seat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.move(s, working)
@@ -126,7 +129,7 @@
 // answered tells that a req was answered, and returns whether the session is to close. Its
 // goroutine is woken for that, or where it is to give up a long body. What wakes it is set
 // under the lock: it must not undo what shut has set.
-func (t *table) answered(s *session, job, closing, wake bool) bool {
+func (t *table) answered(s *seat, job, closing, wake bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s.used, s.job, s.since = true, s.job || job, time.Now()
@@ -144,7 +147,7 @@
 }
 
 // linger lets a refused session stay until its client has read why, if no more than most do.
-func (t *table) linger(s *session, most int) bool {
+func (t *table) linger(s *seat, most int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.shed || t.rows[lingering].Len() >= most {
@@ -155,13 +158,13 @@
 }
 
 // over says whether the session is to end for want of another req.
-func (t *table) over(s *session) bool {
+func (t *table) over(s *seat) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return s.shed || time.Since(s.since) >= idleWait
 }
 
-func (t *table) isShed(s *session) bool {
+func (t *table) isShed(s *seat) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return s.shed
@@ -170,8 +173,8 @@
 // shedOne tells the first session that may go to close. t.mu is held.
 func (t *table) shedOne() bool {
 	for r := lingering; r < working; r++ {
-		if e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*session).since) >= sparedFor[r] {
-			t.shut(e.Value.(*session))
+		if e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*seat).since) >= sparedFor[r] {
+			t.shut(e.Value.(*seat))
 			return true
 		}
 	}
@@ -186,13 +189,13 @@
 	if t.rows[resting].Len()+t.rows[working].Len() <= most {
 		return
 	}
-	if e := t.rows[resting].Front(); e != nil && time.Since(e.Value.(*session).since) >= restedFor {
-		t.shut(e.Value.(*session))
+	if e := t.rows[resting].Front(); e != nil && time.Since(e.Value.(*seat).since) >= restedFor {
+		t.shut(e.Value.(*seat))
 	}
 }
 
 // shut wakes a session's goroutine, which looks whether a req came after all, and closes.
-func (t *table) shut(s *session) {
+func (t *table) shut(s *seat) {
 	t.move(s, leaving)
 	s.shed = true
 	s.conn.SetReadDeadline(time.Now())
@@ -204,8 +207,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for r := lingering; r < working; r++ {
-		for e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*session).since) >= sparedFor[r]; e = t.rows[r].Front() {
-			t.shut(e.Value.(*session))
+		for e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*seat).since) >= sparedFor[r]; e = t.rows[r].Front() {
+			t.shut(e.Value.(*seat))
 		}
 	}
 	return t.count
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -25,7 +25,43 @@
 	Method, Target string
 	Body           []byte
 	Close          bool // the client will send no more on this connection
-	head           head
+	Fields         Fields
+	expects        bool // it waits to be told to send its body
+}
+
+// Field is a field of a head that reqs are made of.
+type Field uint8
+
+// Fields of a req. Clients write them as FieldNames has them.
+const (
+	CorrelationID Field = iota
+	ServiceClass
+	TimeLeft
+	IdempotencyKey
+	Repeat
+	Facts
+	fieldCount
+)
+
+// FieldNames are the fields' names, as HTTP/1.1 writes them; in HTTP/2 they are in lower case.
+var FieldNames = [fieldCount]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms", "Idempotency-Key", "X-Repeat", "X-Facts"}
+
+// Value is what stands in a field: its first text, and how often it stands there.
+type Value struct {
+	Text  string
+	Count int
+}
+
+// Fields are those of one head. A front fills them as it finds them; Read judges them.
+type Fields [fieldCount]Value
+
+// Add takes a field down, as it stands in a head.
+func (f *Fields) Add(name Field, text string) {
+	if v := &f[name]; v.Count == 0 {
+		*v = Value{text, 1}
+	} else {
+		v.Count++
+	}
 }
 
 // Requests takes in what a client sends.
@@ -68,7 +104,7 @@
 				return nil, m.bad
 			}
 		}
-		m.cont = m.need > 0 && m.cur.head.has("Expect", "100-continue")
+		m.cont = m.need > 0 && m.cur.expects
 		if len(m.b)-m.r < m.need {
 			m.grow(m.need)
 		}
@@ -134,7 +170,12 @@
 	if err != nil {
 		return nil, 0, badRequest(err.Error())
 	}
-	q := &Request{Method: parts[0], Target: parts[1], head: h}
+	q := &Request{Method: parts[0], Target: parts[1], expects: h.has("Expect", "100-continue")}
+	for f, name := range FieldNames {
+		for _, text := range h.fields[name] {
+			q.Fields.Add(Field(f), text)
+		}
+	}
 	q.Close = h.has("Connection", "close") || parts[2] == "HTTP/1.0" && !h.has("Connection", "keep-alive")
 	return q, max(n, 0), nil
 }
@@ -181,22 +222,21 @@
 // adapter.
 func (n *Names) Read(q *Request) (w Work, err error) {
 	bad := func(status int, reason string) (Work, error) { return Work{}, &Bad{Status: status, Reason: reason} }
-	var single [6]bool
-	for _, name := range [...]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms", "Idempotency-Key"} {
-		if v := q.head.fields[name]; len(v) > 0 && v[0] == "" { // not the same as absent: it was to say something
-			return bad(400, "an empty "+name)
+	if !plain(q.Target) {
+		return bad(400, "a bad path")
+	}
+	for f := range q.Fields {
+		if v := &q.Fields[f]; v.Count > 0 && v.Text == "" && Field(f) <= IdempotencyKey { // not the same as absent: it was to say something
+			return bad(400, "an empty "+FieldNames[f])
 		}
 	}
-	var class, left, repeat, facts string
-	w.ID, single[0] = q.head.one("X-Correlation-Id")
-	class, single[1] = q.head.one("X-Service-Class")
-	left, single[2] = q.head.one("X-Time-Left-Ms")
-	w.IdempotencyKey, single[3] = q.head.one("Idempotency-Key")
-	repeat, single[4] = q.head.one("X-Repeat")
-	facts, single[5] = q.head.one("X-Facts")
-	if single != [6]bool{true, true, true, true, true, true} {
-		return bad(400, "a field stands there twice")
+	for f := range q.Fields {
+		if q.Fields[f].Count > 1 {
+			return bad(400, "a field stands there twice")
+		}
 	}
+	class, left := q.Fields[ServiceClass].Text, q.Fields[TimeLeft].Text
+	w.ID, w.IdempotencyKey = q.Fields[CorrelationID].Text, q.Fields[IdempotencyKey].Text
 	if w.ID == "" || !plain(w.ID) || !plain(w.IdempotencyKey) || len(w.ID) > maxID || len(w.IdempotencyKey) > maxID {
 		return bad(400, "a bad X-Correlation-Id or Idempotency-Key")
 	}
@@ -226,9 +266,9 @@
 		}
 		w.Left = time.Duration(ms) * time.Millisecond
 	}
-	w.Ask.Retry = repeat == "1"
+	w.Ask.Retry = q.Fields[Repeat].Text == "1"
 	w.Ask.Key = key(rest)
-	for fact := range strings.SplitSeq(facts, ",") {
+	for fact := range strings.SplitSeq(q.Fields[Facts].Text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(fact), "=")
 		var to *float64
 		switch name {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,16 @@
 	DrainMS        int    `json:"drain_ms"`
 }
 
+// DefaultHTTP2 is the front at an address, with all else as the schema has it.
+func DefaultHTTP2(listen string) *HTTP2 {
+	s, err := Parse("defaults", func(string) ([]byte, error) { return []byte("http2(listen = \"127.0.0.1:1\")"), nil })
+	if err != nil { // the schema lacks a default, and no test would pass
+		panic(err)
+	}
+	s.HTTP2.Listen = listen
+	return s.HTTP2
+}
+
 // Stop says whether a reset calls off what is out at backends.
 func (h *HTTP2) Stop() bool { return h.OnReset == "stop" }
 
