--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run
+.PHONY: build demo test lint run measure
 
 # A fresh machine needs Go 1.26 and make; modules come by go.mod and go.sum.
 
@@ -15,5 +15,10 @@
 	@out=$$(gofmt -l cmd internal); test -z "$$out" || { echo "not gofmt-formatted: $$out"; exit 1; }
 	go vet ./...
 
+# Speed, memory and what usual clients keep under abuse: docs/design/http2.md has the figures.
+measure:
+	go test -run - -bench 'Fronts|Idle' -benchtime 1s ./internal/network
+	go test -run - -bench Abuse -benchtime 1x ./internal/network
+
 run: build
 	exec bin/tinsail serve
--- a/internal/network/http2_bench_test.go
+++ b/internal/network/http2_bench_test.go
@@ -130,24 +130,28 @@
 	return ended, nil
 }
 
-// load sends n reqs, width at a time.
+// load sends n reqs, width of them open at a time: as many again as answers have come.
 func (p *phone) load(n, width int) error {
 	out, sent := make([]byte, 0, 64<<10), 0
-	for done := 0; done < n; {
+	for done, room := 0, width; done < n; {
 		out = out[:0]
-		batch := 0
-		for ; batch < width && sent < n; batch++ {
+		for ; room > 0 && sent < n; room-- {
 			out = p.ask(out)
 			sent++
 		}
-		if _, err := p.conn.Write(out); err != nil {
-			return err
+		if len(out) > 0 {
+			if _, err := p.conn.Write(out); err != nil {
+				return err
+			}
 		}
-		got, err := p.answers(batch)
-		if err != nil {
-			return err
+		for more := true; more && done < sent; more = p.r.Buffered() > 0 {
+			got, err := p.answers(1)
+			if err != nil {
+				return err
+			}
+			done += got
+			room += got
 		}
-		done += got
 	}
 	return nil
 }
@@ -329,6 +333,7 @@
 		{"empty-headers", preface, func(id uint32) string { return raw(1, 5, id, "") }},
 		{"unknown", preface, repeat(raw(99, 0, 0, string(make([]byte, 1000))))},
 		{"over-limit", preface, func(id uint32) string { return raw(1, 4, id, block) }},
+		{"window-shut", http2.ClientPreface + raw(4, 0, 0, "\x00\x04\x00\x00\x00\x00"), func(id uint32) string { return raw(1, 5, id, block) }},
 		{"no-preface", "", repeat("")},
 	} {
 		b.Run(a.name, func(b *testing.B) {
@@ -346,6 +351,12 @@
 				close(stop)
 				all.Wait()
 				b.ReportMetric(100*kept, "kept-%")
+				ended := int64(0)
+				for k := range s.count.HTTP2Abuse {
+					ended += s.count.HTTP2Abuse[k].Load()
+				}
+				b.ReportMetric(float64(ended), "counted")
+				b.ReportMetric(float64(s.count.HTTP2Sessions.Load()), "conns")
 			}
 		})
 	}
