A shutdown ends although clients keep coming back; the real program under SIGTERM and curl

Clients that were told to go away connected again at once, the shutdown never came to rest, and its end after 5.5 s found three reqs open.

`serving` logs the addresses it listens on.

--- a/cmd/tinsail/main_test.go
+++ b/cmd/tinsail/main_test.go
@@ -88,7 +88,7 @@
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	conf := write("c.json", string(demoConfig))
+	conf := write("c.json", strings.Replace(string(demoConfig), "127.0.0.1:0", "127.0.0.1:7", 1))
 	script := write("s.star", "http2(listen = \"127.0.0.1:9\")")
 	t.Setenv("ROUTER_CONFIG", conf)
 	for _, c := range []struct {
@@ -100,7 +100,7 @@
 		{"check --settings " + script, exitOK, []string{"are well"}},
 		{"check --settings " + write("bad.star", "\nhttp2(listen = 3,\n max_streams = 0)"), exitFaulty,
 			[]string{"bad.star:2:7: http2.listen: is 3, want host:port", "bad.star:3:2: http2.max_streams: is 0"}},
-		{"check --settings " + write("same.star", "http2(listen = \"127.0.0.1:0\")"), exitFaulty, []string{"where HTTP/1.1 listens already"}},
+		{"check --settings " + write("same.star", "http2(listen = \"127.0.0.1:7\")"), exitFaulty, []string{"where HTTP/1.1 listens already"}},
 		{"check --settings " + filepath.Join(dir, "none.star"), exitFaulty, []string{"none.star"}},
 		{"check --sets x", exitFaulty, []string{"unknown flag: --sets"}},
 		{"check it", exitFaulty, []string{`takes no "it", see tinsail check --help`}},
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -43,7 +43,11 @@
 		return err
 	}
 	d.start()
-	log.Info().Str("listen", cfg.Listen).Str("discovery", cfg.Discovery).Msg("serving")
+	e := log.Info().Stringer("listen", d.listener.Addr()).Str("discovery", cfg.Discovery)
+	if d.listener2 != nil {
+		e.Stringer("http2", d.listener2.Addr())
+	}
+	e.Msg("serving")
 	sig.mind(minded{
 		reload: func() { cfg, set = d.reload(cfg, set, o.settings) },
 		stats:  d.tell,
@@ -56,7 +60,7 @@
 
 // clash finds what each file allows and both together do not. Either may be nil.
 func clash(cfg *config.Config, set *settings.Settings) error {
-	if cfg == nil || set == nil || set.HTTP2 == nil || set.HTTP2.Listen != cfg.Listen {
+	if cfg == nil || set == nil || set.HTTP2 == nil || set.HTTP2.Listen != cfg.Listen || strings.HasSuffix(cfg.Listen, ":0") {
 		return nil
 	}
 	return settings.Faults{{File: "settings", Key: "http2.listen", Says: "is " + cfg.Listen + ", where HTTP/1.1 listens already"}}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,358 @@
+package membership
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tinsail/internal/scenario"
+)
+
+// Scenarios: a source, named by its letter, sends a whole list ("=a b!"), news ("a? -b"), "same"
+// or "fails". A backend is followed by what is said of it: nothing if it passes, ? for a
+// warning, ! for critical, * for a drain, @N for another address. "expect" is the list of all.
+var marks = map[byte]Health{'?': Warning, '!': Critical, '*': Drain}
+
+func said(text string) Backend {
+	b := Backend{Address: "127.0.0.1:1", Weight: 1}
+	name, port, moved := strings.Cut(text, "@")
+	if moved {
+		b.Address = "127.0.0.1:" + port
+	}
+	if h, ok := marks[name[len(name)-1]]; ok {
+		b.Health, name = h, name[:len(name)-1]
+	}
+	b.Name = name
+	return b
+}
+
+func rules(name string, rank int) Rules {
+	return Rules{Name: name, Rank: rank, Doubt: 2 * time.Second, Hold: 40 * time.Second, Panic: 0.5, PanicWindow: 10 * time.Second,
+		PanicHold: 30 * time.Second, Flaps: 2, FlapWindow: 20 * time.Second, Settle: 5 * time.Second}
+}
+
+func play(t *testing.T, text string) {
+	s := New(rules("x", 1), rules("y", 2))
+	now := time.Unix(1e9, 0)
+	list := map[string]Member{} // as the changes make it
+	for _, step := range scenario.Steps(t, text) {
+		from := map[string]int{"x": 0, "y": 1}[step.Who]
+		switch {
+		case step.Verb == "wait":
+			d, err := time.ParseDuration(step.Arg)
+			require.NoError(t, err)
+			for end := now.Add(d); ; {
+				if next := s.Next(); next.IsZero() || next.After(end) {
+					now = end
+					break
+				} else if next.After(now) {
+					now = next
+				}
+				s.Expire(now)
+			}
+		case step.Verb == "expect":
+			var got []string
+			for _, m := range s.Members(now) {
+				word := m.Name
+				if m.State == Draining {
+					word += "*"
+				}
+				if m.Address != "127.0.0.1:1" {
+					word += "@" + strings.TrimPrefix(m.Address, "127.0.0.1:")
+				}
+				got = append(got, word)
+				assert.Equal(t, m.State, list[m.Name].State, "%s: the changes tell the same", step.Line)
+			}
+			assert.Equal(t, step.Arg, strings.Join(got, " "), step.Line)
+			assert.Len(t, list, len(got), step.Line)
+		case step.Arg == "same":
+			s.Same(now, from)
+		case step.Arg == "fails":
+			s.Failed(now, from)
+		default:
+			whole := strings.HasPrefix(step.Arg, "=")
+			var b []Backend
+			var dropped []string
+			for _, w := range strings.Fields(strings.TrimPrefix(step.Arg, "=")) {
+				if w[0] == '-' {
+					dropped = append(dropped, w[1:])
+				} else {
+					b = append(b, said(w))
+				}
+			}
+			if whole {
+				s.Whole(now, from, b)
+			} else {
+				s.Some(now, from, b, dropped)
+			}
+		}
+		for _, m := range s.Changes() {
+			if list[m.Name] = m; m.State == Gone {
+				delete(list, m.Name)
+			}
+		}
+	}
+}
+
+func TestRules(t *testing.T) {
+	for name, text := range map[string]string{
+		"a list as it is told": `
+			x send =a b? c* d!
+			expect a b c* d*
+			x send -c e
+			wait 3s
+			expect a b d* e`,
+		"what is no longer named is doubted, then gone": `
+			x send =a b c
+			x send =a b
+			wait 1999ms
+			expect a b c
+			wait 1ms
+			expect a b`,
+		"and is back if it is named again": `
+			x send =a b c
+			x send =a b
+			wait 1s
+			x send =a b c
+			wait 9s
+			expect a b c`,
+		"a drain holds at once, and a drained one that is dropped was never ready": `
+			x send =a b c
+			x send a*
+			expect a* b c
+			x send =b c
+			expect a* b c
+			wait 2s
+			expect b c`,
+		"a silent source is believed for a while": `
+			x send =a b
+			x send fails
+			wait 30s
+			expect a b
+			wait 9s
+			expect a b
+			wait 1s
+			expect`,
+		"what vanished in its silence is doubted from its return on": `
+			x send =a b c
+			x send =a b
+			x send fails
+			wait 30s
+			expect a b c
+			x send same
+			wait 1s
+			expect a b c
+			wait 1s
+			expect a b`,
+		"a drain by another source during a silence": `
+			x send =a b
+			x send fails
+			y send a*
+			expect a* b
+			wait 30s
+			y send a
+			expect a b`,
+		"too many critical at once are not believed, for a while": `
+			x send =a b c d
+			x send a! b! c!
+			expect a b c d
+			wait 29s
+			expect a b c d
+			wait 1s
+			expect a* b* c* d`,
+		"as many one after another are": `
+			x send =a b c d
+			x send a!
+			wait 11s
+			x send b!
+			wait 11s
+			x send c!
+			expect a* b* c* d`,
+		"a panic hides no drain": `
+			x send =a b c d
+			x send a! b! c!
+			x send b* d*
+			expect a b* c d*`,
+		"nor a drain told with it": `
+			x send =a b c d
+			x send a! b! c! d*
+			expect a b c d*`,
+		"what was never good is not kept": `
+			x send =a! b! c! d
+			expect a* b* c* d`,
+		"a list that shrinks to nothing for a moment": `
+			x send =a b c d
+			x send =
+			wait 3s
+			expect a b c d
+			x send =a b c d
+			wait 60s
+			expect a b c d`,
+		"a list that stays shrunk": `
+			x send =a b c d
+			x send =a
+			wait 29s
+			expect a b c d
+			wait 1s
+			expect a`,
+		"a whole service that flaps": `
+			x send =a b c
+			x send a! b! c!
+			expect a b c
+			wait 3s
+			x send a b c
+			expect a b c`,
+		"one that flaps is to be steady first": `
+			x send =a b c d
+			x send a!
+			x send a
+			x send a!
+			x send a
+			expect a b c d
+			x send a!
+			x send a
+			expect a* b c d
+			wait 4999ms
+			expect a* b c d
+			wait 1ms
+			expect a b c d`,
+		"the higher rank describes, the lower fills in": `
+			x send =a b
+			y send =a@2 c
+			expect a@2 b c
+			y send -a
+			wait 2s
+			expect a b c`,
+		"an address that moves": `
+			x send =a b
+			x send a@7
+			expect a@7 b`,
+	} {
+		t.Run(name, func(t *testing.T) { play(t, text) })
+	}
+}
+
+// TestAnyOrder: whatever two sources tell, in any order and at any time, a backend that either
+// says is to drain is never listed ready; and once they tell what is true and nothing changes any
+// more, the list is what they tell.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := New(rules("x", 1), rules("y", 2))
+		now := time.Unix(1e9, 0)
+		drained := [2]map[string]bool{{}, {}}
+		backend := rapid.Custom(func(r *rapid.T) Backend {
+			return Backend{Name: "b" + strconv.Itoa(rapid.IntRange(0, 7).Draw(r, "n")), Address: "127.0.0.1:" + strconv.Itoa(rapid.IntRange(1, 2).Draw(r, "port")),
+				Weight: 1, Health: Health(rapid.IntRange(0, 3).Draw(r, "health"))}
+		})
+		lists := rapid.SliceOfNDistinct(backend, 0, 8, func(b Backend) string { return b.Name })
+		listed := map[string]Member{}
+		check := func() {
+			for _, m := range s.Changes() {
+				if listed[m.Name] = m; m.State == Gone {
+					delete(listed, m.Name)
+				}
+			}
+			members := s.Members(now)
+			require.Len(r, listed, len(members))
+			for _, m := range members {
+				require.Equal(r, m.State, listed[m.Name].State)
+				if m.State == Ready {
+					require.False(r, drained[0][m.Name] || drained[1][m.Name], "%s is to drain", m.Name)
+				}
+			}
+		}
+		told := func(from int, list []Backend) {
+			for _, b := range list {
+				drained[from][b.Name] = b.Health == Drain
+			}
+		}
+		for range rapid.IntRange(0, 40).Draw(r, "steps") {
+			from := rapid.IntRange(0, 1).Draw(r, "from")
+			switch rapid.IntRange(0, 5).Draw(r, "what") {
+			case 0:
+				list := lists.Draw(r, "whole")
+				s.Whole(now, from, list)
+				drained[from] = map[string]bool{}
+				told(from, list)
+			case 1:
+				list := lists.Draw(r, "some")
+				s.Some(now, from, list, nil)
+				told(from, list)
+			case 2:
+				name := "b" + strconv.Itoa(rapid.IntRange(0, 7).Draw(r, "drop"))
+				s.Some(now, from, nil, []string{name})
+				delete(drained[from], name)
+			case 3:
+				s.Failed(now, from)
+			case 4:
+				s.Same(now, from)
+			case 5:
+				now = now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(r, "ms")) * time.Millisecond)
+				s.Expire(now)
+			}
+			check()
+		}
+		last := lists.Draw(r, "last")
+		s.Whole(now, 0, nil)
+		s.Whole(now, 1, last)
+		for range 20 {
+			now = now.Add(30 * time.Second)
+			s.Same(now, 0)
+			s.Same(now, 1)
+			s.Expire(now)
+		}
+		drained = [2]map[string]bool{{}, {}}
+		told(1, last)
+		check()
+		want := map[string]State{}
+		for _, b := range last {
+			want[b.Name] = Ready
+			if b.Health >= Critical {
+				want[b.Name] = Draining
+			}
+		}
+		got := map[string]State{}
+		for _, m := range s.Members(now) {
+			got[m.Name] = m.State
+		}
+		require.Equal(r, want, got)
+	})
+}
+
+// BenchmarkChange: the cost of news grows with what changed, not with the list.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		for _, whole := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/whole=%v", n, whole), func(b *testing.B) {
+				s := New(Defaults("x", 1))
+				list := make([]Backend, n)
+				for i := range list {
+					list[i] = Backend{Name: "b" + strconv.Itoa(i), Address: "127.0.0.1:1", Weight: 1}
+				}
+				now := time.Unix(1e9, 0)
+				s.Whole(now, 0, list)
+				s.Changes()
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(time.Millisecond)
+					at := &list[i%n]
+					at.Weight++
+					if whole {
+						s.Whole(now, 0, list)
+					} else {
+						s.Some(now, 0, []Backend{*at}, nil)
+					}
+					if len(s.Changes()) != 1 {
+						b.Fatal("one change was made")
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -22,6 +22,7 @@
 	Clients *Clients
 	limits  atomic.Pointer[HTTP2Limits]
 	open    sync.Map // *streams of this front, for Drain
+	ends    atomic.Pointer[net.Listener]
 }
 
 // HTTP2Limits are what a new connection is told, and what becomes of reqs that are reset.
@@ -35,7 +36,10 @@
 func (f *HTTP2) Set(l HTTP2Limits) { f.limits.Store(&l) }
 
 // Serve accepts until the listener is closed. Set must have been called.
-func (f *HTTP2) Serve(l net.Listener) { f.Clients.accept(l, f.admit) }
+func (f *HTTP2) Serve(l net.Listener) {
+	f.ends.Store(&l)
+	f.Clients.accept(l, f.admit)
+}
 
 // Windows and queues of a connection, by the memory that all bodies may take.
 const (
@@ -516,8 +520,13 @@
 }
 
 // Drain has all connections go away without loss, and new ones as soon as they have begun. The
-// sessions themselves are in Clients' table, and its Drain waits for them.
+// sessions themselves are in Clients' table, and its Drain waits for them. After a while no new
+// ones are accepted: clients that come straight back would keep the shutdown from ending, and
+// its end would find their reqs open.
 func (f *HTTP2) Drain() {
+	if l := f.ends.Load(); l != nil {
+		time.AfterFunc(lateFront, func() { (*l).Close() })
+	}
 	f.open.Range(func(key, _ any) bool {
 		s := key.(*streams)
 		s.mu.Lock()
--- a/internal/network/http2_test.go
+++ b/internal/network/http2_test.go
@@ -53,9 +53,10 @@
 			s1/1 send {started r1}
 			h1 send {rst 1}
 			s1/1 expect closed
-			h1 send {post 3 e}{post 5 e}{post 7 e}{post 9 e}
-			h1 expect nothing
-			s1/2 expect POST /ingest r3 k3 2000`,
+			h1 send {post 3 e}
+			s1/2 expect POST /ingest r3 k3 2000
+			h1 send {post 5 e}{post 7 e}{post 9 e}
+			h1 expect nothing`,
 		"more streams than announced": hello + `
 			h1 send {post 1 x}{post 3 x}{post 5 x}{post 7 x}{post 9 x}
 			h1 expect rst 9 REFUSED_STREAM`,
