Consul's catalogue and health as a source of backends, with membership of its own; off

Need: other installations keep their backends in Consul, whose word is to be believed only so far.

Change: internal/membership decides, without I/O or clock, what state each backend is in from what several sources say: drains win at once, the missing are doubted, a silent source is believed as it was, too many that fall together have the source doubted, flapping ones are to be steady first. internal/consul reads health and catalogue by the official client (blocking queries, index that goes back, no leader, stale answers, failover, bounded bodies and calls, entries refused one by one) and registers the dispatcher. internal/network/members joins both to the core; internal/standin/consul is our stand-in of the HTTP API. Settings consul(), backends(), member_rules(), reloaded on SIGHUP; `tinsail members` prints the list with state, source, age and reason. Without these calls the director goes straight to the core as before.

--- a/cmd/tinsail/commands.go
+++ b/cmd/tinsail/commands.go
@@ -32,7 +32,7 @@
   tinsail completion bash > /etc/bash_completion.d/tinsail`,
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return faulty{err} })
-	c.AddCommand(serveCommand(), checkCommand(), versionCommand(), demoCommand(), referenceCommand())
+	c.AddCommand(serveCommand(), checkCommand(), versionCommand(), demoCommand(), membersCommand(), referenceCommand())
 	for _, sub := range c.Commands() {
 		sub.Args = noArgs
 	}
@@ -97,7 +97,7 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			cfg, err := config.Load(os.Getenv)
 			set, err2 := settings.Load(o.settings)
-			if err = errors.Join(err, err2, clash(cfg, set)); err != nil {
+			if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set)); err != nil {
 				return faulty{err}
 			}
 			fmt.Fprintln(c.OutOrStdout(), "the configuration and the settings are well")
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -32,7 +32,7 @@
 	}
 	cfg, err := config.Load(os.Getenv)
 	set, err2 := settings.Load(o.settings)
-	if err = errors.Join(err, err2, clash(cfg, set)); err != nil {
+	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set)); err != nil {
 		return faulty{err}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
@@ -69,6 +69,7 @@
 // dispatcher is a whole dispatcher with its parts wired.
 type dispatcher struct {
 	cfg      *config.Config
+	set      *settings.Settings // as at the start
 	log      zerolog.Logger
 	count    *counters.Set
 	core     *core.Core
@@ -77,6 +78,7 @@
 	clients  *network.Clients
 	listener net.Listener
 
+	sources   *sources       // nil where the director alone is asked
 	http2     *network.HTTP2 // nil where it is off
 	listener2 net.Listener
 }
@@ -113,14 +115,22 @@
 			return nil, fmt.Errorf("http2.listen: %w", err)
 		}
 	}
+	if err := d.addSources(set); err != nil {
+		d.close()
+		return nil, err
+	}
+	d.set = set
 	return d, nil
 }
 
 // start has all parts run, in the background.
 func (d *dispatcher) start() {
 	d.director.Start(d.cfg.Known.Index)
-	d.core.Listed(balance.ListCached, d.cfg.Known.Entries)
+	if d.sources == nil {
+		d.core.Listed(balance.ListCached, d.cfg.Known.Entries)
+	}
 	go d.core.Run(nil)
+	d.startSources(d.set)
 	if !d.cfg.Settings.Subscribe { // the module expects a list that comes unasked; on sockets none does
 		d.director.Subscribe()
 	}
@@ -131,6 +141,10 @@
 }
 
 func (d *dispatcher) drain() {
+	if d.sources != nil && d.sources.self != nil { // before any session is closed
+		d.sources.self.Drain()
+		defer d.sources.self.End()
+	}
 	if d.http2 != nil {
 		d.http2.Drain()
 	}
@@ -150,6 +164,9 @@
 func (d *dispatcher) stats() string {
 	var b strings.Builder
 	d.count.Print(&b, counterNames)
+	if d.sources != nil {
+		d.sources.count.Each(func(name string, n int64) { fmt.Fprintf(&b, "counter %s %d\n", name, n) })
+	}
 	return b.String()
 }
 
@@ -161,6 +178,9 @@
 			e.Int64(name, n)
 		}
 	})
+	if d.sources != nil {
+		d.sources.count.Each(func(name string, n int64) { e.Int64(name, n) })
+	}
 	e.Msg("counters")
 }
 
@@ -170,7 +190,7 @@
 func (d *dispatcher) reload(cfg *config.Config, set *settings.Settings, path string) (*config.Config, *settings.Settings) {
 	next, err := config.Load(os.Getenv)
 	nextSet, err2 := settings.Load(path)
-	if err = errors.Join(err, err2, clash(next, nextSet)); err != nil {
+	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet)); err != nil {
 		d.count.ReloadsBad.Add(1)
 		d.log.Error().Err(err).Msg("not reloaded")
 		return cfg, set
@@ -181,6 +201,7 @@
 	if d.http2 != nil && nextSet.HTTP2 != nil {
 		d.http2.Set(limits(nextSet.HTTP2))
 	}
+	d.reloadSources(set, nextSet)
 	later = append(cfg.Fixed(next), later...)
 	d.log.Info().Str("discovery", next.Discovery).Strs("changed", now).Strs("next_start", later).Msg("reloaded")
 	return next, nextSet
--- /dev/null
+++ b/cmd/tinsail/sources.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/config"
+	"tinsail/internal/consul"
+	"tinsail/internal/membership"
+	"tinsail/internal/network/members"
+	"tinsail/internal/settings"
+)
+
+// sources are where backends come from, where the settings name others than the director.
+type sources struct {
+	list     *members.List
+	director members.Source
+	consul   members.Source
+	static   members.Source
+	watch    context.CancelFunc // ends the watch that runs; nil if none does
+	ended    chan struct{}      // closed when it has
+	count    consul.Counts
+	self     *consul.Registration // nil if there is none
+}
+
+// Ranks of the sources: who is asked most directly describes a backend that several name.
+const (
+	staticRank = iota + 1
+	directorRank
+	consulRank
+)
+
+func millis(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// rules are those of the catalogue.
+func rules(set *settings.MemberRules) membership.Rules {
+	if set == nil {
+		return membership.Defaults("consul", consulRank)
+	}
+	return membership.Rules{Name: "consul", Rank: consulRank, Doubt: millis(set.DoubtMS), Hold: millis(set.HoldMS),
+		Panic: float64(set.PanicPercent) / 100, PanicWindow: millis(set.PanicWindowMS), PanicHold: millis(set.PanicHoldMS),
+		Flaps: set.Flaps, FlapWindow: millis(set.FlapWindowMS), Settle: millis(set.SettleMS), WarningDrains: set.WarningDrains}
+}
+
+// usesDirector says whether the platform's director is asked.
+func usesDirector(set *settings.Settings) bool { return set.Backends == nil || set.Backends.Director }
+
+// sources makes the list of backends where the settings ask for one. The platform's director
+// alone goes straight to the core, as it always has.
+func (d *dispatcher) addSources(set *settings.Settings) error {
+	if set.Consul == nil && set.Backends == nil {
+		return nil
+	}
+	s := &sources{list: members.New(d.core.Listed, membership.Rules{Name: "static", Rank: staticRank},
+		membership.Rules{Name: "director", Rank: directorRank}, rules(set.MemberRules))}
+	s.static, s.director, s.consul = s.list.Source(0), s.list.Source(1), s.list.Source(2)
+	d.sources = s
+	d.director.Told = s.director.Told
+	if !usesDirector(set) {
+		d.director.Off()
+	}
+	d.clients.Members = s.describe
+	if set.Consul != nil && set.Consul.Register != "" {
+		s.self = &consul.Registration{Config: consulConfig(set.Consul), Name: set.Consul.Register, ID: set.Consul.Register + "-" + d.cfg.Name,
+			Address: d.listener.Addr().String(), TTL: millis(set.Consul.RegisterTTLMS), Log: d.log}
+		if err := s.self.Init(); err != nil {
+			return faulty{err}
+		}
+	}
+	_, err := newWatch(d, set.Consul)
+	return err
+}
+
+// consulConfig reads the token where the settings say; it is in no file of ours.
+func consulConfig(c *settings.Consul) consul.Config {
+	out := consul.Config{Addresses: c.Address, Scheme: c.Scheme, Service: c.Service, Tags: c.Tags, Filter: c.Filter,
+		Datacenter: c.DC, Namespace: c.Namespace, Partition: c.Partition, TokenFile: c.TokenFile,
+		TLS:   api.TLSConfig{CAFile: c.CAFile, CertFile: c.CertFile, KeyFile: c.KeyFile},
+		Stale: c.Stale, MaxStale: millis(c.MaxStaleMS), Wait: millis(c.WaitMS), Timeout: millis(c.TimeoutMS),
+		MaxBody: int64(c.MaxBodyKB) << 10, PerSec: float64(c.CallsPerS), Entries: c.MaxEntries}
+	if c.TokenFile == "" && c.TokenEnv != "" {
+		out.Token = os.Getenv(c.TokenEnv)
+	}
+	return out
+}
+
+func newWatch(d *dispatcher, c *settings.Consul) (*consul.Watch, error) {
+	if c == nil {
+		return nil, nil
+	}
+	w := &consul.Watch{Config: consulConfig(c), Sink: d.sources.consul, Count: &d.sources.count, Log: d.log,
+		Fields: consul.Fields{Kind: c.KindMeta, Zone: c.ZoneMeta, Group: c.GroupMeta, Weight: c.WeightMeta, Started: c.StartedMeta,
+			Kinds: d.cfg.Names.Kinds, Zones: d.cfg.Names.Zones}}
+	if err := w.Init(); err != nil {
+		return nil, faulty{err}
+	}
+	return w, nil
+}
+
+// startSources begins to ask all sources.
+func (d *dispatcher) startSources(set *settings.Settings) {
+	s := d.sources
+	if s == nil {
+		return
+	}
+	if usesDirector(set) {
+		s.director.Told(balance.ListCached, d.cfg.Known.Entries)
+	}
+	s.static.Whole(static(set.Backends))
+	d.follow(set.Consul)
+	if s.self != nil {
+		s.self.Start()
+	}
+}
+
+// follow watches the catalogue as the settings say from now on. What is known of it stays: no
+// backend goes because another agent is asked.
+func (d *dispatcher) follow(c *settings.Consul) {
+	s := d.sources
+	if s.watch != nil {
+		s.watch()
+		<-s.ended
+		s.watch = nil
+	}
+	w, err := newWatch(d, c)
+	if err != nil || w == nil { // it was checked before it got here
+		return
+	}
+	var ctx context.Context
+	ctx, s.watch = context.WithCancel(context.Background())
+	s.ended = make(chan struct{})
+	go func(ended chan struct{}) {
+		w.Run(ctx)
+		close(ended)
+	}(s.ended)
+}
+
+// reloadSources takes over what can be.
+func (d *dispatcher) reloadSources(old, next *settings.Settings) {
+	if d.sources == nil {
+		return
+	}
+	d.sources.static.Whole(static(next.Backends))
+	if next.Consul != nil && old.Consul != nil && !reflect.DeepEqual(old.Consul, next.Consul) {
+		d.follow(next.Consul)
+	}
+}
+
+func static(b *settings.Backends) (list []membership.Backend) {
+	if b == nil {
+		return nil
+	}
+	for _, text := range b.Static {
+		name, address, _ := strings.Cut(text, "=")
+		list = append(list, membership.Backend{Name: name, Address: address, Weight: float64(b.StaticWeight)})
+	}
+	return list
+}
+
+// view is what `tinsail members` reads.
+type view struct {
+	Sources []sourceView `json:"sources"`
+	Members []memberView `json:"members"`
+}
+
+type sourceView struct {
+	Name     string `json:"name"`
+	State    string `json:"state"`
+	AgeMS    int64  `json:"age_ms"`
+	Backends int    `json:"backends"`
+	Down     int    `json:"down"`
+}
+
+type memberView struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	State   string  `json:"state"`
+	Source  string  `json:"source"`
+	AgeMS   int64   `json:"age_ms"`
+	Weight  float64 `json:"weight"`
+	Reason  string  `json:"reason"`
+}
+
+func (s *sources) describe() string {
+	list, from := s.list.Members()
+	var v view
+	for _, x := range from {
+		state := "told nothing yet"
+		switch {
+		case x.Expired:
+			state = "silent for too long: not believed"
+		case x.Silent:
+			state = "silent: believed as it was"
+		case x.Doubted:
+			state = "doubted: too many fell at once"
+		case x.Known:
+			state = "answers"
+		}
+		age := int64(0)
+		if x.Known {
+			age = x.Age.Milliseconds()
+		}
+		v.Sources = append(v.Sources, sourceView{x.Name, state, age, x.Backends, x.Down})
+	}
+	v.Members = []memberView{}
+	for _, m := range list {
+		v.Members = append(v.Members, memberView{m.Name, m.Address, m.State.String(), m.Source, m.Age.Milliseconds(), m.Weight, m.Reason})
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Sprintf(`{"error":%q}`, err)
+	}
+	return string(text)
+}
+
+// checkSources finds what the schema cannot: a token or certificate that is not there.
+func checkSources(cfg *config.Config, set *settings.Settings) error {
+	if cfg == nil || set == nil {
+		return nil
+	}
+	var faults settings.Faults
+	if c := set.Consul; c != nil {
+		if c.TokenFile != "" {
+			if _, err := os.ReadFile(c.TokenFile); err != nil {
+				faults = append(faults, settings.Fault{File: "settings", Key: "consul.token_file", Says: err.Error()})
+			}
+		} else if c.TokenEnv != "" && os.Getenv(c.TokenEnv) == "" {
+			faults = append(faults, settings.Fault{File: "settings", Key: "consul.token_env", Says: "is " + c.TokenEnv + ", which is not set"})
+		}
+		w := &consul.Watch{Config: consulConfig(c)}
+		if err := w.Init(); len(faults) == 0 && err != nil {
+			faults = append(faults, settings.Fault{File: "settings", Key: "consul", Says: err.Error()})
+		}
+	}
+	if b := set.Backends; b != nil && !b.Director && len(b.Static) == 0 && set.Consul == nil {
+		faults = append(faults, settings.Fault{File: "settings", Key: "backends.director", Says: "is False, and no other source of backends is set"})
+	}
+	if faults == nil {
+		return nil
+	}
+	return faults
+}
--- a/deploy/example.star
+++ b/deploy/example.star
@@ -13,3 +13,51 @@
     stall_ms = 5000,
     drain_ms = 300,
 )
+
+consul(
+    address = ["127.0.0.1:8500"],
+    service = "photo-workers",
+    tags = [],
+    filter = "",
+    scheme = "http",
+    dc = "",
+    namespace = "",
+    partition = "",
+    token_file = "",
+    token_env = "",
+    ca_file = "",
+    cert_file = "",
+    key_file = "",
+    stale = True,
+    max_stale_ms = 10000,
+    wait_ms = 30000,
+    timeout_ms = 3000,
+    max_body_kb = 16384,
+    max_entries = 100000,
+    calls_per_s = 10,
+    kind_meta = "kind",
+    zone_meta = "zone",
+    group_meta = "group",
+    weight_meta = "weight",
+    started_meta = "started_ms",
+    register = "",
+    register_ttl_ms = 15000,
+)
+
+backends(
+    director = True,
+    static = [],
+    static_weight = 4,
+)
+
+member_rules(
+    doubt_ms = 2000,
+    hold_ms = 300000,
+    panic_percent = 50,
+    panic_window_ms = 10000,
+    panic_hold_ms = 60000,
+    flaps = 3,
+    flap_window_ms = 30000,
+    settle_ms = 10000,
+    warning_drains = False,
+)
--- /dev/null
+++ b/internal/consul/consul_test.go
@@ -0,0 +1,291 @@
+package consul
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/membership"
+	standin "tinsail/internal/standin/consul"
+)
+
+// recorder takes down what a watch hands on, one word each.
+type recorder chan string
+
+func (r recorder) Whole(list []membership.Backend) {
+	var words []string
+	for _, b := range list {
+		words = append(words, fmt.Sprintf("%s=%s/%d", b.Name, b.Address[strings.LastIndexByte(b.Address, ':')+1:], b.Health))
+	}
+	sort.Strings(words)
+	r <- "[" + strings.Join(words, " ") + "]"
+}
+func (r recorder) Same()   { r <- "same" }
+func (r recorder) Failed() { r <- "failed" }
+
+// until takes words until one comes, and fails if that takes very long.
+func (r recorder) until(t *testing.T, want string) {
+	t.Helper()
+	var seen []string
+	late := time.After(30 * time.Second)
+	for {
+		select {
+		case got := <-r:
+			if got == want {
+				return
+			}
+			seen = append(seen, got)
+		case <-late:
+			t.Fatalf("no %s, but %v", want, seen)
+		}
+	}
+}
+
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+type rig struct {
+	agents []*standin.Agent
+	watch  *Watch
+	got    recorder
+	log    *lines
+}
+
+func begin(t *testing.T, n int, change func(*Config)) *rig {
+	r := &rig{got: make(recorder, 10_000), log: &lines{}}
+	c := Config{Scheme: "http", Service: "photo", Stale: true, MaxStale: 10 * time.Second, Wait: time.Second, Timeout: 5 * time.Second,
+		MaxBody: 64 << 10, PerSec: 1000, Entries: 1000}
+	for range n {
+		a, err := standin.Start()
+		require.NoError(t, err)
+		t.Cleanup(a.Close)
+		a.Put(standin.Service{ID: "p1", Service: "photo", Address: "127.0.0.1", Port: 81})
+		r.agents = append(r.agents, a)
+		c.Addresses = append(c.Addresses, a.Address)
+	}
+	if change != nil {
+		change(&c)
+	}
+	r.watch = &Watch{Config: c, Sink: r.got, Count: &Counts{}, Log: zerolog.New(r.log),
+		Fields: Fields{Kind: "kind", Zone: "zone", Group: "group", Weight: "weight", Started: "started_ms", Kinds: []string{"a", "b"}, Zones: []string{"x", "y"}}}
+	require.NoError(t, r.watch.Init())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.watch.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return r
+}
+
+// TestWatch: news comes as it is made, and states are told by their checks.
+func TestWatch(t *testing.T) {
+	r := begin(t, 1, nil)
+	a := r.agents[0]
+	r.got.until(t, "[p1=81/0]")
+	a.Put(standin.Service{ID: "p2", Service: "photo", Port: 82})
+	r.got.until(t, "[p1=81/0 p2=82/0]")
+	a.Put(standin.Service{ID: "q1", Service: "other", Address: "127.0.0.1", Port: 99})
+	a.Check("p1", "warning")
+	r.got.until(t, "[p1=81/1 p2=82/0]")
+	a.Check("p1", "critical")
+	r.got.until(t, "[p1=81/2 p2=82/0]")
+	a.Maintenance("p2", true)
+	r.got.until(t, "[p1=81/2 p2=82/3]")
+	a.Maintenance("p2", false)
+	a.Remove("p1")
+	r.got.until(t, "[p2=82/0]")
+	r.got.until(t, "same") // the wait is over and nothing new
+}
+
+// TestFaults: each is counted by its kind, and the watch goes on once it is over.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault standin.Faults
+		count func(*Counts) int64
+	}{
+		{"500", standin.Faults{Status: 500}, func(c *Counts) int64 { return c.Errors.Load() }},
+		{"429", standin.Faults{Status: 429}, func(c *Counts) int64 { return c.Limited.Load() }},
+		{"403", standin.Faults{Status: 403}, func(c *Counts) int64 { return c.Forbidden.Load() }},
+		{"reset", standin.Faults{Reset: true}, func(c *Counts) int64 { return c.Unreachable.Load() }},
+		{"half a body", standin.Faults{Half: true}, func(c *Counts) int64 { return c.Unread.Load() }},
+		{"no leader", standin.Faults{NoLeader: true}, func(c *Counts) int64 { return c.NoLeader.Load() }},
+		{"stale", standin.Faults{Stale: time.Minute}, func(c *Counts) int64 { return c.TooStale.Load() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := begin(t, 1, nil)
+			r.got.until(t, "[p1=81/0]")
+			r.agents[0].Set(c.fault)
+			r.got.until(t, "failed")
+			assert.Positive(t, c.count(r.watch.Count))
+			r.agents[0].Put(standin.Service{ID: "p2", Service: "photo", Port: 82})
+			r.agents[0].Set(standin.Faults{})
+			r.got.until(t, "[p1=81/0 p2=82/0]")
+		})
+	}
+}
+
+// TestSilent: an agent that says nothing is given up after its time.
+func TestSilent(t *testing.T) {
+	r := begin(t, 1, func(c *Config) { c.Timeout = 100 * time.Millisecond })
+	r.got.until(t, "[p1=81/0]")
+	r.agents[0].Set(standin.Faults{Silent: true})
+	r.got.until(t, "failed")
+	r.agents[0].Set(standin.Faults{})
+	r.got.until(t, "[p1=81/0]")
+}
+
+// TestIndexBack: after an index that goes back nothing of that answer is believed, and the next
+// call asks for the whole list anew.
+func TestIndexBack(t *testing.T) {
+	r := begin(t, 1, nil)
+	r.got.until(t, "[p1=81/0]")
+	r.agents[0].Set(standin.Faults{Back: 5, Empty: true})
+	for r.watch.Count.Restarted.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.agents[0].Set(standin.Faults{})
+	r.got.until(t, "[p1=81/0]")
+}
+
+// TestFailover: the next agent is asked when one fails, and another view is another list.
+func TestFailover(t *testing.T) {
+	r := begin(t, 2, nil)
+	r.agents[1].Put(standin.Service{ID: "p2", Service: "photo", Port: 82})
+	r.got.until(t, "[p1=81/0]")
+	r.agents[0].Close()
+	r.got.until(t, "[p1=81/0 p2=82/0]")
+	assert.Positive(t, r.watch.Count.Failover.Load())
+}
+
+// TestBadEntries: each is refused by itself and named, and of two with one id the newer holds.
+func TestBadEntries(t *testing.T) {
+	r := begin(t, 1, nil)
+	a := r.agents[0]
+	r.got.until(t, "[p1=81/0]")
+	a.Set(standin.Faults{Malformed: true, Double: true})
+	a.Put(standin.Service{ID: "p2", Service: "photo", Port: 82, Meta: map[string]string{"weight": "much"}})
+	a.Put(standin.Service{ID: "p3", Service: "photo", Port: 83, Meta: map[string]string{"weight": "8", "kind": "b", "zone": "y", "group": "7"}})
+	r.got.until(t, "[p1=81/0 p3=83/0]")
+	assert.Positive(t, r.watch.Count.Duplicates.Load())
+	for _, want := range []string{"no address", "a port that is none", "a bad id", `con\\x01trol`, "a number in its meta", "consul entry refused"} {
+		assert.Contains(t, r.log.String(), want)
+	}
+}
+
+// TestTooLong: an answer beyond the bound is not read, and a list beyond its is cut.
+func TestTooLong(t *testing.T) {
+	r := begin(t, 1, func(c *Config) { c.MaxBody = 2000 })
+	r.got.until(t, "[p1=81/0]")
+	for i := range 20 {
+		r.agents[0].Put(standin.Service{ID: fmt.Sprint("x", i), Service: "photo", Port: 1})
+	}
+	r.got.until(t, "failed")
+	for r.watch.Count.Unread.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r = begin(t, 1, func(c *Config) { c.Entries = 1 })
+	r.agents[0].Put(standin.Service{ID: "p0", Service: "photo", Port: 80})
+	r.got.until(t, "[p0=80/0]")
+	assert.Positive(t, r.watch.Count.Refused.Load())
+}
+
+// TestToken: it is sent, and never logged.
+func TestToken(t *testing.T) {
+	r := begin(t, 1, func(c *Config) { c.Token = "secret-1" })
+	r.got.until(t, "[p1=81/0]")
+	r.agents[0].Token("secret-2")
+	r.got.until(t, "failed")
+	assert.NotContains(t, r.log.String(), "secret")
+	assert.Positive(t, r.watch.Count.Forbidden.Load())
+}
+
+// TestFields: kind, zone, group and weight come from where the settings say.
+func TestFields(t *testing.T) {
+	r := begin(t, 1, nil)
+	r.got.until(t, "[p1=81/0]")
+	f := r.watch.Fields
+	agents, err := r.watch.Config.agents()
+	require.NoError(t, err)
+	r.agents[0].Put(standin.Service{ID: "p3", Service: "photo", Port: 83, Weights: standin.Weights{Passing: 10, Warning: 2},
+		Meta: map[string]string{"kind": "b", "zone": "nowhere", "group": "7", "started_ms": "99"}})
+	r.agents[0].Check("p3", "warning")
+	list, _, err := agents[0].Health().Service("photo", "", false, nil)
+	require.NoError(t, err)
+	b, why := f.backend(list[1])
+	assert.Empty(t, why)
+	assert.Equal(t, membership.Backend{Name: "p3", Address: "127.0.0.1:83", Kind: 1, Group: 7, Weight: 2, Started: 99, Health: membership.Warning}, b)
+	_, why = f.backend(nil)
+	assert.NotEmpty(t, why)
+}
+
+// TestRegistration: an instance is there and passes, is taken up again by an agent that forgot it,
+// is in maintenance while it drains, and gone at the end.
+func TestRegistration(t *testing.T) {
+	a, err := standin.Start()
+	require.NoError(t, err)
+	defer a.Close()
+	r := &Registration{Config: Config{Addresses: []string{a.Address}, Scheme: "http", MaxBody: 1 << 20}, Name: "tinsail", ID: "tinsail-1",
+		Address: "127.0.0.1:8081", TTL: 60 * time.Millisecond}
+	require.NoError(t, r.Init())
+	r.Start()
+	state := func(want string) {
+		t.Helper()
+		for begun := time.Now(); a.Services()["tinsail-1"] != want; time.Sleep(time.Millisecond) {
+			require.Less(t, time.Since(begun), 30*time.Second, "never %s", want)
+		}
+	}
+	state("passing")
+	a.Forget()
+	state("passing")
+	r.Drain()
+	state("maintenance")
+	a.Forget()
+	state("maintenance")
+	r.End()
+	state("")
+}
+
+// FuzzEntries: no answer of an agent has the reader panic or hand on what cannot be used.
+func FuzzEntries(f *testing.F) {
+	f.Add("p1", "127.0.0.1", 80, "4", "7")
+	f.Add("", "", -1, "NaN", "1e99")
+	f.Fuzz(func(t *testing.T, id, address string, port int, weight, group string) {
+		a := entry(id, address, port, map[string]string{"weight": weight, "group": group})
+		fields := Fields{Weight: "weight", Group: "group"}
+		b, why := fields.backend(a)
+		if why == "" {
+			assert.NotEmpty(t, b.Name)
+			assert.True(t, printable(b.Name) && printable(b.Address))
+			assert.GreaterOrEqual(t, b.Weight, 0.0)
+			assert.GreaterOrEqual(t, b.Group, 0)
+		}
+	})
+}
+
+func entry(id, address string, port int, meta map[string]string) *api.ServiceEntry {
+	return &api.ServiceEntry{Service: &api.AgentService{ID: id, Address: address, Port: port, Meta: meta}}
+}
--- /dev/null
+++ b/internal/consul/entries.go
@@ -0,0 +1,144 @@
+package consul
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/hashicorp/consul/api"
+
+	"tinsail/internal/membership"
+)
+
+// Fields say where an instance's meta holds what Consul has no field for, and which numbers the
+// names stand for. A name that is not known, or no name, stands for the first.
+type Fields struct {
+	Kind, Zone, Group, Weight, Started string // keys of Service.Meta; empty if there is none
+	Kinds, Zones                       []string
+}
+
+// isJSON says whether a call failed because its answer could not be read.
+func isJSON(err error) bool {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	return errors.As(err, &syntax) || errors.As(err, &kind) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// read turns an answer into backends. An entry that cannot be used is refused by itself, named in
+// the log and counted; the rest holds.
+func (w *Watch) read(list []*api.ServiceEntry) []membership.Backend {
+	if n := w.Config.Entries; n > 0 && len(list) > n {
+		w.Count.Refused.Add(int64(len(list) - n))
+		w.Log.Warn().Int("entries", len(list)).Int("most", n).Msg("consul list too long")
+		list = list[:n]
+	}
+	out := make([]membership.Backend, 0, len(list))
+	seen := make(map[string]int, len(list))
+	index := make([]uint64, 0, len(list))
+	for _, e := range list {
+		b, why := w.Fields.backend(e)
+		if why != "" {
+			w.Count.Refused.Add(1)
+			id := ""
+			if e != nil && e.Service != nil {
+				id = e.Service.ID
+			}
+			w.Log.Warn().Str("id", strconv.QuoteToASCII(id)).Str("why", why).Msg("consul entry refused")
+			continue
+		}
+		if at, ok := seen[b.Name]; ok { // agents that disagree, or a node that moved: the newer one holds
+			w.Count.Duplicates.Add(1)
+			if e.Service.ModifyIndex > index[at] {
+				out[at], index[at] = b, e.Service.ModifyIndex
+			}
+			continue
+		}
+		seen[b.Name] = len(out)
+		out, index = append(out, b), append(index, e.Service.ModifyIndex)
+	}
+	return out
+}
+
+const maxName = 256
+
+// backend reads one entry, or says why it cannot be used.
+func (f *Fields) backend(e *api.ServiceEntry) (b membership.Backend, why string) {
+	if e == nil || e.Service == nil {
+		return b, "no service"
+	}
+	s := e.Service
+	if b.Name = s.ID; b.Name == "" || len(b.Name) > maxName || !printable(b.Name) {
+		return b, "a bad id"
+	}
+	host := s.Address
+	if host == "" && e.Node != nil {
+		host = e.Node.Address
+	}
+	if host == "" || len(host) > maxName || !printable(host) {
+		return b, "no address"
+	}
+	if s.Port < 1 || s.Port > 65535 {
+		return b, "a port that is none"
+	}
+	b.Address = net.JoinHostPort(host, strconv.Itoa(s.Port))
+	b.Health = health(e.Checks)
+	if b.Weight = float64(s.Weights.Passing); b.Health == membership.Warning {
+		b.Weight = float64(s.Weights.Warning)
+	}
+	if b.Weight < 0 {
+		b.Weight = 0
+	}
+	number := func(key string, to *float64) bool {
+		text := s.Meta[key]
+		if key == "" || text == "" {
+			return true
+		}
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+			return false
+		}
+		*to = v
+		return true
+	}
+	group := 0.0
+	if !number(f.Weight, &b.Weight) || !number(f.Started, &b.Started) || !number(f.Group, &group) || group > math.MaxInt32 {
+		return b, "a number in its meta that is none"
+	}
+	b.Group = int(group)
+	b.Kind = max(slices.Index(f.Kinds, s.Meta[f.Kind]), 0)
+	b.Zone = max(slices.Index(f.Zones, s.Meta[f.Zone]), 0)
+	return b, ""
+}
+
+// health is the worst of an instance's checks. Maintenance is a check by its name: a person's word
+// that nothing new is to come.
+func health(checks api.HealthChecks) membership.Health {
+	worst := membership.Passing
+	for _, c := range checks {
+		h := membership.Critical
+		switch {
+		case c.CheckID == api.NodeMaint || strings.HasPrefix(c.CheckID, api.ServiceMaintPrefix):
+			return membership.Drain
+		case c.Status == api.HealthPassing:
+			h = membership.Passing
+		case c.Status == api.HealthWarning:
+			h = membership.Warning
+		}
+		worst = max(worst, h)
+	}
+	return worst
+}
+
+func printable(text string) bool {
+	for _, c := range []byte(text) {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -47,6 +47,7 @@
 	Held    int64 // bytes of bodies that may be held for all sessions together
 	Longest time.Duration
 	Stats   func() string
+	Members func() string // the list of backends for people; may be nil
 	Log     zerolog.Logger
 
 	draining, closing atomic.Bool  // a shutdown has begun; answers end their sessions
@@ -405,6 +406,8 @@
 		return 200, ""
 	case path == "/counters":
 		return 200, c.Stats()
+	case path == "/members" && c.Members != nil:
+		return 200, c.Members()
 	}
 	return 404, ""
 }
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// Off has Subscribe do nothing: backends come from elsewhere.
+func (d *Director) Off() { d.on.Store(true) }
+
 // Start tells which version is known.
 func (d *Director) Start(index uint64) { d.index = index }
 
--- /dev/null
+++ b/internal/network/members/members.go
@@ -0,0 +1,136 @@
+// Package members carries what sources say of backends to package membership, and what it makes
+// of that to the core. It holds the lock and the timer that the decisions do without.
+package members
+
+import (
+	"sync"
+	"time"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/membership"
+	"tinsail/internal/platform"
+)
+
+// List is the list of backends of a dispatcher with several sources.
+type List struct {
+	mu    sync.Mutex
+	set   *membership.Set
+	told  func(balance.ListKind, []core.Entry)
+	timer *time.Timer
+	at    time.Time // that the timer is set for; zero if it is not
+}
+
+// New makes a list that tells its changes to told, in their order; told must not block.
+func New(told func(balance.ListKind, []core.Entry), rules ...membership.Rules) *List {
+	return &List{set: membership.New(rules...), told: told}
+}
+
+// Source is one source's end of a list. Its methods may be called from any goroutine.
+type Source struct {
+	list *List
+	at   int
+}
+
+// Source is the i-th of the sources that New was given rules for.
+func (l *List) Source(i int) Source { return Source{l, i} }
+
+// Whole takes a whole list.
+func (s Source) Whole(list []membership.Backend) {
+	s.list.do(func(now time.Time) { s.list.set.Whole(now, s.at, list) })
+}
+
+// Some takes changes.
+func (s Source) Some(list []membership.Backend, dropped []string) {
+	s.list.do(func(now time.Time) { s.list.set.Some(now, s.at, list, dropped) })
+}
+
+// Same takes the news that nothing changed.
+func (s Source) Same() { s.list.do(func(now time.Time) { s.list.set.Same(now, s.at) }) }
+
+// Failed takes the news that the source does not answer.
+func (s Source) Failed() { s.list.do(func(now time.Time) { s.list.set.Failed(now, s.at) }) }
+
+// Told takes a list of the platform's director.
+func (s Source) Told(kind balance.ListKind, entries []core.Entry) {
+	if kind == balance.ListFailed {
+		s.Failed()
+		return
+	}
+	var list []membership.Backend
+	var dropped []string
+	for i := range entries {
+		e := &entries[i]
+		if e.State == balance.Gone {
+			dropped = append(dropped, e.Name)
+			continue
+		}
+		b := membership.Backend{Name: e.Name, Address: e.Address, Kind: e.Kind, Zone: e.Zone, Group: e.Cell, Weight: e.Weight, Started: e.Started}
+		if e.State == balance.Draining {
+			b.Health = membership.Drain
+		}
+		list = append(list, b)
+	}
+	if kind == balance.ListDelta {
+		s.Some(list, dropped)
+		return
+	}
+	s.Whole(list)
+}
+
+// do lets something happen, then tells what it changed.
+func (l *List) do(f func(now time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	f(now)
+	l.set.Expire(now)
+	if changes := l.set.Changes(); len(changes) > 0 {
+		l.told(balance.ListDelta, Entries(changes))
+	}
+	next := l.set.Next()
+	if next.Equal(l.at) {
+		return
+	}
+	l.at = next
+	switch {
+	case next.IsZero():
+		l.timer.Stop()
+	case l.timer == nil:
+		l.timer = time.AfterFunc(time.Until(next), l.expire)
+	default:
+		l.timer.Reset(time.Until(next))
+	}
+}
+
+func (l *List) expire() { l.do(func(time.Time) {}) }
+
+// Close stops the timer.
+func (l *List) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// Members and Sources tell how things stand, for people.
+func (l *List) Members() ([]membership.Member, []membership.Status) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	return l.set.Members(now), l.set.Sources(now)
+}
+
+var states = [...]balance.State{membership.Ready: balance.Ready, membership.Draining: balance.Draining, membership.Gone: balance.Gone}
+
+// Entries are members as the core takes them.
+func Entries(list []membership.Member) []core.Entry {
+	out := make([]core.Entry, len(list))
+	for i := range list {
+		m := &list[i]
+		out[i] = core.Entry{Name: m.Name, Address: m.Address, Worker: balance.Worker{ID: balance.WorkerID(platform.Hash(m.Name)),
+			Started: m.Started, Kind: m.Kind, Cell: m.Group, Zone: m.Zone, State: states[m.State], Weight: m.Weight}}
+	}
+	return out
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,10 @@
 
 // Settings is what a script yields. A part that the script does not name is nil, and off.
 type Settings struct {
-	HTTP2 *HTTP2 `json:"http2"`
+	HTTP2       *HTTP2       `json:"http2"`
+	Consul      *Consul      `json:"consul"`
+	Backends    *Backends    `json:"backends"`
+	MemberRules *MemberRules `json:"member_rules"`
 }
 
 // HTTP2 sets the HTTP/2 front; the schema says what each value means.
@@ -45,6 +48,57 @@
 	DrainMS        int    `json:"drain_ms"`
 }
 
+// Consul sets Consul as a source of backends; the schema says what each value means.
+type Consul struct {
+	Address       []string `json:"address"`
+	Service       string   `json:"service"`
+	Tags          []string `json:"tags"`
+	Filter        string   `json:"filter"`
+	Scheme        string   `json:"scheme"`
+	DC            string   `json:"dc"`
+	Namespace     string   `json:"namespace"`
+	Partition     string   `json:"partition"`
+	TokenFile     string   `json:"token_file"`
+	TokenEnv      string   `json:"token_env"`
+	CAFile        string   `json:"ca_file"`
+	CertFile      string   `json:"cert_file"`
+	KeyFile       string   `json:"key_file"`
+	Stale         bool     `json:"stale"`
+	MaxStaleMS    int      `json:"max_stale_ms"`
+	WaitMS        int      `json:"wait_ms"`
+	TimeoutMS     int      `json:"timeout_ms"`
+	MaxBodyKB     int      `json:"max_body_kb"`
+	MaxEntries    int      `json:"max_entries"`
+	CallsPerS     int      `json:"calls_per_s"`
+	KindMeta      string   `json:"kind_meta"`
+	ZoneMeta      string   `json:"zone_meta"`
+	GroupMeta     string   `json:"group_meta"`
+	WeightMeta    string   `json:"weight_meta"`
+	StartedMeta   string   `json:"started_meta"`
+	Register      string   `json:"register"`
+	RegisterTTLMS int      `json:"register_ttl_ms"`
+}
+
+// Backends sets the other sources of backends; the schema says what each value means.
+type Backends struct {
+	Director     bool     `json:"director"`
+	Static       []string `json:"static"`
+	StaticWeight int      `json:"static_weight"`
+}
+
+// MemberRules sets how far a catalogue is believed; the schema says what each value means.
+type MemberRules struct {
+	DoubtMS       int  `json:"doubt_ms"`
+	HoldMS        int  `json:"hold_ms"`
+	PanicPercent  int  `json:"panic_percent"`
+	PanicWindowMS int  `json:"panic_window_ms"`
+	PanicHoldMS   int  `json:"panic_hold_ms"`
+	Flaps         int  `json:"flaps"`
+	FlapWindowMS  int  `json:"flap_window_ms"`
+	SettleMS      int  `json:"settle_ms"`
+	WarningDrains bool `json:"warning_drains"`
+}
+
 // DefaultHTTP2 is the front at an address, with all else as the schema has it.
 func DefaultHTTP2(listen string) *HTTP2 {
 	s, err := Parse("defaults", func(string) ([]byte, error) { return []byte("http2(listen = \"127.0.0.1:1\")"), nil })
@@ -282,6 +336,9 @@
 			}
 			return
 		}
+		if len(e.InstanceLocation) > 2 { // a value in a list: the whole list is told
+			e.InstanceLocation, e.ErrorKind = e.InstanceLocation[:2], nil
+		}
 		c := s.calls[e.InstanceLocation[0]]
 		name := e.InstanceLocation[0]
 		switch k := e.ErrorKind.(type) {
@@ -299,6 +356,9 @@
 				key = e.InstanceLocation[1]
 			}
 			got, _ := json.Marshal(c.values[key])
+			if len(faults) > 0 && faults[len(faults)-1].Key == name+"."+key { // one fault for each key is enough
+				return
+			}
 			faults = append(faults, c.fault(name, key, fmt.Sprintf("is %s, want %s", got, properties(name)[key].Wanted)))
 		}
 	}
@@ -314,6 +374,8 @@
 	return faults
 }
 
+var holds = map[string]string{"next start": "the next start", "new connections": "connections from then on", "now": "at once"}
+
 // Reference writes what can be set, as Markdown, out of the schema.
 func Reference() string {
 	var b strings.Builder
@@ -328,7 +390,7 @@
 				text, _ := json.Marshal(k.Default)
 				def = "`" + string(text) + "`"
 			}
-			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", key, k.Wanted, def, "the "+strings.Replace(k.Holds, "new connections", "connections from then on", 1))
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", key, k.Wanted, def, holds[k.Holds])
 		}
 		b.WriteString("\n")
 		for _, key := range keys(call) {
