Consul: measured under load, a stand-in to try by hand, news that costs by what changed

Need: the issue asks for drains, an outage and a catalogue that lies under load, and for a cost of merging that grows with changes.

A whole list allocated a map of its names.

Change: that map is made anew after a large change; a whole list is told by its round. `make measure-members` runs the measurements; `tinsail lab consul` starts the stand-in with faults by PUT /lab/faults.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure
+.PHONY: build demo test lint run measure measure-members
 
 # A fresh machine needs Go 1.26 and make; modules come by go.mod and go.sum.
 
@@ -20,5 +20,10 @@
 	go test -run - -bench 'Fronts|Idle' -benchtime 1s ./internal/network
 	go test -run - -bench Abuse -benchtime 1x ./internal/network
 
+# Drains, an outage and a catalogue that lies, under load: docs/design/consul.md has the figures.
+measure-members:
+	go test -run - -bench Change ./internal/membership
+	go test -run - -bench 'Drains|Outage|Lying|Catalogue' -benchtime 1x -timeout 15m ./cmd/tinsail
+
 run: build
 	exec bin/tinsail serve
--- /dev/null
+++ b/cmd/tinsail/consul_test.go
@@ -0,0 +1,399 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/config"
+	"tinsail/internal/consul"
+	"tinsail/internal/membership"
+	"tinsail/internal/settings"
+	standin "tinsail/internal/standin/consul"
+	"tinsail/internal/standin/platform"
+)
+
+// site is a dispatcher in this process whose backends are in a catalogue, a director's list, or
+// both; all of it stand-ins but the dispatcher.
+type site struct {
+	t        testing.TB
+	d        *dispatcher
+	agents   []*standin.Agent
+	director *platform.Director
+	backends []*platform.Backend
+	set      *settings.Settings
+}
+
+func newSite(t testing.TB, agents, backends int, work time.Duration, script string) *site {
+	s := &site{t: t}
+	var err error
+	s.director, err = platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(s.director.Close)
+	var addresses []string
+	for range agents {
+		a, err := standin.Start()
+		require.NoError(t, err)
+		t.Cleanup(a.Close)
+		s.agents = append(s.agents, a)
+		addresses = append(addresses, strconv.Quote(a.Address))
+	}
+	for range backends {
+		s.add(work)
+	}
+	cfg, err := config.Parse(demoConfig, os.Getenv)
+	require.NoError(t, err)
+	cfg.Discovery = s.director.Address
+	script = strings.ReplaceAll(script, "AGENTS", "["+strings.Join(addresses, ", ")+"]")
+	s.set, err = settings.Parse("s.star", func(string) ([]byte, error) { return []byte(script), nil })
+	require.NoError(t, err)
+	s.d, err = assemble(cfg, s.set, zerolog.Nop())
+	require.NoError(t, err)
+	s.d.start()
+	t.Cleanup(s.d.close)
+	s.await(func() bool { return s.d.core.Ready() == backends })
+	return s
+}
+
+// add starts a backend and names it to all.
+func (s *site) add(work time.Duration) *platform.Backend {
+	i := len(s.backends)
+	b, err := platform.StartBackend(fmt.Sprintf("b%02d", i), 8, func(string) time.Duration { return work })
+	require.NoError(s.t, err)
+	s.t.Cleanup(b.Close)
+	s.backends = append(s.backends, b)
+	for _, a := range s.agents {
+		a.Put(s.instance(b))
+	}
+	s.director.Set(b.Entry("fast", "here", i, "Ready"))
+	return b
+}
+
+func (s *site) instance(b *platform.Backend) standin.Service {
+	host, port, err := net.SplitHostPort(b.Address)
+	require.NoError(s.t, err)
+	n, err := strconv.Atoi(port)
+	require.NoError(s.t, err)
+	return standin.Service{ID: b.Name, Service: "photo", Address: host, Port: n, Meta: map[string]string{"weight": "8", "kind": "fast", "group": b.Name[1:]}}
+}
+
+func (s *site) await(f func() bool) {
+	s.t.Helper()
+	for begun := time.Now(); !f(); time.Sleep(time.Millisecond) {
+		require.Less(s.t, time.Since(begun), 30*time.Second, "it never came")
+	}
+}
+
+// load sends so many reqs a second until stop is closed, whether they are answered or not. Served
+// in time is within 120 ms and twice the work.
+type load struct {
+	sent, good, served, refused, failed, lost atomic.Int64
+	all                                       sync.WaitGroup
+}
+
+func (s *site) load(perSec int, within time.Duration, stop <-chan struct{}) *load {
+	l := &load{}
+	f := newFront("HTTP/1.1", s.d.listener.Addr().String(), 256, false)
+	l.all.Go(func() {
+		defer f.client.CloseIdleConnections()
+		tick := time.NewTicker(time.Second / time.Duration(perSec))
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+			}
+			l.all.Go(func() {
+				id := fmt.Sprint("m-", reqs.Add(1))
+				l.sent.Add(1)
+				begun := time.Now()
+				switch status, err := f.send(id); {
+				case err != nil:
+					l.lost.Add(1)
+				case status == 200:
+					l.served.Add(1)
+					if time.Since(begun) <= within {
+						l.good.Add(1)
+					}
+				case status == 503 || status == 429:
+					l.refused.Add(1)
+				default:
+					l.failed.Add(1)
+				}
+			})
+		}
+	})
+	return l
+}
+
+var reqs atomic.Int64
+
+func (l *load) inTime() float64 { return 100 * float64(l.good.Load()) / float64(max(l.sent.Load(), 1)) }
+
+const both = "consul(address = AGENTS, service = \"photo\", wait_ms = 5000, timeout_ms = 1000, calls_per_s = 100)\nbackends(director = False)\n"
+
+// TestConsulSite: a dispatcher serves from the catalogue; what is in maintenance gets nothing new,
+// an address that moves is followed, a silent catalogue costs nothing, and SIGHUP to another agent
+// drops no attempt.
+func TestConsulSite(t *testing.T) {
+	s := newSite(t, 2, 3, 0, both)
+	f := newFront("HTTP/1.1", s.d.listener.Addr().String(), 8, false)
+	ask := func(n int) {
+		for range n {
+			require.NoError(t, f.one(fmt.Sprint("s-", reqs.Add(1))))
+		}
+	}
+	ask(30)
+	s.agents[0].Maintenance("b01", true)
+	s.await(func() bool { return s.d.core.Ready() == 2 })
+	before := s.backends[1].Counts().Jobs
+	ask(30)
+	assert.Equal(t, before, s.backends[1].Counts().Jobs, "nothing to one that drains")
+
+	moved, err := platform.StartBackend("b02", 8, func(string) time.Duration { return 0 })
+	require.NoError(t, err)
+	defer moved.Close()
+	s.agents[0].Put(s.instance(moved))
+	s.await(func() bool {
+		list, _ := s.d.sources.list.Members()
+		return list[2].Address == moved.Address
+	})
+	before = s.backends[2].Counts().Jobs
+	ask(30)
+	assert.Equal(t, before, s.backends[2].Counts().Jobs, "nothing to where it was")
+	assert.Positive(t, moved.Counts().Jobs)
+
+	s.agents[0].Set(standin.Faults{Reset: true})
+	s.agents[1].Set(standin.Faults{Reset: true})
+	s.await(func() bool { return s.d.sources.count.Unreachable.Load() >= 2 })
+	ask(30)
+	assert.Equal(t, 2, s.d.core.Ready(), "the last list holds")
+	assert.Contains(t, s.d.sources.describe(), "silent: believed as it was")
+
+	s.agents[1].Put(s.instance(moved))
+	s.agents[1].Maintenance("b01", true)
+	s.agents[1].Set(standin.Faults{})
+	s.backends[0].Set(platform.Faults{Hold: true})
+	moved.Set(platform.Faults{Hold: true})
+	done := make(chan error, 1)
+	go func() { done <- f.one("across-the-reload") }()
+	s.await(func() bool { return s.d.core.Open() == 1 })
+	next := *s.set
+	c := *s.set.Consul
+	c.Address = []string{s.agents[1].Address}
+	next.Consul = &c
+	s.d.reloadSources(s.set, &next)
+	s.backends[0].Set(platform.Faults{})
+	moved.Set(platform.Faults{})
+	require.NoError(t, <-done)
+	s.await(func() bool { return strings.Contains(s.d.sources.describe(), `"consul","state":"answers"`) })
+
+	var out strings.Builder
+	assert.Equal(t, exitOK, execute([]string{"members", "--at", s.d.listener.Addr().String()}, &out, &out), out.String())
+	for _, want := range []string{"b00", "b01", "draining", "told to drain", "consul", "answers"} {
+		assert.Contains(t, out.String(), want)
+	}
+	assert.Equal(t, int64(0), f.refused.Load()+f.failed.Load())
+}
+
+// TestSourcesChecked: what the schema cannot find is found before anything is started.
+func TestSourcesChecked(t *testing.T) {
+	t.Setenv("ROUTER_CONFIG", filepath.Join(t.TempDir(), "c.json"))
+	require.NoError(t, os.WriteFile(os.Getenv("ROUTER_CONFIG"), demoConfig, 0o600))
+	for script, want := range map[string]string{
+		`consul(address = ["a:1"], service = "s", token_file = "/none")`:                "consul.token_file: open /none",
+		`consul(address = ["a:1"], service = "s", token_env = "TINSAIL_NO_TOKEN")`:      "consul.token_env: is TINSAIL_NO_TOKEN, which is not set",
+		`consul(address = ["a:1"], service = "s", scheme = "https", ca_file = "/none")`: "consul: tls:",
+		`consul(address = ["a"], service = "s")`:                                        `consul.address: is ["a"], want a list of 1 to 16 host:port`,
+		`backends(director = False)`:                                                    "backends.director: is False, and no other source",
+		`member_rules(hold_ms = 5000)`:                                                  "member_rules.hold_ms: is 5000, want 0, or a whole number from 30000",
+	} {
+		path := filepath.Join(t.TempDir(), "s.star")
+		require.NoError(t, os.WriteFile(path, []byte(script), 0o600))
+		var out strings.Builder
+		assert.Equal(t, exitFaulty, execute([]string{"check", "--settings", path}, &out, &out), script)
+		assert.Contains(t, out.String(), want)
+	}
+}
+
+// BenchmarkDrains measures the time from the catalogue's marking a backend as draining to the last
+// job sent to it, over 1,000 drains under load.
+func BenchmarkDrains(b *testing.B) {
+	for b.Loop() {
+		const drains, at = 1000, 4
+		s := newSite(b, 1, 12, 5*time.Millisecond, both)
+		stop := make(chan struct{})
+		l := s.load(1000, 130*time.Millisecond, stop)
+		var took []time.Duration
+		for round := range drains / at {
+			marked := map[*platform.Backend]time.Time{}
+			for k := range at {
+				backend := s.backends[(round*at+k)%12]
+				marked[backend] = time.Now()
+				s.agents[0].Maintenance(backend.Name, true)
+			}
+			time.Sleep(60 * time.Millisecond)
+			for backend, begun := range marked {
+				took = append(took, max(backend.LastJob().Sub(begun), 0))
+				s.agents[0].Maintenance(backend.Name, false)
+			}
+			s.await(func() bool { return s.d.core.Ready() == 12 })
+			time.Sleep(10 * time.Millisecond)
+		}
+		close(stop)
+		l.all.Wait()
+		slices.Sort(took)
+		ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+		b.ReportMetric(ms(took[len(took)/2]), "p50-ms")
+		b.ReportMetric(ms(took[len(took)*99/100]), "p99-ms")
+		b.ReportMetric(ms(took[len(took)-1]), "max-ms")
+		b.ReportMetric(l.inTime(), "in-time-%")
+		b.ReportMetric(float64(l.lost.Load()), "lost")
+	}
+}
+
+// BenchmarkOutage measures what is served in time while the catalogue is silent for 30 s, one
+// backend dies and one is replaced by another that it can not tell of.
+func BenchmarkOutage(b *testing.B) {
+	for b.Loop() {
+		s := newSite(b, 1, 10, 20*time.Millisecond, both)
+		run := func(long time.Duration, f func()) *load {
+			stop := make(chan struct{})
+			l := s.load(500, 160*time.Millisecond, stop)
+			f()
+			time.Sleep(long)
+			close(stop)
+			l.all.Wait()
+			return l
+		}
+		calm := run(5*time.Second, func() {})
+		silent := run(25*time.Second, func() {
+			s.agents[0].Set(standin.Faults{Silent: true})
+			time.Sleep(5 * time.Second)
+			s.backends[0].Close()
+			s.agents[0].Remove("b00")
+			s.agents[0].Maintenance("b01", true)
+			s.add(20 * time.Millisecond)
+		})
+		back := run(5*time.Second, func() { s.agents[0].Set(standin.Faults{}) })
+		b.ReportMetric(calm.inTime(), "before-%")
+		b.ReportMetric(silent.inTime(), "silent-%")
+		b.ReportMetric(back.inTime(), "after-%")
+		b.ReportMetric(float64(calm.lost.Load()+silent.lost.Load()+back.lost.Load()), "lost")
+		b.ReportMetric(float64(silent.failed.Load()+silent.refused.Load()), "not-served")
+	}
+}
+
+// BenchmarkLying measures what is served in time while the catalogue calls a backend passing that
+// fails 90% of its reqs at once, beside the same without it; and the director in its place.
+func BenchmarkLying(b *testing.B) {
+	for _, v := range []struct {
+		name, script string
+		lying        bool
+	}{
+		{"consul", both, false}, {"consul-lying", both, true}, {"director", "", false},
+	} {
+		b.Run(v.name, func(b *testing.B) {
+			for b.Loop() {
+				s := newSite(b, 1, 10, 20*time.Millisecond, v.script)
+				if v.lying {
+					s.backends[3].Set(platform.Faults{FailPart: 0.9})
+				}
+				stop := make(chan struct{})
+				l := s.load(500, 160*time.Millisecond, stop)
+				time.Sleep(8 * time.Second)
+				close(stop)
+				l.all.Wait()
+				b.ReportMetric(l.inTime(), "in-time-%")
+				b.ReportMetric(float64(l.lost.Load()), "lost")
+			}
+		})
+	}
+}
+
+// BenchmarkCatalogue measures the time to the first good list, the heap it holds, and the processor
+// time of a second in which a tenth of the instances change (500 of 5,000), through the official
+// client and the stand-in, whose part is included.
+func BenchmarkCatalogue(b *testing.B) {
+	for _, n := range []int{100, 1000, 5000, 10_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for b.Loop() {
+				a, err := standin.Start()
+				require.NoError(b, err)
+				for i := range n {
+					a.Put(standin.Service{ID: "i" + strconv.Itoa(i), Service: "photo", Address: "127.0.0.1", Port: 1 + i%60000})
+				}
+				before := heap()
+				sink := &counter{set: membership.New(membership.Defaults("consul", 1)), first: make(chan struct{})}
+				w := &consul.Watch{Sink: sink, Count: &consul.Counts{}, Config: consul.Config{Addresses: []string{a.Address}, Scheme: "http",
+					Service: "photo", Stale: true, Wait: 5 * time.Second, Timeout: 5 * time.Second, MaxBody: 64 << 20, PerSec: 10, Entries: 100_000}}
+				require.NoError(b, w.Init())
+				ctx, cancel := context.WithCancel(context.Background())
+				begun := time.Now()
+				ended := make(chan struct{})
+				go func() { w.Run(ctx); close(ended) }()
+				<-sink.first
+				b.ReportMetric(float64(time.Since(begun).Microseconds())/1000, "first-ms")
+				b.ReportMetric(float64(heap()-before)/1024, "heap-KiB")
+				used, lists := processor(), w.Count.Lists.Load()
+				for i := range n / 10 {
+					a.Check("i"+strconv.Itoa(i), []string{"warning", "passing"}[i%2])
+					time.Sleep(time.Second / time.Duration(n/10))
+				}
+				b.ReportMetric(float64((processor()-used).Microseconds())/1000, "cpu-ms/s")
+				b.ReportMetric(float64(w.Count.Lists.Load()-lists), "lists/s")
+				b.ReportMetric(float64(sink.spent.Microseconds())/1000, "merge-ms")
+				cancel()
+				<-ended
+				a.Close()
+			}
+		})
+	}
+}
+
+// counter merges what it is told, and takes the time of that.
+type counter struct {
+	set   *membership.Set
+	first chan struct{}
+	once  sync.Once
+	spent time.Duration
+}
+
+func (c *counter) Whole(list []membership.Backend) {
+	begun := time.Now()
+	c.set.Whole(begun, 0, list)
+	c.set.Changes()
+	c.spent += time.Since(begun)
+	c.once.Do(func() { close(c.first); c.spent = 0 })
+}
+func (c *counter) Same()   {}
+func (c *counter) Failed() {}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func processor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/cmd/tinsail/demo.go
+++ b/cmd/tinsail/demo.go
@@ -143,31 +143,37 @@
 		took: hdrhistogram.New(1, 60_000, 3)}
 }
 
-// one sends a req and takes its answer down.
-func (f *front) one(id string) error {
+// send sends a req and returns its answer's status; a result that is not its own is an error.
+func (f *front) send(id string) (status int, err error) {
 	r, err := http.NewRequest("POST", "http://"+f.address+"/photo/"+id, bytes.NewReader(make([]byte, 512)))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r.Header.Set("X-Correlation-Id", id)
 	r.Header.Set("Idempotency-Key", "key-"+id)
 	r.Header.Set("X-Time-Left-Ms", "5000")
-	begun := time.Now()
-	f.sent.Add(1)
 	answer, err := f.client.Do(r)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
+	if want := "small " + id; err == nil && answer.StatusCode == 200 && string(body) != want {
+		err = fmt.Errorf("%s was answered %q, want %q", id, body, want)
+	}
+	return answer.StatusCode, err
+}
+
+// one sends a req and takes its answer down.
+func (f *front) one(id string) error {
+	begun := time.Now()
+	f.sent.Add(1)
+	status, err := f.send(id)
 	if err != nil {
 		return err
 	}
-	switch answer.StatusCode {
+	switch status {
 	case 200:
-		if want := "small " + id; string(body) != want {
-			return fmt.Errorf("%s was answered %q, want %q", id, body, want)
-		}
 		f.served.Add(1)
 	case 429, 503:
 		f.refused.Add(1)
--- a/cmd/tinsail/main_test.go
+++ b/cmd/tinsail/main_test.go
@@ -107,6 +107,8 @@
 		{"serve --log-level loud", exitFaulty, []string{"log level is \"loud\", want"}},
 		{"serve --log-format xml", exitFaulty, []string{"log format is \"xml\", want"}},
 		{"demo --reqs 0", exitFaulty, []string{"--reqs is 0, want 1 to 100000"}},
+		{"lab consul --listen 10.0.0.1:1", exitFaulty, []string{"want a loopback address"}},
+		{"members", exitFaulty, []string{"--at is missing"}},
 		{"version", exitOK, []string{"tinsail ", "go1."}},
 		{"", exitOK, []string{"Exit codes", "serve", "demo"}},
 		{"serve --help", exitOK, []string{"SIGHUP", "Exit codes"}},
--- a/cmd/tinsail/members.go
+++ b/cmd/tinsail/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,9 @@
 		Example: `  tinsail members --at 127.0.0.1:8081
   tinsail members --at 127.0.0.1:8081 --json`,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if at == "" {
+				return faulty{errors.New("--at is missing, want the host:port of a dispatcher's HTTP/1.1 front")}
+			}
 			client := &http.Client{Timeout: 5 * time.Second}
 			answer, err := client.Get("http://" + at + "/members")
 			if err != nil {
@@ -50,7 +54,6 @@
 	}
 	c.Flags().StringVar(&at, "at", "", "address of the dispatcher's HTTP/1.1 front, host:port")
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON as it came")
-	_ = c.MarkFlagRequired("at")
 	return c
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -95,15 +95,15 @@
 
 // entry is a backend as one source has it.
 type entry struct {
-	said     Backend // as last told
-	missing  time.Time
-	downAt   time.Time   // it turned critical or went missing then; zero while it is neither
-	good     bool        // it has been passing: there is a good state to keep to
-	downs    []time.Time // that it turned not ready, the last few
-	steady   time.Time   // passing again since; zero if it never was not
-	state    State
-	reason   string
-	nextLook time.Time
+	said    Backend // as last told
+	missing time.Time
+	downAt  time.Time   // it turned critical or went missing then; zero while it is neither
+	good    bool        // it has been passing: there is a good state to keep to
+	downs   []time.Time // that it turned not ready, the last few
+	steady  time.Time   // passing again since; zero if it never was not
+	state   State
+	reason  string
+	round   uint64 // whole list that named it last
 }
 
 type source struct {
@@ -113,6 +113,7 @@
 	failed  bool      // silent since
 	known   bool      // it has told a list
 	expired bool      // silent beyond Hold
+	round   uint64    // of whole lists
 	panic   time.Time // since when it is doubted; zero if it is believed
 	down    int       // of list, critical or missing now
 	drains  int       // of list, told to drain
@@ -141,13 +142,12 @@
 func (s *Set) Whole(now time.Time, from int, list []Backend) {
 	src := s.sources[from]
 	s.back(now, src)
-	named := make(map[string]bool, len(list))
+	src.round++
 	for i := range list {
-		named[list[i].Name] = true
 		s.observe(now, src, &list[i])
 	}
 	for name, e := range src.list {
-		if !named[name] {
+		if e.round != src.round {
 			s.miss(now, src, name, e)
 		}
 	}
@@ -212,8 +212,10 @@
 		e = &entry{state: Gone}
 		src.list[b.Name] = e
 	} else if e.said == *b && e.missing.IsZero() {
+		e.round = src.round
 		return
 	}
+	e.round = src.round
 	was := e.down(src)
 	if e.said.Health == Drain {
 		src.drains--
@@ -267,10 +269,19 @@
 // settle judges a source as a whole, then all that may have changed.
 func (s *Set) settle(now time.Time, src *source) {
 	s.judge(now, src)
+	s.sweep(now)
+}
+
+// sweep merges all that may have changed.
+func (s *Set) sweep(now time.Time) {
 	for name := range s.dirty {
 		s.merge(now, name)
 	}
-	clear(s.dirty)
+	if len(s.dirty) > 64 { // clearing costs by the largest it ever was, and news is mostly small
+		s.dirty = map[string]bool{}
+	} else {
+		clear(s.dirty)
+	}
 }
 
 // judge decides whether the source itself is to be doubted. It looks at the list only where
@@ -363,10 +374,7 @@
 		}
 		s.judge(now, src)
 	}
-	for name := range s.dirty {
-		s.merge(now, name)
-	}
-	clear(s.dirty)
+	s.sweep(now)
 }
 
 // view is what one source's rules make of a backend.
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -72,9 +72,12 @@
 }
 
 // Start listens on a free port of 127.0.0.1.
-func Start() (*Agent, error) {
+func Start() (*Agent, error) { return StartAt("127.0.0.1:0") }
+
+// StartAt listens on an address.
+func StartAt(address string) (*Agent, error) {
 	a := &Agent{index: 10, list: map[string]*instance{}, moved: make(chan struct{}), change: make(chan struct{})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -221,6 +224,17 @@
 }
 
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/lab/faults" && r.Method == "PUT" { // no path of Consul's: orders by hand
+		var f Faults
+		d := json.NewDecoder(r.Body)
+		d.DisallowUnknownFields()
+		if err := d.Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a.Set(f)
+		return
+	}
 	a.mu.Lock()
 	a.calls++
 	token := a.token
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -142,6 +143,8 @@
 	Refuse bool // every job is turned away unstarted
 	Break  bool // the connection breaks once the job has started
 	Hold   bool // a job that has started does not end until Hold is taken back
+	// FailPart is the part of jobs, 0 to 1 by their ids, that fail as soon as they have started.
+	FailPart float64
 }
 
 // Backend runs jobs: a job waits for one of its slots, tells that it has started, runs for as
@@ -159,6 +162,21 @@
 	ran    map[string]int    // how often a key's effect happened
 	result map[string]string // by key
 	counts Counts
+	last   time.Time // that a job's head came
+}
+
+// part spreads ids over 0 to 1.
+func part(id string) float64 {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id)
+	return float64(h.Sum32()>>8) / (1 << 24)
+}
+
+// LastJob is when the head of the last job came.
+func (b *Backend) LastJob() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last
 }
 
 // Counts are what a backend has seen.
@@ -237,6 +255,9 @@
 }
 
 func (b *Backend) job(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	b.last = time.Now()
+	b.mu.Unlock()
 	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" {
 		http.NotFound(w, r)
@@ -262,7 +283,7 @@
 		_ = http.NewResponseController(w).Flush()
 	}
 	line(`"state":"started"`)
-	if f.Fail {
+	if f.Fail || f.FailPart > 0 && part(id) < f.FailPart {
 		line(`"state":"failed"`)
 		return
 	}
