Faults found by settings' users name their line; HTTP checks in Consul; a model of one backend

Change: Settings keeps where each call and key stands. register_check = "ttl" or "http". In the HTTP/2 driver the writer always says that it has ended, so that a connection whose last write fails just as its machine ends it is not waited for without end; a stream that is used again keeps no body of the one before. internal/lab/fleet is one backend in virtual time; nothing uses it yet.

The model: a property test that looking at the clock more often changes nothing and each job ends once.

--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -63,7 +63,7 @@
 	if cfg == nil || set == nil || set.HTTP2 == nil || set.HTTP2.Listen != cfg.Listen || strings.HasSuffix(cfg.Listen, ":0") {
 		return nil
 	}
-	return settings.Faults{{File: "settings", Key: "http2.listen", Says: "is " + cfg.Listen + ", where HTTP/1.1 listens already"}}
+	return settings.Faults{set.Fault("http2.listen", "is "+cfg.Listen+", where HTTP/1.1 listens already")}
 }
 
 // dispatcher is a whole dispatcher with its parts wired.
--- a/cmd/tinsail/sources.go
+++ b/cmd/tinsail/sources.go
@@ -70,7 +70,7 @@
 	d.clients.Members = s.describe
 	if set.Consul != nil && set.Consul.Register != "" {
 		s.self = &consul.Registration{Config: consulConfig(set.Consul), Name: set.Consul.Register, ID: set.Consul.Register + "-" + d.cfg.Name,
-			Address: d.listener.Addr().String(), TTL: millis(set.Consul.RegisterTTLMS), Log: d.log}
+			Address: d.listener.Addr().String(), TTL: millis(set.Consul.RegisterTTLMS), HTTP: set.Consul.RegisterCheck == "http", Log: d.log}
 		if err := s.self.Init(); err != nil {
 			return faulty{err}
 		}
@@ -230,18 +230,18 @@
 	if c := set.Consul; c != nil {
 		if c.TokenFile != "" {
 			if _, err := os.ReadFile(c.TokenFile); err != nil {
-				faults = append(faults, settings.Fault{File: "settings", Key: "consul.token_file", Says: err.Error()})
+				faults = append(faults, set.Fault("consul.token_file", err.Error()))
 			}
 		} else if c.TokenEnv != "" && os.Getenv(c.TokenEnv) == "" {
-			faults = append(faults, settings.Fault{File: "settings", Key: "consul.token_env", Says: "is " + c.TokenEnv + ", which is not set"})
+			faults = append(faults, set.Fault("consul.token_env", "is "+c.TokenEnv+", which is not set"))
 		}
 		w := &consul.Watch{Config: consulConfig(c)}
 		if err := w.Init(); len(faults) == 0 && err != nil {
-			faults = append(faults, settings.Fault{File: "settings", Key: "consul", Says: err.Error()})
+			faults = append(faults, set.Fault("consul", err.Error()))
 		}
 	}
 	if b := set.Backends; b != nil && !b.Director && len(b.Static) == 0 && set.Consul == nil {
-		faults = append(faults, settings.Fault{File: "settings", Key: "backends.director", Says: "is False, and no other source of backends is set"})
+		faults = append(faults, set.Fault("backends.director", "is False, and no other source of backends is set"))
 	}
 	if faults == nil {
 		return nil
--- a/deploy/example.star
+++ b/deploy/example.star
@@ -41,6 +41,7 @@
     weight_meta = "weight",
     started_meta = "started_ms",
     register = "",
+    register_check = "ttl",
     register_ttl_ms = 15000,
 )
 
--- a/internal/consul/register.go
+++ b/internal/consul/register.go
@@ -12,7 +12,7 @@
 )
 
 // Registration keeps this dispatcher in Consul's catalogue: with a TTL check that is passed in
-// time, taken up again when the agent has forgotten it, put into maintenance when a drain begins,
+// time or an HTTP check that the agent makes, taken up again when the agent has forgotten it, put into maintenance when a drain begins,
 // and dropped at the end.
 type Registration struct {
 	Config  Config // addresses, scheme, token and TLS; the rest is not used
@@ -20,6 +20,7 @@
 	ID      string // of this instance
 	Address string // host:port, where clients reach it
 	TTL     time.Duration
+	HTTP    bool // the agent asks /health/ready at Address; else a TTL check is passed from here
 	Log     zerolog.Logger
 
 	agents []*api.Client
@@ -57,7 +58,11 @@
 					r.mu.Unlock()
 				}
 			}
-			if err == nil {
+			switch {
+			case err != nil:
+			case r.HTTP: // only whether the agent still knows it
+				_, _, err = agent.Service(r.ID, q)
+			default:
 				err = agent.UpdateTTLOpts("service:"+r.ID, "", api.HealthPassing, q)
 			}
 			cancel()
@@ -87,8 +92,13 @@
 	if err != nil {
 		return err
 	}
-	return agent.ServiceRegisterOpts(&api.AgentServiceRegistration{ID: r.ID, Name: r.Name, Address: host, Port: n,
-		Check: &api.AgentServiceCheck{CheckID: "service:" + r.ID, TTL: r.TTL.String(), DeregisterCriticalServiceAfter: (20 * r.TTL).String()}},
+	check := &api.AgentServiceCheck{CheckID: "service:" + r.ID, DeregisterCriticalServiceAfter: max(20*r.TTL, time.Minute).String()}
+	if r.HTTP {
+		check.HTTP, check.Interval = "http://"+r.Address+"/health/ready", r.TTL.String()
+	} else {
+		check.TTL = r.TTL.String()
+	}
+	return agent.ServiceRegisterOpts(&api.AgentServiceRegistration{ID: r.ID, Name: r.Name, Address: host, Port: n, Check: check},
 		api.ServiceRegisterOpts{}.WithContext(ctx))
 }
 
--- a/internal/http2/stream.go
+++ b/internal/http2/stream.go
@@ -315,7 +315,7 @@
 	if c.over || s == nil || s.gone || s.answered {
 		return false
 	}
-	s.answered, s.status = true, statusText(status)
+	s.answered, s.status, s.Data = true, statusText(status), nil // a stream is used again, and must not keep a body until then
 	if pause > 0 {
 		s.pause = strconv.FormatFloat(pause.Seconds(), 'f', 3, 64)
 	}
--- /dev/null
+++ b/internal/lab/fleet/backend_test.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func kind() Kind {
+	return Kind{Cores: 2, Speed: 1, Slots: 2, Queue: 2, ThrashAt: 10, Thrash: 0.5, RepeatWindow: 500}
+}
+
+func words(events []Event) string {
+	var out []string
+	for _, e := range events {
+		out = append(out, fmt.Sprintf("%d %s %.0f", e.Job, e.What, e.At))
+	}
+	return strings.Join(out, ", ")
+}
+
+func warm(k Kind) *Backend { return New(k, NewPod(), math.Inf(-1), 0, Chance(1, "t")) }
+
+func offer(t *testing.T, b *Backend, now float64, id uint64, work float64) string {
+	v, e := b.Offer(now, Job{ID: id, Work: work, Slots: 1}, false)
+	require.Equal(t, Accepted, v)
+	return words(e)
+}
+
+// TestQueue: what fits runs, the next wait in order, and one too many is turned away.
+func TestQueue(t *testing.T) {
+	b := warm(kind())
+	assert.Equal(t, "1 started 0", offer(t, b, 0, 1, 100))
+	assert.Equal(t, "2 started 0", offer(t, b, 0, 2, 50))
+	offer(t, b, 0, 3, 10)
+	offer(t, b, 0, 4, 10)
+	v, _ := b.Offer(0, Job{ID: 5, Work: 1, Slots: 1}, false)
+	assert.Equal(t, Full, v)
+	assert.Equal(t, "2 done 50, 3 started 50, 3 done 60, 4 started 60, 4 done 70, 1 done 100", words(b.Advance(1000)))
+	assert.Equal(t, math.Inf(1), b.Next())
+}
+
+// TestTroubles: slow by a factor, a neighbour, a freeze and a wake, quick failures.
+func TestTroubles(t *testing.T) {
+	b := warm(kind())
+	offer(t, b, 0, 1, 100)
+	b.Set(50, Trouble{Slow: 10})
+	assert.Equal(t, 550.0, b.Next())
+	b.Set(100, Trouble{Taken: 0.5})
+	assert.Equal(t, 190.0, b.Next())
+	b.Set(110, Trouble{Frozen: true})
+	assert.Empty(t, b.Advance(5000))
+	assert.Equal(t, "", words(b.Set(5000, Trouble{})))
+	assert.Equal(t, "1 done 5040", words(b.Advance(6000)))
+	b.Set(6000, Trouble{FailPart: 1})
+	offer(t, b, 6000, 2, 100)
+	assert.Equal(t, "2 failed 6002", words(b.Advance(7000)))
+}
+
+// TestCold: a cold machine does less, rises evenly, and falls over if it is sent too much.
+func TestCold(t *testing.T) {
+	k := kind()
+	k.ColdFrom, k.Cold, k.FallMultiple, k.FallWindow = 0.5, 1000, 3, 2000
+	b := New(k, NewPod(), 0, 0, Chance(1, "t"))
+	offer(t, b, 0, 1, 750) // the mean of the ramp is 0.75
+	assert.InDelta(t, 1000, b.Next(), 1e-6)
+	assert.Equal(t, "1 done 1000", words(b.Advance(1001)))
+
+	k.Queue = 1000
+	b = New(k, NewPod(), 0, 0, Chance(1, "t"))
+	for i := range 59 { // 3 x 0.5 x 2 cores x 2000 ms is 6000
+		offer(t, b, 0, uint64(i+1), 100)
+	}
+	assert.False(t, b.Down())
+	offer(t, b, 0, 60, 100)
+	v, e := b.Offer(0, Job{ID: 61, Work: 100, Slots: 1}, false)
+	assert.Equal(t, Refused, v)
+	assert.True(t, b.Down())
+	assert.Len(t, e, 60, "all it had is lost")
+	b.Start(10)
+	assert.Equal(t, 0.5, b.Capacity(10))
+}
+
+// TestRepeat: a key that had its effect in the pod does not have it again.
+func TestRepeat(t *testing.T) {
+	pod := NewPod()
+	a, b := New(kind(), pod, math.Inf(-1), 0, Chance(1, "a")), New(kind(), pod, math.Inf(-1), 0, Chance(1, "b"))
+	a.Offer(0, Job{ID: 1, Key: 7, Work: 100, Slots: 1}, false)
+	a.Advance(100)
+	b.Advance(200)
+	_, e := b.Offer(200, Job{ID: 2, Key: 7, Work: 100, Slots: 1}, false)
+	assert.Equal(t, "2 started 200", words(e))
+	assert.Equal(t, "2 done 200", words(b.Advance(201)))
+	b.Offer(700, Job{ID: 3, Key: 7, Work: 100, Slots: 1}, false)
+	assert.Equal(t, "3 done 800", words(b.Advance(900)))
+}
+
+// TestDrainAndKill: what waits is handed back, what runs ends, and a kill loses all.
+func TestDrainAndKill(t *testing.T) {
+	b := warm(kind())
+	for i := range 4 {
+		offer(t, b, 0, uint64(i+1), 100)
+	}
+	assert.Equal(t, "3 returned 10, 4 returned 10", words(b.Drain(10, true)))
+	v, _ := b.Offer(10, Job{ID: 5, Work: 1, Slots: 1}, false)
+	assert.Equal(t, Full, v)
+	assert.Equal(t, "1 lost 20, 2 lost 20", words(b.Kill(20)))
+	v, _ = b.Offer(21, Job{ID: 6, Work: 1, Slots: 1}, false)
+	assert.Equal(t, Refused, v)
+}
+
+// TestAnyJobs: whatever is offered, called off and troubled at any time, each job that was accepted
+// ends once at most, starts before it ends, and no more runs than fits; and looking at the clock
+// more often changes nothing.
+func TestAnyJobs(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		k := kind()
+		k.ColdFrom, k.Cold, k.Queue, k.Handshake = 0.4, 700, 5, 3
+		often, seldom := New(k, NewPod(), 0, 0, Chance(1, "t")), New(k, NewPod(), 0, 0, Chance(1, "t"))
+		var logs [2][]Event
+		now := 0.0
+		for id := uint64(1); id < uint64(rapid.IntRange(2, 30).Draw(r, "n")); id++ {
+			gap := rapid.Float64Range(0, 80).Draw(r, "gap")
+			for i := range 5 {
+				logs[0] = append(logs[0], often.Advance(now+gap*float64(i)/5)...)
+			}
+			now += gap
+			j := Job{ID: id, Key: uint64(rapid.IntRange(0, 3).Draw(r, "key")), Work: rapid.Float64Range(1, 200).Draw(r, "work"), Slots: 1}
+			connect, trouble := rapid.Bool().Draw(r, "connect"), rapid.IntRange(0, 9).Draw(r, "trouble")
+			for i, b := range []*Backend{often, seldom} {
+				switch trouble {
+				case 0:
+					logs[i] = append(logs[i], b.Set(now, Trouble{Slow: 3})...)
+				case 1:
+					logs[i] = append(logs[i], b.Set(now, Trouble{})...)
+				case 2:
+					logs[i] = append(logs[i], b.Cancel(now, id/2, true)...)
+				default:
+					_, e := b.Offer(now, j, connect)
+					logs[i] = append(logs[i], e...)
+				}
+				require.LessOrEqual(r, b.used, k.Slots)
+			}
+		}
+		for i, b := range []*Backend{often, seldom} {
+			logs[i] = append(logs[i], b.Advance(now+1e6)...)
+			run, wait := b.Held()
+			require.Zero(r, run+wait)
+			require.InDelta(r, 0, b.used, 1e-9)
+		}
+		require.Equal(r, words(logs[0]), words(logs[1]))
+		started, ended := map[uint64]bool{}, map[uint64]bool{}
+		for _, e := range logs[0] {
+			if e.What == Started {
+				require.False(r, started[e.Job])
+				started[e.Job] = true
+				continue
+			}
+			require.True(r, started[e.Job])
+			require.False(r, ended[e.Job], "ended twice")
+			ended[e.Job] = true
+		}
+	})
+}
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -313,12 +313,8 @@
 			if len(b) > 0 {
 				s.conn.SetWriteDeadline(time.Now().Add(s.limits.Stall))
 				if _, err := s.conn.Write(b); err != nil {
-					s.conn.Close() // the reader sees that
-					if over {
-						close(s.flushed)
-						return
-					}
-					<-s.quit
+					s.conn.Close()   // the reader sees that,
+					close(s.flushed) // or waits for it already
 					return
 				}
 			}
@@ -400,7 +396,9 @@
 		case http2.Gone:
 			c.Count.HTTP2Resets.Add(1)
 			c.Count.Endings[core.StreamReset].Add(1)
-			if r, ok := e.Stream.Data.(*streamReq); ok && r.taken {
+			r, ok := e.Stream.Data.(*streamReq)
+			e.Stream.Data = nil
+			if ok && r.taken {
 				r.abandon()
 			} else {
 				s.m.Free(e.Stream.ID)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,19 @@
 	Consul      *Consul      `json:"consul"`
 	Backends    *Backends    `json:"backends"`
 	MemberRules *MemberRules `json:"member_rules"`
+
+	at map[string]Fault // where each call and key stands
+}
+
+// Fault is a fault of a key, or of a call, that was found by who uses it.
+func (s *Settings) Fault(key, says string) Fault {
+	f, ok := s.at[key]
+	if !ok {
+		call, _, _ := strings.Cut(key, ".")
+		f = s.at[call]
+	}
+	f.Key, f.Says = key, says
+	return f
 }
 
 // HTTP2 sets the HTTP/2 front; the schema says what each value means.
@@ -76,6 +89,7 @@
 	WeightMeta    string   `json:"weight_meta"`
 	StartedMeta   string   `json:"started_meta"`
 	Register      string   `json:"register"`
+	RegisterCheck string   `json:"register_check"`
 	RegisterTTLMS int      `json:"register_ttl_ms"`
 }
 
@@ -210,7 +224,13 @@
 	if err != nil {
 		return nil, Faults{{File: name, Says: err.Error()}}
 	}
-	out := &Settings{}
+	out := &Settings{at: map[string]Fault{}}
+	for call, c := range s.calls {
+		out.at[call] = c.fault(call, "", "")
+		for key := range c.keys {
+			out.at[call+"."+key] = c.fault(call, key, "")
+		}
+	}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields() // the schema and the struct must name the same
 	if err := d.Decode(out); err != nil {
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -262,6 +262,15 @@
 			return
 		}
 		a.Maintenance(name, r.URL.Query().Get("enable") == "true")
+	case strings.HasPrefix(path, "agent/service/") && r.Method == "GET":
+		a.mu.Lock()
+		i := a.list[name]
+		a.mu.Unlock()
+		if i == nil {
+			http.Error(w, "unknown service ID: "+name, http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"ID": name})
 	case strings.HasPrefix(path, "agent/check/update/") && r.Method == "PUT":
 		a.updateCheck(w, r, strings.TrimPrefix(path, "agent/check/update/"))
 	default:
