--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 package core
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,7 +110,7 @@
 // have changed while a connection was being made: nothing new may reach a backend that is
 // known to drain.
 func (a *Attempt) MayBegin() bool {
-	return a.Backend.ready.Load() && !a.stopped.Load() && time.Now().Before(a.Until)
+	return a.Backend.ready.Load() && !a.stopped.Load() && a.core.clock.read().Before(a.Until)
 }
 
 // Started tells that the job has begun.
@@ -153,9 +154,15 @@
 	posted chan struct{}
 }
 
-// New makes a core for the settings.
+// New makes a core for the settings, on the system's clock.
 func New(s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
-	c := &Core{clock: newClock(), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack, mayCancel: s.MayCancel,
+	return NewAt(time.Now, s, b, d, count)
+}
+
+// NewAt makes a core whose time is what read tells. Where that is not the system's, Run is of no
+// use: whoever moves the clock calls Step when something was posted and at Next.
+func NewAt(read func() time.Time, s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
+	c := &Core{clock: newClock(read), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack, mayCancel: s.MayCancel,
 		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
 		posted: make(chan struct{}, 1)}
 	var err error
@@ -199,6 +206,26 @@
 	}
 }
 
+// Step takes what has been posted and the timers that are due, as Run does, and again until
+// nothing is left to do at this time. It must not be called while Run is.
+func (c *Core) Step() {
+	for more := true; more; {
+		c.step()
+		c.mu.Lock()
+		more = len(c.inbox) > 0
+		c.mu.Unlock()
+	}
+}
+
+// Next is when the next timer is due; zero if there is none.
+func (c *Core) Next() time.Time {
+	if len(c.timers.list) == 0 {
+		return time.Time{}
+	}
+	// Rounded up: a clock that counts in whole nanoseconds must not stop just short of it.
+	return c.clock.origin.Add(time.Duration(math.Ceil((c.timers.list[0].at - c.clock.unix) * float64(time.Millisecond))))
+}
+
 // step takes what has been posted, then the timers that are due. What comes meanwhile waits
 // for the next step: an answer that is here already is seen before the time-out it beats.
 func (c *Core) step() {
@@ -226,7 +253,7 @@
 // known at which it was there, left how long its client waits from then. It is not taken, and
 // nothing is owed, if its id is that of another: backends would take one for the other.
 func (c *Core) Take(q balance.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
-	if !c.ids.take(job.ID, time.Now()) {
+	if !c.ids.take(job.ID, c.clock.read()) {
 		c.count.ReqsRepeated.Add(1)
 		return Ticket{}, false
 	}
@@ -300,7 +327,7 @@
 	}
 	if c.reqs[r.id] == r {
 		delete(c.reqs, r.id)
-		c.ids.drop(r.job.ID, time.Now())
+		c.ids.drop(r.job.ID, c.clock.read())
 	}
 	if gone := r.gone; gone != nil {
 		r.gone = nil
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -163,7 +163,7 @@
 func TestClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		started := float64(time.Now().Add(-3 * time.Second).UnixMilli())
-		c := newClock()
+		c := newClock(time.Now)
 		time.Sleep(time.Second)
 		assert.InDelta(t, 4000, c.now()-started, 1)
 		assert.Positive(t, started)
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -10,20 +10,21 @@
 // a step of the system's clock moves nothing, and no start reads as "long past" (zero or
 // less) merely because it lies before this program's own.
 type clock struct {
+	read   func() time.Time
 	origin time.Time
 	unix   float64
 }
 
-func newClock() clock {
-	now := time.Now()
-	return clock{origin: now, unix: float64(now.UnixMicro()) / 1000}
+func newClock(read func() time.Time) clock {
+	now := read()
+	return clock{read: read, origin: now, unix: float64(now.UnixMicro()) / 1000}
 }
 
-func (c clock) millis(t time.Time) float64 {
+func (c *clock) millis(t time.Time) float64 {
 	return c.unix + float64(t.Sub(c.origin))/float64(time.Millisecond)
 }
 
-func (c clock) now() float64 { return c.millis(time.Now()) }
+func (c *clock) now() float64 { return c.millis(c.read()) }
 
 // timer is something to do at a time. Timers of one time run in the order they were set.
 type timer struct {
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,123 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/lab/fleet"
+)
+
+func settings() balance.Settings {
+	return balance.Settings{Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 5, MayDuplicate: true, MayCancel: true, TellsStart: true,
+		MaxPause: 2000, ConnectTimeout: 120, Tick: 2, Weight: balance.WeightSize,
+		Rules:   balance.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
+		Classes: []balance.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: balance.Deduped, Scope: balance.ScopeCell, RepeatWindow: 7500}}}
+}
+
+func evening(seed uint64) Scenario {
+	sc := Scenario{Seed: seed, Length: 20_000, Rate: 100, Work: 200, Spread: 0.4, Aim: 120, Deadline: 5000, Retries: 1, Backoff: 50,
+		Latency: 0.3, Connect: 0.6}
+	for i, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		sc.Backends = append(sc.Backends, Backend{Name: name, Pod: i / 4, Kind: fleet.Kind{Name: "std", Cores: 4, Speed: 1, Slots: 4, Queue: 40,
+			ColdFrom: 0.4, Cold: 6000, ThrashAt: 10, Thrash: 0.5, Handshake: 3, FallMultiple: 3, FallWindow: 2000, FallSlack: 3, RepeatWindow: 7500}})
+	}
+	return sc
+}
+
+// whole holds a run to the rules that no scenario may break.
+func whole(t *testing.T, r Result) {
+	t.Helper()
+	assert.Zero(t, r.Twice, "two final answers")
+	assert.Zero(t, r.Never, "no final answer")
+	assert.Zero(t, r.Late, "sent to one that drains")
+	assert.Equal(t, r.First, r.Served+r.Refused+r.Failed)
+}
+
+func play(t *testing.T, sc Scenario) Result {
+	t.Helper()
+	r, err := Play(sc, settings())
+	require.NoError(t, err)
+	whole(t, r)
+	return r
+}
+
+// TestSameSeed: a run is the same to the byte, and another seed's is another.
+func TestSameSeed(t *testing.T) {
+	sc := evening(1)
+	sc.Events = []Event{{At: 5000, Backend: "a", Do: "trouble", Trouble: fleet.Trouble{Slow: 5, FailPart: 0.2}}, {At: 9000, Backend: "b", Do: "kill"}}
+	a, b := play(t, sc), play(t, sc)
+	assert.Equal(t, a, b)
+	sc.Seed = 2
+	assert.NotEqual(t, a.Hash, play(t, sc).Hash)
+}
+
+// TestCalm: a fleet at two thirds of what it can do serves nearly all in time.
+func TestCalm(t *testing.T) {
+	r := play(t, evening(3))
+	assert.Greater(t, r.First, 1800)
+	assert.Greater(t, r.InTimePart(), 0.95)
+}
+
+// TestTroubles: under each the rules hold, and what is served in time stays above a floor.
+func TestTroubles(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Scenario)
+		floor  float64
+	}{
+		"slow": {func(s *Scenario) {
+			s.Events = []Event{{At: 3000, Backend: "a", Do: "trouble", Trouble: fleet.Trouble{Slow: 9}}}
+		}, 0.85},
+		"fast errors": {func(s *Scenario) {
+			s.Events = []Event{{At: 3000, Backend: "a", Do: "trouble", Trouble: fleet.Trouble{FailPart: 0.9}}}
+		}, 0.85},
+		"frozen, and awake again": {func(s *Scenario) {
+			s.Events = []Event{{At: 3000, Backend: "a", Do: "trouble", Trouble: fleet.Trouble{Frozen: true}}, {At: 8000, Backend: "a", Do: "trouble"}}
+		}, 0.8},
+		"burst": {func(s *Scenario) { s.Bursts = []Burst{{5000, 9000, 2.5}} }, 0.5},
+		"killed, heard of 2 s later": {func(s *Scenario) {
+			s.Events = []Event{{At: 3000, Backend: "a", Do: "kill"}, {At: 3000, Backend: "a", Do: "unlist", Heard: 2000}}
+		}, 0.85},
+		"rolling deploy": {func(s *Scenario) {
+			for i, name := range []string{"a", "b", "c", "d"} {
+				at := 2000 + 3500*float64(i)
+				s.Events = append(s.Events, Event{At: at, Backend: name, Do: "drain", Heard: 300}, Event{At: at + 2000, Backend: name, Do: "kill"},
+					Event{At: at + 2500, Backend: name, Do: "start"}, Event{At: at + 2600, Backend: name, Do: "list", Heard: 500})
+			}
+		}, 0.8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 3; seed++ {
+				sc := evening(seed)
+				c.change(&sc)
+				r := play(t, sc)
+				assert.Greater(t, r.InTimePart(), c.floor, "seed %d: %+v", seed, r)
+			}
+		})
+	}
+}
+
+// TestBadScenario: what a scenario names wrongly is told.
+func TestBadScenario(t *testing.T) {
+	sc := evening(1)
+	sc.Events = []Event{{Backend: "z"}}
+	_, err := Play(sc, settings())
+	assert.ErrorContains(t, err, `names backend "z"`)
+	sc = evening(1)
+	sc.Backends = append(sc.Backends, sc.Backends[0])
+	_, err = Play(sc, settings())
+	assert.ErrorContains(t, err, `backend "a" stands there twice`)
+}
+
+// BenchmarkPlay tells how much faster than time a day is played.
+func BenchmarkPlay(b *testing.B) {
+	for b.Loop() {
+		r, err := Play(evening(1), settings())
+		if err != nil || r.Never > 0 {
+			b.Fatal(err, r)
+		}
+	}
+	b.ReportMetric(20*float64(b.N)/b.Elapsed().Seconds(), "s/s")
+}
