--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -165,12 +165,14 @@
 func (s *streams) read() core.Ending {
 	for {
 		s.mu.Lock()
-		space, over, begun, live := s.m.Space(), s.over, s.m.Begun(), s.m.Live()
+		space, over, begun := s.m.Space(), s.over, s.m.Begun()
+		if !over { // under the lock: the writer's wake-up, at the end, must not be undone
+			s.wait(begun, s.m.Live())
+		}
 		s.mu.Unlock()
 		if over {
 			return s.linger()
 		}
-		s.wait(begun, live)
 		n, err := s.conn.Read(space)
 		if n == 0 && err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -202,6 +204,7 @@
 
 // wait sets the time to wait for bytes: for the preface from connecting on, between reqs as
 // long as HTTP/1.1 does, and without end while streams are open, which have times of their own.
+// s.mu is held.
 func (s *streams) wait(begun bool, live int) {
 	t := &s.front.Clients.table
 	t.mu.Lock()
