--- /dev/null
+++ b/internal/core/actions.go
@@ -0,0 +1,88 @@
+package core
+
+import (
+	"time"
+
+	"tinsail/internal/balance"
+)
+
+// actions carries out what the module decides. It is called while the module handles an
+// event, so that it must not call the module: what fails at once is posted.
+type actions struct{ c *Core }
+
+func (x actions) Dispatch(id balance.RequestID, to balance.WorkerID, within balance.Millis) {
+	c, r := x.c, x.c.reqs[id]
+	if r == nil {
+		return
+	}
+	now := c.clock.now()
+	until := r.deadline
+	if within != 0 {
+		until = min(until, now+within)
+	}
+	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, number: len(r.attempts), sent: now,
+		Until: c.clock.origin.Add(time.Duration((until - c.clock.unix) * float64(time.Millisecond)))}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if a.Backend == nil || !r.open || until <= now { // only ever to a listed backend
+		if a.Backend == nil {
+			a.Backend = &Backend{ID: to}
+		}
+		a.Ended(Unsent, "", nil)
+		return
+	}
+	c.count.Attempts.Add(1)
+	a.stop = c.backends.Send(a)
+	c.timers.set(until, func() { c.cut(a, Overdue) })
+}
+
+func (x actions) Refuse(id balance.RequestID, pause balance.Millis) {
+	x.end(id, Answer{Verdict: Refusal, Pause: time.Duration(pause * float64(time.Millisecond))})
+}
+
+func (x actions) Fail(id balance.RequestID) { x.end(id, Answer{Verdict: Failure}) }
+
+func (x actions) end(id balance.RequestID, a Answer) {
+	if r := x.c.reqs[id]; r != nil {
+		x.c.answer(r, a)
+		x.c.forget(r)
+	}
+}
+
+func (x actions) Cancel(id balance.RequestID, attempt int) {
+	if r := x.c.reqs[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
+		a := r.attempts[attempt]
+		x.c.post(func() { x.c.cut(a, Withdrawn) })
+	}
+}
+
+func (x actions) Probe(to balance.WorkerID) {
+	c, b, sent := x.c, x.c.listed[to], x.c.clock.now()
+	done := func(e Ending, report []float32) {
+		c.post(func() {
+			res, _ := e.Result()
+			now := c.clock.now()
+			c.mod.Probed(now, balance.ProbeResult{Worker: to, Result: res, Took: now - sent, Report: report})
+		})
+	}
+	if b == nil {
+		done(Unsent, nil)
+		return
+	}
+	c.count.Probes.Add(1)
+	c.backends.Probe(b, done)
+}
+
+func (x actions) HangUp(to balance.WorkerID) {
+	if b := x.c.listed[to]; b != nil {
+		x.c.backends.HangUp(b)
+	}
+}
+
+func (x actions) Wake(in balance.Millis, token uint64) {
+	c := x.c
+	c.timers.set(c.clock.now()+in, func() { c.mod.Wake(c.clock.now(), token) })
+}
+
+func (x actions) Subscribe()      { x.c.director.Subscribe() }
+func (x actions) Log(line string) { x.c.Log.Info().Str("line", line).Msg("module") }
--- /dev/null
+++ b/internal/http2/preface.go
@@ -0,0 +1,71 @@
+package http2
+
+import (
+	"bytes"
+
+	"golang.org/x/net/http2"
+)
+
+// preface reads the client's (RFC 9113 section 3.4). What looks like HTTP/1 is told so in its
+// own words; anything else is cut off.
+func (c *Conn) preface(rest []byte) bool {
+	n := min(len(rest), len(http2.ClientPreface))
+	if string(rest[:n]) == http2.ClientPreface[:n] {
+		if n < len(http2.ClientPreface) {
+			return false
+		}
+		c.r += n
+		c.begun = true
+		c.greet()
+		return true
+	}
+	end := bytes.IndexByte(rest, '\n')
+	if end < 0 && len(rest) < prefaceLineMost && printable(rest) {
+		return false
+	}
+	c.over = true
+	if end >= 0 && isHTTP1(rest[:end]) {
+		const text = "505: this port speaks HTTP/2 with prior knowledge only\n"
+		c.out = append(c.out, "HTTP/1.1 505 HTTP Version Not Supported\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: "...)
+		c.out = append(c.out, byte('0'+len(text)/10), byte('0'+len(text)%10))
+		c.out = append(append(c.out, "\r\n\r\n"...), text...)
+		c.event(Event{Kind: Over, Code: http2.ErrCodeHTTP11Required, Reason: "HTTP/1"})
+		return true
+	}
+	_ = c.fr.WriteGoAway(0, http2.ErrCodeProtocol, nil)
+	c.event(Event{Kind: Over, Code: http2.ErrCodeProtocol, Reason: "not the preface"})
+	return true
+}
+
+func printable(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\r' && c != '\t' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func isHTTP1(line []byte) bool {
+	parts := bytes.Split(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	return len(parts) == 3 && bytes.HasPrefix(parts[2], []byte("HTTP/1."))
+}
+
+// greet writes our SETTINGS and widens the connection's window to what may be sent ahead.
+func (c *Conn) greet() {
+	_ = c.fr.WriteSettings(
+		http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(c.cfg.Streams)},
+		http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(c.streamRoom())},
+		http2.Setting{ID: http2.SettingMaxFrameSize, Val: uint32(c.cfg.FrameBytes)},
+		http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: uint32(c.cfg.HeaderBytes)})
+	c.settings++
+	if more := int64(c.cfg.Window) - c.room; more > 0 {
+		_ = c.fr.WriteWindowUpdate(0, uint32(more))
+		c.room += more
+	}
+}
+
+// streamRoom is the window of a new stream: a whole body, so that only padding is ever given
+// back. It holds from the client's acknowledgement on; until then a client may send the
+// default, which is less or hardly more.
+func (c *Conn) streamRoom() int { return max(c.cfg.BodyBytes, defaultWindow) }
--- /dev/null
+++ b/internal/network/http2_reqs.go
@@ -0,0 +1,145 @@
+package network
+
+import (
+	"errors"
+	"time"
+
+	"golang.org/x/net/http2/hpack"
+
+	"tinsail/internal/core"
+	"tinsail/internal/http2"
+	"tinsail/internal/platform"
+)
+
+// events does what the machine tells. s.mu is held.
+func (s *streams) events() {
+	c := s.front.Clients
+	for e, ok := s.m.Next(); ok; e, ok = s.m.Next() {
+		switch e.Kind {
+		case http2.Opened:
+			s.opened(e.Stream)
+		case http2.Whole:
+			s.whole(e.Stream)
+		case http2.Gone:
+			c.Count.HTTP2Resets.Add(1)
+			c.Count.Endings[core.StreamReset].Add(1)
+			r, ok := e.Stream.Data.(*streamReq)
+			e.Stream.Data = nil
+			if ok && r.taken {
+				r.abandon()
+			} else {
+				s.m.Free(e.Stream.ID)
+			}
+		case http2.Dropped:
+			c.Count.ReqsBad.Add(1)
+		case http2.Over:
+			s.over = true
+			switch {
+			case e.Reason != "":
+				s.ending = core.ClientBad
+				c.Log.Debug().Stringer("client", s.conn.RemoteAddr()).Stringer("code", e.Code).Str("reason", e.Reason).Msg("http2 connection ended")
+			case s.ending == 0:
+				s.ending = core.SessionDone
+			}
+			s.nudge()
+		}
+	}
+	s.settle()
+}
+
+// names finds the fields of a req by their names in HTTP/2.
+var names = func() map[string]platform.Field {
+	m := map[string]platform.Field{}
+	for f, name := range platform.FieldNames {
+		b := []byte(name)
+		for i := range b {
+			if 'A' <= b[i] && b[i] <= 'Z' {
+				b[i] += 'a' - 'A'
+			}
+		}
+		m[string(b)] = platform.Field(f)
+	}
+	return m
+}()
+
+func fields(list []hpack.HeaderField) (f platform.Fields) {
+	for i := range list {
+		if name, ok := names[list[i].Name]; ok {
+			f.Add(name, list[i].Value)
+		}
+	}
+	return f
+}
+
+// opened reads a head. What is answered without the core is known by then; its body is counted
+// and not kept, and the answer given once all is here: a client's fault that shows only at its
+// end is told before any other.
+func (s *streams) opened(st *http2.Stream) {
+	c := s.front.Clients
+	st.Data = nil
+	if !s.busy {
+		s.busy = true
+		c.table.taken(&s.seat)
+	}
+	q := platform.Request{Method: st.Head.Method, Target: st.Head.Path, Fields: fields(st.Head.Fields)}
+	var err error
+	var w platform.Work
+	switch {
+	case q.Method == "GET" || q.Method == "HEAD":
+		st.Data, st.Discard = look{q.Path()}, true
+		return
+	case q.Method != "POST":
+		err = &platform.Bad{Status: 405, Reason: "a method that is not POST"}
+	default:
+		w, err = c.Names.Read(&q)
+	}
+	if err != nil {
+		st.Data, st.Discard = err, true
+		return
+	}
+	if s.excess { // the module has not seen it: another dispatcher may
+		c.Count.ReqsShed.Add(1)
+		s.m.Reset(st.ID, http2.Refused)
+		return
+	}
+	r := &streamReq{s: s, id: st.ID, came: time.Now(), work: w}
+	r.job = core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey}
+	st.Data = r
+}
+
+// look is a stream that asks how things are.
+type look struct{ path string }
+
+// whole hands a req to the core.
+func (s *streams) whole(st *http2.Stream) {
+	c := s.front.Clients
+	var r *streamReq
+	switch d := st.Data.(type) {
+	case *streamReq:
+		r = d
+	case look:
+		status, body := c.look("GET", d.path)
+		s.m.Answer(st.ID, status, 0, body, time.Now())
+		return
+	case error:
+		s.refuse(st, d)
+		return
+	}
+	r.job.Body = st.Body
+	r.taken = true // before its answer can come
+	var fresh bool
+	if r.ticket, fresh = c.Core.Take(r.work.Ask, &r.job, r.came, c.patience(r.work.Left, r.came), r); !fresh {
+		r.taken = false
+		s.refuse(st, &platform.Bad{Status: 409, Reason: "this X-Correlation-Id has been used"})
+		return
+	}
+	c.Count.ReqsTaken.Add(1)
+}
+
+func (s *streams) refuse(st *http2.Stream, err error) {
+	bad := &platform.Bad{Status: 400}
+	errors.As(err, &bad)
+	s.front.Clients.Count.ReqsBad.Add(1)
+	s.m.Answer(st.ID, bad.Status, bad.Pause, err.Error()+"\n", time.Now())
+	s.m.Blame()
+}
