member_rules and backends(director) hold from a SIGHUP; two more kinds of abuse measured

Need: the issue has consul, backends and member_rules all reloadable without dropping an attempt; the last two waited for the next start. And windows overflowed and a flood of RST_STREAM alone, which the HTTP/2 issue lists, were not among what was measured.

Change: membership.SetRules takes other rules over and judges anew; a source that is off is kept up and not used. The director's watch begins when it is first wanted, with the whole list.

Result: TestConsulSite reloads both ways: a warning drains and no longer does, the director's own backend comes and goes, and what the catalogue has in maintenance stays so although the director calls it ready.

--- a/cmd/tinsail/consul_test.go
+++ b/cmd/tinsail/consul_test.go
@@ -204,6 +204,27 @@
 	require.NoError(t, <-done)
 	s.await(func() bool { return strings.Contains(s.d.sources.describe(), `"consul","state":"answers"`) })
 
+	// Rules and the director are taken over too: the director names b01 as ready, which the
+	// catalogue's maintenance outweighs, and b03, which the catalogue does not know.
+	extra, err := platform.StartBackend("b03", 8, func(string) time.Duration { return 0 })
+	require.NoError(t, err)
+	defer extra.Close()
+	s.director.Set(extra.Entry("fast", "here", 3, "Ready"))
+	last := next
+	last.Backends = &settings.Backends{Director: true}
+	last.MemberRules = &settings.MemberRules{HoldMS: 30_000, WarningDrains: true}
+	s.agents[1].Check("b00", "warning")
+	s.d.reloadSources(&next, &last)
+	s.await(func() bool {
+		list, _ := s.d.sources.list.Members()
+		return len(list) == 4 && list[0].State == membership.Draining && list[1].State == membership.Draining && list[3].State == membership.Ready
+	})
+	s.d.reloadSources(&last, &next)
+	s.await(func() bool {
+		list, _ := s.d.sources.list.Members()
+		return len(list) == 3 && list[0].State == membership.Ready
+	})
+
 	var out strings.Builder
 	assert.Equal(t, exitOK, execute([]string{"members", "--at", s.d.listener.Addr().String()}, &out, &out), out.String())
 	for _, want := range []string{"b00", "b01", "draining", "told to drain", "consul", "answers"} {
--- a/cmd/tinsail/sources.go
+++ b/cmd/tinsail/sources.go
@@ -53,14 +53,19 @@
 // usesDirector says whether the platform's director is asked.
 func usesDirector(set *settings.Settings) bool { return set.Backends == nil || set.Backends.Director }
 
-// sources makes the list of backends where the settings ask for one. The platform's director
+// directorRules are the platform's: its list is believed at once.
+func directorRules(set *settings.Settings) membership.Rules {
+	return membership.Rules{Name: "director", Rank: directorRank, Off: !usesDirector(set)}
+}
+
+// addSources makes the list of backends where the settings ask for one. The platform's director
 // alone goes straight to the core, as it always has.
 func (d *dispatcher) addSources(set *settings.Settings) error {
 	if set.Consul == nil && set.Backends == nil {
 		return nil
 	}
 	s := &sources{list: members.New(d.core.Listed, membership.Rules{Name: "static", Rank: staticRank},
-		membership.Rules{Name: "director", Rank: directorRank}, rules(set.MemberRules))}
+		directorRules(set), rules(set.MemberRules))}
 	s.static, s.director, s.consul = s.list.Source(0), s.list.Source(1), s.list.Source(2)
 	d.sources = s
 	d.director.Told = s.director.Told
@@ -149,6 +154,11 @@
 		return
 	}
 	d.sources.static.Whole(static(next.Backends))
+	d.sources.consul.SetRules(rules(next.MemberRules))
+	if usesDirector(next) {
+		d.director.On()
+	}
+	d.sources.director.SetRules(directorRules(next))
 	if next.Consul != nil && old.Consul != nil && !reflect.DeepEqual(old.Consul, next.Consul) {
 		d.follow(next.Consul)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -82,6 +82,8 @@
 	Flaps      int
 	FlapWindow time.Duration
 	Settle     time.Duration
+	// Off has the source's news kept and not used, until its rules say otherwise.
+	Off bool
 	// WarningDrains says that a warning is as good as critical.
 	WarningDrains bool
 }
@@ -187,6 +189,22 @@
 	}
 }
 
+// SetRules has other rules hold for a source from now on. What it has told stays.
+func (s *Set) SetRules(now time.Time, from int, r Rules) {
+	src := s.sources[from]
+	src.rules, src.down = r, 0
+	for name, e := range src.list {
+		if e.down(src) {
+			src.down++
+		}
+		s.dirty[name] = true
+	}
+	if src.failed {
+		s.wakeAt(src)
+	}
+	s.settle(now, src)
+}
+
 // back ends a source's silence. What went missing meanwhile is doubted from now on, not from
 // when it was last seen: a source that comes back takes nothing away at once.
 func (s *Set) back(now time.Time, src *source) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -67,7 +67,7 @@
 	drained := ""
 	for _, src := range s.sources {
 		e := src.list[name]
-		if e == nil {
+		if e == nil || src.rules.Off {
 			continue
 		}
 		state, reason := s.view(now, src, name, e)
@@ -88,7 +88,13 @@
 			chosen = Member{Backend: e.said, State: state, Reason: reason, Source: src.rules.Name}
 		}
 	}
-	if best == nil {
+	if best == nil { // nobody who is asked names it
+		if old := s.members[name]; old != nil {
+			gone := *old
+			gone.State, gone.Reason = Gone, "no source that is asked names it"
+			delete(s.members, name)
+			s.changed = append(s.changed, gone)
+		}
 		return
 	}
 	if drained != "" && chosen.State == Ready {
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -44,6 +44,7 @@
 	in    *platform.Replies
 
 	on    atomic.Bool
+	off   atomic.Bool // Off was called, and the watch never began
 	mu    sync.Mutex
 	place *place // where calls go now; nil until the first
 }
@@ -65,7 +66,20 @@
 }
 
 // Off has Subscribe do nothing: backends come from elsewhere.
-func (d *Director) Off() { d.on.Store(true) }
+func (d *Director) Off() {
+	d.off.Store(true)
+	d.on.Store(true)
+}
+
+// On asks after all, for the whole list first: what was known at the start may be long past. It does
+// nothing where the watch runs, and must not be called before Start.
+func (d *Director) On() {
+	if d.off.CompareAndSwap(true, false) {
+		d.whole = true
+		d.on.Store(false)
+		d.Subscribe()
+	}
+}
 
 // Start tells which version is known.
 func (d *Director) Start(index uint64) { d.index = index }
--- a/internal/network/http2_bench_test.go
+++ b/internal/network/http2_bench_test.go
@@ -334,6 +334,8 @@
 		{"unknown", preface, repeat(raw(99, 0, 0, string(make([]byte, 1000))))},
 		{"over-limit", preface, func(id uint32) string { return raw(1, 4, id, block) }},
 		{"window-shut", http2.ClientPreface + raw(4, 0, 0, "\x00\x04\x00\x00\x00\x00"), func(id uint32) string { return raw(1, 5, id, block) }},
+		{"window-overflow", preface, repeat(raw(8, 0, 0, "\x7f\xff\xff\xff"))},
+		{"rst-flood", preface + raw(1, 4, 1, block), repeat(raw(3, 0, 1, "\x00\x00\x00\x08"))},
 		{"no-preface", "", repeat("")},
 	} {
 		b.Run(a.name, func(b *testing.B) {
--- a/internal/network/members/members.go
+++ b/internal/network/members/members.go
@@ -51,6 +51,11 @@
 // Failed takes the news that the source does not answer.
 func (s Source) Failed() { s.list.do(func(now time.Time) { s.list.set.Failed(now, s.at) }) }
 
+// SetRules has other rules hold from now on.
+func (s Source) SetRules(r membership.Rules) {
+	s.list.do(func(now time.Time) { s.list.set.SetRules(now, s.at, r) })
+}
+
 // Told takes a list of the platform's director.
 func (s Source) Told(kind balance.ListKind, entries []core.Entry) {
 	if kind == balance.ListFailed {
