A door for operators, and one state machine for drain, shutdown and hand-over

internal/door reads the calls, internal/network/admin serves them with 16 descriptors of its own, the longest unfinished caller going first. internal/service decides what fronts do in service, draining, out of service, handed over and shutting down; SIGTERM's drain, which slept through its stages in network.Clients, is now one user of it. listeners can be shut and opened again without losing what waits in their queue.

Ruled out: closing sessions as soon as the call comes, where a dispatcher that is alone would serve nobody for 3 s.

--- a/cmd/tinsail/main_test.go
+++ b/cmd/tinsail/main_test.go
@@ -25,8 +25,8 @@
 		h.mind(minded{
 			reload: func() { done <- "reloaded" },
 			stats:  func() { done <- "counted" },
-			drain:  func() { close(draining); <-drained },
-		})
+			drain:  func() { close(draining) },
+		}, drained)
 		close(over)
 	}()
 	expect := func(s syscall.Signal, want string) {
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -21,6 +21,8 @@
 	"tinsail/internal/http2"
 	"tinsail/internal/logs"
 	"tinsail/internal/network"
+	"tinsail/internal/network/admin"
+	"tinsail/internal/service"
 	"tinsail/internal/settings"
 )
 
@@ -47,12 +49,16 @@
 	if d.listener2 != nil {
 		e.Stringer("http2", d.listener2.Addr())
 	}
+	if d.door != nil {
+		e.Stringer("admin", d.doorAt.Addr())
+	}
 	e.Msg("serving")
 	sig.mind(minded{
 		reload: func() { cfg, set = d.reload(cfg, set, o.settings) },
 		stats:  d.tell,
 		drain:  d.drain,
-	})
+	}, d.service.Ended())
+	d.end()
 	d.tell()
 	log.Info().Msg("ended on a signal")
 	return nil
@@ -76,7 +82,10 @@
 	pool     *network.Pool
 	director *network.Director
 	clients  *network.Clients
+	service  *network.Service
 	listener net.Listener
+	door     *admin.Server // nil where it is off
+	doorAt   net.Listener
 
 	sources   *sources       // nil where the director alone is asked
 	http2     *network.HTTP2 // nil where it is off
@@ -91,7 +100,7 @@
 // assemble makes the parts and opens the listeners; nothing runs yet.
 func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger) (*dispatcher, error) {
 	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}}
-	share := network.Share(cfg.Sockets)
+	share := network.Share(cfg.Sockets - doorSockets(cfg))
 	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
 	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: network.TCP}
@@ -119,6 +128,14 @@
 		d.close()
 		return nil, err
 	}
+	d.service = network.NewService(d.clients, d.http2)
+	d.service.Changed = func(old, now service.State) {
+		d.log.Info().Stringer("from", old).Stringer("to", now).Msg("service")
+	}
+	if err := d.addDoor(); err != nil {
+		d.close()
+		return nil, err
+	}
 	d.set = set
 	return d, nil
 }
@@ -138,24 +155,33 @@
 	if d.http2 != nil {
 		go d.http2.Serve(d.listener2)
 	}
+	if d.door != nil {
+		go d.door.Serve(d.doorAt)
+	}
 }
 
+// drain begins the shutdown; d.service says when it is over.
 func (d *dispatcher) drain() {
 	if d.sources != nil && d.sources.self != nil { // before any session is closed
 		d.sources.self.Drain()
-		defer d.sources.self.End()
 	}
-	if d.http2 != nil {
-		d.http2.Drain()
+	d.service.Term()
+}
+
+// end is done last of all.
+func (d *dispatcher) end() {
+	if d.sources != nil && d.sources.self != nil {
+		d.sources.self.End()
 	}
-	d.clients.Drain(d.cfg.Longest() + 500*time.Millisecond)
 }
 
 // close ends the listeners; what is open goes on.
 func (d *dispatcher) close() {
 	d.listener.Close()
-	if d.listener2 != nil {
-		d.listener2.Close()
+	for _, l := range []net.Listener{d.listener2, d.doorAt} {
+		if l != nil {
+			l.Close()
+		}
 	}
 }
 
@@ -164,9 +190,7 @@
 func (d *dispatcher) stats() string {
 	var b strings.Builder
 	d.count.Print(&b, counterNames)
-	if d.sources != nil {
-		d.sources.count.Each(func(name string, n int64) { fmt.Fprintf(&b, "counter %s %d\n", name, n) })
-	}
+	d.further(func(name string, n int64) { fmt.Fprintf(&b, "counter %s %d\n", name, n) })
 	return b.String()
 }
 
@@ -178,10 +202,18 @@
 			e.Int64(name, n)
 		}
 	})
+	d.further(func(name string, n int64) { e.Int64(name, n) })
+	e.Msg("counters")
+}
+
+// further calls f for the counters of the parts that are on.
+func (d *dispatcher) further(f func(name string, n int64)) {
 	if d.sources != nil {
-		d.sources.count.Each(func(name string, n int64) { e.Int64(name, n) })
+		d.sources.count.Each(f)
+	}
+	if d.door != nil {
+		d.door.Count.Each(f)
 	}
-	e.Msg("counters")
 }
 
 // reload reads configuration and settings once more and returns those that hold from now on.
--- a/cmd/tinsail/signals.go
+++ b/cmd/tinsail/signals.go
@@ -18,14 +18,14 @@
 	return h
 }
 
-// minded is what the signals ask for.
+// minded is what the signals ask for. drain is called once, on a goroutine of its own.
 type minded struct{ reload, stats, drain func() }
 
-// mind does what signals ask for until the shutdown that one of them asked for is over. It
-// goes on listening during the shutdown: one that comes then must not end the program early,
-// and the director may move while reqs are still to be sent.
-func (h heard) mind(m minded) {
-	var drained chan struct{}
+// mind does what signals ask for until ended is closed. It goes on listening during a shutdown:
+// a signal that comes then must not end the program early, and the director may move while reqs
+// are still to be sent.
+func (h heard) mind(m minded, ended <-chan struct{}) {
+	draining := false
 	for {
 		select {
 		case <-h.reload:
@@ -33,11 +33,11 @@
 		case <-h.stats:
 			m.stats()
 		case <-h.end:
-			if drained == nil {
-				drained = make(chan struct{})
-				go func() { m.drain(); close(drained) }()
+			if !draining {
+				draining = true
+				go m.drain()
 			}
-		case <-drained:
+		case <-ended:
 			return
 		}
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 // Config is all that a dispatcher is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // where operators call; empty for no door
 	Cores                   float64
 	Memory                  int64 // bytes
 	Sockets                 int
@@ -48,13 +49,14 @@
 	top := r.object("", text)
 	limits := r.object("limits", top["limits"])
 	c := &Config{Name: or(r.text1("name", top), env("ROUTER_NAME")), Listen: or(r.text1("listen", top), env("ROUTER_LISTEN")),
-		Discovery: or(r.text1("discovery", top), env("ROUTER_DISCOVERY")), Cores: 1, Memory: 192 << 20, Sockets: 1024,
+		Discovery: or(r.text1("discovery", top), env("ROUTER_DISCOVERY")), Admin: or(r.text1("admin", top), env("ROUTER_ADMIN")), Cores: 1, Memory: 192 << 20, Sockets: 1024,
 		ConnIdle: 10 * time.Second}
 	for _, a := range [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a[1]); err != nil {
 			r.fault(a[0], "is %q, want host:port", a[1])
 		}
 	}
+	r.admin(c)
 	seedText := r.text1("seed", top)
 	seed, err := strconv.ParseUint(seedText, 16, 64)
 	if err != nil {
@@ -87,6 +89,20 @@
 	return c, nil
 }
 
+// admin checks the door's address. One that clients are sent to is none: they could call what is
+// for operators.
+func (r *reader) admin(c *Config) {
+	if c.Admin == "" {
+		return
+	}
+	_, port, err := net.SplitHostPort(c.Admin)
+	if n, bad := strconv.ParseUint(port, 10, 16); err != nil || bad != nil {
+		r.fault("admin", "is %q, want host:port", c.Admin)
+	} else if c.Admin == c.Listen && n != 0 {
+		r.fault("admin", "is %q, where clients connect already", c.Admin)
+	}
+}
+
 func (c *Config) settings(r *reader, seed uint64, text []byte) {
 	if len(text) == 0 {
 		r.fault("settings", "is missing")
@@ -140,7 +156,7 @@
 		key  string
 		same bool
 	}{
-		{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen},
+		{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen}, {"admin", c.Admin == other.Admin},
 		{"limits", c.Cores == other.Cores && c.Memory == other.Memory && c.Sockets == other.Sockets},
 		{"settings", c.ConnIdle == other.ConnIdle && reflect.DeepEqual(c.Names, other.Names) && sameSettings(c.Settings, other.Settings)},
 	} {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -39,8 +39,11 @@
 	text := strings.Replace(good, `"limits":{"cores":0.4,"memory_mb":100,"sockets":512},`, "", 1)
 	text = strings.Replace(text, `"listen":"127.0.0.1:8081",`, "", 1)
 	text = strings.Replace(text, `"ConnIdleMs":8000.0,`, "", 1)
-	c, err := Parse([]byte(text), func(key string) string { return map[string]string{"ROUTER_LISTEN": "127.0.0.9:1"}[key] })
+	c, err := Parse([]byte(text), func(key string) string {
+		return map[string]string{"ROUTER_LISTEN": "127.0.0.9:1", "ROUTER_ADMIN": "127.0.0.9:2"}[key]
+	})
 	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.9:2", c.Admin)
 	assert.Equal(t, "127.0.0.9:1", c.Listen)
 	assert.Equal(t, []any{1.0, int64(192 << 20), 1024, 10 * time.Second}, []any{c.Cores, c.Memory, c.Sockets, c.ConnIdle})
 }
@@ -61,6 +64,9 @@
 		{`"read_like"`, `"odd"`, "line 5: settings.Classes[0].Effect is \"odd\""},
 		{`"settings":`, `"other":`, "settings"},
 		{`"name":"n3"`, `"name":3`, "line 1: name is 3, want a text"},
+		{`"name":"n3"`, `"admin":"here","name":"n3"`, `line 1: admin is "here", want host:port`},
+		{`"name":"n3"`, `"admin":"127.0.0.1:x","name":"n3"`, `admin is "127.0.0.1:x", want host:port`},
+		{`"name":"n3"`, `"admin":"127.0.0.1:8081","name":"n3"`, `admin is "127.0.0.1:8081", where clients connect already`},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)), none)
 		assert.ErrorContains(t, err, c.want)
@@ -86,6 +92,7 @@
 		{`8c1f30d27a5be964`, `1`, nil},
 		{`"index":41`, `"index":42`, nil},
 		{`"n3"`, `"n4"`, []string{"name"}},
+		{`"n3"`, `"n3","admin":"127.0.0.1:9"`, []string{"admin"}},
 		{`127.0.0.1:8081`, `127.0.0.1:8082`, []string{"listen"}},
 		{`"sockets":512`, `"sockets":256`, []string{"limits"}},
 		{`"MaxAttempts":5`, `"MaxAttempts":4`, []string{"settings"}},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,6 +145,7 @@
 	mayCancel bool
 	ready     atomic.Int32 // backends that may be sent to
 	open      atomic.Int32 // reqs owed an answer
+	known     atomic.Bool  // a list of backends has come
 
 	ids ids
 
@@ -173,6 +174,9 @@
 // Ready is how many backends may be sent to.
 func (c *Core) Ready() int { return int(c.ready.Load()) }
 
+// Known says whether any list of backends has come.
+func (c *Core) Known() bool { return c.known.Load() }
+
 // Open is how many reqs are owed an answer.
 func (c *Core) Open() int { return int(c.open.Load()) }
 
@@ -417,6 +421,7 @@
 		}
 	}
 	c.ready.Store(ready)
+	c.known.Store(c.known.Load() || len(c.listed) > 0)
 	c.mod.Workers(c.clock.now(), kind, workers)
 }
 
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,174 @@
+// Package door reads what operators ask of a running dispatcher: HTTP/1.1 (RFC 9112), one call to a
+// connection, as the operators' page has it. It is fed bytes and knows no socket; what a call does
+// is not its business. The framing is package platform's.
+package door
+
+import (
+	"errors"
+	"net/url"
+	"strings"
+
+	"tinsail/internal/platform"
+)
+
+// Op is what a call asks for.
+type Op uint8
+
+// Calls.
+const (
+	Ready Op = iota
+	Offline
+	Online
+	OutOfService
+	InService
+	ops
+)
+
+var opNames = [ops]string{"ready", "offline", "online", "out_of_service", "in_service"}
+
+func (o Op) String() string { return opNames[o] }
+
+// Call is one call. Backend is set for Offline and Online.
+type Call struct {
+	Op      Op
+	Backend string
+}
+
+// Bounds on what a caller may send. No call needs a body; a short one is read and left aside,
+// since some callers send one with every POST.
+const (
+	MaxBody = 1 << 10
+	MaxID   = 256
+)
+
+// Refusal is why there is no call: the status of the answer, and for 405 what is allowed.
+type Refusal struct {
+	Status int
+	Reason string
+	Allow  string
+}
+
+func (r *Refusal) Error() string { return r.Reason }
+
+// Caller is one connection's calls. It hands out one and no more.
+type Caller struct {
+	in   platform.Requests
+	done bool
+}
+
+// NewCaller makes a machine for a connection.
+func NewCaller() *Caller {
+	c := &Caller{}
+	c.in.Admit = func(n int) error {
+		if n > MaxBody {
+			return &platform.Bad{Status: 413, Reason: "the body is too long: no call needs one"}
+		}
+		return nil
+	}
+	return c
+}
+
+// Space is where the next bytes are to be read, Filled tells how many were.
+func (c *Caller) Space() []byte { return c.in.Space() }
+
+// Filled tells that n bytes have been read into Space.
+func (c *Caller) Filled(n int) { c.in.Filled(n) }
+
+// Waste is space for bytes that nobody will read.
+func (c *Caller) Waste() []byte { return c.in.Waste() }
+
+// Next returns the call once it is whole; ok is false while more bytes are due. The error is a
+// *Refusal. What comes behind the call is never looked at.
+func (c *Caller) Next() (call Call, ok bool, err error) {
+	if c.done {
+		return Call{}, false, &Refusal{Status: 400, Reason: "one call to a connection"}
+	}
+	q, err := c.in.Next()
+	if err != nil {
+		c.done = true
+		bad := &platform.Bad{Status: 400, Reason: "a bad head"}
+		errors.As(err, &bad)
+		return Call{}, false, &Refusal{Status: bad.Status, Reason: bad.Reason}
+	}
+	if q == nil {
+		return Call{}, false, nil
+	}
+	c.done = true
+	if call, err = Read(q.Method, q.Path()); err != nil {
+		return Call{}, false, err
+	}
+	return call, true, nil
+}
+
+// Begun says whether the caller has sent anything.
+func (c *Caller) Begun() bool { return c.in.Partial() }
+
+// plain are the calls that name nothing.
+var plain = map[string]struct {
+	method string
+	op     Op
+}{
+	"/control/ready":          {"GET", Ready},
+	"/control/out-of-service": {"POST", OutOfService},
+	"/control/in-service":     {"POST", InService},
+}
+
+// prefix is of the calls that name a backend.
+const prefix = "/control/photo-workers/"
+
+// Read makes a call of a method and a path. The error is a *Refusal.
+func Read(method, path string) (Call, error) {
+	unknown := &Refusal{Status: 404, Reason: "no such call"}
+	call, want := Call{}, "POST"
+	if p, ok := plain[path]; ok {
+		call.Op, want = p.op, p.method
+	} else {
+		rest, ok := strings.CutPrefix(path, prefix)
+		id, verb, ok2 := strings.Cut(rest, "/")
+		if !ok || !ok2 {
+			return Call{}, unknown
+		}
+		switch verb {
+		case "offline":
+			call.Op = Offline
+		case "online":
+			call.Op = Online
+		default:
+			return Call{}, unknown
+		}
+		name, err := url.PathUnescape(id)
+		if err != nil {
+			return Call{}, &Refusal{Status: 400, Reason: "an id that cannot be decoded"}
+		}
+		if name == "" || len(name) > MaxID {
+			return Call{}, &Refusal{Status: 404, Reason: "no backend has such an id"}
+		}
+		call.Backend = name
+	}
+	if method != want {
+		return Call{}, &Refusal{Status: 405, Reason: "this call is a " + want, Allow: want}
+	}
+	return call, nil
+}
+
+// Path is a call's method and path, percent-coded, for those who make it.
+func (c Call) Path() (method, path string) {
+	switch c.Op {
+	case Offline, Online:
+		return "POST", prefix + url.PathEscape(c.Backend) + "/" + c.Op.String()
+	}
+	for path, p := range plain {
+		if p.op == c.Op {
+			return p.method, path
+		}
+	}
+	return "", ""
+}
+
+// AppendAnswer writes the answer to a call; the connection ends with it.
+func AppendAnswer(b []byte, status int, allow, body string) []byte {
+	if allow != "" {
+		allow = "Allow: " + allow + "\r\n"
+	}
+	return platform.AppendAnswerWith(b, status, 0, true, allow, body+"\n")
+}
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -12,6 +12,7 @@
 	"tinsail/internal/core"
 	"tinsail/internal/counters"
 	"tinsail/internal/platform"
+	"tinsail/internal/service"
 )
 
 // Times of a client session.
@@ -26,17 +27,6 @@
 	roomWait   = 20 * time.Millisecond   // for a session that is being shed to be gone
 )
 
-// Times of a shutdown, from SIGTERM on.
-const (
-	lateFront  = 600 * time.Millisecond // the front may still send new connections
-	ownReqs    = 700 * time.Millisecond // what comes later is lost if the kill finds it unanswered
-	killFloor  = 3 * time.Second        // the kill comes ownReqs after this, or after the longest deadline if that is less
-	killMargin = 200 * time.Millisecond // answers are out so long before the kill
-	lastReqs   = 400 * time.Millisecond // for the last reqs to be answered in: most take half of it
-	lookEvery  = 20 * time.Millisecond  // for whether all is answered
-	quietLooks = 5                      // without a session, before the end
-)
-
 // Clients takes in client sessions.
 type Clients struct {
 	Names   *platform.Names
@@ -50,12 +40,22 @@
 	Members func() string // the list of backends for people; may be nil
 	Log     zerolog.Logger
 
-	draining, closing atomic.Bool  // a shutdown has begun; answers end their sessions
-	until             atomic.Int64 // of reqs that come late in a shutdown: Unix ns, 0 for no end
-	held              atomic.Int64
-	table             table
+	orders atomic.Pointer[service.Orders] // nil stands for a dispatcher in service
+	gate   gate
+	held   atomic.Int64
+	table  table
 }
 
+// told is what the state of service asks for now.
+func (c *Clients) told() *service.Orders {
+	if o := c.orders.Load(); o != nil {
+		return o
+	}
+	return &inService
+}
+
+var inService = service.Orders{Ready: true, Accept: true}
+
 // session is one client's connection. Its goroutine reads; the answer of a req is written by
 // another, so that a client that goes away meanwhile is noticed.
 type session struct {
@@ -85,11 +85,16 @@
 func (c *Clients) Serve(l net.Listener) { c.accept(l, c.admit) }
 
 func (c *Clients) accept(l net.Listener, admit func(net.Conn)) {
+	c.gate.add(l)
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.gate.wait()
+			continue
+		}
 		if err != nil { // out of descriptors, say: do not spin
 			c.Log.Warn().Err(err).Msg("accept failed")
 			time.Sleep(10 * time.Millisecond)
@@ -312,8 +317,8 @@
 
 // patience is how long a req that came at a time may take: in a shutdown, not past its end.
 func (c *Clients) patience(left time.Duration, came time.Time) time.Duration {
-	if until := c.until.Load(); until != 0 {
-		left = max(min(left, time.Unix(0, until).Sub(came)), 0)
+	if until := c.told().Until; !until.IsZero() {
+		left = max(min(left, until.Sub(came)), 0)
 	}
 	return left
 }
@@ -373,7 +378,7 @@
 	case <-gone:
 		return
 	}
-	closing = closing || s.clients.closing.Load()
+	closing = closing || s.clients.told().Close
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
 	closing = s.clients.table.answered(&s.seat, true, closing || err != nil, long)
 	s.clients.table.trim(s.clients.Usual)
@@ -384,7 +389,7 @@
 func (s *session) plain(q *platform.Request) (core.Ending, bool) {
 	c := s.clients
 	status, body := c.look(q.Method, q.Path())
-	closing := q.Close || c.closing.Load()
+	closing := q.Close || c.told().Close
 	s.done(true)
 	if s.write(platform.AppendAnswer(nil, status, 0, closing, body)) != nil {
 		return core.ClientClosed, true
@@ -398,7 +403,7 @@
 	case method != "GET":
 		return 405, ""
 	case path == "/health/ready":
-		if c.draining.Load() || c.Core.Ready() == 0 {
+		if !c.told().Ready || c.Core.Ready() == 0 {
 			return 503, ""
 		}
 		return 200, ""
@@ -414,26 +419,3 @@
 
 // Answer takes the final answer of the req; the session's own goroutines write it.
 func (s *session) Answer(a core.Answer) { s.answer <- a }
-
-// Drain shuts the front down without losing a req: it goes on accepting and answering, then
-// says Connection: close and closes sessions between reqs, and returns when none has been left
-// for a moment (a client whose req crossed the closing of its session comes back at once), or
-// at the latest after most.
-//
-// Sessions stay for as long as reqs can be answered before the kill. The front brings a client
-// whose session is closed to another dispatcher, if it knows of one that is up: not where this
-// one is alone, nor while the one that was restarted before it has yet to be noticed.
-func (c *Clients) Drain(most time.Duration) {
-	begun := time.Now()
-	kill := begun.Add(min(c.Longest, killFloor) + ownReqs)
-	c.draining.Store(true)
-	time.Sleep(lateFront)
-	c.until.Store(kill.Add(-killMargin).UnixNano()) // a little before ownReqs: no late req slips by
-	time.Sleep(time.Until(kill) - killMargin - lastReqs)
-	c.closing.Store(true)
-	for quiet := 0; quiet < quietLooks && time.Since(begun) < most; time.Sleep(lookEvery) {
-		if quiet++; c.table.shutIdle() > 0 || c.Core.Open() > 0 {
-			quiet = 0
-		}
-	}
-}
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -19,7 +19,7 @@
 type HTTP2 struct {
 	Clients *Clients
 	limits  atomic.Pointer[HTTP2Limits]
-	open    sync.Map // *streams of this front, for Drain
+	open    sync.Map // *streams of this front, for hint
 	ends    atomic.Pointer[net.Listener]
 }
 
@@ -187,7 +187,7 @@
 			s.front.Clients.table.begun(&s.seat)
 		}
 		s.events()
-		if s.front.Clients.draining.Load() && s.m.Begun() { // it came too late for Drain to find it
+		if s.front.Clients.told().Hint && s.m.Begun() { // it came too late for hint to find it
 			s.m.Drain(time.Now())
 			s.events()
 		}
@@ -385,14 +385,9 @@
 	t.trim(s.front.Clients.Usual)
 }
 
-// Drain has all connections go away without loss, and new ones as soon as they have begun. The
-// sessions themselves are in Clients' table, and its Drain waits for them. After a while no new
-// ones are accepted: clients that come straight back would keep the shutdown from ending, and
-// its end would find their reqs open.
-func (f *HTTP2) Drain() {
-	if l := f.ends.Load(); l != nil {
-		time.AfterFunc(lateFront, func() { (*l).Close() })
-	}
+// hint has all connections go away without loss; new ones are told as soon as they have begun. The
+// sessions themselves are in Clients' table.
+func (f *HTTP2) hint() {
 	f.open.Range(func(key, _ any) bool {
 		s := key.(*streams)
 		s.mu.Lock()
@@ -403,3 +398,10 @@
 		return true
 	})
 }
+
+// shut accepts nobody any more.
+func (f *HTTP2) shut() {
+	if l := f.ends.Load(); l != nil {
+		(*l).Close()
+	}
+}
--- a/internal/network/http2_real_test.go
+++ b/internal/network/http2_real_test.go
@@ -242,8 +242,9 @@
 		}
 	}
 	<-begin
-	s.http2.Drain()
-	s.clients.Drain(2 * time.Second)
+	end := NewService(s.clients, s.http2)
+	end.Term()
+	<-end.Ended()
 	close(stop)
 	all.Wait()
 	taken := s.count.ReqsTaken.Load()
--- a/internal/network/http2_test.go
+++ b/internal/network/http2_test.go
@@ -228,8 +228,8 @@
 		s1/1 expect POST /ingest r1 k1 2000`,
 		func(w *world) {
 			go func() {
-				w.http2.Drain()
-				w.clients.Drain(10 * time.Second)
+				w.service.Term()
+				<-w.service.Ended()
 				ended = true
 			}()
 		}, `
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -547,7 +547,8 @@
 		func(w *world) {
 			go func() {
 				begun := time.Now()
-				w.clients.Drain(6 * time.Second)
+				w.service.Term()
+				<-w.service.Ended()
 				done <- time.Since(begun)
 			}()
 		}, `
@@ -581,3 +582,56 @@
 		wait 150ms`,
 		func(*world) { assert.InDelta(t, 3650*time.Millisecond, <-done, float64(50*time.Millisecond)) })
 }
+
+// TestOutOfService: a drain by a call serves what comes, new connections too, closes sessions in
+// time, and ends nothing; taken back in its middle or after it, the dispatcher serves as before.
+func TestOutOfService(t *testing.T) {
+	const health = `GET /health/ready HTTP/1.1\r\n\r\n`
+	run(t, list(balance.Ready, "s1"), 9, `
+		c1 send {req 9a x}
+		s1/1 expect POST /ingest?v=1 9a k9a 2000 x
+		s1/1 send {started 9a}{done 9a r}
+		c1 expect 200 r`,
+		func(w *world) { w.service.Out(); w.service.Out() }, `
+		c2 send `+health+`
+		c2 expect 503
+		wait 150ms
+		c3 send {req 9b x}
+		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+		s1/1 send {started 9b}{done 9b r}
+		c3 expect 200 r
+		wait 2s`,
+		func(w *world) { assert.True(t, w.service.In()) }, `
+		c2 send `+health+`
+		c2 expect 200
+		wait 10s
+		c1 send {req 9c x}
+		s1/2 expect POST /ingest?v=1 9c k9c 2000 x
+		s1/2 send {started 9c}{done 9c r}
+		c1 expect 200 r`,
+		func(w *world) { w.service.Out() }, `
+		wait 3050ms
+		c1 expect nothing
+		wait 70ms
+		c1 expect closed
+		c2 expect closed
+		c3 expect closed
+		wait 900ms
+		c4 send `+health+`
+		c4 expect 503 close
+		wait 10s
+		c5 send {req 9d x}
+		s1/3 expect POST /ingest?v=1 9d k9d 2000 x
+		s1/3 send {started 9d}{done 9d r}
+		c5 expect 200 close r`,
+		func(w *world) { assert.True(t, w.service.In()) }, `
+		c6 send `+health+`
+		c6 expect 200
+		c6 send {req 9e x}
+		s1/3 expect POST /ingest?v=1 9e k9e 2000 x
+		s1/3 send {started 9e}{done 9e r}
+		c6 expect 200 r`,
+		func(w *world) { w.service.Out(); time.Sleep(time.Minute); w.service.Term() }, `
+		wait 120ms`,
+		func(w *world) { <-w.service.Ended() })
+}
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	http2   *HTTP2
+	service *Service
 	refuse  map[string]bool
 	slow    map[string]time.Duration
 	made    map[string]int
@@ -128,6 +129,7 @@
 		w.clients = &Clients{Names: names, Count: w.count, Core: w.core, Most: most, Usual: 9, Held: 8 << 10, Longest: 5 * time.Second, Stats: func() string { return "counters" }}
 		w.http2 = &HTTP2{Clients: w.clients}
 		w.http2.Set(HTTP2Limits{Streams: 4, HeaderBytes: 4096, FrameBytes: 16384, Stall: 5 * time.Second, DrainWait: 300 * time.Millisecond, Stop: true})
+		w.service = NewService(w.clients, w.http2)
 		defer func() {
 			w.mu.Lock()
 			w.refuse["d"], w.refuse["e"], w.refuse["s1"], w.refuse["s2"] = true, true, true, true
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -201,15 +201,22 @@
 	s.conn.SetReadDeadline(time.Now())
 }
 
-// shutIdle tells all sessions between reqs to close, and new ones after a while. It returns
-// how many there are of any kind.
-func (t *table) shutIdle() int {
+// shutIdle tells sessions to close that have been between reqs for so long, and new ones after a
+// while.
+func (t *table) shutIdle(rest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for r := lingering; r < working; r++ {
-		for e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*seat).since) >= sparedFor[r]; e = t.rows[r].Front() {
+		least := max(sparedFor[r], rest)
+		for e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*seat).since) >= least; e = t.rows[r].Front() {
 			t.shut(e.Value.(*seat))
 		}
 	}
+}
+
+// open is how many sessions there are.
+func (t *table) open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return t.count
 }
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -51,6 +51,11 @@
 
 // AppendAnswer writes an answer to a client.
 func AppendAnswer(b []byte, status int, pause time.Duration, closing bool, body string) []byte {
+	return AppendAnswerWith(b, status, pause, closing, "", body)
+}
+
+// AppendAnswerWith writes an answer with further fields: whole lines, each with its end.
+func AppendAnswerWith(b []byte, status int, pause time.Duration, closing bool, fields, body string) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(append(b, ' '), reasons[status]...)
@@ -61,7 +66,8 @@
 	if closing {
 		b = append(b, "\r\nConnection: close"...)
 	}
-	b = append(b, "\r\nContent-Length: "...)
+	b = append(append(b, "\r\n"...), fields...)
+	b = append(b, "Content-Length: "...)
 	b = strconv.AppendInt(b, int64(len(body)), 10)
 	b = append(b, "\r\n\r\n"...)
 	return append(b, body...)
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,133 @@
+package service
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestDrainInTime: at 4 s no session that is idle may be left, and no job of the last 2 s.
+func TestDrainInTime(t *testing.T) {
+	for _, longest := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+		m := Machine{Longest: longest}
+		assert.Equal(t, Orders{Ready: true, Accept: true}, m.Look(at(-1), 9, 9))
+		m.Out(at(0))
+		for ms := 0; ms < 60_000; ms += 20 {
+			o := m.Look(at(ms), 9, 9)
+			assert.False(t, o.Ready)
+			assert.True(t, o.Accept, "new connections are taken all the time")
+			assert.False(t, o.End, "the process runs on")
+			if !o.Until.IsZero() {
+				assert.False(t, o.Until.After(at(3900)))
+			}
+			if ms >= 2000 && ms < 3200 {
+				assert.False(t, o.Until.IsZero() && !o.Close, ms)
+			}
+			if ms >= 3200 {
+				assert.True(t, o.Close && o.Rest == 0, ms)
+			}
+			if ms > 4000 {
+				assert.Equal(t, OutOfService, o.State)
+				assert.Zero(t, o.Until, "who comes all the same is served")
+			}
+		}
+		assert.True(t, m.In())
+		assert.Equal(t, Orders{Ready: true, Accept: true}, m.Look(at(61_000), 9, 9))
+	}
+}
+
+// TestTerm: a shutdown ends when nobody has been left for a moment, or at the latest after the longest deadline; one that
+// begins out of service does not wait for a front that sends nothing any more.
+func TestTerm(t *testing.T) {
+	end := func(m *Machine, from, sessions, until int) int {
+		for ms := from; ms < from+20_000; ms += 20 {
+			n := sessions
+			if ms >= until {
+				n = 0
+			}
+			if m.Look(at(ms), n, 0).End {
+				return ms - from
+			}
+		}
+		return -1
+	}
+	m := Machine{Longest: 5 * time.Second}
+	m.Term(at(0))
+	assert.Equal(t, 3200, end(&m, 0, 4, 100))
+	m = Machine{Longest: 5 * time.Second}
+	m.Term(at(0))
+	assert.Equal(t, 5500, end(&m, 0, 4, 60_000))
+	assert.False(t, m.In(), "a shutdown is not taken back")
+	m = Machine{Longest: 5 * time.Second}
+	m.Out(at(0))
+	m.Term(at(10_000))
+	assert.Equal(t, 100, end(&m, 10_000, 0, 0))
+	m = Machine{Longest: 5 * time.Second}
+	m.HandOver(at(0))
+	assert.Equal(t, 900, end(&m, 0, 1, 800), "a process that has handed over may leave early")
+}
+
+// TestHandOver: the process that has handed over says what the dispatcher says, and serves again
+// when the other is gone.
+func TestHandOver(t *testing.T) {
+	m := Machine{Longest: 5 * time.Second}
+	m.HandOver(at(0))
+	o := m.Look(at(1), 1, 1)
+	assert.Equal(t, Orders{State: HandedOver, Ready: true, Hint: true, Close: true, Rest: handedRest}, o)
+	m.Term(at(100))
+	assert.True(t, m.Look(at(101), 1, 1).Ready, "the dispatcher is in service")
+	assert.True(t, m.In(), "the other process is taken back into service")
+	m = Machine{Longest: 5 * time.Second}
+	m.Out(at(0))
+	m.HandOver(at(1))
+	assert.False(t, m.Look(at(2), 1, 1).Ready)
+	m.TakeBack()
+	assert.Equal(t, Draining, m.Look(at(3), 1, 1).State)
+}
+
+// TestAnyOrder: whatever comes in whatever order, the last call decides, and what is said fits together.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := Machine{Longest: 5 * time.Second}
+		now, out, term, handed := 0, false, false, false
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += rapid.IntRange(0, 3000).Draw(t, "wait")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				m.Out(at(now))
+				out = true
+			case 1:
+				if m.In() {
+					out = false
+				} else if !term || handed {
+					t.Fatal("refused")
+				}
+			case 2:
+				m.Term(at(now))
+				term = true
+			case 3:
+				m.HandOver(at(now))
+				handed = true
+			case 4:
+				m.TakeBack()
+				handed = false
+			}
+			o := m.Look(at(now), 3, 1)
+			assert.Equal(t, !out && (!term || handed), o.Ready)
+			assert.Equal(t, !handed, o.Accept)
+			assert.Equal(t, out, m.IsOut())
+			if !out && !term && !handed {
+				assert.Equal(t, Orders{Ready: true, Accept: true}, o)
+			}
+			if o.Close && o.Rest > 0 {
+				assert.True(t, handed)
+			}
+		}
+	})
+}
