Decode clients' bodies in chunks, which were refused by 411

Chunks are decoded by platform/chunks.go into a body of their own that counts against the budget as it grows. A length beside chunks stays refused (now 400), another coding gets 501.

--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -175,12 +175,13 @@
 const smallBody = 4 << 10
 
 // hold takes the body of the req that is coming in out of the bytes that all sessions
-// together may hold. Its length is known from its head: what cannot be held is not read.
+// together may hold: all of it where its head tells the length, else more as it grows. What cannot
+// be held is not read.
 func (s *session) hold(n int) error {
 	if n <= smallBody {
 		return nil
 	}
-	if !s.clients.hold(n) {
+	if !s.clients.hold(n - int(s.held)) {
 		return &platform.Bad{Status: 503, Reason: "no room for the body now", Pause: shedPause}
 	}
 	s.held = int64(n)
--- /dev/null
+++ b/internal/platform/chunks.go
@@ -0,0 +1,115 @@
+package platform
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxChunkLine is the longest line of the framing: a size with what a client may add to it.
+const maxChunkLine = 256
+
+// chunks takes a body in chunks (RFC 9112 section 7.1) out of the bytes that come. Lines must end
+// in CR LF and sizes be plain digits: a second reading of the framing would let a body pass for a
+// second req. What clients add to sizes, and fields behind the last chunk, are read and left aside.
+type chunks struct {
+	state   chunkState
+	left    int // of the chunk
+	trailer int // bytes of the fields behind the last chunk
+	body    []byte
+}
+
+type chunkState uint8
+
+const (
+	chunkSize chunkState = iota
+	chunkData
+	chunkEnd // the line end behind a chunk's bytes
+	chunkTrailer
+	chunkDone
+)
+
+// take takes what has come, and returns whether the body is whole. admit is asked before there are n
+// bytes of the body in all.
+func (c *chunks) take(b *buffer, admit func(n int) error) (whole bool, err error) {
+	for c.state != chunkDone {
+		if c.state == chunkData {
+			n := min(b.w-b.r, c.left)
+			if n == 0 {
+				return false, nil
+			}
+			if err := c.room(n, admit); err != nil {
+				return false, err
+			}
+			c.body = append(c.body, b.b[b.r:b.r+n]...)
+			b.r += n
+			if c.left -= n; c.left == 0 {
+				c.state = chunkEnd
+			}
+			continue
+		}
+		rest := b.rest()
+		i := bytes.IndexByte(rest, '\n')
+		if i > maxChunkLine || i < 0 && len(rest) > maxChunkLine {
+			return false, badRequest("a chunk's line is too long")
+		}
+		if i < 0 {
+			return false, nil
+		}
+		if i == 0 || rest[i-1] != '\r' {
+			return false, badRequest("a chunk's line without CR")
+		}
+		b.r += i + 1
+		if err := c.line(rest[:i-1]); err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// room makes space for n more bytes. It grows by doubling, and asks for what it takes.
+func (c *chunks) room(n int, admit func(n int) error) error {
+	need := len(c.body) + n
+	if need <= cap(c.body) {
+		return nil
+	}
+	size := min(max(need, 2*cap(c.body), room/8), MaxBody)
+	if admit != nil {
+		if err := admit(size); err != nil {
+			return err
+		}
+	}
+	c.body = append(make([]byte, 0, size), c.body...)
+	return nil
+}
+
+func (c *chunks) line(text []byte) error {
+	switch c.state {
+	case chunkSize:
+		if i := bytes.IndexByte(text, ';'); i >= 0 {
+			text = bytes.TrimRight(text[:i], " \t")
+		}
+		n, err := strconv.ParseUint(string(text), 16, 31)
+		if err != nil || text[0] == '+' || text[0] == '-' {
+			return badRequest("a bad chunk")
+		}
+		if c.left = int(n); len(c.body)+c.left > MaxBody {
+			return &Bad{Status: 413, Reason: "the body is too long"}
+		}
+		if c.state = chunkData; n == 0 {
+			c.state = chunkTrailer
+		}
+	case chunkEnd:
+		if len(text) > 0 {
+			return badRequest("a chunk longer than its size")
+		}
+		c.state = chunkSize
+	case chunkTrailer:
+		if c.trailer += len(text) + 2; c.trailer > MaxHead {
+			return &Bad{Status: 431, Reason: "too many fields behind the body"}
+		}
+		if len(text) == 0 {
+			c.state = chunkDone
+		}
+	}
+	return nil
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -27,6 +27,7 @@
 	Close          bool // the client will send no more on this connection
 	Fields         Fields
 	expects        bool // it waits to be told to send its body
+	chunked        bool // its body comes in chunks
 }
 
 // Field is a field of a head that reqs are made of.
@@ -67,12 +68,14 @@
 // Requests takes in what a client sends.
 type Requests struct {
 	buffer
-	// Admit, if set, is asked before space for a body is made, and refuses it by an error.
-	Admit func(length int) error
-	cur   *Request
-	need  int // bytes of the body
-	bad   error
-	cont  bool
+	// Admit, if set, is asked before there is space for so many bytes of a body in all, and refuses
+	// it by an error. Of a body in chunks it is asked again as it grows.
+	Admit  func(length int) error
+	cur    *Request
+	need   int // bytes of the body
+	chunks chunks
+	bad    error
+	cont   bool
 }
 
 // Next returns the next whole request, or nil while more bytes are due. An error is a *Bad
@@ -104,11 +107,22 @@
 				return nil, m.bad
 			}
 		}
-		m.cont = m.need > 0 && m.cur.expects
+		m.chunks = chunks{}
+		m.cont = (m.need > 0 || m.cur.chunked) && m.cur.expects
 		if len(m.b)-m.r < m.need {
 			m.grow(m.need)
 		}
 	}
+	if m.cur.chunked {
+		whole, err := m.chunks.take(&m.buffer, m.Admit)
+		if m.bad = err; err != nil || !whole {
+			return nil, err
+		}
+		q := m.cur
+		q.Body = m.chunks.body
+		m.cur, m.cont, m.chunks = nil, false, chunks{}
+		return q, nil
+	}
 	if m.w-m.r < m.need {
 		return nil, nil
 	}
@@ -163,14 +177,22 @@
 	if !plain(parts[0] + parts[1]) {
 		return nil, 0, badRequest("a bad request line")
 	}
-	if len(h.fields["Transfer-Encoding"]) > 0 {
-		return nil, 0, &Bad{Status: 411, Reason: "a length is required"}
+	coding, once := h.one("Transfer-Encoding")
+	if coded := len(h.fields["Transfer-Encoding"]) > 0; coded {
+		switch {
+		case len(h.fields["Content-Length"]) > 0: // RFC 9112 section 6.1: the body may hide another req
+			return nil, 0, badRequest("a length and a Transfer-Encoding")
+		case parts[2] == "HTTP/1.0":
+			return nil, 0, badRequest("a Transfer-Encoding in HTTP/1.0")
+		case !once || !strings.EqualFold(coding, "chunked"): // nothing else that we could decode, nor guess the end of
+			return nil, 0, &Bad{Status: 501, Reason: "an unknown Transfer-Encoding"}
+		}
 	}
 	n, err := h.length()
 	if err != nil {
 		return nil, 0, badRequest(err.Error())
 	}
-	q := &Request{Method: parts[0], Target: parts[1], expects: h.has("Expect", "100-continue")}
+	q := &Request{Method: parts[0], Target: parts[1], expects: h.has("Expect", "100-continue"), chunked: coding != ""}
 	for f, name := range FieldNames {
 		for _, text := range h.fields[name] {
 			q.Fields.Add(Field(f), text)
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -47,7 +47,7 @@
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
 	408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-	502: "Bad Gateway", 503: "Service Unavailable"}
+	501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable"}
 
 // AppendAnswer writes an answer to a client.
 func AppendAnswer(b []byte, status int, pause time.Duration, closing bool, body string) []byte {
