Bans of backends by operators' calls, kept in a small file

Need: photo workers are taken out for maintenance by the door's calls, whatever discovery says meanwhile.

At the call back a backend counts as started then, unless the list tells of a start since. A job is refused at once where all that are listed are drained: it was held to its deadline. The machines of the hand-over come along, not wired yet.

A property test plays any order of lists, calls and new processes.

--- a/cmd/tinsail/door.go
+++ b/cmd/tinsail/door.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 
 	"tinsail/internal/config"
 	"tinsail/internal/door"
 	"tinsail/internal/network/admin"
+	"tinsail/internal/network/maintain"
+	"tinsail/internal/platform"
 	"tinsail/internal/service"
 )
 
@@ -37,6 +42,15 @@
 // call does what an operator asks for. Nothing here waits for reqs, for the core or for a peer.
 func (d *dispatcher) call(c door.Call) admin.Answer {
 	yes := func(says string) admin.Answer { return admin.Answer{Status: 200, Says: says} }
+	kept := func(err error, says string) admin.Answer {
+		switch {
+		case err == nil:
+			return yes(says)
+		case errors.Is(err, maintain.ErrUnknown):
+			return admin.Answer{Status: 404, Says: err.Error()}
+		}
+		return admin.Answer{Status: 500, Says: "holds in this process, but would not outlive it: " + err.Error()}
+	}
 	no := func(status int, says string) admin.Answer { return admin.Answer{Status: status, Says: says} }
 	switch c.Op {
 	case door.Ready:
@@ -50,12 +64,22 @@
 		}
 	case door.OutOfService:
 		d.service.Out()
-		return yes("goes out of service: not ready, drains, and runs on")
+		return kept(d.desk.SetOut(true), "goes out of service: not ready, drains, and runs on")
 	case door.InService:
 		if !d.service.In() {
 			return no(503, "shutting down")
 		}
-		return yes("in service")
+		return kept(d.desk.SetOut(false), "in service")
+	case door.Offline:
+		return kept(d.desk.Offline(c.Backend), "nothing more goes to "+c.Backend)
+	case door.Online:
+		return kept(d.desk.Online(c.Backend), c.Backend+" is used again, if its source says that it is ready")
 	}
-	return no(501, "not built yet")
+	return no(501, "unknown")
+}
+
+// keptPath is a place in the folder that outlives a process of this dispatcher, but not the
+// dispatcher's machine. The name is the dispatcher's own: others may share the folder.
+func keptPath(cfg *config.Config, kind string) string {
+	return filepath.Join(os.TempDir(), fmt.Sprintf("tinsail-%016x.%s", platform.Hash(cfg.Name+"|"+cfg.Listen), kind))
 }
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -22,6 +22,7 @@
 	"tinsail/internal/logs"
 	"tinsail/internal/network"
 	"tinsail/internal/network/admin"
+	"tinsail/internal/network/maintain"
 	"tinsail/internal/service"
 	"tinsail/internal/settings"
 )
@@ -84,6 +85,8 @@
 	clients  *network.Clients
 	service  *network.Service
 	listener net.Listener
+	desk     *maintain.Desk // bans; nil where there is no door
+	listed   func(balance.ListKind, []core.Entry)
 	door     *admin.Server // nil where it is off
 	doorAt   net.Listener
 
@@ -110,7 +113,11 @@
 		return nil, err
 	}
 	d.core.Log = log
-	d.director.Told = d.core.Listed
+	if d.listed = d.core.Listed; cfg.Admin != "" {
+		d.desk = &maintain.Desk{Path: keptPath(cfg, "bans"), Told: d.core.Listed, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
+		d.listed = d.desk.Listed
+	}
+	d.director.Told = d.listed
 	d.clients = &network.Clients{Names: &cfg.Names, Count: d.count, Core: d.core, Most: share.Clients, Usual: share.Usual,
 		Held: cfg.Memory / 8, Longest: cfg.Longest(), Stats: d.stats, Log: log}
 	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -142,9 +149,12 @@
 
 // start has all parts run, in the background.
 func (d *dispatcher) start() {
+	if d.desk != nil && d.desk.Load() {
+		d.service.Out()
+	}
 	d.director.Start(d.cfg.Known.Index)
 	if d.sources == nil {
-		d.core.Listed(balance.ListCached, d.cfg.Known.Entries)
+		d.listed(balance.ListCached, d.cfg.Known.Entries)
 	}
 	go d.core.Run(nil)
 	d.startSources(d.set)
--- a/cmd/tinsail/sources.go
+++ b/cmd/tinsail/sources.go
@@ -64,7 +64,7 @@
 	if set.Consul == nil && set.Backends == nil {
 		return nil
 	}
-	s := &sources{list: members.New(d.core.Listed, membership.Rules{Name: "static", Rank: staticRank},
+	s := &sources{list: members.New(d.listed, membership.Rules{Name: "static", Rank: staticRank},
 		directorRules(set), rules(set.MemberRules))}
 	s.static, s.director, s.consul = s.list.Source(0), s.list.Source(1), s.list.Source(2)
 	d.sources = s
--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -99,15 +99,17 @@
 	}
 }
 
-// place sends the request to the best worker. Where there is none and none of its
-// attempts is in flight, it is held if time may help, else answered for good.
+// place sends the request to the best worker. Where there is none and none of its attempts is in
+// flight, it is held if time may help, else answered for good: it does not where all that are listed are
+// drained, by hand say, and none is about to come.
 func (d *Dispatcher) place(now Millis, r *request) {
 	if now+2*d.set.Tick < r.Deadline && len(r.attempts) < d.set.MaxAttempts {
 		if i := d.pick(now, r); i >= 0 {
 			d.send(now, r, i)
 			return
 		}
-		if len(r.attempts) == 0 || len(d.ready) == 0 && r.out == 0 {
+		drained := len(d.ready) == 0 && len(d.index) > 0
+		if !drained && (len(r.attempts) == 0 || len(d.ready) == 0 && r.out == 0) {
 			d.hold(now, r, r.Deadline)
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,8 +71,12 @@
 	Name    string
 	Address string
 	ready   atomic.Bool
+	core    *Core // nil in tests of what stands behind the core
 }
 
+// Withheld says that operators have taken the backend out of use.
+func (b *Backend) Withheld() bool { return b.core != nil && b.core.withheld(b.ID) }
+
 // Entry is a line of the director's list.
 type Entry struct {
 	balance.Worker
@@ -108,9 +112,9 @@
 
 // MayBegin says, just before the first byte goes out, whether it still may. The list can
 // have changed while a connection was being made: nothing new may reach a backend that is
-// known to drain.
+// known to drain, or that operators have banned.
 func (a *Attempt) MayBegin() bool {
-	return a.Backend.ready.Load() && !a.stopped.Load() && a.core.clock.read().Before(a.Until)
+	return a.Backend.ready.Load() && !a.Backend.Withheld() && !a.stopped.Load() && a.core.clock.read().Before(a.Until)
 }
 
 // Started tells that the job has begun.
@@ -146,6 +150,7 @@
 	ready     atomic.Int32 // backends that may be sent to
 	open      atomic.Int32 // reqs owed an answer
 	known     atomic.Bool  // a list of backends has come
+	held      atomic.Pointer[map[balance.WorkerID]struct{}]
 
 	ids ids
 
@@ -174,6 +179,19 @@
 // Ready is how many backends may be sent to.
 func (c *Core) Ready() int { return int(c.ready.Load()) }
 
+// Withhold names the backends that nothing may begin at from now on, whatever the list says. It
+// holds when it returns, and does not wait for what the core has yet to take. The map is the core's.
+func (c *Core) Withhold(ids map[balance.WorkerID]struct{}) { c.held.Store(&ids) }
+
+func (c *Core) withheld(id balance.WorkerID) bool {
+	ids := c.held.Load()
+	if ids == nil {
+		return false
+	}
+	_, ok := (*ids)[id]
+	return ok
+}
+
 // Known says whether any list of backends has come.
 func (c *Core) Known() bool { return c.known.Load() }
 
@@ -402,7 +420,7 @@
 			continue
 		}
 		if b == nil {
-			b = &Backend{ID: e.ID, Name: e.Name, Address: e.Address}
+			b = &Backend{ID: e.ID, Name: e.Name, Address: e.Address, core: c}
 			c.listed[e.ID] = b
 		}
 		b.ready.Store(e.State == balance.Ready)
--- /dev/null
+++ b/internal/handover/stages.go
@@ -0,0 +1,132 @@
+package handover
+
+import (
+	"fmt"
+	"time"
+)
+
+// Times of a hand-over. The platform gives a new process 6 s to say that it serves.
+const (
+	HelloWait = time.Second     // for a hello to be whole, from connecting
+	StateWait = 2 * time.Second // for the old process's state, from the hello
+	TakenWait = time.Second     // for the old process to have stopped accepting
+	readyWait = 8 * time.Second // for the new process to accept, from its hello
+)
+
+// Stage is where a hand-over stands, at either end.
+type Stage uint8
+
+// Stages.
+const (
+	Alone     Stage = iota // no other process
+	Connected              // old: a new process has the state; new: it has it, and does not serve yet
+	Ready                  // new: it accepts, and the old one may still
+	Handed                 // old: it accepts no more; new: it alone accepts
+)
+
+var stageNames = [...]string{"alone", "connected", "ready", "handed"}
+
+func (s Stage) String() string { return stageNames[s] }
+
+// Old is the end of the process that serves. The zero value is alone.
+type Old struct {
+	stage Stage
+	since time.Time
+}
+
+// Stage is where it stands.
+func (o *Old) Stage() Stage { return o.stage }
+
+// Hello takes a new process's hello. It returns why that is refused, or nothing: then the state
+// is to be sent, with less room for this process from before it is sent on.
+func (o *Old) Hello(now time.Time, h, me Hello) (refused string) {
+	switch {
+	case h.Version != me.Version:
+		return fmt.Sprintf("version %d is not spoken here, but %d", h.Version, me.Version)
+	case h.Name != me.Name || h.Listen != me.Listen:
+		return fmt.Sprintf("this is %s at %s, not %s at %s", me.Name, me.Listen, h.Name, h.Listen)
+	case o.stage != Alone:
+		return "a hand-over is under way already"
+	}
+	o.stage, o.since = Connected, now
+	return ""
+}
+
+// Ready takes the news that the new process accepts. It returns whether this one is to stop.
+func (o *Old) Ready(now time.Time) bool {
+	if o.stage != Connected {
+		return false
+	}
+	o.stage, o.since = Handed, now
+	return true
+}
+
+// Gone takes the news that the new process is gone, or was given up: all its room is this one's
+// again. It returns whether this one is to accept again.
+func (o *Old) Gone() (accept bool) {
+	accept = o.stage == Handed
+	o.stage = Alone
+	return accept
+}
+
+// Overdue says that the new process has had its time to accept and is to be cut off.
+func (o *Old) Overdue(now time.Time) bool {
+	return o.stage == Connected && now.Sub(o.since) >= readyWait
+}
+
+// New is the end of a process that takes over. The zero value is alone.
+type New struct {
+	stage Stage
+	since time.Time
+}
+
+// Stage is where it stands.
+func (n *New) Stage() Stage { return n.stage }
+
+// State takes the old process's state. It returns why it cannot be used, or nothing.
+func (n *New) State(now time.Time, s *State, descriptors int) (bad string) {
+	switch {
+	case s.Refused != "":
+		return "refused: " + s.Refused
+	case s.Version != Version:
+		return fmt.Sprintf("a state of version %d, want %d", s.Version, Version)
+	case len(s.Listeners) == 0 || len(s.Listeners) != descriptors:
+		return fmt.Sprintf("%d descriptors for the listeners %q", descriptors, s.Listeners)
+	case s.Sockets <= 0 || s.Memory <= 0:
+		return "no descriptors or no memory left for this process"
+	}
+	n.stage, n.since = Connected, now
+	return ""
+}
+
+// Serves tells that this process has a list and accepts. It returns whether the old one is to be told.
+func (n *New) Serves(now time.Time) bool {
+	if n.stage != Connected {
+		return false
+	}
+	n.stage, n.since = Ready, now
+	return true
+}
+
+// Taken takes the news that the old process accepts no more.
+func (n *New) Taken() {
+	if n.stage == Ready {
+		n.stage = Handed
+	}
+}
+
+// Gone takes the news that the old process is gone: all room is this one's.
+func (n *New) Gone() { n.stage = Alone }
+
+// May says whether this process may say that it serves in the dispatcher's name: the old one has
+// stopped accepting, is gone, or has not said so in its time. In that last case both accept, which loses nothing.
+func (n *New) May(now time.Time) bool {
+	return n.stage == Alone || n.stage == Handed || n.stage == Ready && now.Sub(n.since) >= TakenWait
+}
+
+// Split shares descriptors out when a new process comes: how many the old one keeps, which
+// holds used of them. The new one has the rest, a quarter at least; the old one then closes what is idle.
+func Split(limit, used, spare int) (keep, give int) {
+	keep = min(max(limit/2, used+spare), limit-limit/4)
+	return keep, limit - keep
+}
--- /dev/null
+++ b/internal/maintenance/maintenance_test.go
@@ -0,0 +1,209 @@
+package maintenance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tinsail/internal/balance"
+)
+
+func line(name string, state balance.State, started float64) Backend {
+	return Backend{Name: name, Address: name + ":1", Worker: balance.Worker{ID: balance.WorkerID(len(name)), State: state, Started: started, Weight: 4}}
+}
+
+func TestBan(t *testing.T) {
+	var b Bans
+	_, ok := b.Offline(1, "a")
+	assert.False(t, ok, "never listed")
+	b.List(balance.ListCached, []Backend{line("a", balance.Ready, 5)})
+	change, ok := b.Offline(1000, "a")
+	require.True(t, ok)
+	assert.Equal(t, []Backend{line("a", balance.Draining, 5)}, change)
+	change, ok = b.Offline(1001, "a")
+	assert.True(t, ok)
+	assert.Empty(t, change, "a repeated call changes nothing")
+	assert.Equal(t, []string{"a"}, b.Banned())
+	moved := line("a", balance.Ready, 5)
+	moved.Address = "elsewhere:1"
+	want := moved
+	want.State = balance.Draining
+	assert.Equal(t, []Backend{want}, b.List(balance.ListDelta, []Backend{moved}))
+	assert.Equal(t, []Backend{}, b.List(balance.ListFull, nil))
+	assert.Equal(t, []Backend{want}, b.List(balance.ListFull, []Backend{moved}), "dropped and listed again")
+	change, ok = b.Online(9000, "a")
+	require.True(t, ok)
+	moved.Started = 9000
+	assert.Equal(t, []Backend{moved}, change, "restarted meanwhile: cold, whatever the list still tells")
+	again := moved
+	again.Started = 5
+	assert.Equal(t, []Backend{moved}, b.List(balance.ListDelta, []Backend{again}))
+	again.Started = 8000
+	assert.Equal(t, []Backend{again}, b.List(balance.ListDelta, []Backend{again}), "the list tells better")
+	change, ok = b.Online(9001, "a")
+	assert.True(t, ok)
+	assert.Empty(t, change)
+}
+
+// TestStartTold: a start that the list told during the ban holds, also at the call back.
+func TestStartTold(t *testing.T) {
+	var b Bans
+	b.List(balance.ListFull, []Backend{line("a", balance.Ready, 5)})
+	b.Offline(1000, "a")
+	b.List(balance.ListDelta, []Backend{line("a", balance.Ready, 3000)})
+	change, _ := b.Online(9000, "a")
+	assert.Equal(t, []Backend{line("a", balance.Ready, 3000)}, change)
+}
+
+// TestGone: one that is gone can be banned, and comes back banned; an online of one that drains or is
+// gone leaves it so.
+func TestGone(t *testing.T) {
+	var b Bans
+	b.List(balance.ListFull, []Backend{line("a", balance.Ready, 5), line("bb", balance.Draining, 6)})
+	assert.Equal(t, balance.Gone, b.List(balance.ListDelta, []Backend{{Name: "a", Worker: balance.Worker{ID: 1}}})[0].State)
+	change, ok := b.Offline(1000, "a")
+	assert.True(t, ok)
+	assert.Empty(t, change)
+	assert.Equal(t, balance.Draining, b.List(balance.ListDelta, []Backend{line("a", balance.Ready, 5)})[0].State)
+	b.Offline(1000, "bb")
+	change, _ = b.Online(2000, "bb")
+	assert.Equal(t, balance.Draining, change[0].State)
+}
+
+// TestManyGone: names that are gone do not gather without end, and bans are not forgotten.
+func TestManyGone(t *testing.T) {
+	var b Bans
+	b.List(balance.ListDelta, []Backend{line("kept", balance.Ready, 0)})
+	b.Offline(1, "kept")
+	for i := range 2 * mostGone {
+		b.List(balance.ListFull, []Backend{line(fmt.Sprint("x", i), balance.Ready, 0)})
+	}
+	assert.Len(t, b.all, mostGone+1)
+	assert.Equal(t, []string{"kept"}, b.Banned())
+}
+
+// TestAnyOrder: for any order of lists, calls and hand-overs, what is passed on shows no banned backend as
+// ready, and once all bans are over it is what the source says, but for later starts.
+func TestAnyOrder(t *testing.T) {
+	names := []string{"a", "bb", "ccc"}
+	rapid.Check(t, func(t *rapid.T) {
+		b := &Bans{}
+		now, shown, source, banned := 1000.0, map[string]Backend{}, map[string]Backend{}, map[string]bool{}
+		apply := func(list []Backend) {
+			for _, x := range list {
+				if shown[x.Name] = x; x.State == balance.Gone {
+					delete(shown, x.Name)
+				}
+			}
+		}
+		draw := func() (list []Backend) {
+			for _, n := range names {
+				if rapid.Bool().Draw(t, "named") {
+					list = append(list, line(n, []balance.State{balance.Ready, balance.Draining, balance.Gone}[rapid.IntRange(0, 2).Draw(t, "state")],
+						float64(rapid.IntRange(0, 3).Draw(t, "start"))*now/3))
+				}
+			}
+			return list
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += float64(rapid.IntRange(0, 5000).Draw(t, "wait"))
+			name := names[rapid.IntRange(0, 2).Draw(t, "name")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				list := draw()
+				for _, x := range list {
+					if source[x.Name] = x; x.State == balance.Gone {
+						delete(source, x.Name)
+					}
+				}
+				apply(b.List(balance.ListDelta, list))
+			case 1:
+				list := draw()
+				clear(source)
+				for _, x := range list {
+					if x.State != balance.Gone {
+						source[x.Name] = x
+					}
+				}
+				clear(shown)
+				apply(b.List(balance.ListFull, list))
+			case 2:
+				known := b.Known(name)
+				change, ok := b.Offline(now, name)
+				assert.Equal(t, known, ok)
+				banned[name] = ok
+				apply(change)
+			case 3:
+				change, _ := b.Online(now, name)
+				banned[name] = false
+				apply(change)
+			case 4: // a new process, with the old one's marks and its list
+				next := &Bans{}
+				next.Merge(b.Marks())
+				list := []Backend{}
+				for _, x := range source {
+					list = append(list, x)
+				}
+				clear(shown)
+				apply(next.List(balance.ListFull, list))
+				for _, n := range names { // what is gone and was not marked is unknown to it
+					if !next.Known(n) {
+						banned[n] = false
+					}
+				}
+				b = next
+			}
+			for n, x := range shown {
+				if banned[n] && x.State == balance.Ready {
+					t.Fatalf("%s is banned and shown as ready", n)
+				}
+			}
+		}
+		for _, n := range names {
+			change, _ := b.Online(now, n)
+			apply(change)
+		}
+		require.Len(t, shown, len(source))
+		for n, x := range source {
+			got := shown[n]
+			assert.GreaterOrEqual(t, got.Started, x.Started)
+			got.Started = x.Started
+			assert.Equal(t, x, got)
+		}
+	})
+}
+
+func TestMerge(t *testing.T) {
+	var old, next Bans
+	old.List(balance.ListFull, []Backend{line("a", balance.Ready, 5)})
+	next.List(balance.ListFull, []Backend{line("a", balance.Ready, 5)})
+	old.Offline(1000, "a")
+	assert.Equal(t, balance.Draining, next.Merge(old.Marks())[0].State)
+	stale := next.Marks()
+	next.Online(500, "a") // a clock that stands behind: the later call holds all the same
+	assert.Empty(t, next.Merge(stale))
+	assert.Empty(t, next.Banned())
+	assert.Equal(t, balance.Ready, old.Merge(next.Marks())[0].State)
+	assert.Empty(t, old.Merge([]Mark{{Name: "", At: 9e9, Banned: true}, {Name: "x", Banned: true}}))
+}
+
+func TestKept(t *testing.T) {
+	k := Kept{Out: true, Marks: []Mark{{Name: "a", Banned: true, At: 1.5}}}
+	text := k.Append(nil)
+	got, err := ReadKept(text)
+	require.NoError(t, err)
+	assert.Equal(t, k, got)
+	for i := range text { // whatever is cut off or changed is noticed
+		_, err := ReadKept(text[:i])
+		assert.Error(t, err)
+		bad := append([]byte{}, text...)
+		bad[i] ^= 1
+		_, err = ReadKept(bad)
+		assert.Error(t, err)
+	}
+	_, err = ReadKept([]byte("tinsail-maintenance 2 00000000\n{}"))
+	assert.ErrorContains(t, err, "another version")
+}
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -77,7 +77,7 @@
 
 // Probe asks a backend for its load.
 func (p *Pool) Probe(b *core.Backend, done func(core.Ending, []float32)) {
-	x := &exchange{backend: b, until: time.Now().Add(probeWait), probe: true, may: func() bool { return true }}
+	x := &exchange{backend: b, until: time.Now().Add(probeWait), probe: true, may: func() bool { return !b.Withheld() }}
 	x.head = func(time.Duration) []byte { return platform.AppendGet(nil, "/stats", b.Address) }
 	var once sync.Once
 	end := func(e core.Ending, report []float32) { once.Do(func() { done(e, report) }) }
@@ -185,10 +185,13 @@
 }
 
 // HangUp closes the idle connections to a backend.
-func (p *Pool) HangUp(b *core.Backend) {
+func (p *Pool) HangUp(b *core.Backend) { p.HangUpOn(b.ID) }
+
+// HangUpOn closes the idle connections to the backend with an id.
+func (p *Pool) HangUpOn(id balance.WorkerID) {
 	p.mu.Lock()
-	list := p.idle[b.ID]
-	delete(p.idle, b.ID)
+	list := p.idle[id]
+	delete(p.idle, id)
 	p.mu.Unlock()
 	for _, l := range list {
 		l.conn.Close()
--- /dev/null
+++ b/internal/network/handoff/server.go
@@ -0,0 +1,214 @@
+package handoff
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tinsail/internal/handover"
+)
+
+// Server is the end of the process that serves. Its functions are called one at a time.
+type Server struct {
+	Path string
+	Me   handover.Hello
+	Log  zerolog.Logger
+
+	Give   func() (handover.State, []syscall.Conn) // this process has given up, when it returns, what the state gives away
+	Hand   func()                                  // accept no more, when it returns
+	News   func(handover.News)
+	Joined func(*Link)       // the new process has the state, and hears of what changes from now on
+	Gone   func(accept bool) // the new process is gone
+
+	mu     sync.Mutex
+	stage  handover.Old
+	l      *net.UnixListener
+	name   string // of the file that this process made
+	moved  bool   // the path is another process's
+	closed bool
+}
+
+// Listen waits for new processes. The path is this process's from one moment to the next: it is
+// bound under another name and renamed, so that a third process never finds nobody there.
+func (s *Server) Listen() error {
+	s.name = fmt.Sprintf("%s.%d", s.Path, os.Getpid())
+	os.Remove(s.name) // of a dead process with this number
+	err := within(s.name, func(name string) error {
+		l, err := net.ListenUnix("unix", &net.UnixAddr{Name: name, Net: "unix"})
+		s.l = l
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	s.l.SetUnlinkOnClose(false)
+	if err = errors.Join(os.Chmod(s.name, 0o600), os.Rename(s.name, s.Path)); err != nil {
+		s.l.Close()
+		os.Remove(s.name)
+		return err
+	}
+	go s.serve()
+	return nil
+}
+
+// Close ends it. The path goes, unless it is another process's by now.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.l == nil {
+		return
+	}
+	s.closed = true
+	s.l.Close()
+	if !s.moved {
+		os.Remove(s.Path)
+	}
+}
+
+// Stage is where a hand-over stands.
+func (s *Server) Stage() handover.Stage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage.Stage()
+}
+
+func (s *Server) serve() {
+	for {
+		conn, err := s.l.AcceptUnix()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond) // out of descriptors, say
+			continue
+		}
+		go s.take(&Link{conn: conn, in: handover.Reader{Most: handover.MaxHello}})
+	}
+}
+
+// take hears one process out.
+func (s *Server) take(l *Link) {
+	defer l.Close()
+	l.conn.SetReadDeadline(time.Now().Add(handover.HelloWait))
+	text, files, err := l.message(nil)
+	for _, f := range files { // nobody is to hand us any
+		f.Close()
+	}
+	var h handover.Hello
+	if err == nil {
+		err = json.Unmarshal(text, &h)
+	}
+	if err == nil {
+		err = sameUser(l.conn)
+	}
+	if err != nil {
+		s.Log.Warn().Err(err).Msg("hand-over: no hello")
+		return
+	}
+	s.mu.Lock()
+	refused := s.stage.Hello(time.Now(), h, s.Me)
+	s.mu.Unlock()
+	if refused != "" {
+		s.Log.Warn().Str("why", refused).Msg("hand-over refused")
+		_ = l.send(handover.State{Version: handover.Version, Refused: refused}, nil)
+		return
+	}
+	err = s.with(l)
+	s.mu.Lock()
+	accept := s.stage.Gone()
+	if accept && !s.closed { // the path was the other's, which is gone
+		s.moved = s.rename() != nil
+	}
+	s.mu.Unlock()
+	s.Log.Warn().Err(err).Bool("accepts_again", accept).Msg("hand-over: the new process is gone")
+	s.Gone(accept)
+}
+
+// rename makes the path this process's again: its listener has no name any more, so it is bound anew.
+func (s *Server) rename() error {
+	old := s.l
+	if err := s.Listen(); err != nil {
+		s.Log.Error().Err(err).Msg("hand-over: cannot wait for new processes any more")
+		s.l = old
+		return err
+	}
+	old.Close()
+	return nil
+}
+
+// with hands over, and returns when the new process is gone.
+func (s *Server) with(l *Link) error {
+	begun := time.Now()
+	state, conns := s.Give()
+	rights, err := rightsOf(conns)
+	if err != nil {
+		return err
+	}
+	state.Version = handover.Version
+	if err := l.send(state, rights); err != nil {
+		return err
+	}
+	l.in.Most = handover.MaxState
+	s.Log.Info().Int("sockets", state.Sockets).Int("backends", len(state.List)).Int("marks", len(state.Marks)).Msg("hand-over: state told")
+	s.Joined(l)
+	l.conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // until it accepts
+	return l.Read(func(n handover.News) {
+		if n.Ready {
+			s.mu.Lock()
+			hand := s.stage.Ready(time.Now())
+			s.moved = s.moved || hand
+			s.mu.Unlock()
+			if hand {
+				l.conn.SetReadDeadline(time.Time{})
+				s.Hand()
+				_ = l.Send(handover.News{Taken: true})
+				s.Log.Info().Dur("after_ms", time.Since(begun)).Msg("hand-over: the new process accepts")
+			}
+		}
+		s.News(n)
+	})
+}
+
+// rightsOf makes the control message for listeners. Their descriptors stay this process's too.
+func rightsOf(conns []syscall.Conn) ([]byte, error) {
+	fds := make([]int, 0, len(conns))
+	for _, c := range conns {
+		raw, err := c.SyscallConn()
+		if err != nil {
+			return nil, err
+		}
+		if err := raw.Control(func(fd uintptr) { fds = append(fds, int(fd)) }); err != nil {
+			return nil, err
+		}
+	}
+	return syscall.UnixRights(fds...), nil
+}
+
+// sameUser refuses processes of others: the folder may be shared.
+func sameUser(c *net.UnixConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var cred *syscall.Ucred
+	var err2 error
+	if err := raw.Control(func(fd uintptr) {
+		cred, err2 = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	}); err != nil {
+		return err
+	}
+	if err2 != nil {
+		return err2
+	}
+	if int(cred.Uid) != os.Getuid() {
+		return fmt.Errorf("a process of user %d", cred.Uid)
+	}
+	return nil
+}
--- a/internal/network/link.go
+++ b/internal/network/link.go
@@ -60,6 +60,12 @@
 		l.mu.Unlock()
 		return
 	}
+	if l.backend.Withheld() { // what is idle there was closed at the ban
+		l.state = dead
+		l.mu.Unlock()
+		l.conn.Close()
+		return
+	}
 	l.state = idle
 	l.mu.Unlock()
 	p := l.pool
--- /dev/null
+++ b/internal/network/maintain_test.go
@@ -0,0 +1,91 @@
+package network
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/network/maintain"
+)
+
+// TestBan: from the yes on not a byte goes to a banned backend, over a connection that was being made neither;
+// its idle connections are closed, what runs there ends, and once it is called back it gets reqs
+// again, whatever was learned of it.
+func TestBan(t *testing.T) {
+	var desk *maintain.Desk
+	begin := func(w *world) {
+		desk = &maintain.Desk{Told: w.core.Listed, Withhold: w.core.Withhold, HangUp: w.pool.HangUpOn}
+		desk.Listed(balance.ListCached, list(balance.Ready, "s1"))
+	}
+	offline := func(*world) { require.NoError(t, desk.Offline("s1")) }
+	online := func(*world) { require.NoError(t, desk.Online("s1")) }
+	run(t, nil, 9, begin, `
+		c1 send {req 9a x}
+		s1/1 expect POST /ingest?v=1 9a k9a 2000 x
+		c2 send {req 9b x}
+		s1/2 expect POST /ingest?v=1 9b k9b 2000 x
+		s1/1 send {started 9a}{done 9a r}
+		c1 expect 200 r`, offline, `
+		s1/1 expect closed
+		s1/2 send {started 9b}{done 9b r}
+		c2 expect 200 r
+		s1/2 expect closed
+		c1 send {req 9c x}
+		c1 expect 503 after 0.120
+		c2 send GET /health/ready HTTP/1.1\r\n\r\n
+		c2 expect 503
+		wait 100ms
+		s1/3 expect no connection`,
+		func(w *world) { // whatever the director says meanwhile
+			desk.Listed(balance.ListFull, list(balance.Ready, "s1"))
+			desk.Listed(balance.ListFull, nil)
+			desk.Listed(balance.ListDelta, list(balance.Ready, "s1"))
+		}, `
+		wait 1s
+		s1/3 expect no connection`, online, `
+		wait 2s
+		c1 send {req 9d x}
+		s1/3 expect POST /ingest?v=1 9d k9d 2000 x
+		s1/3 send {started 9d}{done 9d r}
+		c1 expect 200 r`)
+	run(t, nil, 9, begin, func(w *world) {
+		w.slow["s1"] = 50 * time.Millisecond
+		w.play(`c1 send {req 9a x}`)
+		require.NoError(t, desk.Offline("s1"))
+		w.play(`wait 60ms
+			s1/1 expect closed`)
+	})
+	assert.ErrorIs(t, desk.Offline("s9"), maintain.ErrUnknown)
+}
+
+// TestBanAfterFaults: one that had failed before its ban is not kept out after it.
+func TestBanAfterFaults(t *testing.T) {
+	var desk *maintain.Desk
+	run(t, nil, 9, func(w *world) {
+		desk = &maintain.Desk{Told: w.core.Listed, Withhold: w.core.Withhold, HangUp: w.pool.HangUpOn}
+		desk.Listed(balance.ListCached, list(balance.Ready, "s1"))
+	}, `
+		s1 close
+		c1 send {req 9a x}
+		c1 expect 503 after 0.120
+		c1 send {req 9b x}
+		c1 expect 503 after 0.120
+		c1 send {req 9c x}
+		c1 expect 503 after 0.120`,
+		func(w *world) {
+			require.NoError(t, desk.Offline("s1"))
+			time.Sleep(time.Millisecond)
+			require.NoError(t, desk.Online("s1"))
+			w.mu.Lock()
+			w.refuse["s1"] = false
+			w.mu.Unlock()
+		}, `
+		wait 2s
+		c1 send {req 9d x}
+		s1/1 expect POST /ingest?v=1 9d k9d 2000 x
+		s1/1 send {started 9d}{done 9d r}
+		c1 expect 200 r`)
+}
