A second process takes over listener, state and bans of the first over a Unix socket

Need: run starts a second time beside the process that serves; the untouched program ended on the address in use.

internal/handover holds the messages and the stages at both ends, internal/network/handoff the Unix socket in the folder for temporary files. The listening socket goes along as a descriptor, so that both accept from one queue; the old process stops accepting when the new one does, keeps its descriptor and takes the queue back if the new one goes. Descriptors and memory are split before the state is sent, and given up as sessions end. Where the old process cannot be understood, SO_REUSEPORT lets the new one serve beside it.

--- a/cmd/tinsail/consul_test.go
+++ b/cmd/tinsail/consul_test.go
@@ -62,7 +62,7 @@
 	script = strings.ReplaceAll(script, "AGENTS", "["+strings.Join(addresses, ", ")+"]")
 	s.set, err = settings.Parse("s.star", func(string) ([]byte, error) { return []byte(script), nil })
 	require.NoError(t, err)
-	s.d, err = assemble(cfg, s.set, zerolog.Nop())
+	s.d, err = assemble(cfg, s.set, zerolog.Nop(), handed{})
 	require.NoError(t, err)
 	s.d.start()
 	t.Cleanup(s.d.close)
--- a/cmd/tinsail/demo.go
+++ b/cmd/tinsail/demo.go
@@ -103,7 +103,7 @@
 	cfg, err := config.Parse(demoConfig, func(string) string { return "" })
 	if err == nil {
 		cfg.Discovery = x.director.Address
-		x.dispatcher, err = assemble(cfg, &settings.Settings{HTTP2: settings.DefaultHTTP2("127.0.0.1:0")}, log)
+		x.dispatcher, err = assemble(cfg, &settings.Settings{HTTP2: settings.DefaultHTTP2("127.0.0.1:0")}, log, handed{})
 	}
 	if err != nil {
 		x.close()
--- a/cmd/tinsail/door.go
+++ b/cmd/tinsail/door.go
@@ -59,16 +59,20 @@
 			return no(503, state.String())
 		case !d.core.Known():
 			return no(503, "no list of backends yet")
+		case !d.handover.serves():
+			return no(503, "another process serves still")
 		default:
 			return yes("serves, " + state.String())
 		}
 	case door.OutOfService:
 		d.service.Out()
+		d.handover.tellOut(true)
 		return kept(d.desk.SetOut(true), "goes out of service: not ready, drains, and runs on")
 	case door.InService:
 		if !d.service.In() {
 			return no(503, "shutting down")
 		}
+		d.handover.tellOut(false)
 		return kept(d.desk.SetOut(false), "in service")
 	case door.Offline:
 		return kept(d.desk.Offline(c.Backend), "nothing more goes to "+c.Backend)
--- /dev/null
+++ b/cmd/tinsail/handover.go
@@ -0,0 +1,342 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/config"
+	"tinsail/internal/core"
+	"tinsail/internal/handover"
+	"tinsail/internal/maintenance"
+	"tinsail/internal/network/handoff"
+	"tinsail/internal/platform"
+	"tinsail/internal/service"
+)
+
+// handed is what another process of this dispatcher hands over; the zero value is nothing.
+type handed struct {
+	link  *handoff.Link
+	state handover.State
+	files []*os.File // in the order of state.Listeners
+}
+
+func (h handed) close() {
+	for _, f := range h.files {
+		f.Close()
+	}
+	if h.link != nil {
+		h.link.Close()
+	}
+}
+
+func helloOf(cfg *config.Config) handover.Hello {
+	return handover.Hello{Version: handover.Version, Name: cfg.Name, Listen: cfg.Listen}
+}
+
+// join asks the process of this dispatcher that serves, if there is one, to hand over. Where it cannot
+// be understood, this process serves beside it on a listener of its own, by SO_REUSEPORT: what waits in the
+// old one's queue when that closes is lost, which is still less than all. It is an error only
+// if this process is one too many.
+func join(cfg *config.Config, log zerolog.Logger) (handed, error) {
+	if cfg.Admin == "" {
+		return handed{}, nil
+	}
+	link, state, files, err := handoff.Join(keptPath(cfg, "sock"), helloOf(cfg))
+	h := handed{link, state, files}
+	if err == nil {
+		if bad := new(handover.New).State(&state, len(files)); bad != "" {
+			err = errors.New(bad)
+			h.close()
+		}
+	}
+	var no *handoff.Refusal
+	switch {
+	case err == nil:
+		log.Info().Int("sockets", state.Sockets).Int("backends", len(state.List)).Bool("out", state.Out).Msg("hand-over: state taken")
+		return h, nil
+	case errors.Is(err, handoff.ErrAlone):
+	case errors.As(err, &no) && no.Busy:
+		return handed{}, fmt.Errorf("hand-over: %w", err)
+	default:
+		log.Error().Err(err).Msg("hand-over: nothing taken over, serves beside the other process")
+	}
+	return handed{}, nil
+}
+
+// listen takes the listener that was handed over under a name, or opens one. Only a
+// dispatcher that has a door shares its address with a second process.
+func (h handed) listen(cfg *config.Config, name, address string) (net.Listener, error) {
+	for i, have := range h.state.Listeners {
+		if h.link != nil && have == name {
+			defer h.files[i].Close()
+			return net.FileListener(h.files[i])
+		}
+	}
+	var c net.ListenConfig
+	if cfg.Admin != "" {
+		c.Control = func(_, _ string, raw syscall.RawConn) (err error) {
+			err2 := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+			return errors.Join(err, err2)
+		}
+	}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// takeover is a process's part in hand-overs: from the one before it, and to the next one.
+type takeover struct {
+	d      *dispatcher
+	server *handoff.Server
+	from   handed
+
+	mu     sync.Mutex
+	stage  handover.New
+	peer   *handoff.Link // the other process while there is one
+	have   int           // descriptors that this process may hold ...
+	memory int64         // ... and bytes
+	total  int           // that it held before it gave some to the next process
+	giving chan struct{} // closed when there is no one to give to any more
+}
+
+// addHandover makes this process's part. d.service and d.desk are there.
+func (d *dispatcher) addHandover(from handed) {
+	t := &takeover{d: d, from: from, have: d.cfg.Sockets, memory: d.cfg.Memory}
+	t.server = &handoff.Server{Path: keptPath(d.cfg, "sock"), Me: helloOf(d.cfg), Log: d.log,
+		Give: t.give, Hand: t.hand, News: t.news, Joined: t.joined, Gone: t.gone}
+	if from.link != nil {
+		t.have, t.memory = from.state.Sockets, from.state.Memory
+		t.stage.State(&from.state, len(from.files))
+	}
+	d.handover = t
+}
+
+// inherit takes over what the old process knew, and returns the list and its version.
+func (d *dispatcher) inherit() (index uint64, list []core.Entry) {
+	s := &d.handover.from.state
+	if s.Out {
+		d.service.Out()
+	}
+	if err := d.desk.SetOut(s.Out); err != nil {
+		d.log.Error().Err(err).Msg("bans not kept")
+	}
+	d.desk.Merge(s.Marks)
+	for _, b := range s.List {
+		w := balance.Worker{ID: balance.WorkerID(platform.Hash(b.Name)), Started: b.Started, Kind: b.Kind, Cell: b.Cell, Zone: b.Zone, State: balance.State(b.State), Weight: b.Weight}
+		list = append(list, core.Entry{Worker: w, Name: b.Name, Address: b.Address})
+	}
+	return s.Index, list
+}
+
+// begin accepts clients, once there is a list, and waits for the next process.
+func (t *takeover) begin(d *dispatcher) {
+	if t.from.link == nil {
+		d.accept()
+		t.listen()
+		return
+	}
+	t.joined(t.from.link)
+	go func() {
+		err := t.from.link.Read(t.news)
+		t.oldGone(err)
+	}()
+	go func() {
+		for !d.core.Known() {
+			time.Sleep(service.LookEvery)
+		}
+		d.accept()
+		t.mu.Lock()
+		tell := t.stage.Serves(time.Now())
+		t.mu.Unlock()
+		if tell {
+			_ = t.from.link.Send(handover.News{Ready: true}) // if it is gone, so much the better
+		}
+		for !t.serves() {
+			time.Sleep(service.LookEvery)
+		}
+		t.listen()
+		d.log.Info().Stringer("stage", t.at()).Msg("hand-over: serves")
+	}()
+}
+
+func (t *takeover) listen() {
+	if err := t.server.Listen(); err != nil {
+		t.d.log.Error().Err(err).Msg("hand-over: cannot wait for a next process")
+	}
+}
+
+func (t *takeover) at() handover.Stage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stage.Stage()
+}
+
+// serves says whether this process serves in the dispatcher's name.
+func (t *takeover) serves() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stage.May(time.Now())
+}
+
+// news takes what the other process says, at either end.
+func (t *takeover) news(n handover.News) {
+	switch {
+	case n.Taken:
+		t.mu.Lock()
+		t.stage.Taken()
+		t.mu.Unlock()
+	case n.Sockets > 0:
+		t.mu.Lock()
+		more := n.Sockets > t.have && n.Sockets < t.d.cfg.Sockets
+		if more {
+			t.have = n.Sockets
+		}
+		sockets, memory := t.have, t.memory
+		t.mu.Unlock()
+		if more {
+			t.d.resize(sockets, memory)
+		}
+	case n.Mark != nil:
+		t.d.desk.Merge([]maintenance.Mark{*n.Mark})
+	case n.Out != nil:
+		t.d.setOut(*n.Out)
+	}
+}
+
+// setOut follows a call that the other process had.
+func (d *dispatcher) setOut(out bool) {
+	if out {
+		d.service.Out()
+	} else {
+		d.service.In()
+	}
+	if err := d.desk.SetOut(out); err != nil {
+		d.log.Error().Err(err).Msg("bans not kept")
+	}
+}
+
+// joined has the other process hear of calls from now on, and of those that came meanwhile.
+func (t *takeover) joined(l *handoff.Link) {
+	t.mu.Lock()
+	t.peer = l
+	t.mu.Unlock()
+	for _, m := range t.d.desk.Share(func(m maintenance.Mark) { _ = l.Send(handover.News{Mark: &m}) }) {
+		_ = l.Send(handover.News{Mark: &m})
+	}
+}
+
+// tellOut tells the other process, if there is one, of a call. t may be nil.
+func (t *takeover) tellOut(out bool) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	l := t.peer
+	t.mu.Unlock()
+	if l != nil {
+		_ = l.Send(handover.News{Out: &out})
+	}
+}
+
+// oldGone takes the news that the process before this one has ended: all room is this one's, unless
+// it gives to a next one already.
+func (t *takeover) oldGone(err error) {
+	t.mu.Lock()
+	at, alone := t.stage.Stage(), t.peer == t.from.link
+	t.stage.Gone()
+	if t.total = t.d.cfg.Sockets; alone {
+		t.peer, t.have, t.memory = nil, t.d.cfg.Sockets, t.d.cfg.Memory
+	}
+	t.mu.Unlock()
+	if alone {
+		t.d.desk.Share(nil)
+		t.d.resize(t.d.cfg.Sockets, t.d.cfg.Memory)
+	}
+	t.d.log.Info().Stringer("stage", at).AnErr("link", err).Msg("hand-over: the old process is gone")
+}
+
+// spare is what a process needs of descriptors beside sessions and connections to backends.
+func (t *takeover) spare() int { return 32 + doorSockets(t.d.cfg) }
+
+func (t *takeover) used() int { return t.d.clients.Open() + t.d.pool.Open() }
+
+// give gives room up and tells all that this process knows.
+func (t *takeover) give() (handover.State, []syscall.Conn) {
+	d := t.d
+	t.mu.Lock()
+	keep, give := handover.Split(t.have, t.used(), t.spare())
+	t.total, t.have, t.memory = t.have, keep, t.memory/2
+	t.giving = make(chan struct{})
+	memory := t.memory
+	t.mu.Unlock()
+	d.resize(keep, memory)
+	s := handover.State{Sockets: give, Memory: memory, Out: d.service.IsOut(), Index: d.director.Index()}
+	list, marks := d.desk.State()
+	s.Marks = marks
+	for _, b := range list {
+		s.List = append(s.List, handover.Backend{Name: b.Name, Address: b.Address, Kind: b.Kind, Zone: b.Zone, Cell: b.Cell,
+			State: uint8(b.State), Weight: b.Weight, Started: b.Started})
+	}
+	var conns []syscall.Conn
+	for _, l := range []struct {
+		name string
+		net.Listener
+	}{{"http1", d.listener}, {"http2", d.listener2}} {
+		if c, ok := l.Listener.(syscall.Conn); ok {
+			s.Listeners, conns = append(s.Listeners, l.name), append(conns, c)
+		}
+	}
+	return s, conns
+}
+
+// hand accepts no more, and gives up more room as sessions end.
+func (t *takeover) hand() {
+	t.d.service.HandOver()
+	t.mu.Lock()
+	l, all, giving := t.peer, t.total, t.giving
+	t.mu.Unlock()
+	go func() {
+		tick := time.NewTicker(250 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-giving:
+				return
+			case <-tick.C:
+			}
+			t.mu.Lock()
+			keep := t.used() + t.spare()
+			less := keep+8 < t.have
+			if less {
+				t.have = keep
+			}
+			t.mu.Unlock()
+			if less {
+				t.d.pool.Resize(t.d.pool.Open() + 8)
+				_ = l.Send(handover.News{Sockets: all - keep})
+			}
+		}
+	}()
+}
+
+// gone takes the news that the process after this one is gone.
+func (t *takeover) gone(accept bool) {
+	t.mu.Lock()
+	close(t.giving)
+	t.peer, t.have, t.memory = nil, t.total, t.memory*2
+	sockets, memory := t.have, t.memory
+	t.mu.Unlock()
+	t.d.desk.Share(nil)
+	t.d.resize(sockets, memory)
+	if accept {
+		t.d.service.TakeBack()
+	}
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -39,12 +39,16 @@
 		return faulty{err}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	debug.SetMemoryLimit(cfg.Memory * 3 / 4)
 	debug.SetGCPercent(200)
-	d, err := assemble(cfg, set, log)
+	from, err := join(cfg, log)
 	if err != nil {
 		return err
 	}
+	d, err := assemble(cfg, set, log, from)
+	if err != nil {
+		from.close()
+		return err
+	}
 	d.start()
 	e := log.Info().Stringer("listen", d.listener.Addr()).Str("discovery", cfg.Discovery)
 	if d.listener2 != nil {
@@ -89,6 +93,7 @@
 	listed   func(balance.ListKind, []core.Entry)
 	door     *admin.Server // nil where it is off
 	doorAt   net.Listener
+	handover *takeover // nil where there is no door
 
 	sources   *sources       // nil where the director alone is asked
 	http2     *network.HTTP2 // nil where it is off
@@ -101,7 +106,8 @@
 }
 
 // assemble makes the parts and opens the listeners; nothing runs yet.
-func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger) (*dispatcher, error) {
+// from is what another process of this dispatcher hands over; its zero value is nothing.
+func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger, from handed) (*dispatcher, error) {
 	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}}
 	share := network.Share(cfg.Sockets - doorSockets(cfg))
 	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
@@ -120,13 +126,13 @@
 	d.director.Told = d.listed
 	d.clients = &network.Clients{Names: &cfg.Names, Count: d.count, Core: d.core, Most: share.Clients, Usual: share.Usual,
 		Held: cfg.Memory / 8, Longest: cfg.Longest(), Stats: d.stats, Log: log}
-	if d.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	if d.listener, err = from.listen(cfg, "http1", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if set.HTTP2 != nil {
 		d.http2 = &network.HTTP2{Clients: d.clients}
 		d.http2.Set(limits(set.HTTP2))
-		if d.listener2, err = net.Listen("tcp", set.HTTP2.Listen); err != nil {
+		if d.listener2, err = from.listen(cfg, "http2", set.HTTP2.Listen); err != nil {
 			d.listener.Close()
 			return nil, fmt.Errorf("http2.listen: %w", err)
 		}
@@ -143,31 +149,61 @@
 		d.close()
 		return nil, err
 	}
+	if cfg.Admin != "" {
+		d.addHandover(from)
+	}
+	d.resize(cfg.Sockets, cfg.Memory)
+	if from.link != nil {
+		d.resize(from.state.Sockets, from.state.Memory)
+	}
 	d.set = set
 	return d, nil
 }
 
 // start has all parts run, in the background.
 func (d *dispatcher) start() {
-	if d.desk != nil && d.desk.Load() {
+	if d.desk != nil && d.desk.Load() && d.handover.from.link == nil {
 		d.service.Out()
 	}
-	d.director.Start(d.cfg.Known.Index)
+	index, known := d.cfg.Known.Index, d.cfg.Known.Entries
+	if d.handover != nil && d.handover.from.link != nil {
+		index, known = d.inherit()
+	}
+	d.director.Start(index)
 	if d.sources == nil {
-		d.listed(balance.ListCached, d.cfg.Known.Entries)
+		d.listed(balance.ListCached, known)
 	}
 	go d.core.Run(nil)
 	d.startSources(d.set)
 	if !d.cfg.Settings.Subscribe { // the module expects a list that comes unasked; on sockets none does
 		d.director.Subscribe()
 	}
+	if d.door != nil {
+		go d.door.Serve(d.doorAt)
+	}
+	if d.handover == nil {
+		d.accept()
+		return
+	}
+	d.handover.begin(d)
+}
+
+// accept takes clients in.
+func (d *dispatcher) accept() {
 	go d.clients.Serve(d.listener)
 	if d.http2 != nil {
 		go d.http2.Serve(d.listener2)
 	}
-	if d.door != nil {
-		go d.door.Serve(d.doorAt)
-	}
+}
+
+// resize sets how many descriptors and how much memory (bytes) this process may hold: all that the
+// dispatcher has, or its part while there are two processes.
+func (d *dispatcher) resize(sockets int, memory int64) {
+	share, all := network.Share(sockets-doorSockets(d.cfg)), network.Share(d.cfg.Sockets-doorSockets(d.cfg))
+	share.Usual = min(all.Usual, share.Clients)
+	d.clients.Resize(share)
+	d.pool.Resize(share.Backends)
+	debug.SetMemoryLimit(memory * 3 / 4)
 }
 
 // drain begins the shutdown; d.service says when it is over.
@@ -180,6 +216,9 @@
 
 // end is done last of all.
 func (d *dispatcher) end() {
+	if d.handover != nil {
+		d.handover.server.Close()
+	}
 	if d.sources != nil && d.sources.self != nil {
 		d.sources.self.End()
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -35,6 +35,7 @@
 type State struct {
 	Version   int                `json:"version"`
 	Refused   string             `json:"refused,omitempty"`
+	Busy      bool               `json:"busy,omitempty"` // refused since another hand-over is under way
 	Listeners []string           `json:"listeners,omitempty"`
 	Sockets   int                `json:"sockets"` // descriptors that the new process may hold
 	Memory    int64              `json:"memory"`  // bytes
--- a/internal/handover/stages.go
+++ b/internal/handover/stages.go
@@ -10,7 +10,7 @@
 	HelloWait = time.Second     // for a hello to be whole, from connecting
 	StateWait = 2 * time.Second // for the old process's state, from the hello
 	TakenWait = time.Second     // for the old process to have stopped accepting
-	readyWait = 8 * time.Second // for the new process to accept, from its hello
+	ReadyWait = 8 * time.Second // for the new process to accept, from its hello
 )
 
 // Stage is where a hand-over stands, at either end.
@@ -29,35 +29,32 @@
 func (s Stage) String() string { return stageNames[s] }
 
 // Old is the end of the process that serves. The zero value is alone.
-type Old struct {
-	stage Stage
-	since time.Time
-}
+type Old struct{ stage Stage }
 
 // Stage is where it stands.
 func (o *Old) Stage() Stage { return o.stage }
 
 // Hello takes a new process's hello. It returns why that is refused, or nothing: then the state
 // is to be sent, with less room for this process from before it is sent on.
-func (o *Old) Hello(now time.Time, h, me Hello) (refused string) {
+func (o *Old) Hello(h, me Hello) (refused string, busy bool) {
 	switch {
 	case h.Version != me.Version:
-		return fmt.Sprintf("version %d is not spoken here, but %d", h.Version, me.Version)
+		return fmt.Sprintf("version %d is not spoken here, but %d", h.Version, me.Version), false
 	case h.Name != me.Name || h.Listen != me.Listen:
-		return fmt.Sprintf("this is %s at %s, not %s at %s", me.Name, me.Listen, h.Name, h.Listen)
+		return fmt.Sprintf("this is %s at %s, not %s at %s", me.Name, me.Listen, h.Name, h.Listen), false
 	case o.stage != Alone:
-		return "a hand-over is under way already"
+		return "a hand-over is under way already", true
 	}
-	o.stage, o.since = Connected, now
-	return ""
+	o.stage = Connected
+	return "", false
 }
 
 // Ready takes the news that the new process accepts. It returns whether this one is to stop.
-func (o *Old) Ready(now time.Time) bool {
+func (o *Old) Ready() bool {
 	if o.stage != Connected {
 		return false
 	}
-	o.stage, o.since = Handed, now
+	o.stage = Handed
 	return true
 }
 
@@ -69,22 +66,17 @@
 	return accept
 }
 
-// Overdue says that the new process has had its time to accept and is to be cut off.
-func (o *Old) Overdue(now time.Time) bool {
-	return o.stage == Connected && now.Sub(o.since) >= readyWait
-}
-
 // New is the end of a process that takes over. The zero value is alone.
 type New struct {
 	stage Stage
-	since time.Time
+	since time.Time // of Ready
 }
 
 // Stage is where it stands.
 func (n *New) Stage() Stage { return n.stage }
 
 // State takes the old process's state. It returns why it cannot be used, or nothing.
-func (n *New) State(now time.Time, s *State, descriptors int) (bad string) {
+func (n *New) State(s *State, descriptors int) (bad string) {
 	switch {
 	case s.Refused != "":
 		return "refused: " + s.Refused
@@ -95,7 +87,7 @@
 	case s.Sockets <= 0 || s.Memory <= 0:
 		return "no descriptors or no memory left for this process"
 	}
-	n.stage, n.since = Connected, now
+	n.stage = Connected
 	return ""
 }
 
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -174,6 +174,16 @@
 	return []Backend{e.shown()}
 }
 
+// Listed is the list that the bans lie over, as the source has it, in the order of names.
+func (b *Bans) Listed() (list []Backend) {
+	for _, name := range slices.Sorted(maps.Keys(b.all)) {
+		if e := b.all[name]; e.listed && e.last.State != balance.Gone {
+			list = append(list, e.last)
+		}
+	}
+	return list
+}
+
 // Marks are all that operators have said, in the order of names.
 func (b *Bans) Marks() []Mark {
 	var out []Mark
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -151,12 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open >= p.Most {
-		var oldest *link
-		for _, list := range p.idle {
-			if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
-				oldest = list[0]
-			}
-		}
+		oldest := p.oldest()
 		if oldest == nil {
 			return false
 		}
@@ -167,6 +162,39 @@
 	return true
 }
 
+// Resize sets how many connections there may be from now on. Idle ones beyond it are closed; those
+// that carry a req go on.
+func (p *Pool) Resize(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Most = most
+	for closing := p.open - most; closing > 0; closing-- {
+		l := p.oldest()
+		if l == nil {
+			return
+		}
+		p.drop(l)
+		l.conn.Close() // its reader counts it a moment later
+	}
+}
+
+// Open is how many connections are open or being made.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// oldest is the connection that has been idle for the longest time, or nil. p.mu is held.
+func (p *Pool) oldest() (oldest *link) {
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+			oldest = list[0]
+		}
+	}
+	return oldest
+}
+
 func (p *Pool) release() {
 	p.mu.Lock()
 	p.open--
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -32,8 +32,8 @@
 	Names   *platform.Names
 	Count   *counters.Set
 	Core    *core.Core
-	Most    int   // sessions; beyond it one that asks for nothing goes, and if there is none a few are told to come back
-	Usual   int   // sessions that serve jobs; beyond it the one that has been idle longest goes
+	Most    int   // sessions, until Resize; beyond it one that asks for nothing goes, and if there is none a few are told to come back
+	Usual   int   // sessions that serve jobs, until Resize; beyond it the one that has been idle longest goes
 	Held    int64 // bytes of bodies that may be held for all sessions together
 	Longest time.Duration
 	Stats   func() string
@@ -42,6 +42,7 @@
 
 	orders atomic.Pointer[service.Orders] // nil stands for a dispatcher in service
 	gate   gate
+	size   atomic.Pointer[Budget] // by Resize; nil for Most and Usual
 	held   atomic.Int64
 	table  table
 }
@@ -54,6 +55,30 @@
 	return &inService
 }
 
+// Resize sets how many sessions there may be from now on. Idle ones beyond it are closed; those that are
+// owed an answer go on.
+func (c *Clients) Resize(b Budget) {
+	c.size.Store(&b)
+	c.table.shrink(b.Clients)
+}
+
+// Open is how many sessions there are.
+func (c *Clients) Open() int { return c.table.open() }
+
+func (c *Clients) most() int {
+	if b := c.size.Load(); b != nil {
+		return b.Clients
+	}
+	return c.Most
+}
+
+func (c *Clients) usual() int {
+	if b := c.size.Load(); b != nil {
+		return b.Usual
+	}
+	return c.Usual
+}
+
 var inService = service.Orders{Ready: true, Accept: true}
 
 // session is one client's connection. Its goroutine reads; the answer of a req is written by
@@ -124,12 +149,13 @@
 // are owed an answer, room whether it can be read to be told so.
 func (c *Clients) enter(s *seat) (excess, room bool) {
 	c.Count.ClientSessions.Add(1)
-	n, shed := c.table.enter(s, c.Most)
-	if n > c.Most+excessMost && !c.table.waitBelow(c.Most+excessMost, roomWait) {
+	most := c.most()
+	n, shed := c.table.enter(s, most)
+	if n > most+excessMost && !c.table.waitBelow(most+excessMost, roomWait) {
 		c.Count.SessionsRefused.Add(1)
 		return true, false
 	}
-	return n > c.Most && !shed, true
+	return n > most && !shed, true
 }
 
 func (s *session) run() {
@@ -270,7 +296,7 @@
 		return core.ClientClosed
 	}
 	tcp, ok := s.conn.(*net.TCPConn)
-	if ok && c.table.linger(&s.seat, c.Most/8+1) {
+	if ok && c.table.linger(&s.seat, c.most()/8+1) {
 		tcp.CloseWrite()
 		s.conn.SetReadDeadline(time.Now().Add(lingerWait))
 		waste := s.in.Waste()
@@ -305,7 +331,7 @@
 	}
 	left := c.patience(w.Left, s.came)
 	c.table.taken(&s.seat)
-	c.table.trim(c.Usual) // as soon as more are busy: the next client may find no connection left
+	c.table.trim(c.usual()) // as soon as more are busy: the next client may find no connection left
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
 	ticket, fresh := c.Core.Take(w.Ask, job, s.came, left, s)
 	if !fresh {
@@ -382,7 +408,7 @@
 	closing = closing || s.clients.told().Close
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
 	closing = s.clients.table.answered(&s.seat, true, closing || err != nil, long)
-	s.clients.table.trim(s.clients.Usual)
+	s.clients.table.trim(s.clients.usual())
 	done <- written{a.Free, closing, err}
 }
 
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -43,6 +43,7 @@
 	conn  net.Conn
 	in    *platform.Replies
 
+	told  atomic.Uint64 // version of what was last told
 	on    atomic.Bool
 	off   atomic.Bool // Off was called, and the watch never began
 	mu    sync.Mutex
@@ -82,7 +83,13 @@
 }
 
 // Start tells which version is known.
-func (d *Director) Start(index uint64) { d.index = index }
+func (d *Director) Start(index uint64) {
+	d.index = index
+	d.told.Store(index)
+}
+
+// Index is the version of what was last told, or an older one.
+func (d *Director) Index() uint64 { return d.told.Load() }
 
 // Redirect sends the watch to another address, from now on. What is under way at the old
 // one is cut, and nothing that it still says is believed.
@@ -137,6 +144,7 @@
 		if e == core.ListTold {
 			failed = 0
 			d.take(list)
+			d.told.Store(d.index)
 			continue
 		}
 		d.close()
--- a/internal/network/handoff/handoff.go
+++ b/internal/network/handoff/handoff.go
@@ -135,7 +135,10 @@
 var ErrAlone = errors.New("no other process of this dispatcher")
 
 // Refusal is why the process that is there hands nothing over.
-type Refusal struct{ Why string }
+type Refusal struct {
+	Why  string
+	Busy bool // another hand-over is under way: this process is one too many
+}
 
 func (r *Refusal) Error() string { return r.Why }
 
@@ -176,7 +179,7 @@
 		return l, s, files, err
 	}
 	if s.Refused != "" {
-		err = &Refusal{s.Refused}
+		err = &Refusal{s.Refused, s.Busy}
 	}
 	return l, s, files, err
 }
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -113,11 +113,11 @@
 		return
 	}
 	s.mu.Lock()
-	refused := s.stage.Hello(time.Now(), h, s.Me)
+	refused, busy := s.stage.Hello(h, s.Me)
 	s.mu.Unlock()
 	if refused != "" {
 		s.Log.Warn().Str("why", refused).Msg("hand-over refused")
-		_ = l.send(handover.State{Version: handover.Version, Refused: refused}, nil)
+		_ = l.send(handover.State{Version: handover.Version, Refused: refused, Busy: busy}, nil)
 		return
 	}
 	err = s.with(l)
@@ -158,11 +158,11 @@
 	l.in.Most = handover.MaxState
 	s.Log.Info().Int("sockets", state.Sockets).Int("backends", len(state.List)).Int("marks", len(state.Marks)).Msg("hand-over: state told")
 	s.Joined(l)
-	l.conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // until it accepts
+	l.conn.SetReadDeadline(time.Now().Add(handover.ReadyWait)) // until it accepts
 	return l.Read(func(n handover.News) {
 		if n.Ready {
 			s.mu.Lock()
-			hand := s.stage.Ready(time.Now())
+			hand := s.stage.Ready()
 			s.moved = s.moved || hand
 			s.mu.Unlock()
 			if hand {
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -261,7 +261,7 @@
 	case core.SessionShed: // its descriptor is wanted
 		stay = shedLinger
 	case core.ClientBad:
-		if !c.table.linger(&s.seat, c.Most/8+1) {
+		if !c.table.linger(&s.seat, c.most()/8+1) {
 			stay = 0
 		}
 	}
@@ -382,7 +382,7 @@
 		s.ending = core.SessionShed
 		s.m.Settle(time.Now())
 	}
-	t.trim(s.front.Clients.Usual)
+	t.trim(s.front.Clients.usual())
 }
 
 // hint has all connections go away without loss; new ones are told as soon as they have begun. The
--- a/internal/network/maintain/maintain.go
+++ b/internal/network/maintain/maintain.go
@@ -151,6 +151,13 @@
 	return d.bans.Marks()
 }
 
+// State is the list as the source has it, and all marks.
+func (d *Desk) State() ([]maintenance.Backend, []maintenance.Mark) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bans.Listed(), d.bans.Marks()
+}
+
 // Banned lists the banned.
 func (d *Desk) Banned() []string {
 	d.mu.Lock()
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -181,6 +181,14 @@
 	return false
 }
 
+// shrink sheds those who may go until there are no more than most, or none may.
+func (t *table) shrink(most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for over := t.count - t.rows[leaving].Len() - most; over > 0 && t.shedOne(); over-- {
+	}
+}
+
 // trim keeps the sessions that serve jobs to a number, as far as some are idle and will
 // hardly be used again at once.
 func (t *table) trim(most int) {
