Commands for the door's calls, a page for those on call, upgrades tested with the real program

tinsail control ready, offline, online, out-of-service and in-service; exit codes 0, 1 and 2. docs/operators/service.md. Tests start the real program beside itself: ten upgrades in a row under load; a new process that dies before the state, before and after it accepts; rude callers on the socket; a third start; old ones killed; bans before, during and after, given to either; SIGHUP in the overlap. They found a data race: the old process bound its socket again while its accept loop read the listener.

--- a/cmd/tinsail/commands.go
+++ b/cmd/tinsail/commands.go
@@ -32,7 +32,7 @@
   tinsail completion bash > /etc/bash_completion.d/tinsail`,
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return faulty{err} })
-	c.AddCommand(serveCommand(), checkCommand(), versionCommand(), demoCommand(), membersCommand(), labCommand(), referenceCommand())
+	c.AddCommand(serveCommand(), checkCommand(), versionCommand(), demoCommand(), membersCommand(), controlCommand(), labCommand(), referenceCommand())
 	for _, sub := range c.Commands() {
 		sub.Args = noArgs
 	}
--- /dev/null
+++ b/cmd/tinsail/control.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tinsail/internal/door"
+)
+
+// callWait is how long a call of ours may take in all; the door owes its answer within a second.
+const callWait = 3 * time.Second
+
+// call makes one call at a dispatcher's door. err is set if there was no answer.
+func call(address string, c door.Call) (yes bool, says string, err error) {
+	conn, err := net.DialTimeout("tcp", address, callWait)
+	if err != nil {
+		return false, "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(callWait))
+	method, path := c.Path()
+	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", method, path, address); err != nil {
+		return false, "", err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false, "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, 4<<10))
+	if err != nil {
+		return false, "", err
+	}
+	return answer.StatusCode/100 == 2, strings.TrimSpace(string(body)), nil
+}
+
+func controlCommand() *cobra.Command {
+	var at string
+	c := &cobra.Command{
+		Use: "control", Short: "Call a running dispatcher at its operators' door",
+		Long: `control makes one call at the door of a running dispatcher: the address that its
+configuration names as admin, or ROUTER_ADMIN. Calls may be repeated.
+
+Exit codes: 0 yes, 1 no (the reason is printed), 2 no answer, or faulty flags.`,
+		Example: `  tinsail control ready --admin 127.0.0.1:8090
+  tinsail control offline s-5be2a07c --admin 127.0.0.1:8090
+  tinsail control online s-5be2a07c --admin 127.0.0.1:8090
+  tinsail control out-of-service --admin 127.0.0.1:8090`,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	c.PersistentFlags().StringVar(&at, "admin", "", "address of the door, host:port")
+	for _, sub := range []struct {
+		use, short string
+		op         door.Op
+	}{
+		{"ready", "Ask whether this process serves", door.Ready},
+		{"offline ID", "Send nothing more to a backend", door.Offline},
+		{"online ID", "Use a backend again", door.Online},
+		{"out-of-service", "Drain the dispatcher: not ready, answers what comes, and runs on", door.OutOfService},
+		{"in-service", "Take clients again", door.InService},
+	} {
+		named := strings.HasSuffix(sub.use, " ID")
+		c.AddCommand(&cobra.Command{Use: sub.use, Short: sub.short, Long: sub.short + ".\n\nExit codes: 0 yes, 1 no, 2 no answer, or faulty flags.",
+			Args: func(c *cobra.Command, args []string) error {
+				if named && len(args) != 1 {
+					return faulty{fmt.Errorf("%s wants one backend's id, see %s --help", c.CommandPath(), c.CommandPath())}
+				}
+				if !named {
+					return noArgs(c, args)
+				}
+				return nil
+			},
+			RunE: func(c *cobra.Command, args []string) error {
+				if _, _, err := net.SplitHostPort(at); err != nil {
+					return faulty{fmt.Errorf("--admin is %q, want the host:port of a dispatcher's door", at)}
+				}
+				what := door.Call{Op: sub.op}
+				if named {
+					what.Backend = args[0]
+				}
+				yes, says, err := call(at, what)
+				switch {
+				case err != nil:
+					return faulty{fmt.Errorf("no answer: %w", err)}
+				case !yes:
+					return errors.New("no: " + says)
+				}
+				fmt.Fprintln(c.OutOrStdout(), "yes: "+says)
+				return nil
+			}})
+	}
+	return c
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -262,6 +262,8 @@
 	}
 	if d.door != nil {
 		d.door.Count.Each(f)
+		f("banned", int64(len(d.desk.Banned())))
+		f("service_state", int64(d.service.State()))
 	}
 }
 
--- /dev/null
+++ b/cmd/tinsail/upgrade_test.go
@@ -0,0 +1,450 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/config"
+	"tinsail/internal/door"
+	"tinsail/internal/handover"
+	"tinsail/internal/network/handoff"
+	"tinsail/internal/standin/platform"
+)
+
+// house is a dispatcher's place: one configuration and one folder for temporary files, in which
+// processes of it follow each other.
+type house struct {
+	t        *testing.T
+	director *platform.Director
+	backends []*platform.Backend
+	env      []string
+	conf     string
+	folder   string
+	clients  string // where clients connect, once known
+	ids      atomic.Int64
+}
+
+// process is one process of it, and its log.
+type process struct {
+	cmd   *exec.Cmd
+	admin string
+	lines chan map[string]any
+}
+
+func newHouse(t *testing.T, listen string) *house {
+	h := &house{t: t, folder: t.TempDir()}
+	var err error
+	h.director, err = platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(h.director.Close)
+	for i := range 3 {
+		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(string) time.Duration { return 2 * time.Millisecond })
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		h.backends = append(h.backends, b)
+		h.director.Set(b.Entry("fast", "here", i, "Ready"))
+	}
+	h.conf = filepath.Join(t.TempDir(), "c.json")
+	text := strings.NewReplacer(`"127.0.0.1:1"`, `"`+h.director.Address+`"`, `"127.0.0.1:0"`, `"`+listen+`"`).Replace(string(demoConfig))
+	require.NoError(t, os.WriteFile(h.conf, []byte(text), 0o600))
+	h.env = append(os.Environ(), "TINSAIL_TEST_PROGRAM=1", "ROUTER_CONFIG="+h.conf, "ROUTER_ADMIN=127.0.0.1:0", "TMPDIR="+h.folder,
+		"GORACE=atexit_sleep_ms=0")
+	return h
+}
+
+// start starts one more process. It has begun to serve, or to wait for its turn, when start returns.
+func (h *house) start() *process {
+	p := h.spawn()
+	line := p.event(h.t, "serving")
+	p.admin, _ = line["admin"].(string)
+	if h.clients == "" { // the same for all
+		h.clients, _ = line["listen"].(string)
+	}
+	return p
+}
+
+func (h *house) spawn() *process {
+	p := &process{cmd: exec.Command(os.Args[0], "serve", "--log-format", "json"), lines: make(chan map[string]any, 10_000)}
+	p.cmd.Env = h.env
+	errs, err := p.cmd.StderrPipe()
+	require.NoError(h.t, err)
+	require.NoError(h.t, p.cmd.Start())
+	h.t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	go func() {
+		defer close(p.lines)
+		for r := bufio.NewScanner(errs); r.Scan(); {
+			var line map[string]any
+			if json.Unmarshal(r.Bytes(), &line) != nil {
+				line = map[string]any{"event": r.Text()}
+				fmt.Fprintln(os.Stderr, r.Text()) // the race detector's words, say
+			}
+			p.lines <- line
+		}
+	}()
+	return p
+}
+
+func (p *process) event(t *testing.T, name string) map[string]any {
+	for line := range p.lines {
+		if line["event"] == name {
+			return line
+		}
+	}
+	t.Fatal("no event ", name)
+	return nil
+}
+
+// call makes a call at the process's door, and returns whether it said yes.
+func (p *process) call(op door.Op, backend string) bool {
+	yes, _, err := call(p.admin, door.Call{Op: op, Backend: backend})
+	return err == nil && yes
+}
+
+// serves waits until the process says that it does.
+func (p *process) serves() {
+	for !p.call(door.Ready, "") {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// end ends a process by SIGTERM; it may have left by itself.
+func (p *process) end(t *testing.T) {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	for range p.lines {
+	}
+	assert.NoError(t, p.cmd.Wait())
+}
+
+// conn is a client's connection.
+type conn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (h *house) dial() (*conn, error) {
+	c, err := net.Dial("tcp", h.clients)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, bufio.NewReader(c)}, nil
+}
+
+func (c *conn) send(id string) error {
+	_, err := fmt.Fprintf(c, "POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nIdempotency-Key: %s\r\nContent-Length: 1\r\n\r\nb", id, id)
+	return err
+}
+
+// answer reads an answer; closing says that the connection ends with it.
+func (c *conn) answer() (status int, body string, closing bool, err error) {
+	a, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, "", true, err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(text), a.Close, err
+}
+
+// job sends a job on a connection of its own and returns the answer.
+func (h *house) job() (status int) {
+	c, err := h.dial()
+	require.NoError(h.t, err)
+	defer c.Close()
+	require.NoError(h.t, c.send(fmt.Sprint("one-", h.ids.Add(1))))
+	status, _, _, err = c.answer()
+	require.NoError(h.t, err)
+	return status
+}
+
+// healthy asks as the front does.
+func (h *house) healthy() bool {
+	a, err := http.Get("http://" + h.clients + "/health/ready")
+	require.NoError(h.t, err)
+	a.Body.Close()
+	return a.StatusCode == 200
+}
+
+func (h *house) jobs() (n int) {
+	for _, b := range h.backends {
+		n += b.Counts().Jobs
+	}
+	return n
+}
+
+func (h *house) hello() handover.Hello {
+	return handover.Hello{Version: handover.Version, Name: "demo", Listen: "127.0.0.1:0"}
+}
+
+func (h *house) socket() string {
+	return strings.Replace(keptPath(&config.Config{Name: "demo", Listen: "127.0.0.1:0"}, "sock"), os.TempDir(), h.folder, 1)
+}
+
+// TestUpgrades: under a steady load, through ten upgrades in a row, each job is answered, once, by a
+// backend's result, and no connection is refused, reset or closed unread.
+func TestUpgrades(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	old := h.start()
+	old.serves()
+	var all sync.WaitGroup
+	var answered atomic.Int64
+	stop := make(chan struct{})
+	for k := range 8 {
+		all.Go(func() {
+			var c *conn
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c == nil {
+					var err error
+					if c, err = h.dial(); !assert.NoError(t, err, "refused") {
+						return
+					}
+				}
+				id := fmt.Sprintf("u-%d-%d", k, i)
+				if !assert.NoError(t, c.send(id), "reset") {
+					return
+				}
+				status, body, closing, err := c.answer()
+				if !assert.NoError(t, err, "no whole answer") || !assert.Equal(t, 200, status) || !assert.Equal(t, "small "+id, body) {
+					return
+				}
+				answered.Add(1)
+				if closing || k%2 == 1 { // half the clients use a connection once
+					c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	for range 10 {
+		before := answered.Load()
+		for answered.Load() < before+50 && !t.Failed() {
+			time.Sleep(time.Millisecond)
+		}
+		next := h.start()
+		next.serves()
+		assert.False(t, old.call(door.Ready, ""), "two say that they serve")
+		old.end(t)
+		old = next
+	}
+	close(stop)
+	all.Wait()
+	ran := 0
+	for _, b := range h.backends {
+		for key, n := range b.Ran() {
+			assert.Equal(t, 1, n, key)
+			ran++
+		}
+	}
+	assert.EqualValues(t, answered.Load(), ran)
+	left, err := filepath.Glob(filepath.Join(h.folder, "*"))
+	require.NoError(t, err)
+	assert.Len(t, left, 2, "one socket and one file of bans, and nothing of those that have ended: %v", left)
+	old.end(t)
+	assert.NoFileExists(t, h.socket())
+}
+
+// TestNewDies: one that comes and goes, before it has the state, before it accepts or after, costs nothing: the old one
+// serves, and has its listener and its room back.
+func TestNewDies(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	old := h.start()
+	old.serves()
+	for range 3 { // rude ones
+		for _, text := range []string{"", "THO1\xff\xff\xff\xff", "GET / HTTP/1.1\r\n\r\n", "THO1\x00\x00\x00\x05{}"} {
+			c, err := net.Dial("unix", h.socket())
+			require.NoError(t, err)
+			_, err = io.WriteString(c, text)
+			require.NoError(t, err)
+			if text != "" {
+				c.Close()
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	assert.Equal(t, 200, h.job())
+	for _, ready := range []bool{false, true, true} {
+		l, state, files, err := handoff.Join(h.socket(), h.hello())
+		require.NoError(t, err)
+		assert.Equal(t, 512, state.Sockets)
+		assert.Len(t, state.List, 3)
+		require.Len(t, files, 1)
+		_, _, _, err = handoff.Join(h.socket(), h.hello())
+		var no *handoff.Refusal
+		require.ErrorAs(t, err, &no)
+		assert.True(t, no.Busy)
+		third := h.spawn()
+		for range third.lines {
+		}
+		var code *exec.ExitError
+		require.ErrorAs(t, third.cmd.Wait(), &code)
+		assert.Equal(t, exitFailed, code.ExitCode(), "a third is refused cleanly")
+		if ready {
+			require.NoError(t, l.Send(handover.News{Ready: true}))
+			done := make(chan struct{})
+			go l.Read(func(n handover.News) {
+				if n.Taken {
+					close(done)
+				}
+			})
+			<-done
+			assert.False(t, old.call(door.Ready, ""))
+		}
+		for _, f := range files {
+			f.Close()
+		}
+		l.Close()
+		assert.Equal(t, ready, old.event(t, "hand-over: the new process is gone")["accepts_again"])
+		assert.Equal(t, 200, h.job())
+		old.serves()
+	}
+	_, _, _, err := handoff.Join(h.socket(), handover.Hello{Version: 99, Name: "demo", Listen: "127.0.0.1:0"})
+	assert.ErrorContains(t, err, "version 99 is not spoken here")
+	_, _, _, err = handoff.Join(h.socket(), handover.Hello{Version: 1, Name: "other", Listen: "127.0.0.1:0"})
+	assert.ErrorContains(t, err, "this is demo")
+	old.end(t)
+}
+
+// TestOldDies: the old one is killed once the new one accepts, or before anybody came: what is left is a stale socket.
+// The new one serves in both cases, and bans and service state outlive the old one.
+func TestOldDies(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that both can name: one process is gone before the other asks
+	require.NoError(t, err)
+	address := l.Addr().String()
+	l.Close()
+	h := newHouse(t, address)
+	old := h.start()
+	old.serves()
+	assert.True(t, old.call(door.Offline, "b1"))
+	assert.True(t, old.call(door.OutOfService, ""))
+	require.NoError(t, old.cmd.Process.Kill())
+	_ = old.cmd.Wait()
+	next := h.start()
+	next.serves()
+	assert.False(t, h.healthy())
+	assert.True(t, next.call(door.InService, ""))
+	assert.True(t, h.healthy())
+	last := h.start()
+	last.serves()
+	require.NoError(t, next.cmd.Process.Kill())
+	_ = next.cmd.Wait()
+	last.event(t, "hand-over: the old process is gone")
+	for range 30 {
+		assert.Equal(t, 200, h.job())
+	}
+	assert.Zero(t, h.backends[1].Counts().Jobs, "banned by the first of three")
+	assert.Equal(t, 30, h.jobs())
+}
+
+// TestBanOverUpgrade: a ban given before, during and after an upgrade, to either process, holds in both.
+func TestBanOverUpgrade(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	old := h.start()
+	old.serves()
+	assert.False(t, old.call(door.Offline, "b9"), "never listed")
+	assert.True(t, old.call(door.Offline, "b0"))
+	h.backends[1].Set(platform.Faults{Hold: true})
+	h.backends[2].Set(platform.Faults{Hold: true})
+	held, err := h.dial() // keeps the old one from leaving
+	require.NoError(t, err)
+	require.NoError(t, held.send("held"))
+	for h.backends[1].Counts().Started+h.backends[2].Counts().Started == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	next := h.start()
+	next.serves()
+	assert.True(t, old.call(door.Offline, "b1"))
+	next.awaitBanned(t, "b0", "b1")
+	assert.True(t, next.call(door.Offline, "b2"))
+	old.awaitBanned(t, "b0", "b1", "b2")
+	assert.False(t, h.healthy(), "all are banned")
+	before := h.jobs()
+	assert.Equal(t, 503, h.job())
+	assert.Equal(t, before, h.jobs())
+	for _, p := range []*process{old, next} { // a new configuration in the middle
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+		p.event(t, "reloaded")
+	}
+	h.director.Set(h.backends[0].Entry("fast", "here", 0, "Ready"))
+	for i := range h.backends {
+		h.backends[i].Set(platform.Faults{})
+	}
+	status, _, _, err := held.answer()
+	require.NoError(t, err)
+	assert.Equal(t, 200, status, "what had begun before the ban has its answer")
+	assert.True(t, next.call(door.OutOfService, ""))
+	assert.True(t, next.call(door.Online, "b0"))
+	old.end(t)
+	assert.False(t, h.healthy())
+	assert.True(t, next.call(door.InService, ""))
+	for !h.healthy() {
+		time.Sleep(time.Millisecond)
+	}
+	for h.job() != 200 { // cold: it may have to wait for its first jobs
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Positive(t, h.backends[0].Counts().Jobs)
+}
+
+// awaitBanned waits until the process counts these as banned.
+func (p *process) awaitBanned(t *testing.T, want ...string) {
+	for {
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGUSR1))
+		line := p.event(t, "counters")
+		if n, _ := line["banned"].(float64); int(n) == len(want) {
+			return
+		}
+	}
+}
+
+// TestNewKilledAfterReady: the new one is killed while the old one still has something to answer: the old one serves again.
+func TestNewKilledAfterReady(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	old := h.start()
+	old.serves()
+	for _, b := range h.backends {
+		b.Set(platform.Faults{Hold: true})
+	}
+	held, err := h.dial()
+	require.NoError(t, err)
+	require.NoError(t, held.send("held"))
+	for h.jobs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	next := h.start()
+	next.serves()
+	require.NoError(t, next.cmd.Process.Kill())
+	_ = next.cmd.Wait()
+	old.event(t, "hand-over: the new process is gone")
+	for _, b := range h.backends {
+		b.Set(platform.Faults{})
+	}
+	status, _, _, err := held.answer()
+	require.NoError(t, err)
+	assert.Equal(t, 200, status)
+	assert.Equal(t, 200, h.job())
+	old.serves()
+	last := h.start()
+	last.serves()
+	old.end(t)
+	assert.Equal(t, 200, h.job())
+}
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -30,31 +30,44 @@
 	mu     sync.Mutex
 	stage  handover.Old
 	l      *net.UnixListener
-	name   string // of the file that this process made
-	moved  bool   // the path is another process's
+	moved  bool // the path is another process's
 	closed bool
 }
 
 // Listen waits for new processes. The path is this process's from one moment to the next: it is
 // bound under another name and renamed, so that a third process never finds nobody there.
 func (s *Server) Listen() error {
-	s.name = fmt.Sprintf("%s.%d", s.Path, os.Getpid())
-	os.Remove(s.name) // of a dead process with this number
-	err := within(s.name, func(name string) error {
-		l, err := net.ListenUnix("unix", &net.UnixAddr{Name: name, Net: "unix"})
-		s.l = l
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listen()
+}
+
+// listen does it, also again when another process had the path. s.mu is held.
+func (s *Server) listen() error {
+	if s.closed {
+		return net.ErrClosed
+	}
+	name := fmt.Sprintf("%s.%d", s.Path, os.Getpid())
+	os.Remove(name) // of a dead process with this number
+	var l *net.UnixListener
+	err := within(name, func(short string) (err error) {
+		l, err = net.ListenUnix("unix", &net.UnixAddr{Name: short, Net: "unix"})
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	s.l.SetUnlinkOnClose(false)
-	if err = errors.Join(os.Chmod(s.name, 0o600), os.Rename(s.name, s.Path)); err != nil {
-		s.l.Close()
-		os.Remove(s.name)
+	l.SetUnlinkOnClose(false)
+	if err = errors.Join(os.Chmod(name, 0o600), os.Rename(name, s.Path)); err != nil {
+		l.Close()
+		os.Remove(name)
 		return err
 	}
-	go s.serve()
+	if s.l != nil {
+		s.l.Close()
+	}
+	s.l, s.moved = l, false
+	go s.serve(l)
 	return nil
 }
 
@@ -79,9 +92,9 @@
 	return s.stage.Stage()
 }
 
-func (s *Server) serve() {
+func (s *Server) serve(l *net.UnixListener) {
 	for {
-		conn, err := s.l.AcceptUnix()
+		conn, err := l.AcceptUnix()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -124,25 +137,15 @@
 	s.mu.Lock()
 	accept := s.stage.Gone()
 	if accept && !s.closed { // the path was the other's, which is gone
-		s.moved = s.rename() != nil
+		if err := s.listen(); err != nil {
+			s.Log.Error().Err(err).Msg("hand-over: cannot wait for a next process")
+		}
 	}
 	s.mu.Unlock()
 	s.Log.Warn().Err(err).Bool("accepts_again", accept).Msg("hand-over: the new process is gone")
 	s.Gone(accept)
 }
 
-// rename makes the path this process's again: its listener has no name any more, so it is bound anew.
-func (s *Server) rename() error {
-	old := s.l
-	if err := s.Listen(); err != nil {
-		s.Log.Error().Err(err).Msg("hand-over: cannot wait for new processes any more")
-		s.l = old
-		return err
-	}
-	old.Close()
-	return nil
-}
-
 // with hands over, and returns when the new process is gone.
 func (s *Server) with(l *Link) error {
 	begun := time.Now()
