Half-sent reqs are told apart by progress; a shutdown does not wait for strangers

A half-sent req is shed by its last byte. A shutdown ends once nothing is owed and those have gone who came before the front stopped. http2.listen equal to admin is a fault; the hand-over's socket is only believed of the same user. Tests of the commands, the door under a flood, the file of bans; README, CHANGELOG and ROADMAP.

The door's slowest answer: 1 ms idle, 22 ms under a flood.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members
+.PHONY: build demo test lint run measure measure-members measure-door
 
 # A fresh machine needs Go 1.26 and make; modules come by go.mod and go.sum.
 
@@ -25,5 +25,9 @@
 	go test -run - -bench Change ./internal/membership
 	go test -run - -bench 'Drains|Outage|Lying|Catalogue' -benchtime 1x -timeout 15m ./cmd/tinsail
 
+# The door's slowest answer, idle and under a flood: docs/design/service.md has the figures.
+measure-door:
+	go test -run - -bench Door -benchtime 1x ./cmd/tinsail
+
 run: build
 	exec bin/tinsail serve
--- /dev/null
+++ b/cmd/tinsail/door_test.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/door"
+)
+
+// control runs the command and returns its exit code and what it printed.
+func control(args ...string) (int, string) {
+	var out bytes.Buffer
+	code := execute(append([]string{"control"}, args...), &out, &out)
+	return code, strings.TrimSpace(out.String())
+}
+
+// TestControl: the commands against a real program; the exit code is the answer.
+func TestControl(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	p := h.start()
+	p.serves()
+	for _, c := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"ready", exitOK, "yes: serves, in service"},
+		{"offline b1", exitOK, "yes: nothing more goes to b1"},
+		{"offline b1", exitOK, "yes: nothing more goes to b1"},
+		{"offline b7", exitFailed, "tinsail: no: no backend of this name was ever listed"},
+		{"online b1", exitOK, "yes: b1 is used again, if its source says that it is ready"},
+		{"online b2", exitOK, "yes: b2 is used again, if its source says that it is ready"},
+		{"out-of-service", exitOK, "yes: goes out of service: not ready, drains, and runs on"},
+		{"ready", exitOK, "yes: serves, draining"},
+		{"in-service", exitOK, "yes: in service"},
+	} {
+		code, says := control(append(strings.Fields(c.args), "--admin", p.admin)...)
+		assert.Equal(t, c.code, code, c.args)
+		assert.Equal(t, c.says, says, c.args)
+	}
+	require.NoError(t, os.RemoveAll(h.folder))
+	code, says := control("offline", "b1", "--admin", p.admin)
+	assert.Equal(t, exitFailed, code, "a ban that cannot be kept")
+	assert.Contains(t, says, "holds in this process, but would not outlive it")
+	p.end(t)
+	code, _ = control("ready", "--admin", p.admin)
+	assert.Equal(t, exitFaulty, code, "nobody there")
+}
+
+// TestReadyOnceListed: a process that knows of no list does not say that it serves.
+func TestReadyOnceListed(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	h.director.Down(true)
+	p := h.start()
+	for range 20 {
+		assert.False(t, p.call(door.Ready, ""))
+	}
+	h.director.Down(false)
+	p.serves()
+}
+
+// TestDoorUnderFlood: while clients flood the other listener, and others sit at the door and say nothing, or
+// half a call, each true call is answered.
+func TestDoorUnderFlood(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	p := h.start()
+	p.serves()
+	stop := h.flood(16)
+	for i := range 100 {
+		p.sit(t, i)
+		if i%4 == 3 {
+			assert.True(t, p.call(door.Op(i/4%2)*door.Offline, "b0"))
+		}
+	}
+	stop()
+	assert.True(t, p.call(door.Online, "b0"))
+}
+
+// sit connects to the door and stays.
+func (p *process) sit(t testing.TB, i int) {
+	c, err := net.Dial("tcp", p.admin)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = c.Write([]byte([]string{"", "POST /control/in-serv", "GET /control/ready HTTP/1.1\r\nHost: x\r\n"}[i%3]))
+	require.NoError(t, err)
+}
+
+// flood has clients send jobs without a pause until stop is called.
+func (h *house) flood(clients int) (stop func()) {
+	end := make(chan struct{})
+	var all sync.WaitGroup
+	for k := range clients {
+		all.Go(func() {
+			var c *conn
+			for i := 0; i < 1_000_000; i++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				var err error
+				if c == nil {
+					if c, err = h.dial(); err != nil {
+						return
+					}
+				}
+				if c.send(fmt.Sprintf("f-%d-%d", k, i)) != nil {
+					return
+				}
+				_, _, closing, err := c.answer()
+				if closing || err != nil {
+					c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	return func() { close(end); all.Wait() }
+}
+
+// BenchmarkDoor measures a call at an idle program's door, and at that of one under a flood on one
+// core with silent callers beside it: docs/design/service.md has the figures.
+func BenchmarkDoor(b *testing.B) {
+	for _, flooded := range []bool{false, true} {
+		b.Run(map[bool]string{false: "idle", true: "flooded"}[flooded], func(b *testing.B) {
+			h := newHouse(b, "127.0.0.1:0")
+			for _, x := range h.backends {
+				x.Work = func(string) time.Duration { return 0 }
+			}
+			p := h.start()
+			p.serves()
+			if flooded {
+				defer h.flood(32)()
+			}
+			slowest := time.Duration(0)
+			for i := range 400 {
+				if flooded {
+					p.sit(b, i)
+				}
+				begun := time.Now()
+				require.True(b, p.call(door.Offline, "b2"))
+				slowest = max(slowest, time.Since(begun))
+			}
+			b.ReportMetric(float64(slowest.Microseconds())/1000, "slowest_ms")
+		})
+	}
+}
+
+// TestClashes: an address that is used twice is a fault that names the key.
+func TestClashes(t *testing.T) {
+	dir := t.TempDir()
+	conf, script := filepath.Join(dir, "c.json"), filepath.Join(dir, "s.star")
+	require.NoError(t, os.WriteFile(conf, []byte(strings.Replace(string(demoConfig), "127.0.0.1:0", "127.0.0.1:7", 1)), 0o600))
+	require.NoError(t, os.WriteFile(script, []byte(`http2(listen = "127.0.0.1:9")`), 0o600))
+	t.Setenv("ROUTER_CONFIG", conf)
+	for admin, want := range map[string]string{
+		"127.0.0.1:7": `admin is "127.0.0.1:7", where clients connect already`,
+		"127.0.0.1:9": "http2.listen: is 127.0.0.1:9, where the operators' door is",
+		"there":       `admin is "there", want host:port`,
+		"127.0.0.1:8": "are well",
+	} {
+		t.Setenv("ROUTER_ADMIN", admin)
+		var out bytes.Buffer
+		execute([]string{"check", "--settings", script}, &out, &out)
+		assert.Contains(t, out.String(), want)
+	}
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -71,10 +71,16 @@
 
 // clash finds what each file allows and both together do not. Either may be nil.
 func clash(cfg *config.Config, set *settings.Settings) error {
-	if cfg == nil || set == nil || set.HTTP2 == nil || set.HTTP2.Listen != cfg.Listen || strings.HasSuffix(cfg.Listen, ":0") {
+	if cfg == nil || set == nil || set.HTTP2 == nil || strings.HasSuffix(set.HTTP2.Listen, ":0") {
 		return nil
 	}
-	return settings.Faults{set.Fault("http2.listen", "is "+cfg.Listen+", where HTTP/1.1 listens already")}
+	switch at := set.HTTP2.Listen; at {
+	case cfg.Listen:
+		return settings.Faults{set.Fault("http2.listen", "is "+at+", where HTTP/1.1 listens already")}
+	case cfg.Admin:
+		return settings.Faults{set.Fault("http2.listen", "is "+at+", where the operators' door is")}
+	}
+	return nil
 }
 
 // dispatcher is a whole dispatcher with its parts wired.
--- a/cmd/tinsail/upgrade_test.go
+++ b/cmd/tinsail/upgrade_test.go
@@ -30,7 +30,7 @@
 // house is a dispatcher's place: one configuration and one folder for temporary files, in which
 // processes of it follow each other.
 type house struct {
-	t        *testing.T
+	t        testing.TB
 	director *platform.Director
 	backends []*platform.Backend
 	env      []string
@@ -47,7 +47,7 @@
 	lines chan map[string]any
 }
 
-func newHouse(t *testing.T, listen string) *house {
+func newHouse(t testing.TB, listen string) *house {
 	h := &house{t: t, folder: t.TempDir()}
 	var err error
 	h.director, err = platform.StartDirector()
@@ -100,7 +100,7 @@
 	return p
 }
 
-func (p *process) event(t *testing.T, name string) map[string]any {
+func (p *process) event(t testing.TB, name string) map[string]any {
 	for line := range p.lines {
 		if line["event"] == name {
 			return line
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -63,7 +63,10 @@
 }
 
 // Open is how many sessions there are.
-func (c *Clients) Open() int { return c.table.open() }
+func (c *Clients) Open() int {
+	n, _ := c.table.open(time.Time{})
+	return n
+}
 
 func (c *Clients) most() int {
 	if b := c.size.Load(); b != nil {
--- a/internal/network/handoff/handoff.go
+++ b/internal/network/handoff/handoff.go
@@ -166,6 +166,9 @@
 			l, files = nil, nil
 		}
 	}()
+	if err = sameUser(l.conn); err != nil { // nobody else's listener is ours to serve
+		return l, s, files, err
+	}
 	if err = l.send(me, nil); err != nil {
 		return l, s, files, err
 	}
--- /dev/null
+++ b/internal/network/maintain/maintain_test.go
@@ -0,0 +1,102 @@
+package maintain
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/maintenance"
+	"tinsail/internal/platform"
+)
+
+// bench stands in for what is around a desk, and notes in which order it is told.
+type bench struct {
+	did  []string
+	held map[balance.WorkerID]struct{}
+	last map[string]balance.State
+}
+
+func desk(path string) (*Desk, *bench) {
+	b := &bench{last: map[string]balance.State{}}
+	return &Desk{Path: path, Log: zerolog.Nop(),
+		Told: func(_ balance.ListKind, list []core.Entry) {
+			b.did = append(b.did, "told")
+			for i := range list {
+				b.last[list[i].Name] = list[i].State
+			}
+		},
+		Withhold: func(ids map[balance.WorkerID]struct{}) { b.did, b.held = append(b.did, "withheld"), ids },
+		HangUp:   func(balance.WorkerID) { b.did = append(b.did, "hung up") }}, b
+}
+
+func ready(names ...string) (list []core.Entry) {
+	for _, n := range names {
+		list = append(list, core.Entry{Name: n, Address: n, Worker: balance.Worker{ID: balance.WorkerID(platform.Hash(n)), State: balance.Ready}})
+	}
+	return list
+}
+
+// TestYesHolds: when a call returns, the gate is shut, idle connections are closed and the file says so, in this order.
+func TestYesHolds(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bans")
+	d, b := desk(path)
+	assert.False(t, d.Load(), "no file yet")
+	d.Listed(balance.ListFull, ready("a", "b"))
+	b.did = nil
+	require.NoError(t, d.Offline("a"))
+	assert.Equal(t, []string{"withheld", "hung up", "told"}, b.did)
+	assert.Contains(t, b.held, balance.WorkerID(platform.Hash("a")))
+	assert.Equal(t, balance.Draining, b.last["a"])
+	require.NoError(t, d.SetOut(true))
+	files, err := os.ReadDir(filepath.Dir(path))
+	require.NoError(t, err)
+	assert.Len(t, files, 1, "nothing half written is left")
+
+	next, b2 := desk(path)
+	assert.True(t, next.Load(), "out of service, as the one before")
+	assert.Contains(t, b2.held, balance.WorkerID(platform.Hash("a")))
+	next.Listed(balance.ListCached, ready("a", "b"))
+	assert.Equal(t, map[string]balance.State{"a": balance.Draining, "b": balance.Ready}, b2.last)
+	require.NoError(t, next.Online("a"))
+	assert.Empty(t, b2.held)
+	assert.Equal(t, balance.Ready, b2.last["a"])
+}
+
+// TestBadFile: nothing of a file that is damaged, of another version or cut off is used, and the next call writes a good one.
+func TestBadFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bans")
+	good := maintenance.Kept{Out: true, Marks: []maintenance.Mark{{Name: "a", Banned: true, At: 1}}}.Append(nil)
+	for _, text := range []string{"", "x", string(good[:len(good)-2]), "tinsail-maintenance 9 00000000\n{}", string(good) + " "} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		d, b := desk(path)
+		assert.False(t, d.Load())
+		d.Listed(balance.ListFull, ready("a"))
+		assert.Equal(t, balance.Ready, b.last["a"], text)
+		require.NoError(t, d.Offline("a"))
+		next, _ := desk(path)
+		next.Load()
+		assert.Equal(t, []string{"a"}, next.Banned())
+	}
+}
+
+// TestShared: a call is told to the other process, and what that one tells is not told back.
+func TestShared(t *testing.T) {
+	d, _ := desk("")
+	d.Listed(balance.ListFull, ready("a", "b"))
+	require.NoError(t, d.Offline("b"))
+	var told []maintenance.Mark
+	assert.Len(t, d.Share(func(m maintenance.Mark) { told = append(told, m) }), 1)
+	require.NoError(t, d.Offline("a"))
+	require.Len(t, told, 1)
+	assert.Equal(t, "a", told[0].Name)
+	d.Merge([]maintenance.Mark{{Name: "a", At: told[0].At + 1}})
+	assert.Equal(t, []string{"b"}, d.Banned())
+	assert.Len(t, told, 1)
+	assert.ErrorIs(t, d.Online("c"), ErrUnknown)
+}
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -557,7 +557,11 @@
 		c2 expect 503
 		s1/1 send {started 9a}{done 9a r}
 		c1 expect 200 r
+		c3 send {req 9z x}
+		s1/1 expect POST /ingest?v=1 9z k9z 2000 x
 		wait 1700ms
+		s1/1 send {started 9z}{done 9z r}
+		c3 expect 200 r
 		c1 send {req 9b x}
 		s1/1 expect POST /ingest?v=1 9b k9b 1500 x
 		s1/1 send {started 9b}{done 9b r}
@@ -583,6 +587,40 @@
 		func(*world) { assert.InDelta(t, 3650*time.Millisecond, <-done, float64(50*time.Millisecond)) })
 }
 
+// TestDrainInACrowd: slow writers of a req are not cut off as long as they go on, those who stalled are, and
+// the shutdown does not wait for strangers who connect late.
+func TestDrainInACrowd(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9, `
+		c1 send {req 9a x}
+		s1/1 expect POST /ingest?v=1 9a k9a 2000 x
+		s1/1 send {started 9a}{done 9a r}
+		c1 expect 200 r`,
+		func(w *world) { w.service.Term() }, `
+		wait 1900ms
+		c2 send POST /ingest HTTP/1.1\r\n
+		c3 send POST /ingest HTTP/1.1\r\nX-Correlation-Id: 9c\r\n
+		wait 700ms
+		c3 send Idempotency-Key: k9c\r\nX-Time-Left-Ms: 2000\r\n
+		wait 520ms
+		c1 expect closed
+		c2 expect 503 after 0.500 close
+		c3 send Content-Length: 1\r\n\r\n
+		c4 send POST
+		wait 30ms
+		c3 send x
+		s1/1 expect POST /ingest 9c k9c 350 x
+		s1/1 send {started 9c}{done 9c r}
+		c3 expect 200 close r
+		wait 140ms`,
+		func(w *world) {
+			select {
+			case <-w.service.Ended():
+			default:
+				assert.Fail(t, "the shutdown goes on")
+			}
+		})
+}
+
 // TestOutOfService: a drain by a call serves what comes, new connections too, closes sessions in
 // time, and ends nothing; taken back in its middle or after it, the dispatcher serves as before.
 func TestOutOfService(t *testing.T) {
--- a/internal/network/service.go
+++ b/internal/network/service.go
@@ -127,7 +127,8 @@
 	now := time.Now()
 	f(now)
 	c := s.Clients
-	o := s.m.Look(now, c.table.open(), c.Core.Open())
+	all, early := c.table.open(s.m.FrontStops())
+	o := s.m.Look(now, service.Load{Sessions: all, Early: early, Owed: c.Core.Open()})
 	old := s.last
 	s.last = o
 	c.orders.Store(&o)
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -24,7 +24,8 @@
 
 // sparedFor is how long a session of a rank is kept at least. The first req of a client that
 // has just connected is on its way, and a client does not repeat it by itself as it does one
-// that crosses the closing of a session in use. One that sends slowly gets longer.
+// that crosses the closing of a session in use. One that sends slowly gets longer, counted from its
+// last byte: one that goes on sending is no stalled one, and has its time from connecting.
 var sparedFor = [working]time.Duration{silent: 250 * time.Millisecond, half: 750 * time.Millisecond}
 
 // restedFor is how long a session is idle at least before others' number is a ground to close it.
@@ -36,7 +37,9 @@
 	conn  net.Conn
 	rank  rank
 	place *linked.Element
+	born  time.Time // of connecting
 	since time.Time // of connecting until the first answer, of the last answer from then on
+	byte  time.Time // the last one of a first req that is not whole
 	used  bool      // it has had an answer
 	job   bool      // ... to a job
 	shed  bool      // told to close
@@ -61,7 +64,8 @@
 	if t.count++; t.count > most {
 		shed = t.shedOne()
 	}
-	s.since = time.Now()
+	s.born = time.Now()
+	s.since = s.born
 	s.rank = silent
 	s.place = t.rows[silent].PushBack(s)
 	return t.count, shed
@@ -112,7 +116,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch s.rank {
-	case silent:
+	case silent, half: // rows are in the order of what spares their sessions
+		s.byte = time.Now()
 		t.move(s, half)
 	case asked, resting:
 		t.move(s, working)
@@ -170,10 +175,19 @@
 	return s.shed
 }
 
+// spared says whether a session is to be kept for now, or has not been idle for so long.
+func (s *seat) spared(rest time.Duration) bool {
+	from := s.since
+	if s.rank == half {
+		from = s.byte
+	}
+	return time.Since(from) < max(sparedFor[s.rank], rest)
+}
+
 // shedOne tells the first session that may go to close. t.mu is held.
 func (t *table) shedOne() bool {
 	for r := lingering; r < working; r++ {
-		if e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*seat).since) >= sparedFor[r] {
+		if e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(0) {
 			t.shut(e.Value.(*seat))
 			return true
 		}
@@ -215,16 +229,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for r := lingering; r < working; r++ {
-		least := max(sparedFor[r], rest)
-		for e := t.rows[r].Front(); e != nil && time.Since(e.Value.(*seat).since) >= least; e = t.rows[r].Front() {
+		for e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(rest); e = t.rows[r].Front() {
 			t.shut(e.Value.(*seat))
 		}
 	}
 }
 
-// open is how many sessions there are.
-func (t *table) open() int {
+// open is how many sessions there are, and how many of them connected before a time; none if it
+// is zero, which costs nothing.
+func (t *table) open(before time.Time) (all, early int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.count
+	if !before.IsZero() {
+		for r := range t.rows {
+			for e := t.rows[r].Front(); e != nil; e = e.Next() {
+				if e.Value.(*seat).born.Before(before) {
+					early++
+				}
+			}
+		}
+	}
+	return t.count, early
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -62,6 +62,7 @@
 	Longest time.Duration // the longest deadline of a class
 
 	out, term, handed time.Time // since when; zero if not
+	moved             bool      // clients were sent to other dispatchers
 	quiet             int
 }
 
@@ -112,8 +113,24 @@
 // was restarted before it has yet to be noticed.
 func (m *Machine) closeAt() time.Duration { return m.kill() - killMargin - lastReqs }
 
-// Look says what to do now. sessions are those open, owed the reqs owed an answer.
-func (m *Machine) Look(now time.Time, sessions, owed int) Orders {
+// Load is what clients have open now.
+type Load struct {
+	Sessions int // of any kind
+	Early    int // of those, connected before FrontStops
+	Owed     int // reqs owed an answer
+}
+
+// FrontStops is when the front sends no more new connections after a SIGTERM, at the latest; zero
+// before one. Who connects later is not sent by it.
+func (m *Machine) FrontStops() time.Time {
+	if m.term.IsZero() {
+		return time.Time{}
+	}
+	return m.term.Add(lateFront)
+}
+
+// Look says what to do now.
+func (m *Machine) Look(now time.Time, l Load) Orders {
 	o := Orders{Ready: m.out.IsZero() && (m.term.IsZero() || !m.handed.IsZero()), Accept: m.handed.IsZero()}
 	switch {
 	case !m.term.IsZero():
@@ -148,17 +165,21 @@
 			o.Close, o.Rest = true, 0
 		}
 	}
-	m.end(now, sessions, owed, &o)
+	m.end(now, l, &o)
 	return o
 }
 
 // end says whether all is answered and nobody is left for a moment: a client whose req crossed the closing
 // of its session comes back at once.
-func (m *Machine) end(now time.Time, sessions, owed int, o *Orders) {
+func (m *Machine) end(now time.Time, l Load, o *Orders) {
 	if m.term.IsZero() && m.handed.IsZero() || !o.Close {
 		return
 	}
-	if m.quiet++; sessions > 0 || owed > 0 {
+	left := l.Sessions
+	if !m.term.IsZero() && now.After(m.FrontStops()) {
+		left = l.Early
+	}
+	if m.quiet++; left > 0 || l.Owed > 0 {
 		m.quiet = 0
 	}
 	o.End = m.quiet > quietLooks || !m.term.IsZero() && now.Sub(m.term) >= m.Longest+endSlack
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -12,14 +12,37 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+func busy(int) Load { return Load{Sessions: 9, Early: 9, Owed: 9} }
+
+// TestStrangers: a shutdown does not wait for those who connect when the front has stopped, but for all that
+// were there before, and for each req that is owed an answer.
+func TestStrangers(t *testing.T) {
+	for name, c := range map[string]struct {
+		load func(ms int) Load
+		ends int
+	}{
+		"strangers go on coming":     {func(ms int) Load { return Load{50, max(0, 3200-ms), 0} }, 3300},
+		"a req of theirs is taken":   {func(ms int) Load { return Load{50, 0, max(0, 4000-ms)} }, 4100},
+		"clients use their sessions": {func(ms int) Load { return Load{50, 50, 3} }, 5500},
+		"nobody was there":           {func(ms int) Load { return Load{} }, 3200},
+	} {
+		m := Machine{Longest: 5 * time.Second}
+		m.Term(at(0))
+		ends := 0
+		for ; !m.Look(at(ends), c.load(ends)).End; ends += 20 {
+		}
+		assert.Equal(t, c.ends, ends, name)
+	}
+}
+
 // TestDrainInTime: at 4 s no session that is idle may be left, and no job of the last 2 s.
 func TestDrainInTime(t *testing.T) {
 	for _, longest := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
 		m := Machine{Longest: longest}
-		assert.Equal(t, Orders{Ready: true, Accept: true}, m.Look(at(-1), 9, 9))
+		assert.Equal(t, Orders{Ready: true, Accept: true}, m.Look(at(-1), busy(-1)))
 		m.Out(at(0))
 		for ms := 0; ms < 60_000; ms += 20 {
-			o := m.Look(at(ms), 9, 9)
+			o := m.Look(at(ms), busy(ms))
 			assert.False(t, o.Ready)
 			assert.True(t, o.Accept, "new connections are taken all the time")
 			assert.False(t, o.End, "the process runs on")
@@ -38,7 +61,7 @@
 			}
 		}
 		assert.True(t, m.In())
-		assert.Equal(t, Orders{Ready: true, Accept: true}, m.Look(at(61_000), 9, 9))
+		assert.Equal(t, Orders{Ready: true, Accept: true}, m.Look(at(61_000), busy(61_000)))
 	}
 }
 
@@ -51,7 +74,7 @@
 			if ms >= until {
 				n = 0
 			}
-			if m.Look(at(ms), n, 0).End {
+			if m.Look(at(ms), Load{Sessions: n, Early: n}).End {
 				return ms - from
 			}
 		}
@@ -78,17 +101,17 @@
 func TestHandOver(t *testing.T) {
 	m := Machine{Longest: 5 * time.Second}
 	m.HandOver(at(0))
-	o := m.Look(at(1), 1, 1)
+	o := m.Look(at(1), busy(1))
 	assert.Equal(t, Orders{State: HandedOver, Ready: true, Hint: true, Close: true, Rest: handedRest}, o)
 	m.Term(at(100))
-	assert.True(t, m.Look(at(101), 1, 1).Ready, "the dispatcher is in service")
+	assert.True(t, m.Look(at(101), busy(101)).Ready, "the dispatcher is in service")
 	assert.True(t, m.In(), "the other process is taken back into service")
 	m = Machine{Longest: 5 * time.Second}
 	m.Out(at(0))
 	m.HandOver(at(1))
-	assert.False(t, m.Look(at(2), 1, 1).Ready)
+	assert.False(t, m.Look(at(2), busy(2)).Ready)
 	m.TakeBack()
-	assert.Equal(t, Draining, m.Look(at(3), 1, 1).State)
+	assert.Equal(t, Draining, m.Look(at(3), busy(3)).State)
 }
 
 // TestAnyOrder: whatever comes in whatever order, the last call decides, and what is said fits together.
@@ -118,7 +141,7 @@
 				m.TakeBack()
 				handed = false
 			}
-			o := m.Look(at(now), 3, 1)
+			o := m.Look(at(now), busy(now))
 			assert.Equal(t, !out && (!term || handed), o.Ready)
 			assert.Equal(t, !handed, o.Accept)
 			assert.Equal(t, out, m.IsOut())
