Hand-over: old processes that go amiss at each stage, states that cannot be read

Need: the issue asks that the old process die at each stage and that what it says be garbage, cut off or of a future version. Tests play the old process: it dies once its state is told, as the new one accepts, or never says that it has stopped; six kinds of unreadable state. The new one serves in each case, with the list and the bans it was told, or on a listener of its own.

--- /dev/null
+++ b/cmd/tinsail/takeover_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/handover"
+	"tinsail/internal/maintenance"
+	"tinsail/internal/network/handoff"
+)
+
+// TestOldGoesAmiss: an old process that dies once it has told its state, or that never says that it has stopped accepting:
+// the new one serves all the same, with the list and the bans that it was told.
+func TestOldGoesAmiss(t *testing.T) {
+	for name, c := range map[string]struct {
+		joined func(*handoff.Link)
+		hand   func()
+	}{
+		"dies once the state is told":  {func(l *handoff.Link) { l.Close() }, func() {}},
+		"dies as the new one accepts":  {nil, nil},
+		"never says that it has ended": {func(*handoff.Link) {}, func() { select {} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			h.director.Down(true) // the list comes from the old one alone
+			clients, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			var link *handoff.Link
+			joined, hand := c.joined, c.hand
+			if joined == nil {
+				joined, hand = func(l *handoff.Link) { link = l }, func() { link.Close() }
+			}
+			old := &handoff.Server{Path: h.socket(), Me: h.hello(), Log: zerolog.Nop(), Joined: joined, Hand: hand,
+				News: func(handover.News) {}, Gone: func(bool) {},
+				Give: func() (handover.State, []syscall.Conn) {
+					s := handover.State{Sockets: 300, Memory: 64 << 20, Listeners: []string{"http1"}, Index: 1,
+						Marks: []maintenance.Mark{{Name: "b1", Banned: true, At: 1}}}
+					for i, b := range h.backends {
+						s.List = append(s.List, handover.Backend{Name: b.Name, Address: b.Address, Cell: i, State: 1, Weight: 4})
+					}
+					return s, []syscall.Conn{clients.(*net.TCPListener)}
+				}}
+			require.NoError(t, old.Listen())
+			t.Cleanup(old.Close)
+			next := h.start()
+			assert.Equal(t, clients.Addr().String(), h.clients)
+			next.serves()
+			clients.Close() // the old one's descriptor: the new one has its own
+			for range 20 {
+				assert.Equal(t, 200, h.job())
+			}
+			assert.Zero(t, h.backends[1].Counts().Jobs, "banned")
+			assert.Equal(t, 20, h.jobs())
+		})
+	}
+}
+
+// TestStateUnread: what cannot be understood at the old one's place does not keep a new one from serving.
+func TestStateUnread(t *testing.T) {
+	for name, text := range map[string]string{
+		"garbage":          "HTTP/1.1 400 Bad Request\r\n\r\n",
+		"a state cut off":  "THO1\x00\x00\x01\x00{",
+		"a future version": "THO1\x00\x00\x00\x0d{\"version\":9}",
+		"no listener":      "THO1\x00\x00\x00\x0d{\"version\":1}",
+		"without end":      "THO1\x7f\xff\xff\xff",
+		"nothing":          "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			l, err := net.Listen("unix", h.socket())
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, text)
+				_ = c.(*net.UnixConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+				c.Close()
+			}()
+			p := h.spawn()
+			assert.NotEmpty(t, p.event(t, "hand-over: nothing taken over, serves beside the other process")["error"])
+			line := p.event(t, "serving")
+			p.admin, h.clients = line["admin"].(string), line["listen"].(string)
+			p.serves()
+			a, err := http.Get("http://" + h.clients + "/health/live")
+			require.NoError(t, err)
+			a.Body.Close()
+			assert.Equal(t, 200, a.StatusCode)
+		})
+	}
+}
