Scenarios on loopback sockets with the real program; the first list sizes the module

Cause: a configuration that names no backend gave the module an empty first list, by which it sizes its limit, 8 jobs; of 30 jobs sent at once 9 ran. The empty list is not told any more, and the director is asked at once. A listener that was handed over and not taken is closed.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -30,10 +30,14 @@
 	files []*os.File // in the order of state.Listeners
 }
 
-func (h handed) close() {
+func (h handed) closeFiles() {
 	for _, f := range h.files {
 		f.Close()
 	}
+}
+
+func (h handed) close() {
+	h.closeFiles()
 	if h.link != nil {
 		h.link.Close()
 	}
@@ -78,7 +82,6 @@
 func (h handed) listen(cfg *config.Config, name, address string) (net.Listener, error) {
 	for i, have := range h.state.Listeners {
 		if h.link != nil && have == name {
-			defer h.files[i].Close()
 			return net.FileListener(h.files[i])
 		}
 	}
--- a/cmd/tinsail/program_test.go
+++ b/cmd/tinsail/program_test.go
@@ -195,3 +195,35 @@
 	assert.Equal(t, []any{"http2.max_streams"}, line["changed"])
 	assert.Equal(t, []any{"http2.listen"}, line["next_start"])
 }
+
+// TestFirstList: a dispatcher that knows of no backend at its start takes on as much as the first list that names some has
+// room for. It used to size itself by the empty list, and refused jobs beside idle backends.
+func TestFirstList(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	for _, b := range h.backends {
+		b.Set(platform.Faults{Hold: true})
+	}
+	p := h.start()
+	p.serves()
+	const jobs = 30
+	early := make(chan int, jobs)
+	var all sync.WaitGroup
+	for i := range jobs {
+		c, err := h.dial()
+		require.NoError(t, err)
+		require.NoError(t, c.send(fmt.Sprint("first-", i)))
+		all.Go(func() {
+			status, _, _, err := c.answer()
+			assert.NoError(t, err)
+			early <- status
+		})
+	}
+	for h.jobs() < jobs && len(early) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, jobs, h.jobs(), "all run at once, none is answered before")
+	for _, b := range h.backends {
+		b.Set(platform.Faults{})
+	}
+	all.Wait()
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -49,6 +49,7 @@
 		from.close()
 		return err
 	}
+	from.closeFiles() // what was taken has descriptors of its own, and what was not must not hold a listener open
 	d.start()
 	e := log.Info().Stringer("listen", d.listener.Addr()).Str("discovery", cfg.Discovery)
 	if d.listener2 != nil {
@@ -176,12 +177,15 @@
 		index, known = d.inherit()
 	}
 	d.director.Start(index)
-	if d.sources == nil {
+	// The module sizes itself by its first list: one that names nobody would leave it with room for a
+	// few jobs until they have shown that there is more.
+	if d.sources == nil && len(known) > 0 {
 		d.listed(balance.ListCached, known)
 	}
 	go d.core.Run(nil)
 	d.startSources(d.set)
-	if !d.cfg.Settings.Subscribe { // the module expects a list that comes unasked; on sockets none does
+	// Elsewhere the module asks when it has its first list, after a while drawn by chance.
+	if !d.cfg.Settings.Subscribe || d.sources == nil && len(known) == 0 {
 		d.director.Subscribe()
 	}
 	if d.door != nil {
--- /dev/null
+++ b/internal/lab/live/live_test.go
@@ -0,0 +1,43 @@
+package live
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/lab/fleet"
+	"tinsail/internal/lab/sim"
+)
+
+// TestPlay: a short scenario with every kind of event goes through the real program: each req has an end, and who is banned,
+// dead or gone is not what the rest is served by.
+func TestPlay(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "tinsail")
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, "tinsail/cmd/tinsail").CombinedOutput()
+	require.NoError(t, err, string(out))
+	sc := sim.Scenario{Seed: 1, Dispatchers: 2, Length: 1500, Rate: 60, Work: 20, Spread: 0.3, Aim: 120, Stretch: 2, Deadline: 5000, Retries: 1, Backoff: 20,
+		Report: fleet.Reports{Period: 100, Delay: 50, Noise: 0.05}}
+	for i, name := range []string{"a", "b", "c", "d"} {
+		sc.Backends = append(sc.Backends, sim.Backend{Name: name, Pod: i / 2, Cold: name == "d", Kind: fleet.Kind{Name: "std", Cores: 4, Speed: 1, Slots: 4, Queue: 20, ColdFrom: 0.5, Cold: 500}})
+	}
+	sc.Events = []sim.Event{{At: 100, Backend: "a", Do: "ban"}, {At: 200, Backend: "b", Do: "trouble", Trouble: fleet.Trouble{FailPart: 0.5}},
+		{At: 400, Backend: "b", Do: "trouble"}, {At: 500, Backend: "c", Do: "drain", Heard: 50}, {At: 700, Backend: "c", Do: "kill"},
+		{At: 750, Backend: "c", Do: "start"}, {At: 800, Backend: "c", Do: "list", Heard: 20}, {At: 900, Backend: "a", Do: "lift"}, {At: 1000, Backend: "b", Do: "unlist"}}
+	r, err := Play(context.Background(), sc, Options{Program: program})
+	require.NoError(t, err)
+	n := 0
+	for range sc.Arrivals() {
+		n++
+	}
+	assert.Equal(t, n, r.First)
+	assert.Equal(t, n, r.Served+r.Refused+r.Failed)
+	assert.Greater(t, r.Served, n*3/4)
+	assert.LessOrEqual(t, r.InTime, r.Served)
+	assert.Positive(t, r.Load["d"])
+	_, err = Play(context.Background(), sc, Options{Program: "/none"})
+	assert.Error(t, err)
+}
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -229,7 +229,7 @@
 
 func (r *reader) reports(a *args) (starlark.Value, error) {
 	r.once(a)
-	r.sc.Report = sim.Report{Period: a.number("period_ms", 900, 1, 1e6), Delay: a.number("delay_ms", 300, 0, 1e6), Noise: a.number("noise", 0.04, 0, 1)}
+	r.sc.Report = fleet.Reports{Period: a.number("period_ms", 900, 1, 1e6), Delay: a.number("delay_ms", 300, 0, 1e6), Noise: a.number("noise", 0.04, 0, 1)}
 	return nil, nil
 }
 
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -2,31 +2,50 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"time"
 
 	"tinsail/internal/balance"
 	"tinsail/internal/core"
+	"tinsail/internal/lab/fleet"
 	"tinsail/internal/lab/judge"
 )
 
-// arrive has the first reqs come, each at a time that does not wait for any answer.
-func (w *world) arrive(from float64) {
-	times := 1.0
-	for _, b := range w.sc.Bursts {
-		if from >= b.From && from < b.To {
-			times *= b.Times
+// Arrival is a first req: when it comes, and its work.
+type Arrival struct{ At, Work float64 }
+
+// Arrivals are a scenario's first reqs, in the order of their times; they wait for no answer, so that the same
+// seed has the same ones in virtual time and on sockets.
+func (sc *Scenario) Arrivals() iter.Seq[Arrival] {
+	return func(yield func(Arrival) bool) {
+		chance := fleet.Chance(sc.Seed, "arrivals")
+		for at := 0.0; ; {
+			times := 1.0
+			for _, b := range sc.Bursts {
+				if at >= b.From && at < b.To {
+					times *= b.Times
+				}
+			}
+			at += chance.ExpFloat64() * 1000 / (sc.Rate * times)
+			work := sc.Work * math.Exp(sc.Spread*chance.NormFloat64()-sc.Spread*sc.Spread/2)
+			if at >= sc.Length || !yield(Arrival{at, work}) {
+				return
+			}
 		}
 	}
-	next := from + w.clients.ExpFloat64()*1000/(w.sc.Rate*times)
-	if next >= w.sc.Length {
+}
+
+// arrive has the next first req come.
+func (w *world) arrive() {
+	a, ok := w.next()
+	if !ok {
 		return
 	}
-	w.at(next, func() {
+	w.at(a.At, func() {
 		w.res.First++
-		work := w.sc.Work * math.Exp(w.sc.Spread*w.clients.NormFloat64()-w.sc.Spread*w.sc.Spread/2)
-		(&client{w: w, key: fmt.Sprint("k", w.res.First), work: work, begun: w.now}).ask()
-		w.arrive(w.now)
+		(&client{w: w, key: fmt.Sprint("k", w.res.First), work: a.Work, begun: w.now}).ask()
+		w.arrive()
 	})
 }
 
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"time"
 
@@ -31,18 +32,11 @@
 	Backoff     float64 // before a retry, where no longer pause was advised
 	Latency     float64 // one way, between any two; half of it varies
 	Connect     float64 // further time that a new connection takes
-	Report      Report
+	Report      fleet.Reports
 	Backends    []Backend
 	Events      []Event
 }
 
-// Report is how backends tell their free slots in their answers. The zero value is: not at all.
-type Report struct {
-	Period float64 // a figure is refreshed no sooner
-	Delay  float64 // and told so much later
-	Noise  float64 // as a part of the figure, one standard deviation
-}
-
 // Burst multiplies the rate for a while.
 type Burst struct{ From, To, Times float64 }
 
@@ -128,7 +122,10 @@
 	for _, e := range sc.Events {
 		w.at(e.At, func() { w.happen(e) })
 	}
-	w.arrive(0)
+	var stop func()
+	w.next, stop = iter.Pull(sc.Arrivals())
+	defer stop()
+	w.arrive()
 	if err := w.run(); err != nil {
 		return Result{}, err
 	}
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -121,7 +121,7 @@
 	for seed := uint64(1); seed <= 3; seed++ {
 		sc := evening(seed)
 		sc.Dispatchers = 4
-		sc.Report = Report{Period: 900, Delay: 300, Noise: 0.05}
+		sc.Report = fleet.Reports{Period: 900, Delay: 300, Noise: 0.05}
 		sc.Events = []Event{
 			{At: 4000, Backend: "a", Do: "ban"}, {At: 4500, Backend: "a", Do: "unlist", Heard: 200}, {At: 5000, Backend: "a", Do: "list"},
 			{At: 6000, Backend: "a", Do: "kill"}, {At: 7000, Backend: "a", Do: "start"}, {At: 8000, Backend: "a", Do: "list"}, {At: 9000, Backend: "a", Do: "lift"},
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -52,8 +52,7 @@
 	fell  bool
 	state balance.State // as the director has it
 
-	told, seen       float64 // free slots: as answers tell them, and as last looked at
-	toldAt, lookedAt float64
+	reporter *fleet.Reporter
 }
 
 type world struct {
@@ -75,6 +74,7 @@
 	service judge.Service
 	res     Result
 	tries   map[string]*client // by the id of the try
+	next    func() (Arrival, bool)
 	jobs    uint64
 	open    int
 }
@@ -201,8 +201,8 @@
 		started = w.now
 	}
 	n := &node{name: b.Name, id: idOf(b.Name), kind: kind, cfg: b, out: map[uint64]*trip{}, wake: math.Inf(1), state: balance.Ready,
-		model: fleet.New(b.Kind, pod, started, w.now, fleet.Chance(w.sc.Seed, "backend "+b.Name)),
-		seen:  b.Kind.Slots, told: b.Kind.Slots}
+		model:    fleet.New(b.Kind, pod, started, w.now, fleet.Chance(w.sc.Seed, "backend "+b.Name)),
+		reporter: fleet.NewReporter(w.sc.Report, b.Kind.Slots)}
 	w.nodes[b.Name], w.byID[n.id] = n, n
 }
 
@@ -264,22 +264,12 @@
 	}
 }
 
-// report is the free slots as the next answer tells them: looked at now and then, told later, a little wrong.
+// report is the free slots as the next answer tells them.
 func (w *world) report(n *node) []float32 {
-	r := w.sc.Report
-	if r.Period <= 0 {
-		return nil
+	if v, ok := n.reporter.Tell(w.now, n.model.FreeSlots(), w.noise); ok {
+		return []float32{float32(v)}
 	}
-	if w.now-n.lookedAt >= r.Period {
-		if w.now >= n.toldAt {
-			n.told = n.seen
-		}
-		n.lookedAt, n.seen, n.toldAt = w.now, n.model.FreeSlots(), w.now+r.Delay
-	}
-	if w.now >= n.toldAt {
-		n.told = n.seen
-	}
-	return []float32{float32(max(0, n.told*(1+r.Noise*w.noise.NormFloat64())))}
+	return nil
 }
 
 // told passes on what happened at a backend, and sees to it that the next is not missed.
