--- a/cmd/tinsail-lab/lab_test.go
+++ b/cmd/tinsail-lab/lab_test.go
@@ -45,6 +45,17 @@
 	assert.Len(t, files, 7)
 }
 
+// TestLabSweep: the table has a line for each point, and the plot is written.
+func TestLabSweep(t *testing.T) {
+	out := filepath.Join(t.TempDir(), "s.png")
+	code, text := lab("sweep", "../../lab/scenarios/small.star", "--from", "30", "--to", "90", "--steps", "2", "--seeds", "2", "--png", out)
+	assert.Equal(t, exitOK, code, text)
+	for _, want := range []string{"module   30", "module   90", "random   30", "random   90"} {
+		assert.Contains(t, text, want)
+	}
+	assert.FileExists(t, out)
+}
+
 // TestLabFaults: faults are named, and told by the exit code.
 func TestLabFaults(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.star")
@@ -60,6 +71,8 @@
 		{[]string{"run", fine, "--variant", "none.json"}, "a variant is module, random or a configuration file"},
 		{[]string{"run", fine, "--variant", bad}, "config line 1"},
 		{[]string{"compare", fine, "--seeds", "0"}, "--seeds is 0"},
+		{[]string{"sweep", fine, "--param", "colour"}, `parameter "colour", want one of`},
+		{[]string{"sweep", fine, "--steps", "0"}, "--steps is 0"},
 	} {
 		code, text := lab(c.args...)
 		assert.Equal(t, exitFaulty, code, c.args)
--- /dev/null
+++ b/internal/lab/experiment/sweep_test.go
@@ -0,0 +1,36 @@
+package experiment
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/lab/defaults"
+	"tinsail/internal/lab/sim"
+)
+
+// TestSweep: more work than the fleet can do serves less, at each variant; the same sweep gives the same points.
+func TestSweep(t *testing.T) {
+	variants := []Variant{{"module", defaults.Settings(), sim.Module}, {"random", defaults.Settings(), Random}}
+	sc := evening()
+	sc.Length = 5000
+	o := Options{Most: 3, Least: 3, Workers: 3}
+	list, err := Sweep(context.Background(), sc, "rate", []float64{60, 250}, variants, o)
+	require.NoError(t, err)
+	require.Len(t, list, 4)
+	for i := 0; i < 4; i += 2 {
+		assert.Equal(t, variants[i/2].Name, list[i].Variant)
+		assert.Greater(t, list[i].Service.Mean, list[i+1].Service.Mean)
+		assert.Empty(t, list[i].Broken)
+	}
+	o.Workers = 1
+	again, err := Sweep(context.Background(), sc, "rate", []float64{60, 250}, variants, o)
+	require.NoError(t, err)
+	assert.Equal(t, list, again)
+	_, err = Sweep(context.Background(), sc, "colour", nil, variants, o)
+	assert.ErrorContains(t, err, `parameter "colour", want one of`)
+	_, err = Sweep(context.Background(), sc, "rate", []float64{-1}, variants, o)
+	assert.ErrorContains(t, err, "rate -1, seed 0: scenario:")
+}
--- /dev/null
+++ b/internal/lab/report/sweep.go
@@ -0,0 +1,78 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
+	"tinsail/internal/lab/experiment"
+)
+
+// SweepText writes a sweep as text.
+func SweepText(out io.Writer, param string, list []experiment.Point) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "variant\t%s\tservice, 95%% interval\trules\n", param)
+	for _, p := range list {
+		rules := "kept"
+		if len(p.Broken) > 0 {
+			rules = fmt.Sprintf("BROKEN on %d seeds, first %d: %s", len(p.Broken), p.Broken[0].Seed, p.Broken[0].First)
+		}
+		fmt.Fprintf(w, "%s\t%v\t%v\t%s\n", p.Variant, p.Value, p.Service, rules)
+	}
+	w.Flush()
+}
+
+// points are a variant's, with their intervals.
+type points struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
+// SweepPNG draws it.
+func SweepPNG(param string, list []experiment.Point) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Service, with 95% intervals", param, "service"
+	var names []string
+	all := map[string]*points{}
+	for _, x := range list {
+		if all[x.Variant] == nil {
+			all[x.Variant] = &points{}
+			names = append(names, x.Variant)
+		}
+		if x.Service.N < 2 { // nothing to draw an interval of
+			continue
+		}
+		s := all[x.Variant]
+		s.XYs = append(s.XYs, plotter.XY{X: x.Value, Y: x.Service.Mean})
+		s.YErrors = append(s.YErrors, struct{ Low, High float64 }{x.Service.Mean - x.Service.Low, x.Service.High - x.Service.Mean})
+	}
+	for i, name := range names {
+		s := all[name]
+		if len(s.XYs) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(s.XYs)
+		if err != nil {
+			return nil, err
+		}
+		bars, err := plotter.NewYErrorBars(s)
+		if err != nil {
+			return nil, err
+		}
+		line.Color, bars.Color = plotutil.Color(i), plotutil.Color(i)
+		p.Add(line, bars)
+		p.Legend.Add(name, line)
+	}
+	w, err := p.WriterTo(width, height, "png")
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	_, err = w.WriteTo(&b)
+	return b.Bytes(), err
+}
