One cold budget for both processes of an upgrade; bounds and races of the hand-over

Found by reading the whole change again. - Both processes of an upgrade opened a budget for cold backends in one window. The module's Retire and Succeed give each window to one of them. A state was checked twice.

--- a/cmd/tinsail/control.go
+++ b/cmd/tinsail/control.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -20,17 +19,13 @@
 
 // call makes one call at a dispatcher's door. err is set if there was no answer.
 func call(address string, c door.Call) (yes bool, says string, err error) {
-	conn, err := net.DialTimeout("tcp", address, callWait)
-	if err != nil {
-		return false, "", err
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(callWait))
 	method, path := c.Path()
-	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", method, path, address); err != nil {
+	q, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
 		return false, "", err
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	client := &http.Client{Timeout: callWait, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(q)
 	if err != nil {
 		return false, "", err
 	}
--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -27,6 +27,7 @@
 type handed struct {
 	link  *handoff.Link
 	state handover.State
+	stage handover.New
 	files []*os.File // in the order of state.Listeners
 }
 
@@ -56,9 +57,9 @@
 		return handed{}, nil
 	}
 	link, state, files, err := handoff.Join(keptPath(cfg, "sock"), helloOf(cfg))
-	h := handed{link, state, files}
+	h := handed{link: link, state: state, files: files}
 	if err == nil {
-		if bad := new(handover.New).State(&state, len(files)); bad != "" {
+		if bad := h.stage.State(&state, len(files)); bad != "" {
 			err = errors.New(bad)
 			h.close()
 		}
@@ -116,14 +117,15 @@
 	t.server = &handoff.Server{Path: keptPath(d.cfg, "sock"), Me: helloOf(d.cfg), Log: d.log,
 		Give: t.give, Hand: t.hand, News: t.news, Joined: t.joined, Gone: t.gone}
 	if from.link != nil {
-		t.have, t.memory = from.state.Sockets, from.state.Memory
-		t.stage.State(&from.state, len(from.files))
+		t.have, t.memory, t.stage = from.state.Sockets, from.state.Memory, from.stage
 	}
+	d.resize(t.have, t.memory)
 	d.handover = t
 }
 
-// inherit takes over what the old process knew, and returns the list and its version.
-func (d *dispatcher) inherit() (index uint64, list []core.Entry) {
+// inherit takes over what the old process knew, and returns the list. Its version does not come along: versions count anew
+// at each address of the director, and this process may have been given another address than the old one had.
+func (d *dispatcher) inherit() (list []core.Entry) {
 	s := &d.handover.from.state
 	if s.Out {
 		d.service.Out()
@@ -136,7 +138,7 @@
 		w := balance.Worker{ID: balance.WorkerID(platform.Hash(b.Name)), Started: b.Started, Kind: b.Kind, Cell: b.Cell, Zone: b.Zone, State: balance.State(b.State), Weight: b.Weight}
 		list = append(list, core.Entry{Worker: w, Name: b.Name, Address: b.Address})
 	}
-	return s.Index, list
+	return list
 }
 
 // begin accepts clients, once there is a list, and waits for the next process.
@@ -281,7 +283,8 @@
 	memory := t.memory
 	t.mu.Unlock()
 	d.resize(keep, memory)
-	s := handover.State{Sockets: give, Memory: memory, Out: d.service.IsOut(), Index: d.director.Index()}
+	d.core.Retire(true)
+	s := handover.State{Sockets: give, Memory: memory, Out: d.service.IsOut()}
 	list, marks := d.desk.State()
 	s.Marks = marks
 	for _, b := range list {
@@ -339,6 +342,7 @@
 	t.mu.Unlock()
 	t.d.desk.Share(nil)
 	t.d.resize(sockets, memory)
+	t.d.core.Retire(false)
 	if accept {
 		t.d.service.TakeBack()
 	}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -156,13 +156,10 @@
 		d.close()
 		return nil, err
 	}
+	d.resize(cfg.Sockets, cfg.Memory)
 	if cfg.Admin != "" {
 		d.addHandover(from)
 	}
-	d.resize(cfg.Sockets, cfg.Memory)
-	if from.link != nil {
-		d.resize(from.state.Sockets, from.state.Memory)
-	}
 	d.set = set
 	return d, nil
 }
@@ -172,11 +169,14 @@
 	if d.desk != nil && d.desk.Load() && d.handover.from.link == nil {
 		d.service.Out()
 	}
-	index, known := d.cfg.Known.Index, d.cfg.Known.Entries
+	known := d.cfg.Known.Entries
 	if d.handover != nil && d.handover.from.link != nil {
-		index, known = d.inherit()
+		known = d.inherit()
+		d.director.Afresh()
+		d.core.Succeed()
+	} else {
+		d.director.Start(d.cfg.Known.Index)
 	}
-	d.director.Start(index)
 	// The module sizes itself by its first list: one that names nobody would leave it with room for a
 	// few jobs until they have shown that there is more.
 	if d.sources == nil && len(known) > 0 {
--- a/cmd/tinsail/takeover_test.go
+++ b/cmd/tinsail/takeover_test.go
@@ -40,7 +40,7 @@
 			old := &handoff.Server{Path: h.socket(), Me: h.hello(), Log: zerolog.Nop(), Joined: joined, Hand: hand,
 				News: func(handover.News) {}, Gone: func(bool) {},
 				Give: func() (handover.State, []syscall.Conn) {
-					s := handover.State{Sockets: 300, Memory: 64 << 20, Listeners: []string{"http1"}, Index: 1,
+					s := handover.State{Sockets: 300, Memory: 64 << 20, Listeners: []string{"http1"},
 						Marks: []maintenance.Mark{{Name: "b1", Banned: true, At: 1}}}
 					for i, b := range h.backends {
 						s.List = append(s.List, handover.Backend{Name: b.Name, Address: b.Address, Cell: i, State: 1, Weight: 4})
--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -33,6 +33,7 @@
 	turn        int64      // the window in which cold workers are counted ...
 	cold        []float64  // ... and the jobs that may still be sent to those of a zone in it
 	rise        float64    // of the limit by a job that met no crowd
+	retired     bool       // another process of this node has the cold workers' budget
 	failed      int        // calls for the list that failed in a row
 }
 
@@ -281,13 +282,14 @@
 // dispatchers then may send a job to any cold worker of the zone, one to each.
 func (d *Dispatcher) newWindow(now Millis) {
 	rules, n, last := &d.set.Rules, float64(d.set.Instances), d.turn
-	if d.turn = int64(now / max(rules.FallWindow, d.set.Tick)); d.turn == last {
+	if d.turn = d.turnAt(now); d.turn == last {
 		return
 	}
 	clear(d.cold)
 	for _, i := range d.ready {
 		w := &d.workers[i]
-		if warm := d.warmth(now, w); warm < 1 {
+		w.tickets = 0
+		if warm := d.warmth(now, w); warm < 1 && !d.retired {
 			part := min(1, rules.FallMultiple/2) * warm * w.size * rules.FallWindow / d.run / n
 			d.cold[w.Zone] += part
 			w.tickets = max(1, math.Floor(part+d.rng.Float64()))
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -166,6 +166,19 @@
 	}
 }
 
+// turnAt is the window of the cold workers' budget that a time falls into.
+func (d *Dispatcher) turnAt(now Millis) int64 {
+	return int64(now / max(d.set.Rules.FallWindow, d.set.Tick))
+}
+
+// Two processes of one node are one dispatcher to a cold worker: its budget of a window is spent by one of them. Retire tells the
+// one that hands over that it gets none from the next window on, or gets it again; what it has left in this
+// window it may use.
+func (d *Dispatcher) Retire(on bool) { d.retired = on }
+
+// Succeed tells the one that takes over that the window that goes on belongs to the other. Its own begin with the next.
+func (d *Dispatcher) Succeed(now Millis) { d.turn = d.turnAt(now) }
+
 // hash spreads a number evenly over 0 to 1.
 func hash(x uint64) float64 {
 	x = (x ^ x>>31) * 0x9e3779b97f4a7c15
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -202,6 +202,31 @@
 	return ok
 }
 
+// heir is a policy that shares the budget of cold backends with another process of this dispatcher.
+type heir interface {
+	Retire(on bool)
+	Succeed(now balance.Millis)
+}
+
+// Retire tells the module that another process of this dispatcher spends the budget of cold backends from now on, or
+// no longer; Succeed that this one does, after another.
+func (c *Core) Retire(on bool) {
+	c.post(func() {
+		if h, ok := c.mod.(heir); ok {
+			h.Retire(on)
+		}
+	})
+}
+
+// Succeed is Retire's other end.
+func (c *Core) Succeed() {
+	c.post(func() {
+		if h, ok := c.mod.(heir); ok {
+			h.Succeed(c.clock.now())
+		}
+	})
+}
+
 // Known says whether any list of backends has come.
 func (c *Core) Known() bool { return c.known.Load() }
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -21,6 +21,7 @@
 	frameLen = len(magic) + 4
 	MaxHello = 4 << 10
 	MaxState = 8 << 20
+	MaxNews  = 64 << 10
 )
 
 // Hello is what a new process says first.
@@ -41,9 +42,7 @@
 	Memory    int64              `json:"memory"`  // bytes
 	Out       bool               `json:"out"`     // of service
 	Marks     []maintenance.Mark `json:"marks,omitempty"`
-	Index     uint64             `json:"index"`
 	List      []Backend          `json:"list,omitempty"`
-	Learned   json.RawMessage    `json:"learned,omitempty"` // the decision module's own
 }
 
 // Backend is a line of the list, as the source has it.
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"tinsail/internal/balance"
 )
@@ -25,8 +26,12 @@
 	Seen   float64 `json:"seen"`  // the start that the list told when the ban ended
 }
 
-// Most backends that are gone and not banned are remembered: their ids are known, and no more.
-const mostGone = 1024
+// Bounds on what is remembered of backends that no list names now: of those that are gone and not banned, whose ids are
+// known and no more; and of those that marks from elsewhere name and no list ever did here.
+const (
+	mostGone      = 1024
+	mostStrangers = 50_000
+)
 
 // entry is what is known of one backend.
 type entry struct {
@@ -42,6 +47,8 @@
 	all   map[string]*entry
 	turn  uint64
 	gones int
+
+	strangers int // marked, and never listed here
 }
 
 func (b *Bans) entry(name string) *entry {
@@ -81,6 +88,9 @@
 	named := make(map[string]bool, len(list))
 	for i := range list {
 		e := b.entry(list[i].Name)
+		if !e.listed && e.mark.At > 0 {
+			b.strangers--
+		}
 		was := e.last
 		e.last, e.listed, named[list[i].Name] = list[i], true, true
 		if e.last.State == balance.Gone { // it says nothing but that
@@ -187,21 +197,36 @@
 // Marks are all that operators have said, in the order of names.
 func (b *Bans) Marks() []Mark {
 	var out []Mark
-	for _, name := range slices.Sorted(maps.Keys(b.all)) {
-		if m := b.all[name].mark; m.At > 0 {
-			out = append(out, m)
+	for _, e := range b.all {
+		if e.mark.At > 0 {
+			out = append(out, e.mark)
 		}
 	}
+	slices.SortFunc(out, func(x, y Mark) int { return strings.Compare(x.Name, y.Name) })
 	return out
 }
 
+// Mark is what operators last said of one backend; its At is 0 if they said nothing.
+func (b *Bans) Mark(name string) Mark {
+	if e := b.all[name]; e != nil {
+		return e.mark
+	}
+	return Mark{}
+}
+
 // Merge takes marks from elsewhere: a file, or another process of this dispatcher. Of two on one
 // backend the later call's holds. It returns what to pass on.
 func (b *Bans) Merge(marks []Mark) (change []Backend) {
 	for _, m := range marks {
-		if m.Name == "" || m.At <= 0 || b.all[m.Name] == nil && len(b.all) >= 2*mostGone {
+		if m.Name == "" || m.At <= 0 {
 			continue
 		}
+		if b.all[m.Name] == nil {
+			if b.strangers >= mostStrangers {
+				continue
+			}
+			b.strangers++
+		}
 		if e := b.entry(m.Name); m.At > e.mark.At {
 			e.mark = m
 			change = append(change, e.change()...)
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -190,6 +190,19 @@
 	assert.Empty(t, old.Merge([]Mark{{Name: "", At: 9e9, Banned: true}, {Name: "x", Banned: true}}))
 }
 
+// TestStrangers: marks of names that no list tells are kept up to a bound, and one that is listed later makes room.
+func TestStrangers(t *testing.T) {
+	var b Bans
+	for i := range mostStrangers + 10 {
+		b.Merge([]Mark{{Name: fmt.Sprint("x", i), At: 1, Banned: true}})
+	}
+	assert.Len(t, b.all, mostStrangers)
+	b.List(balance.ListDelta, []Backend{line("x3", balance.Ready, 0), line("listed", balance.Ready, 0)})
+	b.Merge([]Mark{{Name: "late", At: 1, Banned: true}, {Name: "later", At: 1, Banned: true}, {Name: "listed", At: 1, Banned: true}})
+	assert.True(t, b.Mark("x3").Banned && b.Mark("late").Banned && b.Mark("listed").Banned)
+	assert.Zero(t, b.Mark("later"))
+}
+
 func TestKept(t *testing.T) {
 	k := Kept{Out: true, Marks: []Mark{{Name: "a", Banned: true, At: 1.5}}}
 	text := k.Append(nil)
--- a/internal/network/admin/admin.go
+++ b/internal/network/admin/admin.go
@@ -18,7 +18,7 @@
 
 // Times of a caller.
 const (
-	CallWait   = 3 * time.Second        // for the call to be whole, from connecting
+	callWait   = 3 * time.Second        // for the call to be whole, from connecting
 	writeWait  = 500 * time.Millisecond // for the answer to be taken
 	lingerWait = 100 * time.Millisecond // for the caller to read it before what it still sends resets it
 	roomWait   = 50 * time.Millisecond  // for a caller who was sent away to be gone
@@ -91,7 +91,7 @@
 			continue
 		}
 		s.Count.Callers.Add(1)
-		conn.SetReadDeadline(time.Now().Add(CallWait)) // before it can be sent away
+		conn.SetReadDeadline(time.Now().Add(callWait)) // before it can be sent away
 		c := s.enter(conn)
 		go s.serve(c)
 		s.makeRoom()
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -43,7 +43,6 @@
 	conn  net.Conn
 	in    *platform.Replies
 
-	told  atomic.Uint64 // version of what was last told
 	on    atomic.Bool
 	off   atomic.Bool // Off was called, and the watch never began
 	mu    sync.Mutex
@@ -83,13 +82,10 @@
 }
 
 // Start tells which version is known.
-func (d *Director) Start(index uint64) {
-	d.index = index
-	d.told.Store(index)
-}
+func (d *Director) Start(index uint64) { d.index = index }
 
-// Index is the version of what was last told, or an older one.
-func (d *Director) Index() uint64 { return d.told.Load() }
+// Afresh has the first call ask for the whole list. It must be called before Subscribe.
+func (d *Director) Afresh() { d.whole = true }
 
 // Redirect sends the watch to another address, from now on. What is under way at the old
 // one is cut, and nothing that it still says is believed.
@@ -144,7 +140,6 @@
 		if e == core.ListTold {
 			failed = 0
 			d.take(list)
-			d.told.Store(d.index)
 			continue
 		}
 		d.close()
--- a/internal/network/handoff/handoff.go
+++ b/internal/network/handoff/handoff.go
@@ -76,7 +76,10 @@
 func (l *Link) Read(f func(handover.News)) error {
 	defer l.conn.Close()
 	for {
-		text, _, err := l.message(nil)
+		text, files, err := l.message(nil)
+		for _, f := range files { // nobody is to send any
+			f.Close()
+		}
 		if err != nil {
 			return err
 		}
@@ -178,6 +181,7 @@
 		return l, s, files, err
 	}
 	l.conn.SetReadDeadline(time.Time{})
+	l.in.Most = handover.MaxNews
 	if err = json.Unmarshal(text, &s); err != nil {
 		return l, s, files, err
 	}
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -85,14 +85,12 @@
 	}
 }
 
-// Stage is where a hand-over stands.
-func (s *Server) Stage() handover.Stage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stage.Stage()
-}
+// mostHellos is how many processes are heard out at a time: each takes a descriptor that no budget knows of. One
+// more is closed unheard, which its Join takes for a process that cannot be understood.
+const mostHellos = 4
 
 func (s *Server) serve(l *net.UnixListener) {
+	free := make(chan struct{}, mostHellos)
 	for {
 		conn, err := l.AcceptUnix()
 		if err != nil {
@@ -102,7 +100,15 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors, say
 			continue
 		}
-		go s.take(&Link{conn: conn, in: handover.Reader{Most: handover.MaxHello}})
+		select {
+		case free <- struct{}{}:
+			go func() {
+				s.take(&Link{conn: conn, in: handover.Reader{Most: handover.MaxHello}})
+				<-free
+			}()
+		default:
+			conn.Close()
+		}
 	}
 }
 
@@ -158,7 +164,7 @@
 	if err := l.send(state, rights); err != nil {
 		return err
 	}
-	l.in.Most = handover.MaxState
+	l.in.Most = handover.MaxNews
 	s.Log.Info().Int("sockets", state.Sockets).Int("backends", len(state.List)).Int("marks", len(state.Marks)).Msg("hand-over: state told")
 	s.Joined(l)
 	l.conn.SetReadDeadline(time.Now().Add(handover.ReadyWait)) // until it accepts
--- a/internal/network/link.go
+++ b/internal/network/link.go
@@ -60,17 +60,17 @@
 		l.mu.Unlock()
 		return
 	}
-	if l.backend.Withheld() { // what is idle there was closed at the ban
-		l.state = dead
-		l.mu.Unlock()
-		l.conn.Close()
-		return
-	}
 	l.state = idle
 	l.mu.Unlock()
 	p := l.pool
 	l.conn.SetReadDeadline(time.Now().Add(p.Idle))
 	p.mu.Lock()
+	// Looked at under the lock that HangUpOn takes after a ban holds: this connection is seen here or there.
+	if l.backend.Withheld() {
+		p.mu.Unlock()
+		l.conn.Close() // its reader does the rest
+		return
+	}
 	l.since = time.Now()
 	if p.idle == nil {
 		p.idle = map[balance.WorkerID][]*link{}
--- a/internal/network/maintain/maintain.go
+++ b/internal/network/maintain/maintain.go
@@ -97,11 +97,7 @@
 	}
 	d.follow(change)
 	if d.share != nil {
-		for _, m := range d.bans.Marks() {
-			if m.Name == name {
-				d.share(m)
-			}
-		}
+		d.share(d.bans.Mark(name))
 	}
 	return d.keep()
 }
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -673,3 +673,14 @@
 		wait 120ms`,
 		func(w *world) { <-w.service.Ended() })
 }
+
+// TestAfresh: a process that was handed a list asks for the whole one first: versions are of an address, and its own may be
+// another.
+func TestAfresh(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9,
+		func(w *world) { w.watch.Afresh() }, `
+		wait 3s
+		d/1 expect GET /registry/instances
+		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":2,"snapshot":true,"endpoints":[]  }
+		d/1 expect GET /registry/instances?since=2&timeout_ms=4000`)
+}
