Counters of hand-overs: taken, given, failed, time to serve, what they cut

Need: the issue asks that operators see the stages of a hand-over, their times and what was lost in them; there were log lines alone.

handovers_taken, handovers_given, handovers_failed, handover_stage, handover_ready_ms, and at the old process handover_reqs_cut and handover_sessions_left, on the operators' page too. The test of ten upgrades in a row holds them: given 1, failed 0, cut 0, left 0 each time.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -108,7 +109,10 @@
 	have   int           // descriptors that this process may hold ...
 	memory int64         // ... and bytes
 	total  int           // that it held before it gave some to the next process
-	giving chan struct{} // closed when there is no one to give to any more
+
+	taken, given, failed atomic.Int64  // hand-overs: from the process before, to the next, and of those that came back
+	readyMS              atomic.Int64  // from this process's start, with the state in hand, until it served
+	giving               chan struct{} // closed when there is no one to give to any more
 }
 
 // addHandover makes this process's part. d.service and d.desk are there.
@@ -118,6 +122,7 @@
 		Give: t.give, Hand: t.hand, News: t.news, Joined: t.joined, Gone: t.gone}
 	if from.link != nil {
 		t.have, t.memory, t.stage = from.state.Sockets, from.state.Memory, from.stage
+		t.taken.Add(1)
 	}
 	d.resize(t.have, t.memory)
 	d.handover = t
@@ -149,6 +154,7 @@
 		return
 	}
 	t.joined(t.from.link)
+	begun := time.Now()
 	go func() {
 		err := t.from.link.Read(t.news)
 		t.oldGone(err)
@@ -168,10 +174,20 @@
 			time.Sleep(service.LookEvery)
 		}
 		t.listen()
-		d.log.Info().Stringer("stage", t.at()).Msg("hand-over: serves")
+		t.readyMS.Store(time.Since(begun).Milliseconds())
+		d.log.Info().Stringer("stage", t.at()).Dur("after_ms", time.Since(begun)).Msg("hand-over: serves")
 	}()
 }
 
+// each calls f for the counters of hand-overs.
+func (t *takeover) each(f func(name string, n int64)) {
+	f("handovers_taken", t.taken.Load())
+	f("handovers_given", t.given.Load())
+	f("handovers_failed", t.failed.Load())
+	f("handover_ready_ms", t.readyMS.Load())
+	f("handover_stage", int64(t.at()))
+}
+
 func (t *takeover) listen() {
 	if err := t.server.Listen(); err != nil {
 		t.d.log.Error().Err(err).Msg("hand-over: cannot wait for a next process")
@@ -306,6 +322,7 @@
 // hand accepts no more, and gives up more room as sessions end.
 func (t *takeover) hand() {
 	t.d.service.HandOver()
+	t.given.Add(1)
 	t.mu.Lock()
 	l, all, giving := t.peer, t.total, t.giving
 	t.mu.Unlock()
@@ -343,6 +360,7 @@
 	t.d.desk.Share(nil)
 	t.d.resize(sockets, memory)
 	t.d.core.Retire(false)
+	t.failed.Add(1)
 	if accept {
 		t.d.service.TakeBack()
 	}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -274,6 +274,7 @@
 		d.door.Count.Each(f)
 		f("banned", int64(len(d.desk.Banned())))
 		f("service_state", int64(d.service.State()))
+		d.handover.each(f)
 	}
 }
 
--- a/cmd/tinsail/upgrade_test.go
+++ b/cmd/tinsail/upgrade_test.go
@@ -243,6 +243,9 @@
 		next := h.start()
 		next.serves()
 		assert.False(t, old.call(door.Ready, ""), "two say that they serve")
+		_ = old.cmd.Process.Signal(syscall.SIGTERM) // it may have left by itself
+		count := old.event(t, "counters")
+		assert.Equal(t, []any{1.0, 0.0, nil, nil}, []any{count["handovers_given"], count["handovers_failed"], count["handover_reqs_cut"], count["handover_sessions_left"]})
 		old.end(t)
 		old = next
 	}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -16,6 +16,7 @@
 	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
 	DirectorCalls, Overlooked, Reloads, ReloadsBad       atomic.Int64
 	HTTP2Sessions, HTTP2Resets                           atomic.Int64
+	HandoverCut, HandoverLeft                            atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
 	Endings                                              [32]atomic.Int64
 	HTTP2Abuse                                           [32]atomic.Int64
 }
@@ -37,6 +38,7 @@
 		{"director_calls", &s.DirectorCalls}, {"overlooked", &s.Overlooked},
 		{"reloads", &s.Reloads}, {"reloads_bad", &s.ReloadsBad},
 		{"http2_sessions", &s.HTTP2Sessions}, {"http2_resets", &s.HTTP2Resets},
+		{"handover_reqs_cut", &s.HandoverCut}, {"handover_sessions_left", &s.HandoverLeft},
 	} {
 		f(c.name, c.n.Load())
 	}
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -275,6 +275,9 @@
 	switch {
 	case !partial:
 	case e == core.SessionShed:
+		if s.clients.told().Handed {
+			s.clients.Count.HandoverCut.Add(1)
+		}
 		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
 	default:
 		s.write(platform.AppendAnswer(nil, 408, 0, true, "408: the rest of the request did not come\n"))
--- a/internal/network/service.go
+++ b/internal/network/service.go
@@ -151,6 +151,9 @@
 	}
 	switch {
 	case o.End:
+		if o.Handed {
+			c.Count.HandoverLeft.Add(int64(all))
+		}
 		s.over = true
 		close(s.ended)
 	case !s.m.Changing():
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -47,6 +47,7 @@
 // Orders are what the fronts do until the next ones.
 type Orders struct {
 	State  State
+	Handed bool          // another process accepts in this one's place
 	Ready  bool          // a check of health is answered by yes, if there is a backend
 	Accept bool          // new connections are taken
 	Hint   bool          // connections that can say so ahead (HTTP/2) tell their clients to go
@@ -141,7 +142,7 @@
 		o.State = Draining
 	}
 	if !m.handed.IsZero() {
-		o.Close, o.Hint = true, true
+		o.Handed, o.Close, o.Hint = true, true, true
 		if now.Sub(m.handed) < handedAll {
 			o.Rest = handedRest
 		}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -102,7 +102,7 @@
 	m := Machine{Longest: 5 * time.Second}
 	m.HandOver(at(0))
 	o := m.Look(at(1), busy(1))
-	assert.Equal(t, Orders{State: HandedOver, Ready: true, Hint: true, Close: true, Rest: handedRest}, o)
+	assert.Equal(t, Orders{State: HandedOver, Handed: true, Ready: true, Hint: true, Close: true, Rest: handedRest}, o)
 	m.Term(at(100))
 	assert.True(t, m.Look(at(101), busy(101)).Ready, "the dispatcher is in service")
 	assert.True(t, m.In(), "the other process is taken back into service")
