Hand-over: silent callers cannot keep a true process from being heard

The test leaves three callers silent on the hand-over socket; with the first new process in its hand-over, all four places for a hello were taken and the next process was closed unheard, so its Join saw a reset or a broken pipe instead of the refusal "a hand-over is under way already". Ruled out: the refusal itself (written after the whole hello is read) and the stage machine (it answered busy in every log line of the failing runs).

Change: a process that has been heard holds no place any more, and when a new caller finds every place taken, the one that has waited longest without a whole hello is closed instead of the newcomer: the rule of the door.

The new TestSilentOnesKeepNobodyOut fails without the change and passes with it.

--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -85,12 +85,43 @@
 	}
 }
 
-// mostHellos is how many processes are heard out at a time: each takes a descriptor that no budget knows of. One
-// more is closed unheard, which its Join takes for a process that cannot be understood.
+// mostHellos is how many processes are heard out at a time: each takes a descriptor that no budget knows of. When one
+// more connects, the one that has waited longest without a whole hello is closed unheard (its Join takes it for a
+// process that cannot be understood), so that callers who stay silent cannot keep a true process out. A process that
+// has been heard holds no place any more.
 const mostHellos = 4
 
+// unheard are the connections whose hello is not whole yet, oldest first.
+type unheard struct {
+	mu    sync.Mutex
+	conns []*net.UnixConn
+}
+
+// add takes c in, closing the oldest unheard one where there is no place.
+func (u *unheard) add(c *net.UnixConn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.conns) == mostHellos {
+		u.conns[0].Close() // its reader fails, and its goroutine removes it
+		u.conns = u.conns[1:]
+	}
+	u.conns = append(u.conns, c)
+}
+
+// heard lets c go: its hello is whole, or it has ended.
+func (u *unheard) heard(c *net.UnixConn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, o := range u.conns {
+		if o == c {
+			u.conns = append(u.conns[:i], u.conns[i+1:]...)
+			return
+		}
+	}
+}
+
 func (s *Server) serve(l *net.UnixListener) {
-	free := make(chan struct{}, mostHellos)
+	var waiting unheard
 	for {
 		conn, err := l.AcceptUnix()
 		if err != nil {
@@ -100,23 +131,17 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors, say
 			continue
 		}
-		select {
-		case free <- struct{}{}:
-			go func() {
-				s.take(&Link{conn: conn, in: handover.Reader{Most: handover.MaxHello}})
-				<-free
-			}()
-		default:
-			conn.Close()
-		}
+		waiting.add(conn)
+		go s.take(&Link{conn: conn, in: handover.Reader{Most: handover.MaxHello}}, &waiting)
 	}
 }
 
 // take hears one process out.
-func (s *Server) take(l *Link) {
+func (s *Server) take(l *Link, waiting *unheard) {
 	defer l.Close()
 	l.conn.SetReadDeadline(time.Now().Add(handover.HelloWait))
 	text, files, err := l.message(nil)
+	waiting.heard(l.conn)
 	for _, f := range files { // nobody is to hand us any
 		f.Close()
 	}
--- /dev/null
+++ b/internal/network/handoff/server_test.go
@@ -0,0 +1,35 @@
+package handoff
+
+import (
+	"net"
+	"path/filepath"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/handover"
+)
+
+// TestSilentOnesKeepNobodyOut: callers that connect and say nothing fill every place for a hello; a process that
+// comes after them is still heard and told why it is refused, instead of being closed unheard.
+func TestSilentOnesKeepNobodyOut(t *testing.T) {
+	me := handover.Hello{Version: handover.Version, Name: "regina", Listen: "127.0.0.1:1"}
+	s := &Server{Path: filepath.Join(t.TempDir(), "h.sock"), Me: me, Log: zerolog.Nop()}
+	require.NoError(t, s.Listen())
+	t.Cleanup(s.Close)
+	for range mostHellos + 2 {
+		c, err := net.Dial("unix", s.Path)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+	}
+	other := me
+	other.Name = "moose-jaw"
+	_, _, files, err := Join(s.Path, other)
+	assert.Empty(t, files)
+	var no *Refusal
+	require.ErrorAs(t, err, &no, "heard, and told why")
+	assert.False(t, no.Busy)
+	assert.Contains(t, no.Error(), "moose-jaw")
+}
