Both processes of an upgrade send to cold backends at once, each FallMultiple/4

The new process had no cold backend for up to one window (2 s here) while it took all new connections, and the old one none from the next window while it still served its kept sessions.

Design: while two processes of one node serve, each spends FallMultiple/4 (0.75 here) of a cold worker's budget, from the start of the new one, with no least ticket; alone again (the old gone, or the new gone), the whole. The node then sends at most FallMultiple/2 a window, one process's margin, and at most twice one process's budget in the window of the hand-over, below FallMultiple.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -280,6 +280,7 @@
 	if alone {
 		t.d.desk.Share(nil)
 		t.d.resize(t.d.cfg.Sockets, t.d.cfg.Memory)
+		t.d.core.Retire(false) // the whole budget of cold backends is this process's again
 	}
 	t.d.log.Info().Stringer("stage", at).AnErr("link", err).Msg("hand-over: the old process is gone")
 }
--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -33,7 +33,7 @@
 	turn        int64      // the window in which cold workers are counted ...
 	cold        []float64  // ... and the jobs that may still be sent to those of a zone in it
 	rise        float64    // of the limit by a job that met no crowd
-	retired     bool       // another process of this node has the cold workers' budget
+	shared      bool       // another process of this node spends half the cold workers' budget
 	failed      int        // calls for the list that failed in a row
 }
 
@@ -289,10 +289,16 @@
 	for _, i := range d.ready {
 		w := &d.workers[i]
 		w.tickets = 0
-		if warm := d.warmth(now, w); warm < 1 && !d.retired {
+		if warm := d.warmth(now, w); warm < 1 {
 			part := min(1, rules.FallMultiple/2) * warm * w.size * rules.FallWindow / d.run / n
+			if d.shared { // two processes of one node: each half of FallMultiple/2, which is one process's
+				// margin below FallMultiple; no least ticket, which both would have
+				part = min(1, rules.FallMultiple/4) * warm * w.size * rules.FallWindow / d.run / n
+				w.tickets = math.Floor(part + d.rng.Float64())
+			} else {
+				w.tickets = max(1, math.Floor(part+d.rng.Float64()))
+			}
 			d.cold[w.Zone] += part
-			w.tickets = max(1, math.Floor(part+d.rng.Float64()))
 		}
 	}
 	for z := range d.cold {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -171,13 +171,16 @@
 	return int64(now / max(d.set.Rules.FallWindow, d.set.Tick))
 }
 
-// Two processes of one node are one dispatcher to a cold worker: its budget of a window is spent by one of them. Retire tells the
-// one that hands over that it gets none from the next window on, or gets it again; what it has left in this
-// window it may use.
-func (d *Dispatcher) Retire(on bool) { d.retired = on }
-
-// Succeed tells the one that takes over that the window that goes on belongs to the other. Its own begin with the next.
-func (d *Dispatcher) Succeed(now Millis) { d.turn = d.turnAt(now) }
+// Two processes of one node are one dispatcher to a cold worker: while both serve, each spends half of its budget
+// of a window. Retire tells the one that hands over that the other serves beside it from the next window on (on),
+// or that it is alone again (off); what it has left in this window it may use. Both keep serving in the overlap
+// (the old one its kept client sessions), so that a budget given whole to one would leave the other's reqs
+// without any cold worker.
+func (d *Dispatcher) Retire(on bool) { d.shared = on }
+
+// Succeed tells the one that takes over that the window that goes on belongs to the other, and that from the next
+// one on it has half, until Retire(false) says that the other is gone.
+func (d *Dispatcher) Succeed(now Millis) { d.shared = true }
 
 // hash spreads a number evenly over 0 to 1.
 func hash(x uint64) float64 {
