Laboratory: recordings of arrivals as Parquet files; record, inspect, scale, cut

Not yet: record(...) in the program, replay; the fuzzer still finds inputs on which a read takes seconds.

--- a/cmd/tinsail-lab/lab_test.go
+++ b/cmd/tinsail-lab/lab_test.go
@@ -79,3 +79,30 @@
 		assert.Contains(t, text, c.want)
 	}
 }
+
+// TestLabRecordings: a scenario's arrivals are recorded, summed up, multiplied and cut, and a file that is not a
+// recording is named as such with a faulty exit.
+func TestLabRecordings(t *testing.T) {
+	dir := t.TempDir()
+	calm, busy, part := filepath.Join(dir, "calm.parquet"), filepath.Join(dir, "busy.parquet"), filepath.Join(dir, "part.parquet")
+	code, text := lab("record", "../../lab/scenarios/calm.star", "--out", calm)
+	require.Equal(t, exitOK, code, text)
+	code, text = lab("inspect", calm)
+	require.Equal(t, exitOK, code, text)
+	assert.Contains(t, text, "tinsail.from: calm.star")
+	code, text = lab("scale", calm, "--times", "2", "--stretch", "0.5", "--out", busy)
+	require.Equal(t, exitOK, code, text)
+	code, text = lab("cut", busy, "--from", "1s", "--to", "2s", "--out", part)
+	require.Equal(t, exitOK, code, text)
+	code, text = lab("inspect", part)
+	require.Equal(t, exitOK, code, text)
+	assert.Contains(t, text, "tinsail.scaled: stretch 0.5 times 2")
+
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "no.parquet"), []byte("nothing of the kind"), 0o600))
+	code, text = lab("inspect", filepath.Join(dir, "no.parquet"))
+	assert.Equal(t, exitFaulty, code)
+	assert.Contains(t, text, "not a Parquet file")
+	code, text = lab("scale", calm, "--times", "-1", "--out", busy)
+	assert.Equal(t, exitFaulty, code)
+	assert.Contains(t, text, "multiply by -1")
+}
--- a/cmd/tinsail-lab/main.go
+++ b/cmd/tinsail-lab/main.go
@@ -30,7 +30,8 @@
 	c := &cobra.Command{Use: "tinsail-lab", Short: "Play scenarios of the laboratory", SilenceErrors: true, SilenceUsage: true,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return faulty{err} })
-	c.AddCommand(labRunCommand(), labCompareCommand(), labSweepCommand(), labLiveCommand())
+	c.AddCommand(labRunCommand(), labCompareCommand(), labSweepCommand(), labLiveCommand(),
+		labRecordCommand(), labInspectCommand(), labScaleCommand(), labCutCommand())
 	c.SetArgs(args)
 	c.SetOut(out)
 	c.SetErr(errs)
--- a/cmd/tinsail/lab.go
+++ b/cmd/tinsail/lab.go
@@ -74,8 +74,12 @@
 	c.Flags().IntVar(&instances, "instances", 0, "instances that are there from the start")
 	lab.AddCommand(c)
 	for use, short := range map[string]string{"run": "Play a scenario in virtual time and judge it", "compare": "Compare two variants on a scenario, with an interval",
-		"sweep": "Play a scenario over a range of one parameter",
-		"live":  "Play a scenario on loopback sockets with the real program"} {
+		"sweep":   "Play a scenario over a range of one parameter",
+		"live":    "Play a scenario on loopback sockets with the real program",
+		"record":  "Write the arrivals of a scenario as a recording",
+		"inspect": "Sum a recording up",
+		"scale":   "Stretch a recording in time, or multiply its arrivals",
+		"cut":     "Keep a stretch of a recording, moved to start at 0"} {
 		lab.AddCommand(&cobra.Command{Use: use, Short: short, DisableFlagParsing: true, Args: cobra.ArbitraryArgs,
 			RunE: func(_ *cobra.Command, args []string) error { return besides(append([]string{use}, args...)) }})
 	}
