--- a/cmd/tinsail-lab/lab_test.go
+++ b/cmd/tinsail-lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -87,6 +88,12 @@
 	calm, busy, part := filepath.Join(dir, "calm.parquet"), filepath.Join(dir, "busy.parquet"), filepath.Join(dir, "part.parquet")
 	code, text := lab("record", "../../lab/scenarios/calm.star", "--out", calm)
 	require.Equal(t, exitOK, code, text)
+	var n int
+	_, err := fmt.Sscanf(text, "%d arrivals", &n)
+	require.NoError(t, err)
+	code, text = lab("run", "../../lab/scenarios/calm.star", "--seed", "9", "--replay", calm)
+	require.Equal(t, exitOK, code, text)
+	assert.Contains(t, text, fmt.Sprintf("first reqs         %d:", n), "the recording's arrivals, not those of seed 9")
 	code, text = lab("inspect", calm)
 	require.Equal(t, exitOK, code, text)
 	assert.Contains(t, text, "tinsail.from: calm.star")
--- a/cmd/tinsail-lab/play.go
+++ b/cmd/tinsail-lab/play.go
@@ -69,6 +69,7 @@
 }
 
 func labRunCommand() *cobra.Command {
+	var replay string
 	var seed uint64
 	var name string
 	c := &cobra.Command{
@@ -90,6 +91,11 @@
 				return err
 			}
 			sc.Seed = seed
+			if replay != "" {
+				if sc.Times, err = timesOf(replay); err != nil {
+					return err
+				}
+			}
 			r, err := sim.PlayWith(sc, v.Settings, v.Policy)
 			if err != nil {
 				return faulty{err}
@@ -103,6 +109,7 @@
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
 	c.Flags().StringVar(&name, "variant", "module", "module, random, or a platform's configuration file")
+	c.Flags().StringVar(&replay, "replay", "", "a recording whose first reqs come in place of the scenario's rate and bursts")
 	return c
 }
 
--- a/cmd/tinsail-lab/recordings.go
+++ b/cmd/tinsail-lab/recordings.go
@@ -53,6 +53,22 @@
 	return os.Rename(f.Name(), path)
 }
 
+// timesOf reads the first reqs of a recording as times in ms, for a scenario to play. Retries are left out: the
+// scenario's clients retry as it says.
+func timesOf(path string) ([]float64, error) {
+	a, _, err := readRecording(path)
+	if err != nil {
+		return nil, err
+	}
+	times := make([]float64, 0, len(a))
+	for _, x := range a {
+		if !x.Retry {
+			times = append(times, float64(x.At)/float64(time.Millisecond))
+		}
+	}
+	return times, nil
+}
+
 // fromScenario is what a scenario's generator sends: its first reqs, each of its own key. Sizes are 0: the
 // scenario's reqs have work, not bodies.
 func fromScenario(sc *sim.Scenario) []recording.Arrival {
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -20,6 +20,15 @@
 func (sc *Scenario) Arrivals() iter.Seq[Arrival] {
 	return func(yield func(Arrival) bool) {
 		chance := fleet.Chance(sc.Seed, "arrivals")
+		if sc.Times != nil { // a recording's
+			for _, at := range sc.Times {
+				work := sc.Work * math.Exp(sc.Spread*chance.NormFloat64()-sc.Spread*sc.Spread/2)
+				if at >= sc.Length || !yield(Arrival{at, work}) {
+					return
+				}
+			}
+			return
+		}
 		for at := 0.0; ; {
 			times := 1.0
 			for _, b := range sc.Bursts {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"iter"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -23,18 +24,21 @@
 	Length      float64 // arrivals end then
 	Rate        float64 // reqs a second, over all dispatchers
 	Bursts      []Burst
-	Work        float64 // mean of a job on the yardstick
-	Spread      float64 // of the logarithm of a job's work
-	Aim         float64 // served in time is within this and Stretch times the job's own running time
-	Stretch     float64 // 0 means 2
-	Deadline    float64
-	Retries     int     // of a client, after a refusal or a failure
-	Backoff     float64 // before a retry, where no longer pause was advised
-	Latency     float64 // one way, between any two; half of it varies
-	Connect     float64 // further time that a new connection takes
-	Report      fleet.Reports
-	Backends    []Backend
-	Events      []Event
+	// Times, where given, are the first reqs' arrivals in ms, in order, from a recording: they stand for Rate and
+	// Bursts, and works are still drawn from Work and Spread.
+	Times    []float64
+	Work     float64 // mean of a job on the yardstick
+	Spread   float64 // of the logarithm of a job's work
+	Aim      float64 // served in time is within this and Stretch times the job's own running time
+	Stretch  float64 // 0 means 2
+	Deadline float64
+	Retries  int     // of a client, after a refusal or a failure
+	Backoff  float64 // before a retry, where no longer pause was advised
+	Latency  float64 // one way, between any two; half of it varies
+	Connect  float64 // further time that a new connection takes
+	Report   fleet.Reports
+	Backends []Backend
+	Events   []Event
 }
 
 // Burst multiplies the rate for a while.
@@ -171,7 +175,9 @@
 		{len(sc.Backends) == 0 || len(sc.Backends) > mostBackends, fmt.Sprintf("%d backends, want 1 to %d", len(sc.Backends), mostBackends)},
 		{sc.Dispatchers < 0 || sc.Dispatchers > mostDispatchers, fmt.Sprintf("%d dispatchers, want 1 to %d", sc.Dispatchers, mostDispatchers)},
 		{!(sc.Length > 0) || math.IsInf(sc.Length, 0), fmt.Sprintf("a length of %v ms", sc.Length)},
-		{!(sc.Rate > 0) || sc.Rate*most*sc.Length/1000 > mostReqs, fmt.Sprintf("%v reqs a second for %v ms, want more than none and at most %d in all", sc.Rate, sc.Length, mostReqs)},
+		{len(sc.Times) > mostReqs, fmt.Sprintf("%d recorded arrivals, want at most %d", len(sc.Times), mostReqs)},
+		{!slices.IsSorted(sc.Times), "recorded arrivals out of the order of their times"},
+		{sc.Times == nil && (!(sc.Rate > 0) || sc.Rate*most*sc.Length/1000 > mostReqs), fmt.Sprintf("%v reqs a second for %v ms, want more than none and at most %d in all", sc.Rate, sc.Length, mostReqs)},
 		{!(sc.Work > 0) || !(sc.Deadline > 0), "work and deadline must be more than 0"},
 	} {
 		if f.bad {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -180,3 +180,21 @@
 		})
 	}
 }
+
+// TestReplay: recorded times stand for the scenario's own arrivals, all of them within its length and none beyond,
+// and a burst in the recording is played as it came.
+func TestReplay(t *testing.T) {
+	sc := evening(4)
+	for i := range 1500 { // 100 a second, and a burst of 300 in the second from 5 s
+		sc.Times = append(sc.Times, float64(i)*10)
+		if i >= 500 && i < 600 {
+			sc.Times = append(sc.Times, float64(i)*10+3, float64(i)*10+6)
+		}
+	}
+	sc.Times = append(sc.Times, 25_000) // past the length
+	r := play(t, sc)
+	assert.Equal(t, 1700, r.First)
+	sc.Times[3], sc.Times[4] = sc.Times[4], sc.Times[3]
+	_, err := Play(sc, defaults.Settings())
+	assert.ErrorContains(t, err, "out of the order")
+}
