--- a/cmd/tinsail-lab/live.go
+++ b/cmd/tinsail-lab/live.go
@@ -17,7 +17,7 @@
 
 func labLiveCommand() *cobra.Command {
 	var seed uint64
-	var program string
+	var program, replay string
 	var quiet bool
 	c := &cobra.Command{
 		Use: "live SCENARIO.star", Short: "Play a scenario on loopback sockets with the real program, and hold the model against it", Args: oneScenario,
@@ -33,6 +33,11 @@
 				return err
 			}
 			sc.Seed = seed
+			if replay != "" { // the same times on sockets and in the model
+				if sc.Times, err = timesOf(replay); err != nil {
+					return err
+				}
+			}
 			model, err := sim.Play(sc, defaults.Settings())
 			if err != nil {
 				return faulty{err}
@@ -67,5 +72,6 @@
 	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
 	c.Flags().StringVar(&program, "program", "bin/tinsail", "the dispatcher's binary")
 	c.Flags().BoolVar(&quiet, "quiet", false, "no progress line")
+	c.Flags().StringVar(&replay, "replay", "", "a recording whose first reqs come in place of the scenario's rate and bursts")
 	return c
 }
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -41,3 +41,24 @@
 	_, err = Play(context.Background(), sc, Options{Program: "/none"})
 	assert.Error(t, err)
 }
+
+// TestReplay: a recording's times go to the real program as they are, a burst of them at one instant too.
+func TestReplay(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "tinsail")
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, "tinsail/cmd/tinsail").CombinedOutput()
+	require.NoError(t, err, string(out))
+	sc := sim.Scenario{Seed: 1, Length: 1000, Rate: 1, Work: 20, Spread: 0.3, Aim: 120, Stretch: 2, Deadline: 5000, Retries: 1, Backoff: 20}
+	for _, name := range []string{"a", "b"} {
+		sc.Backends = append(sc.Backends, sim.Backend{Name: name, Kind: fleet.Kind{Name: "std", Cores: 4, Speed: 1, Slots: 4, Queue: 20}})
+	}
+	for i := range 40 {
+		sc.Times = append(sc.Times, float64(i*20))
+	}
+	for range 20 { // twenty at once
+		sc.Times = append(sc.Times, 900)
+	}
+	r, err := Play(context.Background(), sc, Options{Program: program})
+	require.NoError(t, err)
+	assert.Equal(t, 60, r.First, "the recording's, not Rate's one a second")
+	assert.Equal(t, 60, r.Served+r.Refused+r.Failed)
+}
