Comments of the shared cold budget say what it does: FallMultiple/4 each, at once

Read again as a stranger: the comments of Retire, Succeed and the field still spoke of halves and of the new process waiting for its window, the two ways measured and rejected.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -33,7 +33,7 @@
 	turn        int64      // the window in which cold workers are counted ...
 	cold        []float64  // ... and the jobs that may still be sent to those of a zone in it
 	rise        float64    // of the limit by a job that met no crowd
-	shared      bool       // another process of this node spends half the cold workers' budget
+	shared      bool       // another process of this node serves beside it: the cold budget is shared
 	failed      int        // calls for the list that failed in a row
 }
 
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -171,15 +171,16 @@
 	return int64(now / max(d.set.Rules.FallWindow, d.set.Tick))
 }
 
-// Two processes of one node are one dispatcher to a cold worker: while both serve, each spends half of its budget
-// of a window. Retire tells the one that hands over that the other serves beside it from the next window on (on),
-// or that it is alone again (off); what it has left in this window it may use. Both keep serving in the overlap
-// (the old one its kept client sessions), so that a budget given whole to one would leave the other's reqs
-// without any cold worker.
+// Two processes of one node are one dispatcher to a cold worker: while both serve, each spends FallMultiple/4 of a
+// worker's budget a window where one alone spends up to the whole, so that together they stay within the margin of
+// FallMultiple/2 that one process keeps (twice one process's budget at most, in the window of the hand-over). Retire
+// tells the one that hands over that the other serves beside it from its next window on (on), or that it is alone
+// again (off); what it has left in this window it may use. Both keep serving in the overlap (the old one its kept
+// client sessions): a budget given whole to one left the other's reqs without any cold worker.
 func (d *Dispatcher) Retire(on bool) { d.shared = on }
 
-// Succeed tells the one that takes over that the window that goes on belongs to the other, and that from the next
-// one on it has half, until Retire(false) says that the other is gone.
+// Succeed tells the one that takes over that another process serves beside it: it spends its part at once, until
+// Retire(false) says that the other is gone. now is unused; the part does not wait for a window.
 func (d *Dispatcher) Succeed(now Millis) { d.shared = true }
 
 // hash spreads a number evenly over 0 to 1.
