--- a/cmd/tinsail-lab/recordings.go
+++ b/cmd/tinsail-lab/recordings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -120,10 +121,10 @@
 			fmt.Fprintf(w, "arrivals %d, retries %d, keys %d, over %v\n", s.Arrivals, s.Retries, s.Keys, s.Span)
 			fmt.Fprintf(w, "a second: %.1f on average, %d in the busiest\n", s.PerSecond, s.BusiestSecond)
 			fmt.Fprintf(w, "sizes: median %d bytes, largest %d\n", s.SizeMedian, s.SizeMost)
-			for _, k := range slices.Sorted(mapsKeys(s.Classes)) {
+			for _, k := range slices.Sorted(maps.Keys(s.Classes)) {
 				fmt.Fprintf(w, "class %-16s %d\n", k, s.Classes[k])
 			}
-			for _, k := range slices.Sorted(mapsKeys(meta)) {
+			for _, k := range slices.Sorted(maps.Keys(meta)) {
 				fmt.Fprintf(w, "%s: %s\n", k, meta[k])
 			}
 			return nil
@@ -131,6 +132,22 @@
 	}
 }
 
+// rewrite reads a recording, changes it and writes the outcome whole to out, and says how many arrivals it has.
+func rewrite(c *cobra.Command, in, out string, change func([]recording.Arrival, map[string]string) ([]recording.Arrival, error)) error {
+	a, meta, err := readRecording(in)
+	if err != nil {
+		return err
+	}
+	if a, err = change(a, meta); err != nil {
+		return faulty{err}
+	}
+	if err := writeRecording(out, a, meta); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%d arrivals to %s\n", len(a), out)
+	return nil
+}
+
 func labScaleCommand() *cobra.Command {
 	var out string
 	var stretch, times float64
@@ -142,22 +159,14 @@
 (a req and its retries, copied together, each copy with a key of its own, up to --spread later).`,
 		Example: `  tinsail lab scale calm.parquet --times 2.5 --out busy.parquet`,
 		RunE: func(c *cobra.Command, args []string) error {
-			a, meta, err := readRecording(args[0])
-			if err != nil {
-				return err
-			}
-			if a, err = recording.Stretch(a, stretch); err != nil {
-				return faulty{err}
-			}
-			if a, err = recording.Multiply(a, times, spread, seed); err != nil {
-				return faulty{err}
-			}
-			meta["tinsail.scaled"] = strings.TrimSpace(fmt.Sprintf("%s stretch %v times %v", meta["tinsail.scaled"], stretch, times))
-			if err := writeRecording(out, a, meta); err != nil {
-				return err
-			}
-			fmt.Fprintf(c.OutOrStdout(), "%d arrivals to %s\n", len(a), out)
-			return nil
+			return rewrite(c, args[0], out, func(a []recording.Arrival, meta map[string]string) ([]recording.Arrival, error) {
+				a, err := recording.Stretch(a, stretch)
+				if err != nil {
+					return nil, err
+				}
+				meta["tinsail.scaled"] = strings.TrimSpace(fmt.Sprintf("%s stretch %v times %v", meta["tinsail.scaled"], stretch, times))
+				return recording.Multiply(a, times, spread, seed)
+			})
 		},
 	}
 	c.Flags().StringVarP(&out, "out", "o", "", "file to write")
@@ -175,18 +184,9 @@
 		Use: "cut RECORDING.parquet", Short: "Keep a stretch of a recording, moved to start at 0", Args: cobra.ExactArgs(1),
 		Example: `  tinsail lab cut day.parquet --from 10m --to 15m --out evening.parquet`,
 		RunE: func(c *cobra.Command, args []string) error {
-			a, meta, err := readRecording(args[0])
-			if err != nil {
-				return err
-			}
-			if a, err = recording.Cut(a, from, to); err != nil {
-				return faulty{err}
-			}
-			if err := writeRecording(out, a, meta); err != nil {
-				return err
-			}
-			fmt.Fprintf(c.OutOrStdout(), "%d arrivals to %s\n", len(a), out)
-			return nil
+			return rewrite(c, args[0], out, func(a []recording.Arrival, _ map[string]string) ([]recording.Arrival, error) {
+				return recording.Cut(a, from, to)
+			})
 		},
 	}
 	c.Flags().StringVarP(&out, "out", "o", "", "file to write")
@@ -194,13 +194,3 @@
 	c.Flags().DurationVar(&to, "to", 0, "end of what is kept, 0 for the end")
 	return c
 }
-
-func mapsKeys[V any](m map[string]V) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
