--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -208,8 +208,9 @@
 	Succeed(now balance.Millis)
 }
 
-// Retire tells the module that another process of this dispatcher spends the budget of cold backends from now on, or
-// no longer; Succeed that this one does, after another.
+// Retire tells the module that another process of this dispatcher serves beside this one from now on, so that each
+// spends a part of the budget of cold backends (on), or that this one is alone again (off); Succeed tells a process
+// that takes over that the one before it still serves. balance.Dispatcher.Retire says what the parts are.
 func (c *Core) Retire(on bool) {
 	c.post(func() {
 		if h, ok := c.mod.(heir); ok {
