--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # A fresh machine needs Go 1.26 and make; modules come by go.mod and go.sum.
 
 build:
-	mkdir -p bin && go build -buildvcs=false -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 demo: build
 	bin/tinsail demo
