--- a/cmd/tinsail/commands.go
+++ b/cmd/tinsail/commands.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -49,7 +50,10 @@
 }
 
 // options are the flags that commands share.
-type options struct{ settings, level, format string }
+type options struct {
+	settings, level, format string
+	every                   time.Duration // serve logs the counters this often; 0: only on SIGUSR1 and at the end
+}
 
 func (o *options) add(c *cobra.Command, withLog bool) {
 	c.Flags().StringVar(&o.settings, "settings", "", "the settings script (Starlark); none: all that it could set is off")
@@ -82,6 +86,7 @@
 		RunE: func(c *cobra.Command, _ []string) error { return serve(o, c.ErrOrStderr()) },
 	}
 	o.add(c, true)
+	c.Flags().DurationVar(&o.every, "counters-every", 0, "log the counters this often (e.g. 1s), to follow a day in the logs; 0: only on SIGUSR1 and at the end")
 	return c
 }
 
--- a/cmd/tinsail/main_test.go
+++ b/cmd/tinsail/main_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -26,7 +28,7 @@
 			reload: func() { done <- "reloaded" },
 			stats:  func() { done <- "counted" },
 			drain:  func() { close(draining) },
-		}, drained)
+		}, 0, drained)
 		close(over)
 	}()
 	expect := func(s syscall.Signal, want string) {
@@ -45,6 +47,23 @@
 	<-over
 }
 
+// TestCountersEvery: with --counters-every the counters are logged once each period and not
+// more, in fake time; without it, only when asked.
+func TestCountersEvery(t *testing.T) {
+	for every, want := range map[time.Duration]int{0: 0, time.Second: 3, 400 * time.Millisecond: 8} {
+		synctest.Test(t, func(t *testing.T) {
+			h := heard{make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)}
+			ended, told := make(chan struct{}), 0
+			go func() {
+				time.Sleep(3500 * time.Millisecond) // fake time: a bubble's clock, not a wait of the test
+				close(ended)
+			}()
+			h.mind(minded{reload: func() {}, stats: func() { told++ }, drain: func() {}}, every, ended)
+			assert.Equal(t, want, told, "every %v", every)
+		})
+	}
+}
+
 // TestReload: a good file moves the director's watch, a bad one changes nothing.
 func TestReload(t *testing.T) {
 	const good = `{"listen":"127.0.0.1:8081","discovery":"127.0.0.2:8500","seed":"1","settings":{
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -63,7 +63,7 @@
 		reload: func() { cfg, set = d.reload(cfg, set, o.settings) },
 		stats:  d.tell,
 		drain:  d.drain,
-	}, d.service.Ended())
+	}, o.every, d.service.Ended())
 	d.end()
 	d.tell()
 	log.Info().Msg("ended on a signal")
--- a/cmd/tinsail/signals.go
+++ b/cmd/tinsail/signals.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // heard are the signals that have come. Each kind has a channel of its own: a channel that is
@@ -24,10 +25,21 @@
 // mind does what signals ask for until ended is closed. It goes on listening during a shutdown:
 // a signal that comes then must not end the program early, and the director may move while reqs
 // are still to be sent.
-func (h heard) mind(m minded, ended <-chan struct{}) {
+//
+// every > 0 also has the counters logged that often, so that a day can be followed across many
+// dispatchers in their logs; the ticker is a wait, it keeps no thread busy.
+func (h heard) mind(m minded, every time.Duration, ended <-chan struct{}) {
 	draining := false
+	var tick <-chan time.Time
+	if every > 0 {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		tick = t.C
+	}
 	for {
 		select {
+		case <-tick:
+			m.stats()
 		case <-h.reload:
 			m.reload()
 		case <-h.stats:
