--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 .PHONY: build demo test lint run measure measure-members measure-door measure-lab
 
-# A fresh machine needs Go 1.26 and make; modules come by go.mod and go.sum.
+# A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -o bin/ ./cmd/...
