Budgets: shares without talk and leases from one keeper, as decisions alone

- Split and Estimate: total / N-hat rounded down, N-hat the largest of what a dispatcher is told and sees.
- Plan: total, most dispatchers, the part held as reserves without talk, lease length, drift bound; Check names the faulty field.
- Keeper: lends the pool; a newcomer gets only free or ended units; a peer counts as holding the most of its grants not yet ended, so that lowering a share frees the difference only when the old lease ends; a restarted keeper lends nothing for L(1+rho)/(1-rho).
Memory: at most Most peers of 8 grants each.
- Holder: uses a grant for L(1-rho)/(1+rho) from when it sent the ask, by its own clock; answers to an earlier life (epoch), to forgotten or older asks are ignored; renews every third of that.

It found one fault while written: a holder whose clock reads below zero never asked (fixed: the first ask goes at once).

--- /dev/null
+++ b/internal/budget/holder.go
@@ -0,0 +1,80 @@
+package budget
+
+import "time"
+
+// asked is one ask on its way: its number and when it was sent, by the holder's clock.
+type asked struct {
+	seq uint64
+	at  Time
+}
+
+// inFlight is how many asks a holder remembers: the answer to an older one is not believed.
+const inFlight = 4
+
+// Holder is one dispatcher's share of a budget: its reserve, and what the keeper lent it while
+// that lease is surely valid by its own clock (Plan.Usable from the ask, which ends before the
+// keeper's lease in real time within the plan's drift). It falls back to its reserve alone when
+// renewals fail, before the keeper lends the units to another.
+type Holder struct {
+	plan    Plan
+	name    string
+	epoch   uint64
+	seq     uint64
+	sent    [inFlight]asked
+	applied uint64 // the seq of the grant in force; older answers are not believed
+	units   int
+	until   Time
+	next    Time // when to ask again
+	want    int
+}
+
+// NewHolder starts a holder. epoch must differ from that of every earlier life of this
+// dispatcher (a random number from its seed will do): answers meant for one are ignored.
+func NewHolder(p Plan, name string, epoch uint64) (*Holder, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	return &Holder{plan: p, name: name, epoch: epoch, want: p.Pool()}, nil
+}
+
+// Want sets how many units of the pool to ask for from the next ask on; it starts at the whole
+// pool, of which the keeper gives the fair part.
+func (h *Holder) Want(units int) { h.want = max(units, 0) }
+
+// Due says whether an ask is to be sent at now, and makes it. The caller sends it to the keeper.
+// After a failure the caller may call Due again at once: it asks at most once a renewal period.
+func (h *Holder) Due(now Time) (Ask, bool) {
+	if h.seq > 0 && now < h.next { // the first ask goes at once: a clock's origin may lie ahead
+		return Ask{}, false
+	}
+	h.seq++
+	h.sent[h.seq%inFlight] = asked{h.seq, now}
+	h.next = now.Add(h.plan.Renew())
+	return Ask{Peer: h.name, Epoch: h.epoch, Seq: h.seq, Want: h.want}, true
+}
+
+// Granted takes the keeper's answer at now. An answer to another life, to an ask no longer
+// remembered, or older than the grant in force changes nothing.
+func (h *Holder) Granted(now Time, g Grant) {
+	a := h.sent[g.Seq%inFlight]
+	if g.Epoch != h.epoch || g.Peer != h.name || a.seq != g.Seq || g.Seq <= h.applied {
+		return
+	}
+	h.applied, h.units, h.until = g.Seq, g.Units, a.at.Add(h.plan.Usable())
+}
+
+// Share is what this dispatcher may spend at now: its reserve, and its lease while it is valid.
+func (h *Holder) Share(now Time) int {
+	if now < h.until {
+		return h.plan.Reserve() + h.units
+	}
+	return h.plan.Reserve()
+}
+
+// Lent is the units of the lease in force at now, and how long it stays valid.
+func (h *Holder) Lent(now Time) (int, time.Duration) {
+	if now < h.until {
+		return h.units, time.Duration(h.until - now)
+	}
+	return 0, 0
+}
--- /dev/null
+++ b/internal/budget/keeper.go
@@ -0,0 +1,129 @@
+package budget
+
+// Ask is a holder's request for a share of the pool, and its renewal.
+type Ask struct {
+	Peer  string // the dispatcher's name, the same after a restart
+	Epoch uint64 // new with each start of the holder, so that answers to an earlier life are not believed
+	Seq   uint64 // of this ask in its epoch, rising
+	Want  int    // units it would use; the keeper gives no more
+}
+
+// Grant is the keeper's answer to one ask: Units of the pool until the lease ends. It repeats the
+// ask's Epoch and Seq, by which the holder knows when it sent the ask.
+type Grant struct {
+	Peer       string
+	Epoch, Seq uint64
+	Units      int
+}
+
+// lentAt is one grant as the keeper counts it: units until a time of its own clock.
+type lentAt struct {
+	units int
+	until Time
+}
+
+// mostGrants bounds what is kept of one peer's grants that have not ended. A peer that asks for
+// ever less faster than its leases end gets the last amount again rather than a further entry.
+const mostGrants = 8
+
+// Keeper lends the pool of one budget under leases. It is the only authority of the pool, named
+// by the settings, never elected: two keepers would lend the same units. Memory is bounded by
+// Plan.Most peers of mostGrants grants each; asks from further peers are given nothing.
+type Keeper struct {
+	plan  Plan
+	quiet Time                // lends nothing before this: its earlier life's leases may stand
+	peers map[string][]lentAt // grants not yet ended, units falling as their ends rise
+}
+
+// NewKeeper starts a keeper at now of its own clock. It lends nothing for Plan.Quiet.
+func NewKeeper(p Plan, now Time) (*Keeper, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	return &Keeper{plan: p, quiet: now.Add(p.Quiet()), peers: map[string][]lentAt{}}, nil
+}
+
+// held is what a peer may be using: the most of its grants that have not ended.
+func held(grants []lentAt, now Time) int {
+	most := 0
+	for _, g := range grants {
+		if g.until > now {
+			most = max(most, g.units)
+		}
+	}
+	return most
+}
+
+// prune forgets grants that have ended, and peers with none left.
+func (k *Keeper) prune(now Time) {
+	for peer, grants := range k.peers {
+		kept := grants[:0]
+		for _, g := range grants {
+			if g.until > now {
+				kept = append(kept, g)
+			}
+		}
+		if len(kept) == 0 {
+			delete(k.peers, peer)
+		} else {
+			k.peers[peer] = kept
+		}
+	}
+}
+
+// Take answers an ask at now of the keeper's clock. The asker gets at most its fair part of the
+// pool among the peers that hold a lease, and no more than is free beside what the others hold:
+// a newcomer takes only from free or ended shares. What a peer held before stays counted until
+// that lease ends, since it may still be used on the strength of an answer on its way.
+func (k *Keeper) Take(now Time, a Ask) Grant {
+	g := Grant{Peer: a.Peer, Epoch: a.Epoch, Seq: a.Seq}
+	k.prune(now)
+	mine, known := k.peers[a.Peer]
+	if now < k.quiet || !known && len(k.peers) >= k.plan.Most || a.Want <= 0 {
+		return g
+	}
+	others := 0
+	for peer, grants := range k.peers {
+		if peer != a.Peer {
+			others += held(grants, now)
+		}
+	}
+	n := len(k.peers)
+	if !known {
+		n++
+	}
+	units := min(a.Want, k.plan.Pool()/n, k.plan.Pool()-others)
+	if len(mine) >= mostGrants && units < mine[len(mine)-1].units {
+		units = mine[len(mine)-1].units // no further entry: the last amount again
+	}
+	units = max(units, 0)
+	kept := mine[:0]
+	for _, old := range mine { // a longer grant of as many units covers an earlier one
+		if old.units > units {
+			kept = append(kept, old)
+		}
+	}
+	k.peers[a.Peer] = append(kept, lentAt{units, now.Add(k.plan.Lease)})
+	g.Units = units
+	return g
+}
+
+// Lent is what all peers may be using at now: never more than the pool.
+func (k *Keeper) Lent(now Time) int {
+	sum := 0
+	for _, grants := range k.peers {
+		sum += held(grants, now)
+	}
+	return sum
+}
+
+// Holders is how many peers hold a lease, of any units, that has not ended at now.
+func (k *Keeper) Holders(now Time) int {
+	n := 0
+	for _, grants := range k.peers {
+		if len(grants) > 0 && grants[len(grants)-1].until > now {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/budget/lease_test.go
@@ -0,0 +1,293 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// world is one keeper and some holders on a network that drops, delays and cuts off, each
+// process with a clock of its own that runs at a rate within the plan's drift. Real time is the
+// world's alone; the keeper and holders see only their own clocks.
+type world struct {
+	plan    Plan
+	real    int64 // nanoseconds
+	keeper  *Keeper
+	kclock  clock
+	holders []*member
+	wire    []message
+	delay   int64 // most delay of a message, ns
+	epochs  uint64
+}
+
+type clock struct {
+	rate   float64
+	offset int64
+}
+
+func (c clock) at(real int64) Time { return Time(c.offset + int64(float64(real)*c.rate)) }
+
+type member struct {
+	name  string
+	h     *Holder
+	clock clock
+	gone  bool // left for good: asks no more and spends nothing
+	cut   bool // no message passes between it and the keeper
+}
+
+type message struct {
+	at    int64 // real time of arrival
+	to    int   // -1: the keeper; else a holder
+	ask   Ask
+	grant Grant
+}
+
+func (w *world) newHolder(t *rapid.T, i int) *Holder {
+	w.epochs++
+	h, err := NewHolder(w.plan, w.holders[i].name, w.epochs)
+	require.NoError(t, err)
+	return h
+}
+
+// spent is what all holders that are there may spend at this moment of real time.
+func (w *world) spent() int {
+	sum := 0
+	for _, m := range w.holders {
+		if !m.gone {
+			sum += m.h.Share(m.clock.at(w.real))
+		}
+	}
+	return sum
+}
+
+func (w *world) send(t *rapid.T, to int, from int, ask Ask, grant Grant, lossy bool) {
+	if w.holders[from].cut || lossy && rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+		return
+	}
+	delay := rapid.Int64Range(0, w.delay).Draw(t, "delay")
+	w.wire = append(w.wire, message{at: w.real + delay, to: to, ask: ask, grant: grant})
+}
+
+// step moves real time on by dt and does all that falls due: asks, their arrival, answers.
+func (w *world) step(t *rapid.T, dt int64, lossy bool) {
+	w.real += dt
+	for i, m := range w.holders {
+		if m.gone {
+			continue
+		}
+		if a, ok := m.h.Due(m.clock.at(w.real)); ok {
+			w.send(t, -1, i, a, Grant{}, lossy)
+		}
+	}
+	kept := w.wire[:0]
+	var due []message
+	for _, msg := range w.wire {
+		if msg.at <= w.real {
+			due = append(due, msg)
+		} else {
+			kept = append(kept, msg)
+		}
+	}
+	w.wire = kept
+	for _, msg := range due {
+		if msg.to < 0 {
+			from := w.index(msg.ask.Peer)
+			g := w.keeper.Take(w.kclock.at(w.real), msg.ask)
+			w.send(t, from, from, Ask{}, g, lossy)
+		} else if m := w.holders[msg.to]; !m.gone && !m.cut {
+			m.h.Granted(m.clock.at(w.real), msg.grant)
+		}
+	}
+}
+
+func (w *world) index(name string) int {
+	for i, m := range w.holders {
+		if m.name == name {
+			return i
+		}
+	}
+	panic("no holder " + name)
+}
+
+func drawPlan(t *rapid.T) Plan {
+	return Plan{Name: "connections", Total: rapid.IntRange(0, 600).Draw(t, "total"),
+		Most: rapid.IntRange(1, 12).Draw(t, "most"), Part: rapid.Float64Range(0, 1).Draw(t, "part"),
+		Lease: time.Duration(rapid.IntRange(300, 3000).Draw(t, "lease_ms")) * time.Millisecond,
+		Drift: rapid.Float64Range(0, MostDrift).Draw(t, "drift")}
+}
+
+// drawClock draws a clock, as often as not at an edge of the drift: the keeper fast and a holder
+// slow is where a lease's end is closest to being crossed.
+func drawClock(t *rapid.T, p Plan, label string) clock {
+	rate := rapid.SampledFrom([]float64{1 - p.Drift, 1 + p.Drift, 0}).Draw(t, label+"_edge")
+	if rate == 0 {
+		rate = rapid.Float64Range(1-p.Drift, 1+p.Drift).Draw(t, label+"_rate")
+	}
+	return clock{rate: rate, offset: rapid.Int64Range(-1e12, 1e12).Draw(t, label+"_offset")}
+}
+
+// TestSharesNeverExceedTheWhole: over random joins, leaves, crashes of holders and of the keeper,
+// cut links, lost and late messages and drifting clocks, what the holders may spend together never
+// exceeds the total, at any moment of real time. Once the faults end, every holder that is there
+// holds its reserve and at least its fair part of the pool less one unit within 4 leases and the
+// keeper's quiet time.
+func TestSharesNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPlan(t)
+		n := rapid.IntRange(1, p.Most).Draw(t, "holders")
+		w := &world{plan: p, kclock: drawClock(t, p, "keeper"),
+			delay: int64(rapid.IntRange(0, 2*int(p.Lease.Milliseconds())).Draw(t, "delay_ms")) * 1e6}
+		var err error
+		w.keeper, err = NewKeeper(p, w.kclock.at(0))
+		require.NoError(t, err)
+		for i := range n {
+			w.holders = append(w.holders, &member{name: fmt.Sprintf("n%d", i), clock: drawClock(t, p, fmt.Sprintf("h%d", i))})
+			w.holders[i].h = w.newHolder(t, i)
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "who")
+			m := w.holders[i]
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0: // crashes and starts again from nothing, under its name
+				m.h = w.newHolder(t, i)
+			case 1:
+				m.cut = !m.cut
+			case 2: // leaves, or comes back as a new life
+				if m.gone = !m.gone; !m.gone {
+					m.h = w.newHolder(t, i)
+				}
+			case 3: // the keeper crashes and starts again, knowing nothing
+				w.keeper, err = NewKeeper(p, w.kclock.at(w.real))
+				require.NoError(t, err)
+			default:
+				w.step(t, int64(rapid.IntRange(1, 1000).Draw(t, "dt_ms"))*1e6, true)
+			}
+			require.LessOrEqual(t, w.keeper.Lent(w.kclock.at(w.real)), p.Pool(), "lent by the keeper")
+			require.LessOrEqual(t, w.spent(), p.Total, "spent at %d ns", w.real)
+		}
+
+		// The faults end: links mend, messages are quick and none is lost.
+		w.delay = int64(5 * time.Millisecond)
+		there := 0
+		for _, m := range w.holders {
+			m.cut = false
+			if !m.gone {
+				there++
+			}
+		}
+		settle := int64(4*p.Lease+p.Quiet()) * 2 // real time, with the slowest clock's margin
+		for end := w.real + settle; w.real < end; {
+			w.step(t, int64(10*time.Millisecond), false)
+			require.LessOrEqual(t, w.spent(), p.Total, "spent at %d ns, after the faults", w.real)
+		}
+		if there == 0 {
+			return
+		}
+		fair := p.Pool() / there
+		for _, m := range w.holders {
+			if !m.gone {
+				assert.GreaterOrEqual(t, m.h.Share(m.clock.at(w.real)), p.Reserve()+fair-1, "%s after the faults", m.name)
+			}
+		}
+	})
+}
+
+// TestCrashedHolderShareComesBackAfterItsLease: a holder that dies holding a share keeps it, in
+// the keeper's count, until its lease ends; a newcomer gets only what is free until then.
+func TestCrashedHolderShareComesBackAfterItsLease(t *testing.T) {
+	p := Plan{Name: "probes", Total: 100, Most: 4, Part: 0.2, Lease: time.Second}
+	k, err := NewKeeper(p, 0)
+	require.NoError(t, err)
+	start := Time(p.Quiet())
+	g := k.Take(start, Ask{Peer: "a", Seq: 1, Want: 80})
+	require.Equal(t, 80, g.Units, "alone, all of the pool")
+	// a dies here; b comes
+	g = k.Take(start.Add(p.Lease/2), Ask{Peer: "b", Seq: 1, Want: 80})
+	assert.Equal(t, 0, g.Units, "a's lease stands: nothing is free")
+	g = k.Take(start.Add(p.Lease), Ask{Peer: "b", Seq: 2, Want: 80})
+	assert.Equal(t, 80, g.Units, "a's lease has ended")
+}
+
+// TestPartitionFallsBackToTheReserve: a holder that is cut off spends its reserve alone once what
+// it may use of its lease is over, and that is before the keeper lends the units again, in real
+// time, with its clock as slow and the keeper's as fast as the drift allows.
+func TestPartitionFallsBackToTheReserve(t *testing.T) {
+	p := Plan{Name: "retries", Total: 1000, Most: 10, Part: 0.1, Lease: 2 * time.Second, Drift: 0.05}
+	slow, fast := clock{rate: 1 - p.Drift}, clock{rate: 1 + p.Drift}
+	k, err := NewKeeper(p, fast.at(0))
+	require.NoError(t, err)
+	h, err := NewHolder(p, "a", 1)
+	require.NoError(t, err)
+	real := int64(p.Quiet()) // the keeper's quiet time has passed on the fast clock, and more
+	a, ok := h.Due(slow.at(real))
+	require.True(t, ok)
+	lentAt := real + int64(100*time.Millisecond) // the ask arrives late
+	g := k.Take(fast.at(lentAt), a)
+	require.Equal(t, p.Pool(), g.Units)
+	h.Granted(slow.at(lentAt), g)
+	freedAt := lentAt
+	for k.Lent(fast.at(freedAt)) > 0 { // when the keeper could lend the units to another
+		freedAt += int64(time.Millisecond)
+	}
+	assert.Equal(t, p.Reserve(), h.Share(slow.at(freedAt)), "cut off: the reserve alone when the keeper lends again")
+	assert.Equal(t, p.Reserve()+p.Pool(), h.Share(slow.at(freedAt-int64(p.Lease)/2)), "the lease in force before")
+}
+
+// TestAnswersOfAnEarlierLifeAreIgnored: a holder that started again is not given, by an answer
+// meant for its earlier life, a lease the keeper counts from an earlier time.
+func TestAnswersOfAnEarlierLifeAreIgnored(t *testing.T) {
+	p := Plan{Name: "connections", Total: 100, Most: 2, Lease: time.Second}
+	old, err := NewHolder(p, "a", 1)
+	require.NoError(t, err)
+	a, _ := old.Due(0)
+	again, err := NewHolder(p, "a", 2)
+	require.NoError(t, err)
+	again.Due(Time(time.Second))
+	again.Granted(Time(time.Second), Grant{Peer: "a", Epoch: a.Epoch, Seq: a.Seq, Units: 100})
+	assert.Equal(t, 0, again.Share(Time(time.Second)))
+}
+
+// TestLoweringWaitsForTheOldLease: a renewal that gives less leaves the difference counted until
+// the grant before it ends, for the holder may still be using that one.
+func TestLoweringWaitsForTheOldLease(t *testing.T) {
+	p := Plan{Name: "connections", Total: 90, Most: 3, Lease: time.Second}
+	k, err := NewKeeper(p, 0)
+	require.NoError(t, err)
+	at := Time(p.Quiet())
+	require.Equal(t, 90, k.Take(at, Ask{Peer: "a", Seq: 1, Want: 90}).Units)
+	require.Equal(t, 0, k.Take(at, Ask{Peer: "b", Seq: 1, Want: 90}).Units, "nothing free")
+	require.Equal(t, 45, k.Take(at.Add(p.Lease/4), Ask{Peer: "a", Seq: 2, Want: 90}).Units, "a comes down to its part")
+	assert.Equal(t, 0, k.Take(at.Add(p.Lease/2), Ask{Peer: "b", Seq: 2, Want: 90}).Units, "a's first grant stands")
+	assert.Equal(t, 45, k.Take(at.Add(p.Lease), Ask{Peer: "b", Seq: 3, Want: 90}).Units, "and has ended")
+	assert.Equal(t, 90, k.Lent(at.Add(p.Lease)))
+}
+
+func TestSplit(t *testing.T) {
+	assert.Equal(t, 2, Split(600, 300, 0))
+	assert.Equal(t, 0, Split(100, 300, 0), "rounded down")
+	assert.Equal(t, 1, Split(100, 300, 1), "the floor")
+	assert.Equal(t, 600, Split(600, 0, 0), "a fleet below 1 counts as 1")
+	assert.Equal(t, 0, Split(-5, 3, 0))
+	assert.Equal(t, 300, Estimate(300, 12, 40))
+	assert.Equal(t, 41, Estimate(0, 12, 41))
+	assert.Equal(t, 1, Estimate(0))
+}
+
+func TestPlanCheckNamesTheField(t *testing.T) {
+	good := Plan{Name: "x", Total: 10, Most: 2, Part: 0.5, Lease: time.Second, Drift: 0.01}
+	require.NoError(t, good.Check())
+	for field, spoil := range map[string]func(*Plan){
+		"total": func(p *Plan) { p.Total = -1 }, "most": func(p *Plan) { p.Most = 0 },
+		"part": func(p *Plan) { p.Part = 1.5 }, "lease": func(p *Plan) { p.Lease = 0 },
+		"drift": func(p *Plan) { p.Drift = 0.2 },
+	} {
+		p := good
+		spoil(&p)
+		assert.ErrorContains(t, p.Check(), field)
+	}
+	assert.Equal(t, good.Total, good.Most*good.Reserve()+good.Pool(), "reserves and pool make the whole")
+}
