Fault rig: TCP and UDP relays on loopback that refuse, swallow, delay and reset

It counts what it passed and swallowed, and Ended(n) waits for connections to end, so that tests need no sleep. Only tests import it.

--- /dev/null
+++ b/internal/faultnet/relay_test.go
@@ -0,0 +1,124 @@
+package faultnet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// echo is a target that sends back what it gets and counts its connections.
+func echo(t *testing.T) (string, <-chan struct{}) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	came := make(chan struct{}, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			came <- struct{}{}
+			go func() { io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return l.Addr().String(), came
+}
+
+func relay(t *testing.T, target string) *TCP {
+	r, err := ListenTCP(target)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func TestPassAndDelayKeepTheBytes(t *testing.T) {
+	target, _ := echo(t)
+	r := relay(t, target)
+	for _, rule := range []Rule{Pass, {Delay: time.Millisecond}} {
+		r.Set(rule)
+		c, err := net.Dial("tcp", r.Addr())
+		require.NoError(t, err)
+		_, err = c.Write([]byte("hello, backend"))
+		require.NoError(t, err)
+		c.(*net.TCPConn).CloseWrite()
+		got, err := io.ReadAll(c)
+		require.NoError(t, err)
+		assert.Equal(t, "hello, backend", string(got), "%+v", rule)
+		c.Close()
+	}
+	assert.Equal(t, int64(4*14), r.Ended(2).Passed, "both ways, twice")
+}
+
+func TestRefuseResetsNewConnections(t *testing.T) {
+	target, came := echo(t)
+	r := relay(t, target)
+	r.Set(Rule{Refuse: true})
+	c, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	assert.True(t, errors.Is(err, syscall.ECONNRESET), "read: %v", err)
+	assert.Equal(t, 1, r.Counts().Refused)
+	assert.Empty(t, came, "nothing reached the target")
+}
+
+func TestResetCutsOpenConnections(t *testing.T) {
+	target, _ := echo(t)
+	r := relay(t, target)
+	c, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	_, err = c.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, 1))
+	require.NoError(t, err, "up and passing")
+	r.Reset()
+	_, err = c.Read(make([]byte, 1))
+	assert.True(t, errors.Is(err, syscall.ECONNRESET), "read: %v", err)
+}
+
+func TestBlackholeSwallowsInSilence(t *testing.T) {
+	target, came := echo(t)
+	r := relay(t, target)
+	r.Set(Rule{Blackhole: true})
+	c, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	_, err = c.Write([]byte("anyone?"))
+	require.NoError(t, err)
+	c.(*net.TCPConn).CloseWrite()
+	n := r.Ended(1)
+	assert.Equal(t, int64(7), n.Swallowed)
+	assert.Equal(t, int64(0), n.Passed)
+	assert.Empty(t, came, "the target was never dialled")
+	c.Close()
+}
+
+func TestUDPDropsOneInSo(t *testing.T) {
+	sink, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer sink.Close()
+	r, err := ListenUDP(sink.LocalAddr().String())
+	require.NoError(t, err)
+	defer r.Close()
+	r.Set(Rule{DropEvery: 3})
+	c, err := net.Dial("udp", r.Addr())
+	require.NoError(t, err)
+	for i := range 9 {
+		_, err = c.Write([]byte{byte(i)})
+		require.NoError(t, err)
+	}
+	var got []byte
+	buf := make([]byte, 16)
+	for len(got) < 6 {
+		n, _, err := sink.ReadFromUDP(buf)
+		require.NoError(t, err)
+		got = append(got, buf[:n]...)
+	}
+	assert.Equal(t, []byte{0, 1, 3, 4, 6, 7}, got, "the third, sixth and ninth are dropped")
+	assert.Equal(t, Counts{Passed: 6, Swallowed: 3}, r.Counts())
+}
