Budgets: the asks and grants as lines of text, one a datagram, read with named faults

Each limit is a named constant (256 bytes a datagram, 64 a name, a million units); every fault names its field and wraps ErrMessage.

--- /dev/null
+++ b/internal/budget/wire/wire.go
@@ -0,0 +1,101 @@
+// Package wire is the bytes of the budgets' messages between dispatchers: one ask or grant a
+// UDP datagram, a line of text so that a capture can be read by eye.
+//
+//	TSB1 ask connections n17 9034128871 42 600
+//	TSB1 grant connections n17 9034128871 42 25
+//
+// The fields are: the version, the kind, the budget's name, the asking peer's name, its epoch, the
+// ask's number, and the units wanted or granted. It knows no socket and no clock.
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"tinsail/internal/budget"
+)
+
+// Limits of a message, each against a peer that sends too much.
+const (
+	MaxMessage = 256       // bytes of a datagram; more is not read
+	MaxName    = 64        // bytes of a budget's or peer's name
+	MaxUnits   = 1_000_000 // units wanted or granted: no budget is larger
+	version    = "TSB1"
+)
+
+// Message is one decoded datagram: an ask or a grant, for one budget.
+type Message struct {
+	Budget string
+	Ask    *budget.Ask   // nil unless it is an ask
+	Grant  *budget.Grant // nil unless it is a grant
+}
+
+// ErrMessage is wrapped by every fault of a datagram.
+var ErrMessage = errors.New("bad budget message")
+
+// AppendAsk appends an ask for a budget to b.
+func AppendAsk(b []byte, name string, a budget.Ask) []byte {
+	return fmt.Appendf(b, "%s ask %s %s %d %d %d\n", version, name, a.Peer, a.Epoch, a.Seq, a.Want)
+}
+
+// AppendGrant appends a grant for a budget to b.
+func AppendGrant(b []byte, name string, g budget.Grant) []byte {
+	return fmt.Appendf(b, "%s grant %s %s %d %d %d\n", version, name, g.Peer, g.Epoch, g.Seq, g.Units)
+}
+
+// Read decodes one datagram. Its error names the field at fault and wraps ErrMessage.
+func Read(p []byte) (Message, error) {
+	if len(p) > MaxMessage {
+		return Message{}, fmt.Errorf("%w: %d bytes, at most %d", ErrMessage, len(p), MaxMessage)
+	}
+	f := bytes.Fields(p)
+	if len(f) != 7 {
+		return Message{}, fmt.Errorf("%w: %d fields, want 7", ErrMessage, len(f))
+	}
+	if string(f[0]) != version {
+		return Message{}, fmt.Errorf("%w: version %q, want %s", ErrMessage, f[0], version)
+	}
+	var m Message
+	var err error
+	if m.Budget, err = name("budget", f[2]); err != nil {
+		return Message{}, err
+	}
+	peer, err := name("peer", f[3])
+	if err != nil {
+		return Message{}, err
+	}
+	epoch, err1 := strconv.ParseUint(string(f[4]), 10, 64)
+	seq, err2 := strconv.ParseUint(string(f[5]), 10, 64)
+	units, err3 := strconv.Atoi(string(f[6]))
+	switch {
+	case err1 != nil:
+		return Message{}, fmt.Errorf("%w: epoch %q", ErrMessage, f[4])
+	case err2 != nil:
+		return Message{}, fmt.Errorf("%w: seq %q", ErrMessage, f[5])
+	case err3 != nil || units < 0 || units > MaxUnits:
+		return Message{}, fmt.Errorf("%w: units %q, want 0 to %d", ErrMessage, f[6], MaxUnits)
+	}
+	switch string(f[1]) {
+	case "ask":
+		m.Ask = &budget.Ask{Peer: peer, Epoch: epoch, Seq: seq, Want: units}
+	case "grant":
+		m.Grant = &budget.Grant{Peer: peer, Epoch: epoch, Seq: seq, Units: units}
+	default:
+		return Message{}, fmt.Errorf("%w: kind %q, want ask or grant", ErrMessage, f[1])
+	}
+	return m, nil
+}
+
+func name(field string, b []byte) (string, error) {
+	if len(b) == 0 || len(b) > MaxName {
+		return "", fmt.Errorf("%w: %s of %d bytes, want 1 to %d", ErrMessage, field, len(b), MaxName)
+	}
+	for _, c := range b {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.') {
+			return "", fmt.Errorf("%w: %s %q has a byte %q", ErrMessage, field, b, c)
+		}
+	}
+	return string(b), nil
+}
