Budgets over UDP: a keeper's socket and holders that ask, hear and fall back

Both read a monotonic clock of their own and hand its readings to package budget; bad datagrams are counted and dropped. Nothing wires it into serve yet: it stays off.

TestSharesOverUDPUnderFaults: a keeper and eight holders, each behind a faultnet UDP relay. All settle at their fair part (reserve 16 + pool 640/8); n0 cut off falls to its reserve and the others take its part only after its lease; with one datagram in three lost all keep their parts; a keeper that dies and starts again on the same port lends nothing for its quiet time, all fall to 8 x 16 and come back.

--- /dev/null
+++ b/internal/network/budgets/budgets.go
@@ -0,0 +1,162 @@
+// Package budgets carries the asks and grants of fleet-wide budgets between dispatchers over
+// UDP (docs/design/budget.md). It is a thin driver: package budget decides, package
+// budget/wire frames, and this package reads the clock and the socket. Off unless the settings
+// name a keeper; never on where the platform forbids talk between dispatchers.
+package budgets
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"tinsail/internal/budget"
+	"tinsail/internal/budget/wire"
+)
+
+// Clock is the process's own monotonic clock as package budget reads it.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock at 0.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the time since the clock's start (monotonic: a change of the wall clock does not move it).
+func (c Clock) Now() budget.Time { return budget.Time(time.Since(c.start)) }
+
+// Keeper answers asks for the pools of some budgets on one UDP socket.
+type Keeper struct {
+	conn  *net.UDPConn
+	clock Clock
+
+	mu      sync.Mutex
+	keepers map[string]*budget.Keeper
+	bad     int // datagrams that could not be read
+}
+
+// NewKeeper serves the plans on conn until it is closed. Each keeper lends nothing for its
+// plan's quiet time, since it cannot know what an earlier life of it lent.
+func NewKeeper(conn *net.UDPConn, plans ...budget.Plan) (*Keeper, error) {
+	k := &Keeper{conn: conn, clock: NewClock(), keepers: map[string]*budget.Keeper{}}
+	for _, p := range plans {
+		kp, err := budget.NewKeeper(p, k.clock.Now())
+		if err != nil {
+			return nil, err
+		}
+		k.keepers[p.Name] = kp
+	}
+	go k.serve()
+	return k, nil
+}
+
+func (k *Keeper) serve() {
+	buf := make([]byte, wire.MaxMessage+1)
+	var out []byte
+	for {
+		n, from, err := k.conn.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		m, err := wire.Read(buf[:n])
+		k.mu.Lock()
+		kp := k.keepers[m.Budget]
+		if err != nil || m.Ask == nil || kp == nil {
+			k.bad++
+			k.mu.Unlock()
+			continue
+		}
+		g := kp.Take(k.clock.Now(), *m.Ask)
+		k.mu.Unlock()
+		out = wire.AppendGrant(out[:0], m.Budget, g)
+		k.conn.WriteToUDP(out, from) // a lost answer is an ask that failed: the holder asks again
+	}
+}
+
+// Lent is what the keeper of a budget has lent that has not ended.
+func (k *Keeper) Lent(name string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if kp := k.keepers[name]; kp != nil {
+		return kp.Lent(k.clock.Now())
+	}
+	return 0
+}
+
+// Bad is how many datagrams could not be read or named no budget served here.
+func (k *Keeper) Bad() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.bad
+}
+
+// Holder holds one dispatcher's share of one budget, asking a keeper over conn (connected to it).
+type Holder struct {
+	conn  *net.UDPConn
+	name  string
+	clock Clock
+	plan  budget.Plan
+
+	mu sync.Mutex
+	h  *budget.Holder
+}
+
+// NewHolder asks for its share until Close. epoch must be new with each start of the process.
+func NewHolder(conn *net.UDPConn, p budget.Plan, peer string, epoch uint64) (*Holder, error) {
+	h, err := budget.NewHolder(p, peer, epoch)
+	if err != nil {
+		return nil, err
+	}
+	d := &Holder{conn: conn, name: p.Name, clock: NewClock(), plan: p, h: h}
+	go d.ask()
+	go d.hear()
+	return d, nil
+}
+
+// Share is what this dispatcher may spend now, in units a second.
+func (d *Holder) Share() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.h.Share(d.clock.Now())
+}
+
+// Close stops asking; the share falls to the reserve when the lease ends.
+func (d *Holder) Close() { d.conn.Close() }
+
+func (d *Holder) ask() {
+	tick := time.NewTicker(d.plan.Renew() / 4)
+	defer tick.Stop()
+	var out []byte
+	for range tick.C {
+		d.mu.Lock()
+		a, due := d.h.Due(d.clock.Now())
+		d.mu.Unlock()
+		if !due {
+			continue
+		}
+		out = wire.AppendAsk(out[:0], d.name, a)
+		if _, err := d.conn.Write(out); err != nil && isClosed(err) {
+			return
+		}
+	}
+}
+
+func (d *Holder) hear() {
+	buf := make([]byte, wire.MaxMessage+1)
+	for {
+		n, err := d.conn.Read(buf)
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			continue // a refused datagram: the keeper is not there now
+		}
+		m, err := wire.Read(buf[:n])
+		if err != nil || m.Grant == nil || m.Budget != d.name {
+			continue
+		}
+		d.mu.Lock()
+		d.h.Granted(d.clock.Now(), *m.Grant)
+		d.mu.Unlock()
+	}
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/network/budgets/budgets_test.go
@@ -0,0 +1,139 @@
+package budgets
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/budget"
+	"tinsail/internal/faultnet"
+)
+
+// fleet is a keeper and holders on real UDP sockets, each holder behind a relay of its own, and a
+// watcher that adds up what the holders may spend, every millisecond.
+type fleet struct {
+	plan    budget.Plan
+	keeper  *Keeper
+	at      *net.UDPAddr
+	relays  []*faultnet.UDP
+	holders []*Holder
+	most    atomic.Int64 // the largest sum seen
+	stop    chan struct{}
+	halt    func() // stops the watcher and waits for it; again, it does nothing
+}
+
+func startKeeper(t *testing.T, p budget.Plan, at *net.UDPAddr) *Keeper {
+	conn, err := net.ListenUDP("udp", at)
+	require.NoError(t, err)
+	k, err := NewKeeper(conn, p)
+	require.NoError(t, err)
+	return k
+}
+
+func newFleet(t *testing.T, p budget.Plan, n int) *fleet {
+	f := &fleet{plan: p, stop: make(chan struct{})}
+	f.keeper = startKeeper(t, p, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	f.at = f.keeper.conn.LocalAddr().(*net.UDPAddr)
+	for i := range n {
+		r, err := faultnet.ListenUDP(f.at.String())
+		require.NoError(t, err)
+		t.Cleanup(r.Close)
+		to, err := net.ResolveUDPAddr("udp", r.Addr())
+		require.NoError(t, err)
+		conn, err := net.DialUDP("udp", nil, to)
+		require.NoError(t, err)
+		h, err := NewHolder(conn, p, fmt.Sprintf("n%d", i), uint64(i+1))
+		require.NoError(t, err)
+		t.Cleanup(h.Close)
+		f.relays, f.holders = append(f.relays, r), append(f.holders, h)
+	}
+	var done sync.WaitGroup
+	done.Add(1)
+	f.halt = sync.OnceFunc(func() { close(f.stop); done.Wait() })
+	go func() {
+		defer done.Done()
+		tick := time.NewTicker(time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-f.stop:
+				return
+			case <-tick.C:
+				if s := int64(f.sum()); s > f.most.Load() {
+					f.most.Store(s)
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() { f.halt(); f.keeper.conn.Close() })
+	return f
+}
+
+func (f *fleet) sum() int {
+	s := 0
+	for _, h := range f.holders {
+		s += h.Share()
+	}
+	return s
+}
+
+// settled waits until every holder but those skipped has its fair part of the pool among the
+// living, less one unit.
+func (f *fleet) settled(t *testing.T, what string, living int, skip ...int) {
+	want := f.plan.Reserve() + f.plan.Pool()/living - 1
+	require.Eventually(t, func() bool {
+		for i, h := range f.holders {
+			if !contains(skip, i) && h.Share() < want {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 5*time.Millisecond, "%s: every holder at %d or more", what, want)
+}
+
+func contains(s []int, x int) bool {
+	for _, y := range s {
+		if y == x {
+			return true
+		}
+	}
+	return false
+}
+
+// TestSharesOverUDPUnderFaults: eight holders and a keeper on loopback. A holder cut off falls
+// to its reserve and the others take its part only after its lease; with one datagram in three
+// lost all keep their parts; a keeper that dies and starts again lends nothing for its quiet
+// time, and all fall back to their reserves and then come back. At no millisecond do the shares
+// sum to more than the whole.
+func TestSharesOverUDPUnderFaults(t *testing.T) {
+	p := budget.Plan{Name: "connections", Total: 800, Most: 10, Part: 0.2, Lease: 300 * time.Millisecond, Drift: 0.01}
+	f := newFleet(t, p, 8)
+	f.settled(t, "at the start", 8)
+
+	f.relays[0].Set(faultnet.Rule{Blackhole: true}) // a partition: n0 alone
+	require.Eventually(t, func() bool { return f.holders[0].Share() == p.Reserve() }, 10*time.Second, time.Millisecond,
+		"n0 cut off falls to its reserve")
+	f.settled(t, "n0 cut off", 7, 0)
+
+	for _, r := range f.relays {
+		r.Set(faultnet.Rule{DropEvery: 3})
+	}
+	f.settled(t, "n0 back, a third of the datagrams lost", 8)
+
+	f.keeper.conn.Close() // the keeper crashes ...
+	f.keeper = startKeeper(t, p, f.at)
+	require.Eventually(t, func() bool { return f.sum() == 8*p.Reserve() }, 10*time.Second, time.Millisecond,
+		"... all fall to their reserves while the new keeper is quiet")
+	f.settled(t, "after the keeper's restart", 8)
+
+	f.halt()
+	assert.LessOrEqual(t, f.most.Load(), int64(p.Total), "the most that the holders could spend at once")
+	assert.Positive(t, f.relays[1].Counts().Swallowed, "datagrams were lost")
+	t.Logf("most spent at once %d of %d", f.most.Load(), p.Total)
+}
