Budgets of new connections in serve: budgets(...), a gate on the pool's dials; off

Without a keeper each dispatcher takes total / N-hat (N-hat the configuration's count of instances, or most); with one, the dispatcher named keeper lends a pool over UDP at keeper_at and all hold leased shares. The pool waits at a gate before each new connection, within the connect time; an attempt that finds no room ends unsent and may go elsewhere. The gate spends a fifth of the share at once and the rest evenly, so that no second, wherever it begins, passes more than the share. Counters budget_connections_share, _waited, _unsent, and at the keeper _lent and budget_bad_messages. A keeper without keeper_at, or the reverse, is a fault that names the key. Off without the call; `run` gives no script.

The stand-in backend counts when each connection comes and can close each connection after its answer (CloseEach); its ConnState is set before Serve (a first try set it after, which -race caught).

--- /dev/null
+++ b/cmd/tinsail/budgets.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"tinsail/internal/budget"
+	"tinsail/internal/network/budgets"
+	"tinsail/internal/settings"
+)
+
+// fleetBudgets are the fleet-wide budgets that the settings declare, as this dispatcher holds them.
+type fleetBudgets struct {
+	gate   *budgets.Gate
+	holder *budgets.Holder // nil without a keeper
+	keeper *budgets.Keeper // nil but at the keeper
+	share  budgets.Sharer
+}
+
+// checkBudgets finds what the budgets' call allows and the schema cannot say: a keeper needs
+// its address, and an address its keeper.
+func checkBudgets(set *settings.Settings) error {
+	if set == nil {
+		return nil
+	}
+	b := set.Budgets
+	switch {
+	case b == nil:
+		return nil
+	case b.Keeper != "" && b.KeeperAt == "":
+		return settings.Faults{set.Fault("budgets.keeper_at", "is not set, where keeper is")}
+	case b.Keeper == "" && b.KeeperAt != "":
+		return settings.Faults{set.Fault("budgets.keeper", "is not set, where keeper_at is")}
+	}
+	return nil
+}
+
+// addBudgets starts the budgets of the settings and gates the pool's new connections by the
+// share of this dispatcher. Without a keeper the share is the whole divided by the fleet's size
+// as the configuration tells it; with one, it is leased over UDP (docs/design/budget.md).
+func (d *dispatcher) addBudgets(set *settings.Settings) error {
+	b := set.Budgets
+	if b == nil {
+		return nil
+	}
+	most := b.Most
+	if most == 0 {
+		most = d.cfg.Settings.Instances
+	}
+	f := &fleetBudgets{}
+	if b.Keeper == "" {
+		f.share = budgets.Fixed(budget.Split(b.Connections, budget.Estimate(d.cfg.Settings.Instances, most), 0))
+	} else {
+		plan := budget.Plan{Name: "connections", Total: b.Connections, Most: most, Part: b.Reserve,
+			Lease: time.Duration(b.LeaseMs) * time.Millisecond, Drift: b.Drift}
+		if err := plan.Check(); err != nil {
+			return settings.Faults{set.Fault("budgets", err.Error())}
+		}
+		at, err := net.ResolveUDPAddr("udp", b.KeeperAt)
+		if err != nil {
+			return settings.Faults{set.Fault("budgets.keeper_at", err.Error())}
+		}
+		if d.cfg.Name == b.Keeper {
+			conn, err := net.ListenUDP("udp", at)
+			if err != nil {
+				return fmt.Errorf("budgets.keeper_at: %w", err)
+			}
+			if f.keeper, err = budgets.NewKeeper(conn, plan); err != nil {
+				conn.Close()
+				return err
+			}
+		}
+		conn, err := net.DialUDP("udp", nil, at)
+		if err == nil {
+			f.holder, err = budgets.NewHolder(conn, plan, d.cfg.Name, d.cfg.Settings.Seed)
+		}
+		if err != nil {
+			f.close()
+			return errors.Join(errors.New("budgets"), err)
+		}
+		f.share = f.holder
+	}
+	f.gate = budgets.NewGate(f.share)
+	d.pool.Gate = f.gate
+	d.budgets = f
+	return nil
+}
+
+func (f *fleetBudgets) close() {
+	if f.holder != nil {
+		f.holder.Close()
+	}
+	if f.keeper != nil {
+		f.keeper.Close()
+	}
+}
+
+// each calls f for the budgets' counters.
+func (f *fleetBudgets) each(c func(name string, n int64)) {
+	c("budget_connections_share", int64(f.share.Share()))
+	c("budget_connections_waited", f.gate.Waited.Load())
+	c("budget_connections_unsent", f.gate.Unsent.Load())
+	if f.keeper != nil {
+		c("budget_connections_lent", int64(f.keeper.Lent("connections")))
+		c("budget_bad_messages", int64(f.keeper.Bad()))
+	}
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -35,7 +35,7 @@
 	}
 	cfg, err := config.Load(os.Getenv)
 	set, err2 := settings.Load(o.settings)
-	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set)); err != nil {
+	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set)); err != nil {
 		return faulty{err}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
@@ -103,6 +103,7 @@
 	handover *takeover // nil where there is no door
 
 	sources   *sources       // nil where the director alone is asked
+	budgets   *fleetBudgets  // nil where the settings declare none
 	http2     *network.HTTP2 // nil where it is off
 	listener2 net.Listener
 }
@@ -148,6 +149,10 @@
 		d.close()
 		return nil, err
 	}
+	if err := d.addBudgets(set); err != nil {
+		d.close()
+		return nil, err
+	}
 	d.service = network.NewService(d.clients, d.http2)
 	d.service.Changed = func(old, now service.State) {
 		d.log.Info().Stringer("from", old).Stringer("to", now).Msg("service")
@@ -232,6 +237,9 @@
 	if d.sources != nil && d.sources.self != nil {
 		d.sources.self.End()
 	}
+	if d.budgets != nil {
+		d.budgets.close()
+	}
 }
 
 // close ends the listeners; what is open goes on.
@@ -270,6 +278,9 @@
 	if d.sources != nil {
 		d.sources.count.Each(f)
 	}
+	if d.budgets != nil {
+		d.budgets.each(f)
+	}
 	if d.door != nil {
 		d.door.Count.Each(f)
 		f("banned", int64(len(d.desk.Banned())))
@@ -284,7 +295,7 @@
 func (d *dispatcher) reload(cfg *config.Config, set *settings.Settings, path string) (*config.Config, *settings.Settings) {
 	next, err := config.Load(os.Getenv)
 	nextSet, err2 := settings.Load(path)
-	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet)); err != nil {
+	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet)); err != nil {
 		d.count.ReloadsBad.Add(1)
 		d.log.Error().Err(err).Msg("not reloaded")
 		return cfg, set
--- a/deploy/example.star
+++ b/deploy/example.star
@@ -62,3 +62,13 @@
     settle_ms = 10000,
     warning_drains = False,
 )
+
+budgets(
+    connections = 600,
+    most = 0,
+    reserve = 0.2,
+    keeper = "n0",
+    keeper_at = host + ":9400",
+    lease_ms = 3000,
+    drift = 0.001,
+)
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -29,6 +29,9 @@
 	Idle    time.Duration // an idle connection is closed by us after this, before the backend does
 	Most    int           // connections open or being made
 	Dial    Dial
+	// Gate, where set, is waited on before each new connection, within the connect time: a share of
+	// a fleet-wide budget of new connections. An attempt that finds no room ends unsent.
+	Gate interface{ Wait(context.Context) error }
 
 	mu   sync.Mutex
 	idle map[balance.WorkerID][]*link // the last used is last
@@ -104,6 +107,12 @@
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, p.Connect)
+	if p.Gate != nil && p.Gate.Wait(ctx) != nil {
+		cancel()
+		p.release()
+		x.end(verdict{ending: core.Unsent})
+		return
+	}
 	conn, err := p.Dial(ctx, x.backend.Address)
 	cancel()
 	if err != nil {
--- a/internal/network/budgets/budgets.go
+++ b/internal/network/budgets/budgets.go
@@ -81,6 +81,9 @@
 	return 0
 }
 
+// Close ends the keeper's socket.
+func (k *Keeper) Close() { k.conn.Close() }
+
 // Bad is how many datagrams could not be read or named no budget served here.
 func (k *Keeper) Bad() int {
 	k.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,7 @@
 	Consul      *Consul      `json:"consul"`
 	Backends    *Backends    `json:"backends"`
 	MemberRules *MemberRules `json:"member_rules"`
+	Budgets     *Budgets     `json:"budgets"`
 
 	at map[string]Fault // where each call and key stands
 }
@@ -50,6 +51,17 @@
 	return f
 }
 
+// Budgets sets fleet-wide budgets; the schema says what each value means.
+type Budgets struct {
+	Connections int     `json:"connections"`
+	Most        int     `json:"most"`
+	Reserve     float64 `json:"reserve"`
+	Keeper      string  `json:"keeper"`
+	KeeperAt    string  `json:"keeper_at"`
+	LeaseMs     int     `json:"lease_ms"`
+	Drift       float64 `json:"drift"`
+}
+
 // HTTP2 sets the HTTP/2 front; the schema says what each value means.
 type HTTP2 struct {
 	Listen         string `json:"listen"`
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -48,12 +48,15 @@
 	return d, err
 }
 
-func start(h http.Handler) (*http.Server, string, error) {
+func start(h http.Handler, state ...func(net.Conn, http.ConnState)) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, "", err
 	}
 	s := &http.Server{Handler: h}
+	if len(state) > 0 {
+		s.ConnState = state[0] // before Serve, which reads it
+	}
 	go func() { _ = s.Serve(l) }() // ends with Close
 	return s, l.Addr().String(), nil
 }
@@ -145,6 +148,9 @@
 	Hold   bool // a job that has started does not end until Hold is taken back
 	// FailPart is the part of jobs, 0 to 1 by their ids, that fail as soon as they have started.
 	FailPart float64
+	// CloseEach ends each connection after its answer (Connection: close), so that every job
+	// needs a new one.
+	CloseEach bool
 }
 
 // Backend runs jobs: a job waits for one of its slots, tells that it has started, runs for as
@@ -162,7 +168,18 @@
 	ran    map[string]int    // how often a key's effect happened
 	result map[string]string // by key
 	counts Counts
-	last   time.Time // that a job's head came
+	last   time.Time   // that a job's head came
+	conns  []time.Time // when each connection came, the first mostConns
+}
+
+// mostConns bounds what a backend remembers of its connections.
+const mostConns = 1 << 20
+
+// Connections are the times at which connections came, oldest first.
+func (b *Backend) Connections() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.conns...)
 }
 
 // part spreads ids over 0 to 1.
@@ -187,7 +204,15 @@
 	b := &Backend{Name: name, Work: work, slots: make(chan struct{}, slots), change: make(chan struct{}),
 		ran: map[string]int{}, result: map[string]string{}}
 	var err error
-	b.server, b.Address, err = start(http.HandlerFunc(b.serve))
+	b.server, b.Address, err = start(http.HandlerFunc(b.serve), func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			b.mu.Lock()
+			if len(b.conns) < mostConns {
+				b.conns = append(b.conns, time.Now())
+			}
+			b.mu.Unlock()
+		}
+	})
 	return b, err
 }
 
@@ -265,6 +290,9 @@
 	}
 	b.add(func(c *Counts) { c.Jobs++ })
 	f, _ := b.state()
+	if f.CloseEach {
+		w.Header().Set("Connection", "close")
+	}
 	if f.Refuse {
 		w.Header().Set("X-Unprocessed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
