Budgets: 300 dispatchers joining at once, and a peer that flaps every second

- TestThreeHundredJoinAtOnce: 300 holders ask together after a release, one ask or answer in ten lost for a lease.
The sum never exceeds 3,000; two leases later each holds its reserve and fair part less one unit.
- TestFlappingPeerKeepsTheSum: one of four leaves and comes back as a new life every second for 20 s; the sum stays within the whole, and once it stays all four reach their parts within four leases.

--- a/internal/budget/lease_test.go
+++ b/internal/budget/lease_test.go
@@ -291,3 +291,66 @@
 	}
 	assert.Equal(t, good.Total, good.Most*good.Reserve()+good.Pool(), "reserves and pool make the whole")
 }
+
+// TestThreeHundredJoinAtOnce: after a release 300 dispatchers start together and ask at once, with
+// one ask or answer in ten lost for a lease; the sum never exceeds the whole, and two leases later
+// each holds its fair part less one unit. The first askers get the most (n counts those that have
+// asked), and the others get theirs once those leases end: the slow start that the design's 2 L
+// allows for.
+func TestThreeHundredJoinAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Plan{Name: "connections", Total: 3000, Most: 300, Part: 0.2, Lease: 3 * time.Second, Drift: 0.001}
+		w := &world{plan: p, kclock: drawClock(t, p, "keeper"), delay: int64(20 * time.Millisecond)}
+		var err error
+		w.keeper, err = NewKeeper(p, w.kclock.at(0))
+		require.NoError(t, err)
+		w.real = int64(p.Quiet()) * 2 // the keeper has been up a while
+		for i := range p.Most {
+			w.holders = append(w.holders, &member{name: fmt.Sprintf("n%d", i), clock: drawClock(t, p, fmt.Sprintf("h%d", i))})
+			w.holders[i].h = w.newHolder(t, i)
+		}
+		for k := range int(3 * p.Lease / (30 * time.Millisecond)) {
+			w.step(t, int64(30*time.Millisecond), k < int(p.Lease/(30*time.Millisecond)))
+			require.LessOrEqual(t, w.spent(), p.Total)
+		}
+		for _, m := range w.holders {
+			require.GreaterOrEqual(t, m.h.Share(m.clock.at(w.real)), p.Reserve()+p.Pool()/p.Most-1, m.name)
+		}
+	})
+}
+
+// TestFlappingPeerKeepsTheSum: a peer that leaves and comes back as a new life every second, for
+// twenty seconds, never lifts the sum above the whole, and once it stays the others keep their
+// fair parts.
+func TestFlappingPeerKeepsTheSum(t *testing.T) {
+	p := Plan{Name: "probes", Total: 100, Most: 5, Part: 0.1, Lease: 2 * time.Second, Drift: 0.01}
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{plan: p, kclock: drawClock(t, p, "keeper"), delay: int64(50 * time.Millisecond)}
+		var err error
+		w.keeper, err = NewKeeper(p, w.kclock.at(0))
+		require.NoError(t, err)
+		for i := range 4 {
+			w.holders = append(w.holders, &member{name: fmt.Sprintf("n%d", i), clock: drawClock(t, p, fmt.Sprintf("h%d", i))})
+			w.holders[i].h = w.newHolder(t, i)
+		}
+		flapper := w.holders[3]
+		for s := range 20 {
+			if flapper.gone = s%2 == 1; !flapper.gone {
+				flapper.h = w.newHolder(t, 3)
+			}
+			for range 100 {
+				w.step(t, int64(10*time.Millisecond), true)
+				require.LessOrEqual(t, w.spent(), p.Total)
+			}
+		}
+		flapper.gone = false
+		flapper.h = w.newHolder(t, 3)
+		for range int(4 * p.Lease / (10 * time.Millisecond)) {
+			w.step(t, int64(10*time.Millisecond), false)
+			require.LessOrEqual(t, w.spent(), p.Total)
+		}
+		for _, m := range w.holders {
+			require.GreaterOrEqual(t, m.h.Share(m.clock.at(w.real)), p.Reserve()+p.Pool()/4-1, m.name)
+		}
+	})
+}
