Budgets: a changed plan while shares are held; grants name their plan's total

TestLoweredTotalHoldsOnceAllHaveReadIt halves a total of 400 while shares are held; keeper and holders read it in a random order at random moments. Until the last has, the sum stays within 400; from then on within 200, and each holder reaches its new part. It failed twice while written, both times in the holder: one whose clock read below zero did not ask again after the replan (10 where 46 was wanted; it now asks at once); and holders that had read the lower plan took grants from a keeper still on the old one, which stayed valid after it had read it too (265 of 200; ignoring answers to earlier asks did not help).

--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -24,7 +24,8 @@
 	applied uint64 // the seq of the grant in force; older answers are not believed
 	units   int
 	until   Time
-	next    Time // when to ask again
+	next    Time // when to ask again ...
+	asap    bool // ... or at once: the plan changed
 	want    int
 }
 
@@ -44,9 +45,10 @@
 // Due says whether an ask is to be sent at now, and makes it. The caller sends it to the keeper.
 // After a failure the caller may call Due again at once: it asks at most once a renewal period.
 func (h *Holder) Due(now Time) (Ask, bool) {
-	if h.seq > 0 && now < h.next { // the first ask goes at once: a clock's origin may lie ahead
+	if h.seq > 0 && !h.asap && now < h.next { // the first ask goes at once: a clock's origin may lie ahead
 		return Ask{}, false
 	}
+	h.asap = false
 	h.seq++
 	h.sent[h.seq%inFlight] = asked{h.seq, now}
 	h.next = now.Add(h.plan.Renew())
@@ -54,10 +56,11 @@
 }
 
 // Granted takes the keeper's answer at now. An answer to another life, to an ask no longer
-// remembered, or older than the grant in force changes nothing.
+// remembered, older than the grant in force, or from a keeper on another plan (a reload that
+// has not reached both) changes nothing.
 func (h *Holder) Granted(now Time, g Grant) {
 	a := h.sent[g.Seq%inFlight]
-	if g.Epoch != h.epoch || g.Peer != h.name || a.seq != g.Seq || g.Seq <= h.applied {
+	if g.Epoch != h.epoch || g.Peer != h.name || a.seq != g.Seq || g.Seq <= h.applied || g.Of != h.plan.Total {
 		return
 	}
 	h.applied, h.units, h.until = g.Seq, g.Units, a.at.Add(h.plan.Usable())
@@ -78,3 +81,23 @@
 	}
 	return 0, 0
 }
+
+// Replan puts a changed plan in force, from a reload. Where the whole or the reserve gets smaller,
+// the lease in force is given up at once and the holder asks anew: its units came from the larger
+// pool, and the others, once they have read the same plan, spend only the new reserves and what
+// the keeper lends of the new pool beside all that it still counts. So the new total holds from
+// when the last dispatcher has read it; until then the old one does.
+func (h *Holder) Replan(p Plan) error {
+	if err := p.Check(); err != nil {
+		return err
+	}
+	if p.Total < h.plan.Total || p.Reserve() < h.plan.Reserve() {
+		// answers to asks sent before now were lent from the larger pool: none is believed
+		h.units, h.until, h.asap, h.applied = 0, 0, true, h.seq
+	}
+	if h.want == h.plan.Pool() {
+		h.want = p.Pool()
+	}
+	h.plan = p
+	return nil
+}
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -14,6 +14,7 @@
 	Peer       string
 	Epoch, Seq uint64
 	Units      int
+	Of         int // the total of the keeper's plan: a holder on another plan does not believe it
 }
 
 // lentAt is one grant as the keeper counts it: units until a time of its own clock.
@@ -76,7 +77,7 @@
 // a newcomer takes only from free or ended shares. What a peer held before stays counted until
 // that lease ends, since it may still be used on the strength of an answer on its way.
 func (k *Keeper) Take(now Time, a Ask) Grant {
-	g := Grant{Peer: a.Peer, Epoch: a.Epoch, Seq: a.Seq}
+	g := Grant{Peer: a.Peer, Epoch: a.Epoch, Seq: a.Seq, Of: k.plan.Total}
 	k.prune(now)
 	mine, known := k.peers[a.Peer]
 	if now < k.quiet || !known && len(k.peers) >= k.plan.Most || a.Want <= 0 {
@@ -127,3 +128,14 @@
 	}
 	return n
 }
+
+// Replan puts a changed plan in force, from a reload. Grants already made stay counted until they
+// end, so a smaller pool is lent out only as far as what they leave; the quiet time is not begun
+// again, since the keeper still knows what it lent.
+func (k *Keeper) Replan(p Plan) error {
+	if err := p.Check(); err != nil {
+		return err
+	}
+	k.plan = p
+	return nil
+}
--- a/internal/budget/lease_test.go
+++ b/internal/budget/lease_test.go
@@ -354,3 +354,46 @@
 		}
 	})
 }
+
+// TestLoweredTotalHoldsOnceAllHaveReadIt: a reload halves the total while shares are held. The
+// keeper and the holders read it one after another at random moments; until the last has, the sum
+// stays within the old total, and from then on within the new one, and every holder gets its new
+// fair part.
+func TestLoweredTotalHoldsOnceAllHaveReadIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Plan{Name: "connections", Total: 400, Most: 5, Part: 0.25, Lease: time.Second, Drift: 0.01}
+		w := &world{plan: p, kclock: drawClock(t, p, "keeper"), delay: int64(30 * time.Millisecond)}
+		var err error
+		w.keeper, err = NewKeeper(p, w.kclock.at(0))
+		require.NoError(t, err)
+		for i := range 4 {
+			w.holders = append(w.holders, &member{name: fmt.Sprintf("n%d", i), clock: drawClock(t, p, fmt.Sprintf("h%d", i))})
+			w.holders[i].h = w.newHolder(t, i)
+		}
+		for range int(4 * (p.Lease + p.Quiet()) / (10 * time.Millisecond)) {
+			w.step(t, int64(10*time.Millisecond), false)
+		}
+		lower := p
+		lower.Total = 200
+		order := rapid.Permutation([]int{-1, 0, 1, 2, 3}).Draw(t, "order")
+		for _, who := range order {
+			for range rapid.IntRange(0, 50).Draw(t, "steps") {
+				w.step(t, int64(10*time.Millisecond), true)
+				require.LessOrEqual(t, w.spent(), p.Total, "before all have read it")
+			}
+			if who < 0 {
+				require.NoError(t, w.keeper.Replan(lower))
+			} else {
+				require.NoError(t, w.holders[who].h.Replan(lower))
+			}
+		}
+		w.plan = lower // holders that start from here on start with it
+		for range int(3 * lower.Lease / (10 * time.Millisecond)) {
+			w.step(t, int64(10*time.Millisecond), false)
+			require.LessOrEqual(t, w.spent(), lower.Total, "once all have read it")
+		}
+		for _, m := range w.holders {
+			require.GreaterOrEqual(t, m.h.Share(m.clock.at(w.real)), lower.Reserve()+lower.Pool()/4-1, m.name)
+		}
+	})
+}
--- a/internal/budget/wire/wire.go
+++ b/internal/budget/wire/wire.go
@@ -1,11 +1,12 @@
 // Package wire is the bytes of the budgets' messages between dispatchers: one ask or grant a
 // UDP datagram, a line of text so that a capture can be read by eye.
 //
-//	TSB1 ask connections n17 9034128871 42 600
-//	TSB1 grant connections n17 9034128871 42 25
+//	TSB1 ask connections n17 9034128871 42 600 0
+//	TSB1 grant connections n17 9034128871 42 25 800
 //
 // The fields are: the version, the kind, the budget's name, the asking peer's name, its epoch, the
-// ask's number, and the units wanted or granted. It knows no socket and no clock.
+// ask's number, the units wanted or granted, and for a grant the total of the keeper's plan (0 in
+// an ask). It knows no socket and no clock.
 package wire
 
 import (
@@ -37,12 +38,12 @@
 
 // AppendAsk appends an ask for a budget to b.
 func AppendAsk(b []byte, name string, a budget.Ask) []byte {
-	return fmt.Appendf(b, "%s ask %s %s %d %d %d\n", version, name, a.Peer, a.Epoch, a.Seq, a.Want)
+	return fmt.Appendf(b, "%s ask %s %s %d %d %d 0\n", version, name, a.Peer, a.Epoch, a.Seq, a.Want)
 }
 
 // AppendGrant appends a grant for a budget to b.
 func AppendGrant(b []byte, name string, g budget.Grant) []byte {
-	return fmt.Appendf(b, "%s grant %s %s %d %d %d\n", version, name, g.Peer, g.Epoch, g.Seq, g.Units)
+	return fmt.Appendf(b, "%s grant %s %s %d %d %d %d\n", version, name, g.Peer, g.Epoch, g.Seq, g.Units, g.Of)
 }
 
 // Read decodes one datagram. Its error names the field at fault and wraps ErrMessage.
@@ -51,8 +52,8 @@
 		return Message{}, fmt.Errorf("%w: %d bytes, at most %d", ErrMessage, len(p), MaxMessage)
 	}
 	f := bytes.Fields(p)
-	if len(f) != 7 {
-		return Message{}, fmt.Errorf("%w: %d fields, want 7", ErrMessage, len(f))
+	if len(f) != 8 {
+		return Message{}, fmt.Errorf("%w: %d fields, want 8", ErrMessage, len(f))
 	}
 	if string(f[0]) != version {
 		return Message{}, fmt.Errorf("%w: version %q, want %s", ErrMessage, f[0], version)
@@ -69,6 +70,7 @@
 	epoch, err1 := strconv.ParseUint(string(f[4]), 10, 64)
 	seq, err2 := strconv.ParseUint(string(f[5]), 10, 64)
 	units, err3 := strconv.Atoi(string(f[6]))
+	of, err4 := strconv.Atoi(string(f[7]))
 	switch {
 	case err1 != nil:
 		return Message{}, fmt.Errorf("%w: epoch %q", ErrMessage, f[4])
@@ -76,12 +78,14 @@
 		return Message{}, fmt.Errorf("%w: seq %q", ErrMessage, f[5])
 	case err3 != nil || units < 0 || units > MaxUnits:
 		return Message{}, fmt.Errorf("%w: units %q, want 0 to %d", ErrMessage, f[6], MaxUnits)
+	case err4 != nil || of < 0 || of > MaxUnits:
+		return Message{}, fmt.Errorf("%w: total %q, want 0 to %d", ErrMessage, f[7], MaxUnits)
 	}
 	switch string(f[1]) {
 	case "ask":
 		m.Ask = &budget.Ask{Peer: peer, Epoch: epoch, Seq: seq, Want: units}
 	case "grant":
-		m.Grant = &budget.Grant{Peer: peer, Epoch: epoch, Seq: seq, Units: units}
+		m.Grant = &budget.Grant{Peer: peer, Epoch: epoch, Seq: seq, Units: units, Of: of}
 	default:
 		return Message{}, fmt.Errorf("%w: kind %q, want ask or grant", ErrMessage, f[1])
 	}
