Budgets' total, most and reserve hold from SIGHUP, while shares are held

Change: reloadBudgets in cmd/tinsail puts connections, most and reserve in force at a reload: without talk the share (now budgets.Fixed, settable) is divided anew; with talk the keeper takes the new pool first, then the holder, which gives up a lease from the larger pool at once. keeper, keeper_at, lease_ms and drift stay next start (a lease whose length changes while held would break the bound). The fleet test is cut into startFleet, load and connections so that both fleet tests share them.

Without the reload the shares never fall and the test fails at its wait.

--- a/cmd/tinsail/budgets.go
+++ b/cmd/tinsail/budgets.go
@@ -14,11 +14,28 @@
 // fleetBudgets are the fleet-wide budgets that the settings declare, as this dispatcher holds them.
 type fleetBudgets struct {
 	gate   *budgets.Gate
+	fixed  *budgets.Fixed  // nil where there is a keeper
 	holder *budgets.Holder // nil without a keeper
 	keeper *budgets.Keeper // nil but at the keeper
 	share  budgets.Sharer
 }
 
+// connectionsPlan is the plan of the budget of new connections that the settings declare, with
+// most taken from the configuration's count of instances where the settings leave it 0.
+func connectionsPlan(b *settings.Budgets, instances int) budget.Plan {
+	most := b.Most
+	if most == 0 {
+		most = instances
+	}
+	return budget.Plan{Name: "connections", Total: b.Connections, Most: most, Part: b.Reserve,
+		Lease: time.Duration(b.LeaseMs) * time.Millisecond, Drift: b.Drift}
+}
+
+// split is the share of a plan without talk.
+func split(p budget.Plan, instances int) int {
+	return budget.Split(p.Total, budget.Estimate(instances, p.Most), 0)
+}
+
 // checkBudgets finds what the budgets' call allows and the schema cannot say: a keeper needs
 // its address, and an address its keeper.
 func checkBudgets(set *settings.Settings) error {
@@ -45,16 +62,12 @@
 	if b == nil {
 		return nil
 	}
-	most := b.Most
-	if most == 0 {
-		most = d.cfg.Settings.Instances
-	}
 	f := &fleetBudgets{}
+	plan := connectionsPlan(b, d.cfg.Settings.Instances)
 	if b.Keeper == "" {
-		f.share = budgets.Fixed(budget.Split(b.Connections, budget.Estimate(d.cfg.Settings.Instances, most), 0))
+		f.fixed = budgets.NewFixed(split(plan, d.cfg.Settings.Instances))
+		f.share = f.fixed
 	} else {
-		plan := budget.Plan{Name: "connections", Total: b.Connections, Most: most, Part: b.Reserve,
-			Lease: time.Duration(b.LeaseMs) * time.Millisecond, Drift: b.Drift}
 		if err := plan.Check(); err != nil {
 			return settings.Faults{set.Fault("budgets", err.Error())}
 		}
@@ -88,6 +101,34 @@
 	return nil
 }
 
+// reloadBudgets puts the budgets' changed totals, counts and reserves in force while shares are
+// held (docs/design/budget.md, "A changed plan"): a smaller share is spent from the next unit on;
+// a holder gives up a lease from the larger pool at once. Turning budgets on or off, and another
+// keeper, lease or drift, wait for the next start, as Settings.Change tells.
+func (d *dispatcher) reloadBudgets(old, next *settings.Settings) error {
+	f := d.budgets
+	if f == nil || old.Budgets == nil || next.Budgets == nil {
+		return nil
+	}
+	o, n := *old.Budgets, *next.Budgets
+	n.Keeper, n.KeeperAt, n.LeaseMs, n.Drift = o.Keeper, o.KeeperAt, o.LeaseMs, o.Drift
+	plan := connectionsPlan(&n, d.cfg.Settings.Instances)
+	if err := plan.Check(); err != nil {
+		return settings.Faults{next.Fault("budgets", err.Error())}
+	}
+	if f.fixed != nil {
+		f.fixed.Set(split(plan, d.cfg.Settings.Instances))
+		return nil
+	}
+	// the keeper first: a holder of this process that asks anew is answered from the new pool
+	if f.keeper != nil {
+		if err := f.keeper.Replan(plan); err != nil {
+			return err
+		}
+	}
+	return f.holder.Replan(plan)
+}
+
 func (f *fleetBudgets) close() {
 	if f.holder != nil {
 		f.holder.Close()
--- a/cmd/tinsail/fleet_test.go
+++ b/cmd/tinsail/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"slices"
 	"strings"
@@ -25,8 +26,9 @@
 
 // member is one real process of a fleet of dispatchers.
 type member struct {
-	cmd     *exec.Cmd
-	address string
+	cmd      *exec.Cmd
+	address  string
+	keeperAt string // where it asks for its shares, where it has a budget
 }
 
 // startMember starts the program as one dispatcher of a fleet of n, named name, with a script.
@@ -75,6 +77,17 @@
 	t.Fatalf("%s never reached %d", name, want)
 }
 
+// awaitBelow asks a member for a counter in rounds, at most 2,000 of 5 ms, until it is below want.
+func (m *member) awaitBelow(t *testing.T, name string, want int64) {
+	for range 2000 {
+		if n := m.counter(t, name); n >= 0 && n < want {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%s never fell below %d", name, want)
+}
+
 // mostInASecond is the most of the times that fall within any second, beginning at any of them.
 func mostInASecond(times []time.Time) int {
 	slices.SortFunc(times, func(a, b time.Time) int { return a.Compare(b) })
@@ -109,60 +122,154 @@
 // most new connections in a second.
 func fleetConnections(t *testing.T, budgeted bool) int {
 	const n, total = 8, 80
+	script := func(at string) string {
+		if !budgeted {
+			return ""
+		}
+		return budgetsScript(total, at)
+	}
+	f := startFleet(t, n, script)
+	if budgeted {
+		f.awaitShares(t, total, n)
+	}
+	served := f.load(t, 16, 80, map[int64]func(){
+		300: func() { f.relays[0].Set(faultnet.Rule{Blackhole: true}) }, // n1 cut off from the keeper
+		600: func() { _ = f.members[2].cmd.Process.Signal(syscall.SIGKILL) },
+		900: func() { f.relays[0].Set(faultnet.Pass) },
+	})
+	times := f.connections(time.Time{})
+	most := mostInASecond(times)
+	t.Logf("budget %v: jobs served %d; new connections %d, most in a second %d (budget %d)",
+		budgeted, served, len(times), most, total)
+	assert.Positive(t, served)
+	if budgeted {
+		assert.Positive(t, f.relays[0].Counts().Swallowed, "n1 was cut off")
+	}
+	return most
+}
+
+// TestFleetBudgetReplanned: eight real processes hold shares of 80 new connections a second when
+// the total is lowered to 20 by a new script and SIGHUP to each, under load, while one process is
+// ended by SIGTERM. From when every live process tells a share within the new division, new
+// connections from the whole fleet stay within 20 in every second (beyond one unit a process).
+func TestFleetBudgetReplanned(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts twelve processes")
+	}
+	const n, before, after = 8, 80, 20
+	total := atomic.Int64{}
+	total.Store(before)
+	f := startFleet(t, n, func(at string) string { return budgetsScript(int(total.Load()), at) })
+	f.awaitShares(t, before, n)
+	var read atomic.Pointer[time.Time]
+	lowered := func() {
+		total.Store(after)
+		for i, m := range f.members {
+			if i == 3 {
+				continue
+			}
+			require.NoError(t, os.WriteFile(m.cmd.Args[3], []byte(budgetsScript(after, m.keeperAt)), 0o600))
+			require.NoError(t, m.cmd.Process.Signal(syscall.SIGHUP))
+		}
+		for i, m := range f.members {
+			if i != 3 {
+				m.awaitBelow(t, "budget_connections_share", after/n*2)
+			}
+		}
+		now := time.Now()
+		read.Store(&now)
+	}
+	served := f.load(t, 16, 200, map[int64]func(){
+		100: func() { _ = f.members[3].cmd.Process.Signal(syscall.SIGTERM) },
+		150: lowered,
+	})
+	require.NotNil(t, read.Load(), "the total was lowered")
+	all, since := f.connections(time.Time{}), f.connections(*read.Load())
+	most := mostInASecond(since)
+	t.Logf("jobs served %d; new connections %d, %d of them after all had read the new total; most in a second %d before and after, %d after (budget %d, then %d)",
+		served, len(all), len(since), mostInASecond(all), most, before, after)
+	assert.Positive(t, len(since), "connections after the change")
+	assert.LessOrEqual(t, most, after+n, "new connections in a second, the whole fleet, after the change")
+}
+
+// budgetsScript is a script of a budget of new connections, kept by n0 at at.
+func budgetsScript(total int, at string) string {
+	return fmt.Sprintf("budgets(connections = %d, reserve = 0.2, keeper = \"n0\", keeper_at = %q, lease_ms = 600)\n", total, at)
+}
+
+// fleet is members started together, their relays to the keeper, and backends that close each
+// connection after its answer, so that every job needs a new one.
+type fleet struct {
+	members  []*member
+	relays   []*faultnet.UDP // of members[1:]
+	backends []*platform.Backend
+}
+
+// startFleet starts a director, four backends and n members, n0 with the keeper's address and the
+// others with a relay of faultnet to it. script makes each member's script from its keeper's
+// address.
+func startFleet(t *testing.T, n int, script func(at string) string) *fleet {
 	director, err := platform.StartDirector()
 	require.NoError(t, err)
 	t.Cleanup(director.Close)
-	var backends []*platform.Backend
+	f := &fleet{}
 	for i := range 4 {
 		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(string) time.Duration { return time.Millisecond })
 		require.NoError(t, err)
 		t.Cleanup(b.Close)
 		b.Set(platform.Faults{CloseEach: true})
 		director.Set(b.Entry("fast", "here", i, "Ready"))
-		backends = append(backends, b)
+		f.backends = append(f.backends, b)
 	}
 	free, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	keeperAt := free.LocalAddr().String()
 	free.Close()
-
-	script := func(at string) string {
-		if !budgeted {
-			return ""
-		}
-		return fmt.Sprintf("budgets(connections = %d, reserve = 0.2, keeper = \"n0\", keeper_at = %q, lease_ms = 600)\n", total, at)
-	}
-	members := []*member{startMember(t, "n0", n, director.Address, script(keeperAt))}
-	var relays []*faultnet.UDP
+	f.members = []*member{startMember(t, "n0", n, director.Address, script(keeperAt))}
+	f.members[0].keeperAt = keeperAt
 	for i := 1; i < n; i++ {
 		r, err := faultnet.ListenUDP(keeperAt)
 		require.NoError(t, err)
 		t.Cleanup(r.Close)
-		relays = append(relays, r)
-		members = append(members, startMember(t, fmt.Sprintf("n%d", i), n, director.Address, script(r.Addr())))
+		f.relays = append(f.relays, r)
+		m := startMember(t, fmt.Sprintf("n%d", i), n, director.Address, script(r.Addr()))
+		m.keeperAt = r.Addr()
+		f.members = append(f.members, m)
 	}
+	return f
+}
 
-	fair := int64(total/5/n + (total-total/5/n*n)/n - 1) // reserve and part of the pool, less one
-	for _, m := range members {
-		if budgeted {
-			m.await(t, "budget_connections_share", fair)
-		}
+// awaitShares waits until each member holds its reserve and part of the pool, less one.
+func (f *fleet) awaitShares(t *testing.T, total, n int) {
+	fair := int64(total/5/n + (total-total/5/n*n)/n - 1)
+	for _, m := range f.members {
+		m.await(t, "budget_connections_share", fair)
 	}
+}
 
-	// Load: 16 clients, each sends jobs in turn to the members, 80 jobs each, and waits 20 ms after
-	// a refusal; faults are set by how many jobs have been answered, not by the clock.
-	var answered, served, refused atomic.Int64
-	faults := map[int64]func(){
-		300: func() { relays[0].Set(faultnet.Rule{Blackhole: true}) }, // n1 cut off from the keeper
-		600: func() { _ = members[2].cmd.Process.Signal(syscall.SIGKILL) },
-		900: func() { relays[0].Set(faultnet.Pass) },
+// connections are the times of new connections at the backends from since on.
+func (f *fleet) connections(since time.Time) []time.Time {
+	var times []time.Time
+	for _, b := range f.backends {
+		for _, at := range b.Connections() {
+			if !at.Before(since) {
+				times = append(times, at)
+			}
+		}
 	}
+	return times
+}
+
+// load runs clients that each send jobs in turn to the members and wait 20 ms after a refusal;
+// faults are set by how many jobs have been answered, not by the clock. It returns the jobs served.
+func (f *fleet) load(t *testing.T, clients, jobs int, faults map[int64]func()) int64 {
+	var answered, served atomic.Int64
 	var all sync.WaitGroup
-	for c := range 16 {
+	for c := range clients {
 		all.Go(func() {
 			client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{}}
-			for i := range 80 {
-				m := members[(c+i)%n]
+			for i := range jobs {
+				m := f.members[(c+i)%len(f.members)]
 				id := fmt.Sprintf("f-%d-%d", c, i)
 				r, err := http.NewRequest("POST", "http://"+m.address+"/photo/1", strings.NewReader("b"))
 				if !assert.NoError(t, err) {
@@ -171,7 +278,7 @@
 				r.Header.Set("X-Correlation-Id", id)
 				r.Header.Set("Idempotency-Key", id)
 				answer, err := client.Do(r)
-				if err != nil { // the killed member
+				if err != nil { // a member that was ended
 					continue
 				}
 				_, _ = io.Copy(io.Discard, answer.Body)
@@ -180,27 +287,14 @@
 				case 200:
 					served.Add(1)
 				case 429, 503:
-					refused.Add(1)
 					time.Sleep(20 * time.Millisecond) // a client that waits a little before its next job
 				}
-				if f := faults[answered.Add(1)]; f != nil {
-					f()
+				if fault := faults[answered.Add(1)]; fault != nil {
+					fault()
 				}
 			}
 		})
 	}
 	all.Wait()
-
-	var times []time.Time
-	for _, b := range backends {
-		times = append(times, b.Connections()...)
-	}
-	most := mostInASecond(times)
-	t.Logf("budget %v: jobs served %d, refused %d; new connections %d, most in a second %d (budget %d)",
-		budgeted, served.Load(), refused.Load(), len(times), most, total)
-	assert.Positive(t, served.Load())
-	if budgeted {
-		assert.Positive(t, relays[0].Counts().Swallowed, "n1 was cut off")
-	}
-	return most
+	return served.Load()
 }
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -307,6 +307,9 @@
 		d.http2.Set(limits(nextSet.HTTP2))
 	}
 	d.reloadSources(set, nextSet)
+	if err := d.reloadBudgets(set, nextSet); err != nil {
+		d.log.Error().Err(err).Msg("budgets not reloaded")
+	}
 	later = append(cfg.Fixed(next), later...)
 	d.log.Info().Str("discovery", next.Discovery).Strs("changed", now).Strs("next_start", later).Msg("reloaded")
 	return next, nextSet
--- a/internal/network/budgets/budgets.go
+++ b/internal/network/budgets/budgets.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -81,6 +82,23 @@
 	return 0
 }
 
+// Replan puts changed plans in force (budget.Keeper.Replan); a plan of a budget not served here
+// is an error, and the plans before it stay in force.
+func (k *Keeper) Replan(plans ...budget.Plan) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range plans {
+		kp := k.keepers[p.Name]
+		if kp == nil {
+			return fmt.Errorf("budget %q: not kept here", p.Name)
+		}
+		if err := kp.Replan(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends the keeper's socket.
 func (k *Keeper) Close() { k.conn.Close() }
 
@@ -121,6 +139,18 @@
 	return d.h.Share(d.clock.Now())
 }
 
+// Replan puts a changed plan in force (budget.Holder.Replan): where it is smaller, the share
+// falls to the new reserve at once and the holder asks anew. The lease and the time between asks
+// stay those of the start.
+func (d *Holder) Replan(p budget.Plan) error {
+	if p.Name != d.name {
+		return fmt.Errorf("budget %q: the holder holds %q", p.Name, d.name)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.h.Replan(p)
+}
+
 // Close stops asking; the share falls to the reserve when the lease ends.
 func (d *Holder) Close() { d.conn.Close() }
 
--- a/internal/network/budgets/gate.go
+++ b/internal/network/budgets/gate.go
@@ -11,11 +11,22 @@
 // Sharer says what this dispatcher may spend of a budget now, in units a second.
 type Sharer interface{ Share() int }
 
-// Fixed is a share that does not change: the division without talk (budget.Split).
-type Fixed int
+// Fixed is a share that changes only when it is set: the division without talk (budget.Split),
+// set anew by a reload. Safe for use by several goroutines.
+type Fixed struct{ n atomic.Int64 }
 
-// Share is the fixed share.
-func (f Fixed) Share() int { return int(f) }
+// NewFixed is a share of n units a second.
+func NewFixed(n int) *Fixed {
+	f := &Fixed{}
+	f.Set(n)
+	return f
+}
+
+// Share is the share as last set.
+func (f *Fixed) Share() int { return int(f.n.Load()) }
+
+// Set changes the share; the gate reads it at its next unit.
+func (f *Fixed) Set(n int) { f.n.Store(int64(n)) }
 
 // Gate lets units pass by a share, which it reads anew at each unit: a fifth of it at once at
 // most and the rest at an even rate, so that no second, wherever it begins, spends more than the
