The door answers GET /metrics: every counter in Prometheus' text form

Change: door.Metrics at GET /metrics; cmd/tinsail/metrics.go gathers an unchecked collector over the same counters as /counters (no copy kept) with a pedantic registry and encodes them by expfmt, named tinsail_ and the counter; shares, fleet size, lent, banned and service state as gauges. The gate counts units let through (budget_connections_granted); the fleet's estimate is a counter too (budget_connections_fleet), set anew at a reload.

Measured: TestControl parses the door's answer with expfmt's parser: tinsail_banned a gauge at 0 after b1 and b2 came back, tinsail_reqs_taken a counter.

--- a/cmd/tinsail/budgets.go
+++ b/cmd/tinsail/budgets.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"tinsail/internal/budget"
@@ -18,6 +19,7 @@
 	holder *budgets.Holder // nil without a keeper
 	keeper *budgets.Keeper // nil but at the keeper
 	share  budgets.Sharer
+	fleet  atomic.Int64 // the fleet's size as this dispatcher estimates it
 }
 
 // connectionsPlan is the plan of the budget of new connections that the settings declare, with
@@ -64,6 +66,7 @@
 	}
 	f := &fleetBudgets{}
 	plan := connectionsPlan(b, d.cfg.Settings.Instances)
+	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
 	if b.Keeper == "" {
 		f.fixed = budgets.NewFixed(split(plan, d.cfg.Settings.Instances))
 		f.share = f.fixed
@@ -116,6 +119,7 @@
 	if err := plan.Check(); err != nil {
 		return settings.Faults{next.Fault("budgets", err.Error())}
 	}
+	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
 	if f.fixed != nil {
 		f.fixed.Set(split(plan, d.cfg.Settings.Instances))
 		return nil
@@ -141,6 +145,8 @@
 // each calls f for the budgets' counters.
 func (f *fleetBudgets) each(c func(name string, n int64)) {
 	c("budget_connections_share", int64(f.share.Share()))
+	c("budget_connections_fleet", f.fleet.Load())
+	c("budget_connections_granted", f.gate.Passed.Load())
 	c("budget_connections_waited", f.gate.Waited.Load())
 	c("budget_connections_unsent", f.gate.Unsent.Load())
 	if f.keeper != nil {
--- a/cmd/tinsail/door.go
+++ b/cmd/tinsail/door.go
@@ -78,6 +78,12 @@
 		return kept(d.desk.Offline(c.Backend), "nothing more goes to "+c.Backend)
 	case door.Online:
 		return kept(d.desk.Online(c.Backend), c.Backend+" is used again, if its source says that it is ready")
+	case door.Metrics:
+		text, err := d.metrics()
+		if err != nil {
+			return no(500, err.Error())
+		}
+		return yes(text)
 	}
 	return no(501, "unknown")
 }
--- a/cmd/tinsail/door_test.go
+++ b/cmd/tinsail/door_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,9 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -48,6 +52,19 @@
 		assert.Equal(t, c.code, code, c.args)
 		assert.Equal(t, c.says, says, c.args)
 	}
+	answer, err := http.Get("http://" + p.admin + "/metrics")
+	require.NoError(t, err)
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(answer.Body)
+	answer.Body.Close()
+	require.NoError(t, err, "the door's metrics in Prometheus' text form")
+	if assert.Contains(t, families, "tinsail_banned") {
+		assert.Equal(t, dto.MetricType_GAUGE, families["tinsail_banned"].GetType())
+		assert.Zero(t, families["tinsail_banned"].GetMetric()[0].GetGauge().GetValue(), "b1 and b2 online again")
+	}
+	if assert.Contains(t, families, "tinsail_reqs_taken") {
+		assert.Equal(t, dto.MetricType_COUNTER, families["tinsail_reqs_taken"].GetType())
+	}
 	require.NoError(t, os.RemoveAll(h.folder))
 	code, says := control("offline", "b1", "--admin", p.admin)
 	assert.Equal(t, exitFailed, code, "a ban that cannot be kept")
--- /dev/null
+++ b/cmd/tinsail/metrics.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+)
+
+// gauges are the counters that tell a level, not a count that only grows.
+var gauges = map[string]bool{
+	"budget_connections_share": true, "budget_connections_fleet": true, "budget_connections_lent": true,
+	"banned": true, "service_state": true,
+}
+
+// metrics is every counter of the dispatcher, read now, in Prometheus' text exposition format
+// (version 0.0.4), each named tinsail_ and the counter's name: the door's GET /metrics.
+func (d *dispatcher) metrics() (string, error) {
+	reg := prometheus.NewPedanticRegistry()
+	if err := reg.Register(counting{d}); err != nil {
+		return "", err
+	}
+	families, err := reg.Gather()
+	if err != nil {
+		return "", err
+	}
+	var b bytes.Buffer
+	enc := expfmt.NewEncoder(&b, expfmt.NewFormat(expfmt.TypeTextPlain))
+	for _, f := range families {
+		if err := enc.Encode(f); err != nil {
+			return "", err
+		}
+	}
+	return strings.TrimSuffix(b.String(), "\n"), nil
+}
+
+// counting collects the dispatcher's counters as they are at each gathering; it keeps no copy.
+type counting struct{ d *dispatcher }
+
+// Describe tells nothing ahead: the counters that are on depend on the settings (an unchecked
+// collector in client_golang's terms).
+func (counting) Describe(chan<- *prometheus.Desc) {}
+
+func (c counting) Collect(out chan<- prometheus.Metric) {
+	each := func(name string, n int64) {
+		kind, help := prometheus.CounterValue, "tinsail counter "+name+" (docs/operators)"
+		if gauges[name] {
+			kind = prometheus.GaugeValue
+		}
+		desc := prometheus.NewDesc("tinsail_"+name, help, nil, nil)
+		out <- prometheus.MustNewConstMetric(desc, kind, float64(n))
+	}
+	c.d.count.Each(counterNames, each)
+	c.d.further(each)
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,10 +21,11 @@
 	Online
 	OutOfService
 	InService
+	Metrics // the counters in Prometheus' text form
 	ops
 )
 
-var opNames = [ops]string{"ready", "offline", "online", "out_of_service", "in_service"}
+var opNames = [ops]string{"ready", "offline", "online", "out_of_service", "in_service", "metrics"}
 
 func (o Op) String() string { return opNames[o] }
 
@@ -111,6 +112,7 @@
 	"/control/ready":          {"GET", Ready},
 	"/control/out-of-service": {"POST", OutOfService},
 	"/control/in-service":     {"POST", InService},
+	"/metrics":                {"GET", Metrics},
 }
 
 // prefix is of the calls that name a backend.
--- a/internal/network/budgets/gate.go
+++ b/internal/network/budgets/gate.go
@@ -35,6 +35,7 @@
 	of     Sharer
 	mu     sync.Mutex
 	lim    *rate.Limiter
+	Passed atomic.Int64 // units let through, at once or after waiting
 	Waited atomic.Int64 // units that had to wait for room
 	Unsent atomic.Int64 // units refused: no room came within the time given
 }
@@ -66,12 +67,15 @@
 	}
 	g.mu.Unlock()
 	if g.lim.Allow() {
+		g.Passed.Add(1)
 		return nil
 	}
 	g.Waited.Add(1)
 	err := g.lim.Wait(ctx)
 	if err != nil {
 		g.Unsent.Add(1)
+	} else {
+		g.Passed.Add(1)
 	}
 	return err
 }
