A silent watch is replaced beside itself, in time for the drains that it misses

Checked: the late sends all fall 6.5 to 7.5 s after a silent watch began. Ruled out: the gate just before the first byte (Attempt.MayBegin), which asks the list as it is held; lists that came were taken at once. At fault: the one call of director.go waited 4 s and was given up 3.5 s later (watchWait, callGrace), 7.5 s after it began, while what it missed counts as told 6 s after the silence began. With pushed lists the same 7.5 s held, and the backoff was 0 where the settings give no time for asking: a refused call came again at once, without end. Now a call says after 2.5 s at the latest that nothing is new; 1.5 s later it is held for silent and another is made beside it, so that one that is only late is still heard and need not begin anew at a director that has a queue. An agent of pushed lists is asked for 1 s, and three times a second while silent.

--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -121,7 +121,9 @@
 	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
 	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: network.TCP}
-	d.director.Ask = time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond))
+	if d.director.Pace = network.Pushed(); cfg.Settings.Subscribe {
+		d.director.Pace = network.Asked(time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond)))
+	}
 	var err error
 	if d.core, err = core.New(cfg.Settings, d.pool, d.director, d.count); err != nil {
 		return nil, err
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -15,6 +15,7 @@
 	AnswersServed, AnswersRefused, AnswersFailed         atomic.Int64
 	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
 	DirectorCalls, Overlooked, Reloads, ReloadsBad       atomic.Int64
+	DirectorSilent                                       atomic.Int64 // calls held for silent, another made beside them
 	HTTP2Sessions, HTTP2Resets                           atomic.Int64
 	HandoverCut, HandoverLeft                            atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
 	Endings                                              [32]atomic.Int64
@@ -35,7 +36,7 @@
 		{"reqs_shed", &s.ReqsShed}, {"answers_served", &s.AnswersServed}, {"answers_refused", &s.AnswersRefused},
 		{"answers_failed", &s.AnswersFailed}, {"attempts", &s.Attempts}, {"probes", &s.Probes},
 		{"backend_connections", &s.BackendConnections}, {"backend_retired", &s.BackendRetired},
-		{"director_calls", &s.DirectorCalls}, {"overlooked", &s.Overlooked},
+		{"director_calls", &s.DirectorCalls}, {"director_silent", &s.DirectorSilent}, {"overlooked", &s.Overlooked},
 		{"reloads", &s.Reloads}, {"reloads_bad", &s.ReloadsBad},
 		{"http2_sessions", &s.HTTP2Sessions}, {"http2_resets", &s.HTTP2Resets},
 		{"handover_reqs_cut", &s.HandoverCut}, {"handover_sessions_left", &s.HandoverLeft},
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,15 +17,34 @@
 	"tinsail/internal/platform"
 )
 
-// Times of a call to the director.
-const (
-	watchWait = 4 * time.Second         // for news; short, so that a director gone silent is noticed
-	callGrace = 3500 * time.Millisecond // longer for the answer: calls queue there
+// Pace is how patient the watch of a list is. A call that may wait says so; one that has not been answered
+// some time after that is held for silent, and another is made beside it: what a silent watch misses counts as told
+// 6 s after it fell silent (2 s after its wait, if that is later), and the drain rule leaves 500 ms from there.
+type Pace struct {
+	Wait  time.Duration // for news; short, so that a director gone silent is noticed
+	Slack time.Duration // longer for the answer, before the call is held for silent: calls queue there
+	Grace time.Duration // longer than Wait before the call is given up
+	Look  time.Duration // wait of the calls that are made beside a silent one; 0: Wait
 
 	// A connection that is not up by then never comes up: the machine is cut off, and waiting
 	// for it would use up the time in which we must have asked.
-	connectWait = time.Second
-)
+	Connect time.Duration
+	Pause   time.Duration // most to stay away after failures in a row
+}
+
+// Asked is for one service that works through the calls of all dispatchers in turn. A watch silent from its first
+// moment is replaced 4 s after it began, which leaves 2.5 s for the answer of the next.
+func Asked(ask time.Duration) Pace {
+	return Pace{Wait: 2500 * time.Millisecond, Slack: 1500 * time.Millisecond, Grace: 3500 * time.Millisecond,
+		Connect: time.Second, Pause: max(ask/5, 100*time.Millisecond)}
+}
+
+// Pushed is for an agent on this machine, which answers at once what it has been sent, and is silent in an outage.
+// What it has counts as told at once, so that it is looked at several times a second until it speaks again.
+func Pushed() Pace {
+	return Pace{Wait: time.Second, Slack: 200 * time.Millisecond, Grace: 1500 * time.Millisecond,
+		Look: 100 * time.Millisecond, Connect: 200 * time.Millisecond, Pause: 200 * time.Millisecond}
+}
 
 // Director watches the director's list. Each answer is followed at once by the next call,
 // which keeps the watch one and the same.
@@ -32,16 +52,19 @@
 	Names   *platform.Names
 	Count   *counters.Set
 	Address string
-	Ask     time.Duration // we are counted as told if we have not asked for this long
+	Pace    Pace
 	Dial    Dial
 	Stop    <-chan struct{} // ends the watch; may be nil
 	Told    func(balance.ListKind, []core.Entry)
 
 	// Touched by the watching goroutine alone.
 	index uint64
-	whole bool // the next call asks for the whole list
-	conn  net.Conn
-	in    *platform.Replies
+	whole bool    // the next call asks for the whole list
+	out   []*call // calls under way, oldest first: one, or two where the first is held for silent
+	begun int     // calls so far
+	taken int     // number of the newest call whose answer was taken
+	spare *line   // left open by the last answer
+	ended chan *call
 
 	on    atomic.Bool
 	off   atomic.Bool // Off was called, and the watch never began
@@ -49,6 +72,28 @@
 	place *place // where calls go now; nil until the first
 }
 
+// line is a connection to the director.
+type line struct {
+	conn net.Conn
+	in   *platform.Replies
+}
+
+// call is one call to the director, carried by a goroutine of its own.
+type call struct {
+	number  int
+	target  string
+	whole   bool
+	wait    time.Duration
+	suspect time.Time // held for silent from then on
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	// Set by its goroutine before it is told as ended.
+	line   *line // open still, and may carry another; else nil
+	list   platform.List
+	ending core.Ending
+}
+
 // place is one address of the director for as long as it stands. Its context ends with it,
 // and what is under way there: a call, the making of a connection, a pause after a failure.
 type place struct {
@@ -85,7 +130,11 @@
 func (d *Director) Start(index uint64) { d.index = index }
 
 // Afresh has the first call ask for the whole list. It must be called before Subscribe.
-func (d *Director) Afresh() { d.whole = true }
+func (d *Director) Afresh() {
+	d.mu.Lock() // which the watch takes before it looks
+	d.whole = true
+	d.mu.Unlock()
+}
 
 // Redirect sends the watch to another address, from now on. What is under way at the old
 // one is cut, and nothing that it still says is believed.
@@ -119,45 +168,107 @@
 }
 
 func (d *Director) watch() {
+	d.ended = make(chan *call)
 	var last *place
 	for failed := 0; ; {
 		at := d.here()
 		if at != last && at.moved {
 			// Versions count anew at each address: what is newer than one of the old address's
 			// may miss changes at the new one. The whole list is asked for until it has come.
-			d.close()
+			d.forget(len(d.out))
+			d.hangUp()
 			d.whole, failed = true, 0
 		}
 		last = at
-		list, e := d.call(at)
-		if e == core.ListTold && d.whole && !list.Full { // changes say nothing without what they change
-			e = core.ListUnread
-		}
-		d.Count.Endings[e].Add(1)
-		if at.ctx.Err() != nil { // moved meanwhile: an old list must not overwrite a newer one
-			continue
+		if len(d.out) == 0 {
+			d.begin(at, d.Pace.Wait)
 		}
-		if e == core.ListTold {
-			failed = 0
-			d.take(list)
-			continue
-		}
-		d.close()
-		d.Told(balance.ListFailed, nil)
+		silent := time.NewTimer(time.Until(d.out[len(d.out)-1].suspect))
 		select {
-		case <-time.After(d.backoff(failed)):
+		case c := <-d.ended:
+			if at.ctx.Err() != nil { // moved meanwhile: an old list must not overwrite a newer one
+				c.close()
+				break
+			}
+			if d.took(c) {
+				failed = 0
+			} else if n := len(d.out); n > 0 { // the silent one is still out: it must not be looked past without a pause
+				d.out[n-1].suspect = time.Now().Add(d.backoff(failed))
+				failed++
+			} else {
+				d.Told(balance.ListFailed, nil)
+				select {
+				case <-time.After(d.backoff(failed)):
+				case <-at.ctx.Done():
+				case <-d.Stop:
+					silent.Stop()
+					return
+				}
+				failed++
+			}
+		case <-silent.C:
+			// Not given up at once: a director that is late, not silent, would have to begin anew with it.
+			d.forget(len(d.out) - 1)
+			look := d.Pace.Look
+			if look == 0 {
+				look = d.Pace.Wait
+			}
+			d.Count.DirectorSilent.Add(1)
+			d.begin(at, look)
 		case <-at.ctx.Done():
 		case <-d.Stop:
+			d.forget(len(d.out))
+			d.hangUp()
+			silent.Stop()
 			return
 		}
-		failed++
+		silent.Stop()
 	}
 }
 
+// took takes a call's answer; false if there was none of use.
+func (d *Director) took(c *call) bool {
+	i := slices.Index(d.out, c)
+	if i < 0 { // given up meanwhile
+		c.close()
+		return true
+	}
+	d.out = slices.Delete(d.out, i, i+1)
+	if c.ending == core.ListTold && c.whole && !c.list.Full { // changes say nothing without what they change
+		c.ending = core.ListUnread
+	}
+	d.Count.Endings[c.ending].Add(1)
+	if c.ending != core.ListTold {
+		c.close()
+		return false
+	}
+	d.forget(i) // what was asked earlier and has said nothing yet is silent
+	d.hangUp()
+	d.spare = c.line
+	// The answer of an earlier call than the last one taken may be older than what is known.
+	if c.number > d.taken || c.list.Index > d.index {
+		d.take(c.list)
+	}
+	d.taken = max(d.taken, c.number)
+	if len(d.out) > 0 && d.out[0].whole && !d.whole { // asks for what has just come, and is no watch
+		d.forget(len(d.out))
+	}
+	return true
+}
+
+// forget gives the oldest calls up, as many as n.
+func (d *Director) forget(n int) {
+	for _, c := range d.out[:n] {
+		c.cancel()
+		d.Count.Endings[core.ListUnanswered].Add(1)
+	}
+	d.out = slices.Delete(d.out, 0, n)
+}
+
 // backoff is how long to stay away after some failures in a row: longer each time, so that
 // dispatchers do not add to a jam, but within the time we may go without asking.
 func (d *Director) backoff(failed int) time.Duration {
-	most := min(100*time.Millisecond<<min(failed, 8), d.Ask/5)
+	most := min(100*time.Millisecond<<min(failed, 8), d.Pace.Pause)
 	return most/2 + rand.N(most/2+1)
 }
 
@@ -176,65 +287,96 @@
 	}
 }
 
-func (d *Director) close() {
-	if d.conn != nil {
-		d.conn.Close()
-		d.conn = nil
+// hangUp closes the connection that the last answer left open.
+func (d *Director) hangUp() {
+	if d.spare != nil {
+		d.spare.conn.Close()
+		d.spare = nil
 	}
 }
 
-// call makes one call, on the connection that the last one left open if there is one.
-func (d *Director) call(at *place) (platform.List, core.Ending) {
+// begin makes a call, on the connection that the last answer left open if there is one.
+func (d *Director) begin(at *place, wait time.Duration) {
 	d.Count.DirectorCalls.Add(1)
-	if d.conn == nil {
-		ctx, cancel := context.WithTimeout(at.ctx, connectWait)
-		conn, err := d.Dial(ctx, at.address)
+	d.begun++
+	c := &call{number: d.begun, target: string(platform.AppendWatch(nil, d.index, wait)), wait: wait, whole: d.whole, line: d.spare}
+	if d.whole {
+		c.target, c.wait = platform.ListTarget, 0
+	}
+	d.spare = nil
+	c.suspect = time.Now().Add(c.wait + d.Pace.Slack)
+	c.ctx, c.cancel = context.WithCancel(at.ctx)
+	d.out = append(d.out, c)
+	go func() {
+		c.list, c.ending = d.call(c, at.address)
+		select {
+		case d.ended <- c:
+		case <-c.ctx.Done():
+			c.close()
+		}
+	}()
+}
+
+// close ends the call and its connection.
+func (c *call) close() {
+	c.cancel()
+	if c.line != nil {
+		c.line.conn.Close()
+	}
+}
+
+// call carries a call out. It runs in the call's goroutine.
+func (d *Director) call(c *call, address string) (platform.List, core.Ending) {
+	if c.line == nil {
+		ctx, cancel := context.WithTimeout(c.ctx, d.Pace.Connect)
+		conn, err := d.Dial(ctx, address)
 		cancel()
 		if err != nil {
 			return platform.List{}, core.ListUnanswered
 		}
-		d.conn, d.in = conn, platform.NewReplies(true, platform.MaxList)
-	}
-	conn := d.conn
-	defer context.AfterFunc(at.ctx, func() { conn.Close() })()
-	target, wait := string(platform.AppendWatch(nil, d.index, watchWait)), watchWait
-	if d.whole {
-		target, wait = platform.ListTarget, 0
+		c.line = &line{conn, platform.NewReplies(true, platform.MaxList)}
 	}
-	d.conn.SetDeadline(time.Now().Add(wait + callGrace))
-	if _, err := d.conn.Write(platform.AppendGet(nil, target, at.address)); err != nil {
+	conn := c.line.conn
+	stop := context.AfterFunc(c.ctx, func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(c.wait + d.Pace.Grace))
+	if _, err := conn.Write(platform.AppendGet(nil, c.target, address)); err != nil {
+		stop()
 		return platform.List{}, core.ListUnanswered
 	}
-	return d.answer()
+	list, e := c.line.read(d.Names)
+	stop()
+	if e != core.ListTold || !c.line.in.Keep {
+		conn.Close()
+		c.line = nil
+	}
+	return list, e
 }
 
-func (d *Director) answer() (list platform.List, e core.Ending) {
+// read takes the answer of the call that was written to the line.
+func (l *line) read(names *platform.Names) (list platform.List, e core.Ending) {
 	e = core.ListUnread
 	var closed error
 	for {
-		part, body, err := d.in.Next()
+		part, body, err := l.in.Next()
 		switch {
 		case err != nil:
 			return list, core.ListUnread
-		case part == platform.Line && d.in.Status == 200:
-			if list, err = d.Names.ReadList(body); err == nil {
+		case part == platform.Line && l.in.Status == 200:
+			if list, err = names.ReadList(body); err == nil {
 				e = core.ListTold
 			}
 		case part == platform.End:
-			if d.in.Status != 200 {
+			if l.in.Status != 200 {
 				return list, core.ListRefused
 			}
-			if !d.in.Keep {
-				d.close()
-			}
 			return list, e
 		case part == platform.More:
 			if closed != nil {
 				return list, core.ListUnanswered
 			}
-			n, err := d.conn.Read(d.in.Space())
-			d.in.Filled(n)
-			if err != nil && !(errors.Is(err, io.EOF) && d.in.Closed()) {
+			n, err := l.conn.Read(l.in.Space())
+			l.in.Filled(n)
+			if err != nil && !(errors.Is(err, io.EOF) && l.in.Closed()) {
 				closed = err
 			}
 		}
--- a/internal/network/scenario_test.go
+++ b/internal/network/scenario_test.go
@@ -117,7 +117,7 @@
 			slow: map[string]time.Duration{}, made: map[string]int{}}
 		w.pool = &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: most, Dial: w.dial}
 		stop := make(chan struct{})
-		d := &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: stop}
+		d := &Director{Names: names, Count: w.count, Address: "d", Pace: Asked(10 * time.Second), Dial: w.dial, Stop: stop}
 		var err error
 		w.watch = d
 		w.core, err = core.New(s, w.pool, d, w.count)
