--- /dev/null
+++ b/internal/network/site_test.go
@@ -0,0 +1,168 @@
+package network
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/faultnet"
+	"tinsail/internal/platform"
+	"tinsail/internal/standin/history"
+	standin "tinsail/internal/standin/platform"
+)
+
+// site is a whole dispatcher on the fake clock between stand-ins of the director and three backends,
+// and a history of what its far sides saw.
+type site struct {
+	d        *standin.Director
+	seat     *standin.Seat
+	terms    standin.Terms
+	backends []*standin.Backend
+	clients  *Clients
+	h        *history.History
+}
+
+// siting plays on a site of one class. Where lists are pushed, the settings name no AskEvery.
+func siting(t *testing.T, pushed bool, effect balance.Effect, play func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		set := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 5, MayDuplicate: true, MayCancel: true,
+			TellsStart: true, MaxPause: 2000, ConnectTimeout: 120, Tick: 2, Subscribe: !pushed,
+			Rules:   balance.Rules{AnswerSlack: 8, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
+			Classes: []balance.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: effect, Scope: balance.ScopeCell, RepeatWindow: 7500}}}
+		if !pushed {
+			set.Rules.AskEvery = 10_000
+		}
+		names := &platform.Names{Classes: []string{"ingest"}, Keyed: []bool{effect == balance.Deduped}, Limits: []time.Duration{5 * time.Second}}
+		s := &site{h: &history.History{}, terms: standin.Terms{Began: time.Now(), AskEvery: time.Duration(set.Rules.AskEvery) * time.Millisecond}}
+		at := map[string]*faultnet.Pipes{"d": faultnet.ListenPipes("d")}
+		s.d = standin.NewDirector(faultnet.ListenPipes("unused"))
+		s.seat = s.d.Seat(at["d"], pushed)
+		for i := range 3 {
+			name := fmt.Sprint("b", i)
+			at[name] = faultnet.ListenPipes(name)
+			b := standin.NewBackend(at[name], name, 8, func(string) time.Duration { return 10 * time.Millisecond })
+			s.backends = append(s.backends, b)
+			s.d.Set(b.Entry("", "", i+1, "Ready"))
+		}
+		dial := func(ctx context.Context, address string) (net.Conn, error) { return at[address].Dial(ctx, address) }
+		count, stop := &counters.Set{}, make(chan struct{})
+		pool := &Pool{Names: names, Count: count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: 64, Dial: dial}
+		dir := &Director{Names: names, Count: count, Address: "d", Ask: s.terms.AskEvery, Dial: dial, Stop: stop}
+		c, err := core.New(set, pool, dir, count)
+		require.NoError(t, err)
+		dir.Told = c.Listed
+		go c.Run(stop)
+		dir.Subscribe()
+		s.clients = &Clients{Names: names, Count: count, Core: c, Most: 64, Usual: 64, Held: 1 << 20, Longest: 5 * time.Second, Stats: func() string { return "" }}
+		synctest.Wait()
+		require.Equal(t, 3, c.Ready())
+		play(s)
+		for _, b := range s.backends {
+			b.Close()
+		}
+		close(stop)
+		s.d.Close()
+		time.Sleep(time.Minute) // what waits for something gives up
+	})
+}
+
+// ask hands in a req on a connection of its own, and returns its answer's status, 0 for none, and how
+// long that took.
+func (s *site) ask(id, body string) (status int, took time.Duration) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go s.clients.admit(near)
+	began := time.Now()
+	r := history.Req{Node: "n", ID: id, Unsafe: !s.clients.Names.Keyed[0], Until: began.Add(5 * time.Second)}
+	_, err := fmt.Fprintf(far, "POST /ingest/1 HTTP/1.1\r\nX-Correlation-Id: %s\r\nIdempotency-Key: k%s\r\nX-Time-Left-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s",
+		id, id, len(body), body)
+	if err == nil {
+		r.Taken = time.Now()
+	}
+	s.h.Asked(r)
+	a, err := http.ReadResponse(bufio.NewReader(far), nil)
+	if err != nil {
+		s.h.Reset(id, err.Error())
+		return 0, time.Since(began)
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	if err != nil {
+		s.h.Reset(id, err.Error())
+		return 0, time.Since(began)
+	}
+	s.h.Answered(history.Answer{ID: id, At: time.Now(), Status: a.StatusCode, Body: string(text)})
+	return a.StatusCode, time.Since(began)
+}
+
+// load has clients that each ask, and rest a while after each answer, for so long.
+func (s *site) load(clients int, rest, long time.Duration) *sync.WaitGroup {
+	all, until := &sync.WaitGroup{}, time.Now().Add(long)
+	for c := range clients {
+		all.Go(func() {
+			for i := 0; time.Now().Before(until); i++ {
+				s.ask(fmt.Sprintf("%d-%d", c, i), "photo")
+				time.Sleep(rest)
+			}
+		})
+	}
+	return all
+}
+
+// judge holds what was seen to the rules.
+func (s *site) judge() []history.Breach {
+	for _, b := range s.backends {
+		s.h.Attempted(b.Attempts()...)
+	}
+	return s.h.Judge(history.Published(500 * time.Millisecond))
+}
+
+// TestUnsafeReset: the connection under a req that must not run twice is reset. Before its last byte
+// was written it never ran, and goes elsewhere; after, it is sent nowhere again, whether its start was
+// told or not, nor refused. Its client has its one answer at once, not at its deadline.
+func TestUnsafeReset(t *testing.T) {
+	const atOnce = 200 * time.Millisecond // on the fake clock: a new connection and a run at most, of 5 s
+	body := strings.Repeat("z", 60_000)
+	for point, want := range map[standin.Point]struct{ status, whole int }{
+		standin.BeforeLast: {200, 1}, standin.BeforeStart: {502, 1}, standin.AfterStart: {502, 1},
+	} {
+		for round := range 8 { // which of the backends is drawn first is chance
+			siting(t, false, balance.Unsafe, func(s *site) {
+				for i, b := range s.backends {
+					if point != standin.BeforeLast || i != round%3 { // the one that is well is found
+						b.Set(standin.Faults{Reset: point})
+					}
+				}
+				status, took := s.ask(fmt.Sprint("u", round), body)
+				assert.Equal(t, want.status, status, "point %d", point)
+				assert.LessOrEqual(t, took, atOnce, "point %d", point)
+				time.Sleep(6 * time.Second) // nothing follows
+				assert.Empty(t, s.judge(), "point %d", point)
+				whole := 0
+				for _, b := range s.backends {
+					for _, a := range b.Attempts() {
+						if !a.Last.IsZero() {
+							whole++
+						}
+					}
+				}
+				assert.Equal(t, want.whole, whole, "point %d", point)
+			})
+		}
+	}
+}
