--- /dev/null
+++ b/cmd/tinsail/restart_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/standin/history"
+	"tinsail/internal/standin/platform"
+)
+
+// TestRestartInUse: 40 connections are in use when SIGTERM comes, some with long jobs, and their
+// clients go on sending on each for as long as it stays open. Each req that was written whole has its
+// one answer, none of its connections ends before that, and the process ends by itself.
+func TestRestartInUse(t *testing.T) {
+	const connections, before = 40, 400
+	p := startProgram(t, "", 0)
+	for _, b := range p.backends {
+		b.Work = func(id string) time.Duration {
+			if id[len(id)-1] == '7' {
+				return 300 * time.Millisecond
+			}
+			return 3 * time.Millisecond
+		}
+		b.Set(platform.Faults{}) // after Work, for the backend's goroutines to see
+	}
+	h := &history.History{}
+	var all sync.WaitGroup
+	var answered, after atomic.Int64
+	var termed atomic.Bool
+	running := make(chan struct{})
+	for c := range connections {
+		conn, err := net.Dial("tcp", p.address[0])
+		require.NoError(t, err)
+		all.Go(func() {
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for i, closing := 0, false; !closing; i++ {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				r := history.Req{Node: "demo", ID: id, Until: time.Now().Add(5 * time.Second)}
+				_, err := fmt.Fprintf(conn, "POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nIdempotency-Key: %s\r\nContent-Length: 1\r\n\r\nb", id, id)
+				if err == nil {
+					r.Taken = time.Now()
+				}
+				h.Asked(r)
+				a, err := http.ReadResponse(in, nil)
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(a.Body)
+					a.Body.Close()
+				}
+				if err != nil {
+					h.Reset(id, err.Error())
+					return
+				}
+				h.Answered(history.Answer{ID: id, At: time.Now(), Status: a.StatusCode, Body: string(body)})
+				if closing = a.Close; termed.Load() {
+					after.Add(1)
+				}
+				if answered.Add(1) == before {
+					close(running)
+				}
+			}
+		})
+	}
+	<-running
+	termed.Store(true)
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	all.Wait()
+	for range p.lines {
+	}
+	assert.NoError(t, p.cmd.Wait())
+	for _, b := range p.backends {
+		h.Attempted(b.Attempts()...)
+	}
+	t.Logf("answered %d, %d of them after SIGTERM", answered.Load(), after.Load())
+	assert.Empty(t, h.Judge(history.Published(500*time.Millisecond)))
+	assert.Greater(t, after.Load(), int64(connections), "connections stayed in use after SIGTERM")
+}
--- a/internal/network/site_test.go
+++ b/internal/network/site_test.go
@@ -57,7 +57,7 @@
 			at[name] = faultnet.ListenPipes(name)
 			b := standin.NewBackend(at[name], name, 8, func(string) time.Duration { return 10 * time.Millisecond })
 			s.backends = append(s.backends, b)
-			s.d.Set(b.Entry("", "", i+1, "Ready"))
+			s.d.Set(b.Entry("", "", 1, "Ready")) // one group: only its class keeps a req from the others
 		}
 		dial := func(ctx context.Context, address string) (net.Conn, error) { return at[address].Dial(ctx, address) }
 		count, stop := &counters.Set{}, make(chan struct{})
