--- /dev/null
+++ b/internal/balance/fall_test.go
@@ -0,0 +1,242 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// fallDay is a small fleet in virtual time: dispatchers that see few reqs each are told of cold
+// backends at the same moment. Backends serve their slots first come first served.
+type fallDay struct {
+	dispatchers, warm, cold, slots int
+	aim, work                      Millis // the settings' aim; the mean work of a req at a warm backend
+	rate                           float64
+	rules                          Rules
+	seed                           uint64
+}
+
+func (d fallDay) String() string {
+	return fmt.Sprintf("%d dispatchers, %d warm and %d cold of %d slots, aim %v, work %v, seed %d", d.dispatchers, d.warm, d.cold, d.slots, d.aim, d.work, d.seed)
+}
+
+type fallEvent struct {
+	at Millis
+	n  int // of its making, so that equals keep their order
+	do func()
+}
+
+type fallQueue []fallEvent
+
+func (q fallQueue) Len() int { return len(q) }
+func (q fallQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q fallQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *fallQueue) Push(x any)   { *q = append(*q, x.(fallEvent)) }
+func (q *fallQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+type fallJob struct {
+	by      *fallNode
+	id      RequestID
+	attempt int
+	sent    Millis
+}
+
+type fallBackend struct {
+	Worker
+	free  int
+	queue []fallJob
+	came  []Millis // of each attempt, turned away or not
+}
+
+// fallNode is a dispatcher and its Actions.
+type fallNode struct {
+	w        *fallWorld
+	d        *Dispatcher
+	attempts map[RequestID]int
+}
+
+type fallWorld struct {
+	day      fallDay
+	now      Millis
+	made     int
+	queue    fallQueue
+	rng      *rand.Rand
+	backends map[WorkerID]*fallBackend
+}
+
+func (w *fallWorld) after(in Millis, do func()) {
+	w.made++
+	heap.Push(&w.queue, fallEvent{w.now + in, w.made, do})
+}
+
+const fallWay = 0.3 // ms from a dispatcher to a backend and back
+
+func (n *fallNode) Dispatch(id RequestID, to WorkerID, _ Millis) {
+	j := fallJob{n, id, n.attempts[id], n.w.now}
+	n.attempts[id]++
+	n.w.after(fallWay, func() { n.w.take(n.w.backends[to], j) })
+}
+func (n *fallNode) Wake(in Millis, token uint64) { n.w.after(in, func() { n.d.Wake(n.w.now, token) }) }
+func (*fallNode) Refuse(RequestID, Millis)       {}
+func (*fallNode) Fail(RequestID)                 {}
+func (*fallNode) Cancel(RequestID, int)          {}
+func (*fallNode) Probe(WorkerID)                 {}
+func (*fallNode) HangUp(WorkerID)                {}
+func (*fallNode) Subscribe()                     {}
+func (*fallNode) Log(string)                     {}
+
+// capacity is the least part of its capacity that the settings promise a backend.
+func (w *fallWorld) capacity(b *fallBackend, at Millis) float64 {
+	r := w.day.rules
+	if age := at - b.Started; b.Started > 0 && age < r.WarmAfter {
+		return r.StartCapacity + (1-r.StartCapacity)*max(0, age)/r.WarmAfter
+	}
+	return 1
+}
+
+func (w *fallWorld) take(b *fallBackend, j fallJob) {
+	b.came = append(b.came, w.now)
+	if len(b.queue) >= 4*w.day.slots {
+		w.answer(b, j, Full)
+		return
+	}
+	b.queue = append(b.queue, j)
+	w.serve(b)
+}
+
+func (w *fallWorld) serve(b *fallBackend) {
+	for b.free > 0 && len(b.queue) > 0 {
+		j := b.queue[0]
+		b.queue, b.free = b.queue[1:], b.free-1
+		w.after(fallWay, func() { j.by.d.Progressed(w.now, Progress{ID: j.id, Attempt: j.attempt, Worker: b.ID, Started: true}) })
+		took := w.day.work * (0.5 + w.rng.ExpFloat64()/2) / w.capacity(b, w.now)
+		w.after(took, func() {
+			b.free++
+			w.answer(b, j, OK)
+			w.serve(b)
+		})
+	}
+}
+
+func (w *fallWorld) answer(b *fallBackend, j fallJob, r Result) {
+	w.after(fallWay, func() {
+		j.by.d.Answer(w.now, Outcome{ID: j.id, Attempt: j.attempt, Worker: b.ID, Result: r, Took: w.now - j.sent, Closed: r == OK})
+	})
+}
+
+// play returns the most that a cold backend got in any window, as a part of what the page allows in
+// it, N + 3·√N + 3, and both figures. N takes the least capacity that the settings promise at the
+// window's start; flat, it takes StartCapacity until the backend is warm.
+func (d fallDay) play(t *testing.T, flat bool) (part, got, most, age float64) {
+	const before, long = 10_000, 12_000
+	w := &fallWorld{day: d, now: 1000, rng: rand.New(rand.NewPCG(d.seed, 7)), backends: map[WorkerID]*fallBackend{}}
+	told := w.now + before + w.rng.Float64()*d.rules.FallWindow // anywhere in a window of the module's clock
+	var warm, cold []Worker
+	for i := range d.warm + d.cold {
+		b := &fallBackend{Worker: Worker{ID: WorkerID(100 + i), State: Ready, Weight: float64(d.slots)}, free: d.slots}
+		w.backends[b.ID] = b
+		if i < d.warm {
+			warm = append(warm, b.Worker)
+		} else {
+			b.Started = told
+			cold = append(cold, b.Worker)
+		}
+	}
+	id := RequestID(0)
+	for k := range d.dispatchers {
+		set := testSettings()
+		set.Seed, set.Self, set.Instances, set.Zones, set.ProgressEvery, set.Rules = d.seed<<8|uint64(k), k, d.dispatchers, 1, 0, d.rules
+		set.Classes = []Class{{Worth: 1, Aim: d.aim, Stretch: 2, Deadline: 5000, Kind: -1, Effect: Safe}}
+		n := &fallNode{w: w, attempts: map[RequestID]int{}}
+		var err error
+		n.d, err = New(set, n)
+		require.NoError(t, err)
+		n.d.Workers(w.now, ListFull, warm)
+		w.after(told-w.now, func() { n.d.Workers(w.now, ListDelta, cold) })
+		var arrive func()
+		arrive = func() {
+			id++
+			n.d.Arrive(w.now, Request{ID: id, Deadline: w.now + 5000, Slots: 1})
+			w.after(w.rng.ExpFloat64()*1000/d.rate, arrive)
+		}
+		w.after(w.rng.ExpFloat64()*1000/d.rate, arrive)
+	}
+	for w.now < told+long {
+		e := heap.Pop(&w.queue).(fallEvent)
+		w.now = e.at
+		e.do()
+	}
+	for _, c := range cold {
+		b := w.backends[c.ID]
+		for i, from := range b.came {
+			if from >= told+d.rules.WarmAfter {
+				break
+			}
+			capacity := w.capacity(b, from)
+			if flat {
+				capacity = d.rules.StartCapacity
+			}
+			n := d.rules.FallMultiple * capacity * float64(d.slots) * d.rules.FallWindow / d.work
+			j := i
+			for j < len(b.came) && b.came[j] < min(from+d.rules.FallWindow, told+d.rules.WarmAfter) { // from then on it is warm
+				j++
+			}
+			if allowed := n + 3*math.Sqrt(n) + 3; float64(j-i)/allowed > part {
+				part, got, most, age = float64(j-i)/allowed, float64(j-i), allowed, from-told
+			}
+		}
+	}
+	return part, got, most, age
+}
+
+const fallSeeds = uint64(30)
+
+// worst plays a day over many seeds and returns the most, as a part of what is allowed, by a growing
+// capacity and by StartCapacity alone.
+func (d fallDay) worst(t *testing.T) (growing, flat float64) {
+	var says [2]string
+	for seed := range fallSeeds {
+		d.seed = seed
+		if part, got, most, age := d.play(t, false); part > growing {
+			growing, says[0] = part, fmt.Sprintf("%.0f of %.1f (%.2f) at %.0f ms, seed %d", got, most, part, age, seed)
+		}
+		if part, got, most, age := d.play(t, true); part > flat {
+			flat, says[1] = part, fmt.Sprintf("%.0f of %.1f (%.2f) at %.0f ms, seed %d", got, most, part, age, seed)
+		}
+	}
+	t.Logf("%v: most, by a growing capacity: %s; by StartCapacity alone: %s", d, says[0], says[1])
+	return growing, flat
+}
+
+// twenty dispatchers see about a req a second each.
+func twenty(warm, cold, slots int, aim, work Millis) fallDay {
+	rules := testSettings().Rules
+	rules.FallWindow, rules.StartCapacity, rules.WarmAfter = 2000, 0.31, 9000
+	return fallDay{dispatchers: 20, warm: warm, cold: cold, slots: slots, aim: aim, work: work, rate: 1, rules: rules}
+}
+
+// TestFallOfAll: twenty dispatchers, each of which sees about a req a second, are told of cold
+// backends at once. In no window of the settings does one of those get more than the page's
+// N + 3·√N + 3 reqs; where reqs are as heavy as the aim, not even if its capacity stayed
+// StartCapacity until it is warm.
+func TestFallOfAll(t *testing.T) {
+	for _, d := range []fallDay{twenty(1, 1, 4, 400, 400), twenty(4, 1, 1, 400, 400), twenty(0, 1, 1, 400, 400), twenty(2, 6, 2, 400, 400),
+		twenty(4, 1, 4, 400, 800), twenty(0, 1, 4, 400, 800), twenty(2, 1, 1, 120, 400), twenty(4, 1, 4, 120, 1200)} {
+		growing, flat := d.worst(t)
+		assert.Less(t, growing, 1.0, "%v", d)
+		if d.work == d.aim {
+			assert.Less(t, flat, 1.0, "%v", d)
+		}
+	}
+}
