Tests: a real process whose backends reset the connections of unsafe reqs

Before the last byte was read, after it, and after the start was told, on real sockets: no req runs twice or is refused once it may have run, each client has its answer long before its time is up.

--- /dev/null
+++ b/cmd/tinsail/reset_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/standin/history"
+	"tinsail/internal/standin/platform"
+)
+
+// TestUnsafeResetOnSockets: a real process sends reqs that must not run twice to backends that reset
+// their connections before the last byte was read, after it, and after the start was told. None runs
+// twice or is refused once it may have run, and each client has its one answer long before its time
+// is up, which is a minute: a read that waits for it fails.
+func TestUnsafeResetOnSockets(t *testing.T) {
+	const reqs, wait = 5, 20 * time.Second
+	for _, point := range []platform.Point{platform.BeforeLast, platform.BeforeStart, platform.AfterStart} {
+		t.Run(fmt.Sprint("point ", point), func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			text, err := os.ReadFile(h.conf)
+			require.NoError(t, err)
+			edited := strings.NewReplacer(`"idempotency_key"`, `"non_idempotent"`, `"HardLimitMs": 5000`, `"HardLimitMs": 60000`).Replace(string(text))
+			require.NotEqual(t, string(text), edited)
+			require.NoError(t, os.WriteFile(h.conf, []byte(edited), 0o600))
+			p := h.start()
+			p.serves()
+			for i, b := range h.backends {
+				if i > 0 || point != platform.BeforeLast { // one is well, for reqs that go elsewhere
+					b.Set(platform.Faults{Reset: point})
+				}
+			}
+			seen, body := &history.History{}, strings.Repeat("z", 60_000)
+			for i := range reqs {
+				c, err := h.dial()
+				require.NoError(t, err)
+				id := fmt.Sprint("u", i)
+				_, err = fmt.Fprintf(c, "POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+				require.NoError(t, err)
+				seen.Asked(history.Req{Node: "demo", ID: id, Unsafe: true, Taken: time.Now()})
+				require.NoError(t, c.SetReadDeadline(time.Now().Add(wait)))
+				status, result, _, err := c.answer()
+				if err != nil {
+					seen.Reset(id, err.Error())
+				} else {
+					seen.Answered(history.Answer{ID: id, At: time.Now(), Status: status, Body: result})
+				}
+				if point != platform.BeforeLast {
+					require.Equal(t, 502, status)
+				}
+				c.Close()
+			}
+			p.end(t)
+			for _, b := range h.backends {
+				seen.Attempted(b.Attempts()...)
+			}
+			assert.Empty(t, seen.Judge(history.Published(500*time.Millisecond)))
+		})
+	}
+}
