--- /dev/null
+++ b/internal/network/silence_test.go
@@ -0,0 +1,123 @@
+package network
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/standin/history"
+	standin "tinsail/internal/standin/platform"
+)
+
+// TestSilentWatch: a watch falls silent, at any moment of its wait and of the next one's, while
+// drains are told elsewhere. Each is here within half a second of when it counts as told, lists
+// asked for or pushed.
+func TestSilentWatch(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("pushed %v", pushed), func(t *testing.T) {
+			worst, when, bad := -time.Hour, time.Duration(0), 0
+			for after := time.Duration(0); after <= 9*time.Second; after += 150 * time.Millisecond {
+				watching(t, pushed, func(w *watched) {
+					time.Sleep(after)
+					synctest.Wait()
+					w.seat.Silence()
+					var made []standin.Change
+					for i, pause := range []time.Duration{10 * time.Millisecond, 3 * time.Second, 2900 * time.Millisecond, time.Second} {
+						time.Sleep(pause)
+						made = append(made, w.set(i, "Terminating"))
+					}
+					time.Sleep(9 * time.Second)
+					for _, c := range made {
+						l := w.late(c)
+						if l > 0 {
+							bad++
+						}
+						if l > worst {
+							worst, when = l, after
+						}
+					}
+				})
+			}
+			t.Logf("worst %v, where the watch fell silent %v after its start; %d changes late", worst, when, bad)
+			assert.LessOrEqual(t, worst, time.Duration(0), "later than half a second after a change counted as told, by this much")
+		})
+	}
+}
+
+// TestAgentsOutage: an agent is silent for a while and then holds a list that changed twice. Its
+// newest is here within half a second of when it counts as told, and the outage, silent or refusing,
+// is no reason to call without end though the settings name no time to ask in.
+func TestAgentsOutage(t *testing.T) {
+	const callsMost = 20 // a second: one in 50 ms
+	for _, refused := range []bool{false, true} {
+		t.Run(fmt.Sprintf("refused %v", refused), func(t *testing.T) {
+			worst, when, most := -time.Hour, "", 0
+			for _, length := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, 8 * time.Second, 15 * time.Second} {
+				for after := time.Duration(0); after < 4500*time.Millisecond; after += 450 * time.Millisecond {
+					watching(t, true, func(w *watched) {
+						time.Sleep(after)
+						synctest.Wait()
+						w.out(true, refused)
+						time.Sleep(length / 2)
+						w.set(0, "Terminating")
+						last := w.set(1, "Terminating")
+						time.Sleep(length / 2)
+						w.out(false, refused)
+						time.Sleep(9 * time.Second)
+						if l := w.late(last); l > worst {
+							worst, when = l, fmt.Sprintf("%v into the watch, for %v", after, length)
+						}
+						most = max(most, w.busiest())
+					})
+				}
+			}
+			t.Logf("worst %v, in an outage %s; most connections or calls in a second %d", worst, when, most)
+			assert.LessOrEqual(t, worst, time.Duration(0), "later than half a second after a change counted as told, by this much")
+			assert.LessOrEqual(t, most, callsMost, "connections or calls to the agent in a second")
+		})
+	}
+}
+
+// busiest is the most connections or calls in a second of the clock.
+func (w *watched) busiest() (most int) {
+	calls := map[int64]int{}
+	for _, c := range w.seat.Calls() {
+		calls[c.At.Unix()]++
+		most = max(most, calls[c.At.Unix()])
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.dials {
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestNothingToADrained: clients keep a dispatcher busy while its watch falls silent and drains are
+// told elsewhere. By what its backends saw, nothing new goes to one of them later than half a second
+// after its drain counts as told, and each req gets its one answer.
+func TestNothingToADrained(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		for after := 200 * time.Millisecond; after < 4500*time.Millisecond; after += 2100 * time.Millisecond {
+			siting(t, pushed, balance.Deduped, func(s *site) {
+				all := s.load(2, 40*time.Millisecond, 14*time.Second)
+				time.Sleep(after)
+				s.seat.Silence()
+				time.Sleep(10 * time.Millisecond)
+				gone := []standin.Change{s.d.Set(s.backends[0].Entry("", "", 1, "Terminating"))}
+				time.Sleep(3 * time.Second)
+				gone = append(gone, s.d.Set(s.backends[1].Entry("", "", 1, "Terminating")))
+				all.Wait()
+				for _, c := range gone {
+					s.h.Drained(history.Drain{Node: "n", Backend: c.Name, From: s.seat.Told(c, s.terms)})
+				}
+				b := s.judge()
+				assert.Empty(t, b[:min(len(b), 3)], "pushed %v, silent after %v: %d breaches", pushed, after, len(b))
+			})
+		}
+	}
+}
