--- /dev/null
+++ b/internal/balance/cost_test.go
@@ -0,0 +1,189 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// costSizes are the fleets whose cost is measured: two small sites, a large one and the largest there is.
+var costSizes = []int{15, 22, 200, 4000}
+
+// costly makes a dispatcher for n ready backends, of which one in ten is cold where cold is set, and that others share with it.
+func costly(t testing.TB, n int, cold bool, now Millis) (*Dispatcher, []Worker) {
+	s := testSettings()
+	s.Instances, s.Metrics, s.Tenants = 3, []Metric{MetricFreeSlots}, []Tenant{{Share: 0.5, QuotaPerS: 1e6}, {Share: 0.5, QuotaPerS: 1e6}}
+	d, err := New(s, nothing{})
+	require.NoError(t, err)
+	list := fleet(n)
+	for i := range list {
+		if cold && i%10 == 0 {
+			list[i].Started = now - 100
+		}
+	}
+	d.Workers(now, ListFull, list)
+	return d, list
+}
+
+// lastTo is where the last attempt of a req went.
+func lastTo(d *Dispatcher, id RequestID) (WorkerID, int) {
+	r := d.reqs[id]
+	if r == nil || len(r.attempts) == 0 {
+		return 0, -1
+	}
+	k := len(r.attempts) - 1
+	return d.workers[r.attempts[k].worker].ID, k
+}
+
+// round is one req from arrival to its answer, at a rate of 100 a second; 40 are in flight.
+func round(d *Dispatcher, now Millis, i int, key uint64, report []float32) {
+	d.Arrive(now, Request{ID: RequestID(i), Class: i % 5, Tenant: i % 2, Key: key, Deadline: now + 9000, Slots: 1})
+	if to, k := lastTo(d, RequestID(i)); k >= 0 {
+		d.Progressed(now+2, Progress{ID: RequestID(i), Attempt: k, Worker: to, Started: true})
+	}
+	if to, k := lastTo(d, RequestID(i-40)); k >= 0 {
+		d.Answer(now+4, Outcome{ID: RequestID(i - 40), Attempt: k, Worker: to, Took: 200 + float64(i%7), Closed: true, Report: report})
+	}
+}
+
+// BenchmarkReq is all decisions on a req: arrival with dispatch, start, answer. 100 of them make a second of a busy dispatcher.
+func BenchmarkReq(b *testing.B) {
+	each(b, func(b *testing.B, n int, cold bool) {
+		for _, keyed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("keyed=%v", keyed), func(b *testing.B) {
+				now, report := 1.7e12, []float32{2}
+				d, _ := costly(b, n, cold, now)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					key := uint64(0)
+					if keyed {
+						key = uint64(1 + i%1000)
+					}
+					if i%500 == 0 && cold { // the same tenth stays cold
+						b.StopTimer()
+						d, _ = costly(b, n, cold, now)
+						b.StartTimer()
+					}
+					round(d, now, i, key, report)
+					now += 10
+				}
+			})
+		}
+	})
+}
+
+// each runs a benchmark at all sizes, warm and with a tenth cold.
+func each(b *testing.B, f func(*testing.B, int, bool)) {
+	for _, n := range costSizes {
+		for _, cold := range []bool{false, true} {
+			b.Run(fmt.Sprintf("backends=%d/cold=%v", n, cold), func(b *testing.B) { f(b, n, cold) })
+		}
+	}
+}
+
+// BenchmarkDecision is each event by itself; what undoes it is not timed where that costs as much as the event.
+func BenchmarkDecision(b *testing.B) {
+	each(b, func(b *testing.B, n int, cold bool) {
+		now := 1.7e12
+		arrive := func(key uint64) func(*testing.B) {
+			return func(b *testing.B) {
+				d, _ := costly(b, n, cold, now)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					q := Request{ID: RequestID(i), Key: key * uint64(1+i%1000), Deadline: now + 9000, Slots: 1}
+					d.Arrive(now, q)
+					b.StopTimer()
+					if to, k := lastTo(d, q.ID); k >= 0 {
+						d.Answer(now, Outcome{ID: q.ID, Attempt: k, Worker: to, Took: 200, Closed: true})
+					}
+					d.newTickets(now)
+					b.StartTimer()
+				}
+			}
+		}
+		b.Run("arrive", arrive(0))
+		b.Run("arriveKeyed", arrive(1))
+		b.Run("progressed", func(b *testing.B) {
+			d, _ := costly(b, n, cold, now)
+			d.Arrive(now, Request{ID: 1, Deadline: now + 9000, Slots: 1})
+			to, k := lastTo(d, 1)
+			require.Zero(b, k)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Progressed(now+2, Progress{ID: 1, Worker: to, Started: true})
+			}
+		})
+		b.Run("answer", func(b *testing.B) {
+			d, _ := costly(b, n, cold, now)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				q := Request{ID: RequestID(i), Deadline: now + 9000, Slots: 1}
+				d.Arrive(now, q)
+				to, k := lastTo(d, q.ID)
+				d.newTickets(now)
+				b.StartTimer()
+				d.Answer(now, Outcome{ID: q.ID, Attempt: k, Worker: to, Took: 200, Closed: true, Report: []float32{2}})
+			}
+		})
+		b.Run("delta", func(b *testing.B) {
+			d, list := costly(b, n, cold, now)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				list[i/2%n].State = []State{Draining, Ready}[i%2]
+				d.Workers(now, ListDelta, list[i/2%n:i/2%n+1])
+			}
+		})
+		b.Run("fullList", func(b *testing.B) {
+			d, list := costly(b, n, cold, now)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Workers(now, ListFull, list)
+			}
+		})
+		for _, held := range []int{50, 500} {
+			b.Run(fmt.Sprintf("noRoom%d", held), func(b *testing.B) { benchHeld(b, n, cold, held, true) })
+			b.Run(fmt.Sprintf("noneFits%d", held), func(b *testing.B) { benchHeld(b, n, cold, held, false) })
+		}
+	})
+}
+
+// benchHeld serves the held, with the limit used up or with room but no backend of their kind.
+func benchHeld(b *testing.B, n int, cold bool, held int, full bool) {
+	now := 1.7e12
+	d, list := costly(b, n, cold, now)
+	for i := range list {
+		if list[i].Kind = 0; full {
+			list[i].Kind = i % 2
+		}
+	}
+	d.Workers(now, ListFull, list)
+	if full {
+		d.limit, d.busy = 10, 100
+	}
+	for i := range held {
+		class := 5
+		if full {
+			class = i % 6
+		}
+		d.Arrive(now, Request{ID: RequestID(i), Class: class, Tenant: i % 2, Key: uint64(i % 3), Deadline: now + 9000, Slots: 1})
+	}
+	require.Len(b, d.held, held)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.serveHeld(now)
+	}
+	require.Len(b, d.held, held)
+}
+
+// newTickets begins a window anew, so that a benchmark does not use up the cold backends.
+func (d *Dispatcher) newTickets(now Millis) {
+	for i := range d.workers {
+		if d.workers[i].tickets < 1 && d.warmth(now, &d.workers[i]) < 1 {
+			d.turn = -1
+			d.newWindow(now)
+			return
+		}
+	}
+}
