--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -43,9 +43,9 @@
 
 // add counts a request, and returns its tenant's rate, 0 if it has none, and that of all.
 func (r *rates) add(now, window Millis, tenant int) (own, all float64) {
-	n := len(r.last) - 1
+	n, fade := len(r.last)-1, math.Exp((r.at-now)/window)
 	for i := range r.last {
-		r.last[i] *= math.Exp((r.at - now) / window)
+		r.last[i] *= fade
 	}
 	r.at, r.last[n] = now, r.last[n]+1000/window
 	if tenant < n {
@@ -159,7 +159,10 @@
 // release frees the place of a worker that is gone and has nothing in flight.
 func (b *book) release(i int32) {
 	w := &b.workers[i]
-	if j, known := b.index[w.ID]; known && j == i && w.State == Gone && w.out == 0 {
+	if w.State != Gone || w.out > 0 {
+		return
+	}
+	if j, known := b.index[w.ID]; known && j == i {
 		delete(b.index, w.ID)
 		*w = worker{}
 		b.free = append(b.free, i)
