Work out a req's value once after each arrival, not for each held req at each answer

An answer asked for each held req whether there is room, and each time summed up all classes. The value rests on arrivals alone, so that it is kept by class until the next.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -15,6 +15,7 @@
 // Dispatcher decides for one node, from its settings and its own events alone.
 type Dispatcher struct {
 	book
+	kept
 	set         Settings
 	act         Actions
 	rng         *rand.Rand
@@ -61,7 +62,7 @@
 		return nil, err
 	}
 	n := len(s.Classes)
-	d := &Dispatcher{set: s, act: act, rng: rand.New(rand.NewPCG(s.Seed, s.Seed>>1)),
+	d := &Dispatcher{set: s, act: act, kept: newKept(&s), rng: rand.New(rand.NewPCG(s.Seed, s.Seed>>1)),
 		book: book{index: map[WorkerID]int32{}, reqs: map[RequestID]*request{}, keys: map[uint64]int{}},
 		runs: make([]float64, n), seen: make([]float64, n), work: make([]float64, n),
 		worth: make([]float64, n), kinds: slices.Repeat([]float64{1}, s.Kinds),
@@ -501,6 +502,7 @@
 		worth *= work
 	}
 	d.work[r.Class], d.worth[r.Class] = d.work[r.Class]+work, d.worth[r.Class]+worth
+	d.metered()
 	d.copies = min(d.copies+copyShare*work, d.run/copyShare)
 	if own, all := d.rates.add(now, window, r.Tenant); r.Tenant < len(d.set.Tenants) {
 		quota := d.set.Tenants[r.Tenant].QuotaPerS
@@ -512,7 +514,8 @@
 // room says whether a request may be taken on. The less it adds to the result for its
 // work, the more of the limit it leaves free for others.
 func (d *Dispatcher) room(r *request) bool {
-	return d.busy+r.Slots <= d.limit*(1-reserve*math.Pow(1-d.value(r), 2))
+	lack := 1 - d.valueOf(r)
+	return d.busy+r.Slots <= d.limit*(1-reserve*(lack*lack))
 }
 
 // value is what a request adds to the result for its work, relative to the best class: its
