--- a/internal/balance/course_test.go
+++ b/internal/balance/course_test.go
@@ -23,6 +23,7 @@
 	verbs    map[string]int
 	pace     float64
 	mostHeld int
+	hopeless int // reqs that none could take, as fresh found
 }
 
 func newCourse(t testing.TB, fleet, variant int) *course {
--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -552,9 +552,10 @@
 func (d *Dispatcher) serveHeld(now Millis) {
 	waiting := d.held
 	d.held = d.held[:0]
+	clear(d.none)
 	for _, r := range waiting {
 		i, stay := int32(-1), r.open && now < r.until
-		if stay && d.room(r) {
+		if stay && d.room(r) && !d.hopeless(now, r) {
 			i = d.pick(now, r)
 		}
 		if stay && i < 0 {
--- a/internal/balance/kept.go
+++ b/internal/balance/kept.go
@@ -12,6 +12,7 @@
 	marks  []mark    // of the ready workers, in their order
 	byKind []weights // of the ready workers, by kind, as of ...
 	at     Millis    // ... this time; 0: not known
+	none   []bool    // by kind, the last for any: no ready worker can take a request while the held are served
 	looks  int       // at workers, since the start: what a decision's cost grows with
 }
 
@@ -28,7 +29,8 @@
 }
 
 func newKept(s *Settings) kept {
-	k := kept{values: make([]float64, 2*len(s.Classes)), byKind: make([]weights, s.Kinds)}
+	k := kept{values: make([]float64, 2*len(s.Classes)), byKind: make([]weights, s.Kinds),
+		none: make([]bool, s.Kinds+1)}
 	k.metered()
 	return k
 }
@@ -136,3 +138,37 @@
 	}
 	return k, j
 }
+
+// hopeless says that pick would find no worker for a held request, doubt or no doubt, as for others of its kind since
+// clear(d.none): the list names none that runs it, or those are cold and have had what they can take in this window.
+// It makes pick's draws, so that the same seed decides the same.
+func (d *Dispatcher) hopeless(now Millis, r *request) bool {
+	if len(r.attempts) > 0 { // what was tried already stands against others
+		return false
+	}
+	d.newWindow(now)
+	kind := d.set.Classes[r.Class].Kind
+	none := &d.none[len(d.none)-1]
+	if kind >= 0 {
+		none = &d.none[kind]
+	}
+	if !*none {
+		n := len(d.ready)
+		for k, j := d.skip(r, 1, 0, 0, n); k < n; k, j = d.skip(r, 1, k+1, j+1, n) {
+			w := &d.workers[d.ready[j]]
+			if min(w.tickets, d.cold[w.Zone]) >= 1 || d.warmth(now, w) >= 1 {
+				return false
+			}
+		}
+		*none = true
+	}
+	passes := 2
+	if r.Key != 0 && float64(d.keys[r.Key]) <= keyLinks {
+		passes = 3
+	}
+	for ; passes > 0; passes-- {
+		d.rng.Float64()
+		d.rng.IntN(max(len(d.ready), 1))
+	}
+	return true
+}
--- a/internal/balance/kept_test.go
+++ b/internal/balance/kept_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -8,7 +9,8 @@
 
 // TestKeptAreFresh compares what is kept with the same made anew, after events of random courses.
 func TestKeptAreFresh(t *testing.T) {
-	for _, fleet := range []int{15, 64, 65, 300} {
+	hopeless := 0
+	for _, fleet := range []int{2, 15, 64, 65, 300} {
 		for variant := range 6 {
 			p := newCourse(t, fleet, variant)
 			for i := range 1500 {
@@ -16,8 +18,10 @@
 					p.fresh(t)
 				}
 			}
+			hopeless += p.hopeless
 		}
 	}
+	require.Greater(t, hopeless, 100)
 }
 
 func (p *course) fresh(t *testing.T) {
@@ -46,4 +50,27 @@
 		require.Equal(t, mark{uint64(w.ID) * 3, w.Kind}, d.marks[at])
 		require.LessOrEqual(t, min(1, links*d.speed(p.now, w)), reach)
 	}
+	d.newWindow(p.now)
+	old := d.rng
+	for class := range d.set.Classes { // hopeless says and draws what pick does
+		for _, key := range []uint64{0, 7, 900} {
+			r := &request{Request: Request{Class: class, Key: key}}
+			d.rng = rand.New(rand.NewPCG(1, 2))
+			place := d.pick(p.now, r)
+			after := d.rng.Uint64()
+			d.rng = rand.New(rand.NewPCG(1, 2))
+			clear(d.none)
+			for range 2 { // found, then remembered
+				if hopeless := d.hopeless(p.now, r); hopeless {
+					p.hopeless++
+					require.Equal(t, int32(-1), place)
+					require.Equal(t, after, d.rng.Uint64())
+					d.rng = rand.New(rand.NewPCG(1, 2))
+				} else if len(d.ready) <= sample {
+					require.NotEqual(t, int32(-1), place)
+				}
+			}
+		}
+	}
+	d.rng = old
 }
