Let news of a few backends cost what it names, not what the fleet holds

The row of ready backends is now changed in place, and whether a backend is linked is a comparison made when it is asked for.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -155,7 +155,7 @@
 func (d *Dispatcher) shortest(now Millis, r *request, keyed float64, doubt bool) int32 {
 	d.newWindow(now)
 	choice, best, total, luck := int32(-1), math.Inf(1), 0.0, d.rng.Float64()
-	n, reach := len(d.ready), d.reach(keyed)
+	n, reach, arc := len(d.ready), d.reach(keyed), d.arc()
 	for k, left, j := 0, sample, d.rng.IntN(max(n, 1)); left > 0; k, j = k+1, j+1 {
 		if k, j = d.skip(r, reach, k, j, n); k == n {
 			break
@@ -170,7 +170,7 @@
 		count := w.own
 		if w.Zone != d.set.Zone {
 			count += 2 * luck * max(1, perCross*d.set.Prices.CrossZone)
-		} else if !w.linked {
+		} else if w.link >= arc {
 			count += 2 * luck * aside
 		}
 		if count > best || min(w.tickets, d.cold[w.Zone]) < 1 && d.warmth(now, w) < 1 {
@@ -187,13 +187,20 @@
 	return choice
 }
 
-// link says whether a worker is preferred here: dispatchers and workers stand on a circle,
-// each takes the nearest, so that a few of many see a worker often and their news means something.
-func (d *Dispatcher) link(w *worker) bool {
+// link says how far a worker is from here, and arc how far those are that are preferred: dispatchers and
+// workers stand on a circle, each takes the nearest, so that a few of many see a worker often and their news
+// means something.
+func (d *Dispatcher) link(w *worker) float64 {
+	if w.Zone != d.set.Zone {
+		return math.Inf(1)
+	}
+	at := hash(uint64(w.ID)) - (float64(d.set.Self)+0.5)/float64(d.set.Instances)
+	return 2 * math.Abs(at-math.Round(at))
+}
+
+func (d *Dispatcher) arc() float64 {
 	n := float64(d.set.Instances)
-	at := hash(uint64(w.ID)) - (float64(d.set.Self)+0.5)/n
-	arc := max(links/n, fewest/float64(len(d.ready))) * float64(d.set.Zones)
-	return w.Zone == d.set.Zone && 2*math.Abs(at-math.Round(at)) < arc
+	return max(links/n, fewest/float64(len(d.ready))) * float64(d.set.Zones)
 }
 
 // ---- Capacity and speed learned ----
@@ -592,28 +599,13 @@
 		d.renew(float64(int(1) << min(d.failed, 3)))
 		return
 	}
-	for i := 0; i < len(d.workers) && kind != ListDelta; i++ { // who is not in a full list is gone
-		d.workers[i].State = Gone
-	}
-	for _, e := range list {
-		e.Zone, e.Kind = min(max(e.Zone, 0), d.set.Zones-1), min(max(e.Kind, 0), d.set.Kinds-1)
-		d.seat(e)
-	}
-	d.ready = d.ready[:0]
-	for i := range d.workers {
-		if d.workers[i].State == Ready {
-			d.ready = append(d.ready, int32(i))
-		}
-		d.release(int32(i))
-	}
-	d.relisted()
-	slots := 0.0
-	for _, i := range d.ready {
-		d.workers[i].linked = d.link(&d.workers[i])
-		slots += d.workers[i].size
-	}
+	d.relist(kind, list)
 	d.failed = 0
 	if d.limit == 0 { // the first list
+		slots := 0.0
+		for _, i := range d.ready {
+			slots += d.workers[i].size
+		}
 		slots /= float64(d.set.Instances)
 		d.limit = max(fewest, slots+2*math.Sqrt(slots))
 		if d.set.Subscribe {
--- a/internal/balance/kept.go
+++ b/internal/balance/kept.go
@@ -1,6 +1,9 @@
 package balance
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // This file holds sums that dispatcher.go would otherwise make anew for each request and each worker, so that a
 // decision's cost does not grow with the fleet or with what is held. It decides nothing: each sum has a test that
@@ -10,8 +13,11 @@
 type kept struct {
 	values []float64 // of requests, by class, for those beyond their tenant's share after all others; NaN: not known
 	marks  []mark    // of the ready workers, in their order
-	byKind []weights // of the ready workers, by kind, as of ...
-	at     Millis    // ... this time; 0: not known
+	byKind []weights // of the ready workers, by kind, if ...
+	summed bool      // ... they have been made, as of ...
+	at     Millis    // ... this time ...
+	bend   Millis    // ... and good until then: a worker starts or becomes warm
+	seated []int32   // places that a list has touched
 	none   []bool    // by kind, the last for any: no ready worker can take a request while the held are served
 	looks  int       // at workers, since the start: what a decision's cost grows with
 }
@@ -22,6 +28,8 @@
 	kind int
 }
 
+func markOf(w *worker) mark { return mark{uint64(w.ID) * 3, w.Kind} }
+
 // weights sum up the ready workers of a kind. A worker's weight is its speed when warm, but for its kind's part.
 type weights struct {
 	sum, rise float64 // of weight times warmth, and by how much that grows in a millisecond
@@ -56,17 +64,63 @@
 	return v
 }
 
-// relisted makes the marks of a new list of ready workers.
-func (d *Dispatcher) relisted() {
-	d.marks, d.kept.at = d.marks[:0], 0
-	for _, i := range d.ready {
-		w := &d.workers[i]
-		d.marks = append(d.marks, mark{uint64(w.ID) * 3, w.Kind})
+// relist seats the workers of a list, puts those that are ready in line and lets go of places of those that are gone,
+// in the order of their places. A delta costs what it names, not what the fleet holds.
+func (d *Dispatcher) relist(kind ListKind, list []Worker) {
+	full := kind != ListDelta
+	for i := 0; i < len(d.workers) && full; i++ { // who is not in a full list is gone
+		d.workers[i].State = Gone
+	}
+	d.seated = d.seated[:0]
+	for _, e := range list {
+		e.Zone, e.Kind = min(max(e.Zone, 0), d.set.Zones-1), min(max(e.Kind, 0), d.set.Kinds-1)
+		i, known := d.index[e.ID]
+		if known && !full {
+			d.count(&d.workers[i], -1)
+		}
+		if i, known = d.seat(e); known {
+			d.workers[i].link = d.link(&d.workers[i])
+			if !full {
+				d.count(&d.workers[i], 1)
+				d.seated = append(d.seated, i)
+			}
+		}
+	}
+	if full {
+		d.ready, d.marks, d.summed = d.ready[:0], d.marks[:0], false
+		for i := range d.workers {
+			if w := &d.workers[i]; w.State == Ready {
+				d.ready, d.marks = append(d.ready, int32(i)), append(d.marks, markOf(w))
+			}
+			d.release(int32(i))
+		}
+		d.looks += len(d.workers)
+		return
+	}
+	d.looks += len(d.seated)
+	slices.Sort(d.seated)
+	for _, i := range d.seated {
+		d.line(i)
+		d.release(i)
+	}
+}
+
+// line puts the worker in a place in line or takes it out, as it is ready or not.
+func (d *Dispatcher) line(i int32) {
+	w := &d.workers[i]
+	at, in := slices.BinarySearch(d.ready, i)
+	switch {
+	case w.State != Ready && in:
+		d.ready, d.marks = slices.Delete(d.ready, at, at+1), slices.Delete(d.marks, at, at+1)
+	case w.State == Ready && in:
+		d.marks[at] = markOf(w)
+	case w.State == Ready:
+		d.ready, d.marks = slices.Insert(d.ready, at, i), slices.Insert(d.marks, at, markOf(w))
 	}
 }
 
-// allSpeed sums up the speeds of the ready workers. In a fleet of more than sample workers it goes by sums that are
-// made anew every window, with a straight line for what has warmed up since.
+// allSpeed sums up the speeds of the ready workers. In a fleet of more than sample workers it goes by the sums by kind,
+// which are the same but for rounding.
 func (d *Dispatcher) allSpeed(now Millis) (total float64) {
 	if len(d.ready) <= sample {
 		for _, i := range d.ready {
@@ -74,8 +128,8 @@
 		}
 		return total
 	}
-	if d.kept.at == 0 || now-d.kept.at >= window {
-		d.kept.at = now
+	if !d.summed || now >= d.bend {
+		d.summed, d.kept.at, d.bend = true, now, now+window // no longer, so that roundings do not add up
 		clear(d.byKind)
 		for _, i := range d.ready {
 			d.weigh(&d.workers[i], 1)
@@ -87,26 +141,31 @@
 	return max(0, total)
 }
 
-// weigh adds a ready worker to its kind's weights, some times.
+// count adds a worker to its kind's weights, some times, if it is ready and they are known.
+func (d *Dispatcher) count(w *worker, times float64) {
+	if d.summed && w.State == Ready {
+		d.weigh(w, times)
+	}
+}
+
+// weigh is count without the condition.
 func (d *Dispatcher) weigh(w *worker, times float64) {
 	sum, weight := &d.byKind[w.Kind], w.size/(w.pace*w.pace)
-	warm := d.warmth(d.kept.at, w)
-	sum.sum += times * weight * warm
-	if warm < 1 {
+	sum.sum += times * weight * d.warmth(d.kept.at, w)
+	if begins, ends := w.Started, w.Started+d.set.Rules.WarmAfter; begins > d.kept.at { // its warmth is a line from then on
+		d.bend = min(d.bend, begins)
+	} else if begins > 0 && ends > d.kept.at {
 		sum.rise += times * weight * (1 - d.set.Rules.StartCapacity) / d.set.Rules.WarmAfter
+		d.bend = min(d.bend, ends)
 	}
 	sum.top = max(sum.top, weight)
 }
 
 // setPace changes a worker's pace.
 func (d *Dispatcher) setPace(w *worker, pace float64) {
-	counted := d.kept.at > 0 && w.State == Ready
-	if counted {
-		d.weigh(w, -1)
-	}
-	if w.pace = pace; counted {
-		d.weigh(w, 1)
-	}
+	d.count(w, -1)
+	w.pace = pace
+	d.count(w, 1)
 }
 
 // reach is a hash that no link's of a key is above, given the part of the keys that a worker of speed 1 is linked to;
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -23,7 +23,7 @@
 // worker is what is known of one worker.
 type worker struct {
 	Worker
-	linked   bool    // one of the few that this dispatcher prefers
+	link     float64 // how far it is from this dispatcher: those within arc are preferred
 	size     float64 // largest weight listed: about its slots
 	own      float64 // slots of this dispatcher's jobs in flight
 	others   float64 // slots that others held or waited for, by the last news ...
@@ -136,13 +136,13 @@
 }
 
 // seat finds or makes the place of a listed worker. A new start time means a new
-// process: what was learned about the old one is dropped.
-func (b *book) seat(e Worker) {
+// process: what was learned about the old one is dropped. A worker that is gone and was not known gets none.
+func (b *book) seat(e Worker) (place int32, listed bool) {
 	i, known := b.index[e.ID]
 	switch {
 	case known:
 	case e.State == Gone:
-		return
+		return 0, false
 	case len(b.free) > 0:
 		i, b.free = b.free[len(b.free)-1], b.free[:len(b.free)-1]
 	default:
@@ -154,6 +154,7 @@
 	}
 	b.index[e.ID] = i
 	w.Worker, w.size = e, max(1, w.size, e.Weight)
+	return i, true
 }
 
 // release frees the place of a worker that is gone and has nothing in flight.
