--- a/internal/balance/kept.go
+++ b/internal/balance/kept.go
@@ -200,11 +200,8 @@
 
 // hopeless says that pick would find no worker for a held request, doubt or no doubt, as for others of its kind since
 // clear(d.none): the list names none that runs it, or those are cold and have had what they can take in this window.
-// It makes pick's draws, so that the same seed decides the same.
+// What a request has tried already could only stand against more. It makes pick's draws, so that the same seed decides the same.
 func (d *Dispatcher) hopeless(now Millis, r *request) bool {
-	if len(r.attempts) > 0 { // what was tried already stands against others
-		return false
-	}
 	d.newWindow(now)
 	kind := d.set.Classes[r.Class].Kind
 	none := &d.none[len(d.none)-1]
--- a/internal/balance/kept_test.go
+++ b/internal/balance/kept_test.go
@@ -15,6 +15,10 @@
 			p := newCourse(t, fleet, variant)
 			for i := range 1500 {
 				if p.event(); i%20 == 0 {
+					w := &p.list[i%fleet]
+					w.Kind = 1 - w.Kind
+					p.d.Workers(p.now, ListDelta, []Worker{*w})
+					p.take()
 					p.fresh(t)
 				}
 			}
--- a/internal/balance/work_test.go
+++ b/internal/balance/work_test.go
@@ -66,4 +66,14 @@
 	before := d.looks
 	d.serveHeld(now)
 	assert.LessOrEqual(t, d.looks-before, len(list))
+	list[0].Started = 0
+	d.Workers(now, ListDelta, list[:1])
+	assert.Less(t, len(d.held), 500, "a warm backend came back")
+	for i := range 50 { // each comes and goes
+		e := Worker{ID: WorkerID(1e9 + i), State: Draining, Weight: 1}
+		d.Workers(now, ListDelta, []Worker{e})
+		e.State = Gone
+		d.Workers(now, ListDelta, []Worker{e})
+	}
+	assert.LessOrEqual(t, len(d.workers), len(list)+1, "places are used again")
 }
