--- a/internal/balance/cost_test.go
+++ b/internal/balance/cost_test.go
@@ -187,3 +187,52 @@
 		}
 	}
 }
+
+// BenchmarkWorst is an arrival where few shortcuts hold: all backends start one after another; all rest after failures, so
+// that the evidence against them is doubted; none runs the req's class; or an attempt at a req that may not run twice failed.
+func BenchmarkWorst(b *testing.B) {
+	for _, n := range costSizes {
+		for _, name := range []string{"allStarting", "allResting", "noneFits", "unsafeFailed"} {
+			b.Run(fmt.Sprintf("backends=%d/%s", n, name), func(b *testing.B) {
+				now, class := 1.7e12, 0
+				d, list := costly(b, n, false, now)
+				for i := range list {
+					switch name {
+					case "allStarting":
+						list[i].Started = now - 9990 + 10000*float64(i)/float64(n)
+					case "noneFits":
+						list[i].Kind, class = 0, 5
+					case "unsafeFailed":
+						class = 1
+					}
+				}
+				d.Workers(now, ListFull, list)
+				for i := range d.workers {
+					if name == "allResting" {
+						d.workers[i].until = now + 1e9
+					}
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now += 0.01
+					q := Request{ID: RequestID(i), Class: class, Key: uint64(1 + i%1000), Deadline: now + 9000, Slots: 1}
+					d.Arrive(now, q)
+					if to, k := lastTo(d, q.ID); k >= 0 {
+						o := Outcome{ID: q.ID, Attempt: k, Worker: to, Took: 200, Closed: class == 0}
+						if class > 0 {
+							o.Result = Error
+						}
+						d.Answer(now, o)
+						if name == "unsafeFailed" {
+							d.workers[d.index[to]].until, d.workers[d.index[to]].strikes = 0, 0
+						}
+					}
+					d.Abandoned(now, q.ID)
+					if len(d.held) > 0 {
+						d.held = d.held[:0]
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/balance/course_test.go
+++ b/internal/balance/course_test.go
@@ -23,7 +23,8 @@
 	verbs    map[string]int
 	pace     float64
 	mostHeld int
-	hopeless int // reqs that none could take, as fresh found
+	hopeless int // reqs that none could take, as fresh found ...
+	barred   int // ... and those that may not be sent again
 }
 
 func newCourse(t testing.TB, fleet, variant int) *course {
--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -155,7 +155,7 @@
 func (d *Dispatcher) shortest(now Millis, r *request, keyed float64, doubt bool) int32 {
 	d.newWindow(now)
 	choice, best, total, luck := int32(-1), math.Inf(1), 0.0, d.rng.Float64()
-	n, reach, arc := len(d.ready), d.reach(keyed), d.arc()
+	n, reach, arc := len(d.ready), d.reach(r, keyed), d.arc()
 	for k, left, j := 0, sample, d.rng.IntN(max(n, 1)); left > 0; k, j = k+1, j+1 {
 		if k, j = d.skip(r, reach, k, j, n); k == n {
 			break
--- a/internal/balance/kept.go
+++ b/internal/balance/kept.go
@@ -168,9 +168,23 @@
 	d.count(w, 1)
 }
 
-// reach is a hash that no link's of a key is above, given the part of the keys that a worker of speed 1 is linked to;
-// 0 is for requests that need no link.
-func (d *Dispatcher) reach(keyed float64) float64 {
+// barred says that what has been tried of a request stands against every worker, whatever its group: legal says why.
+func (d *Dispatcher) barred(r *request) bool {
+	for k := range r.attempts {
+		a := &r.attempts[k]
+		if a.out && !d.set.MayDuplicate || !a.never && d.set.Classes[r.Class].Effect == Unsafe {
+			return true
+		}
+	}
+	return false
+}
+
+// reach is a hash that no link's of the request's key is above, given the part of the keys that a worker of speed 1 is
+// linked to, 0 if the request needs no link. It is below 0 if no worker may have the request.
+func (d *Dispatcher) reach(r *request, keyed float64) float64 {
+	if d.barred(r) {
+		return -1
+	}
 	if keyed == 0 || len(d.ready) <= sample {
 		return 1
 	}
@@ -184,6 +198,9 @@
 // skip passes over ready workers from the j-th on that are of a kind that does not run the request's class, or not
 // linked to its key, whatever their speed: shortest would turn them away one by one. It counts them in k as well, up to all n.
 func (d *Dispatcher) skip(r *request, reach float64, k, j, n int) (int, int) {
+	if reach < 0 {
+		return n, j
+	}
 	kind := d.set.Classes[r.Class].Kind
 	for ; k < n; k, j = k+1, j+1 {
 		if j >= n {
--- a/internal/balance/kept_test.go
+++ b/internal/balance/kept_test.go
@@ -9,7 +9,7 @@
 
 // TestKeptAreFresh compares what is kept with the same made anew, after events of random courses.
 func TestKeptAreFresh(t *testing.T) {
-	hopeless := 0
+	hopeless, barred := 0, 0
 	for _, fleet := range []int{2, 15, 64, 65, 300} {
 		for variant := range 6 {
 			p := newCourse(t, fleet, variant)
@@ -22,10 +22,11 @@
 					p.fresh(t)
 				}
 			}
-			hopeless += p.hopeless
+			hopeless, barred = hopeless+p.hopeless, barred+p.barred
 		}
 	}
 	require.Greater(t, hopeless, 100)
+	require.Greater(t, barred, 100)
 }
 
 func (p *course) fresh(t *testing.T) {
@@ -43,13 +44,21 @@
 	require.InDelta(t, total, d.allSpeed(p.now), total*1e-9)
 	links, reach := keyLinks/max(total, 1e-9), 1.0
 	if total > 0 {
-		reach = d.reach(links)
+		reach = d.reach(&request{}, links)
 	}
 	for at, i := range d.ready {
 		w := &d.workers[i]
 		require.Equal(t, markOf(w), d.marks[at])
 		require.LessOrEqual(t, min(1, links*d.speed(p.now, w)), reach)
 	}
+	for _, r := range d.reqs { // the barred are legal nowhere
+		if d.barred(r) {
+			p.barred++
+			for _, i := range d.ready {
+				require.False(t, d.legal(p.now, r, &d.workers[i]))
+			}
+		}
+	}
 	d.newWindow(p.now)
 	old := d.rng
 	for class := range d.set.Classes { // hopeless says and draws what pick does
