--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -33,5 +33,10 @@
 measure-lab:
 	go test -run - -bench Sizes -benchtime 2x ./internal/lab/sim
 
+# What decisions cost by size of fleet and reqs held, and reading the laboratory's wire.
+measure-cost:
+	go test -run - -bench 'Req|Decision|Worst' -benchtime 1000x -cpu 1 ./internal/balance
+	go test -run - -bench Wire -benchtime 1000x -cpu 1 ./cmd/drill
+
 run: build
 	exec bin/tinsail serve
--- a/internal/balance/kept_test.go
+++ b/internal/balance/kept_test.go
@@ -83,3 +83,20 @@
 	}
 	d.rng = old
 }
+
+// TestBarredIsLegal: a req is barred just where even the backend that it was sent to may not have it again at once.
+func TestBarredIsLegal(t *testing.T) {
+	for _, dup := range []bool{false, true} {
+		s := testSettings()
+		s.MayDuplicate = dup
+		d, _ := start(t, s, fleet(1))
+		w := &d.workers[0]
+		for class := range s.Classes[:5] {
+			for _, a := range []attempt{{}, {out: true}, {never: true}} {
+				a.zone, a.cell, a.sent = w.Zone, w.Cell, 10
+				r := &request{Request: Request{Class: class}, attempts: []attempt{a}}
+				require.Equal(t, !d.legal(11, r, w), d.barred(r), "class %d, %+v", class, a)
+			}
+		}
+	}
+}
