--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -15,6 +15,7 @@
 // Dispatcher decides for one node, from its settings and its own events alone.
 type Dispatcher struct {
 	book
+	kept
 	set         Settings
 	act         Actions
 	rng         *rand.Rand
@@ -61,7 +62,7 @@
 		return nil, err
 	}
 	n := len(s.Classes)
-	d := &Dispatcher{set: s, act: act, rng: rand.New(rand.NewPCG(s.Seed, s.Seed>>1)),
+	d := &Dispatcher{set: s, act: act, kept: newKept(&s), rng: rand.New(rand.NewPCG(s.Seed, s.Seed>>1)),
 		book: book{index: map[WorkerID]int32{}, reqs: map[RequestID]*request{}, keys: map[uint64]int{}},
 		runs: make([]float64, n), seen: make([]float64, n), work: make([]float64, n),
 		worth: make([]float64, n), kinds: slices.Repeat([]float64{1}, s.Kinds),
@@ -136,11 +137,7 @@
 // with probability by speed; a hot key, with more requests out than links, is linked to all.
 func (d *Dispatcher) pick(now Millis, r *request) int32 {
 	if r.Key != 0 && float64(d.keys[r.Key]) <= keyLinks {
-		total := 0.0
-		for _, i := range d.ready {
-			total += d.speed(now, &d.workers[i])
-		}
-		if i := d.shortest(now, r, keyLinks/total, false); i >= 0 {
+		if i := d.shortest(now, r, keyLinks/d.allSpeed(now), false); i >= 0 {
 			return i
 		}
 	}
@@ -158,9 +155,12 @@
 func (d *Dispatcher) shortest(now Millis, r *request, keyed float64, doubt bool) int32 {
 	d.newWindow(now)
 	choice, best, total, luck := int32(-1), math.Inf(1), 0.0, d.rng.Float64()
-	n := len(d.ready)
-	for k, left, j := 0, sample, d.rng.IntN(max(n, 1)); k < n && left > 0; k, j = k+1, j+1 {
-		i := d.ready[j%n]
+	n, reach, arc := len(d.ready), d.reach(r, keyed), d.arc()
+	for k, left, j := 0, sample, d.rng.IntN(max(n, 1)); left > 0; k, j = k+1, j+1 {
+		if k, j = d.skip(r, reach, k, j, n); k == n {
+			break
+		}
+		i := d.ready[j]
 		w := &d.workers[i]
 		if !d.legal(now, r, w) || !doubt && !d.trusted(now, w, luck) || r.tried(i) ||
 			keyed > 0 && hash(r.Key^uint64(w.ID)*3) >= keyed*d.speed(now, w) {
@@ -170,7 +170,7 @@
 		count := w.own
 		if w.Zone != d.set.Zone {
 			count += 2 * luck * max(1, perCross*d.set.Prices.CrossZone)
-		} else if !w.linked {
+		} else if w.link >= arc {
 			count += 2 * luck * aside
 		}
 		if count > best || min(w.tickets, d.cold[w.Zone]) < 1 && d.warmth(now, w) < 1 {
@@ -187,13 +187,20 @@
 	return choice
 }
 
-// link says whether a worker is preferred here: dispatchers and workers stand on a circle,
-// each takes the nearest, so that a few of many see a worker often and their news means something.
-func (d *Dispatcher) link(w *worker) bool {
+// link says how far a worker is from here, and arc how far those are that are preferred: dispatchers and
+// workers stand on a circle, each takes the nearest, so that a few of many see a worker often and their news
+// means something.
+func (d *Dispatcher) link(w *worker) float64 {
+	if w.Zone != d.set.Zone {
+		return math.Inf(1)
+	}
+	at := hash(uint64(w.ID)) - (float64(d.set.Self)+0.5)/float64(d.set.Instances)
+	return 2 * math.Abs(at-math.Round(at))
+}
+
+func (d *Dispatcher) arc() float64 {
 	n := float64(d.set.Instances)
-	at := hash(uint64(w.ID)) - (float64(d.set.Self)+0.5)/n
-	arc := max(links/n, fewest/float64(len(d.ready))) * float64(d.set.Zones)
-	return w.Zone == d.set.Zone && 2*math.Abs(at-math.Round(at)) < arc
+	return max(links/n, fewest/float64(len(d.ready))) * float64(d.set.Zones)
 }
 
 // ---- Capacity and speed learned ----
@@ -220,7 +227,7 @@
 	*run += (took - *run) * max(gain/4, 1/(d.seen[r.Class]+1))
 	ratio := min(max(took / *run, 0.25), 4) // one heavy job must not brand a worker
 	d.kinds[w.Kind] += (ratio - d.kinds[w.Kind]) * gain / 4
-	w.pace += (ratio/d.kinds[w.Kind] - w.pace) * gain
+	d.setPace(w, w.pace+(ratio/d.kinds[w.Kind]-w.pace)*gain)
 }
 
 // learnCrowd takes news of others' slots at a worker. An attempt kept waiting by a crowd lowers
@@ -501,6 +508,7 @@
 		worth *= work
 	}
 	d.work[r.Class], d.worth[r.Class] = d.work[r.Class]+work, d.worth[r.Class]+worth
+	d.metered()
 	d.copies = min(d.copies+copyShare*work, d.run/copyShare)
 	if own, all := d.rates.add(now, window, r.Tenant); r.Tenant < len(d.set.Tenants) {
 		quota := d.set.Tenants[r.Tenant].QuotaPerS
@@ -512,7 +520,8 @@
 // room says whether a request may be taken on. The less it adds to the result for its
 // work, the more of the limit it leaves free for others.
 func (d *Dispatcher) room(r *request) bool {
-	return d.busy+r.Slots <= d.limit*(1-reserve*math.Pow(1-d.value(r), 2))
+	lack := 1 - d.valueOf(r)
+	return d.busy+r.Slots <= d.limit*(1-reserve*(lack*lack))
 }
 
 // value is what a request adds to the result for its work, relative to the best class: its
@@ -550,9 +559,10 @@
 func (d *Dispatcher) serveHeld(now Millis) {
 	waiting := d.held
 	d.held = d.held[:0]
+	clear(d.none)
 	for _, r := range waiting {
 		i, stay := int32(-1), r.open && now < r.until
-		if stay && d.room(r) {
+		if stay && d.room(r) && !d.hopeless(now, r) {
 			i = d.pick(now, r)
 		}
 		if stay && i < 0 {
@@ -589,27 +599,13 @@
 		d.renew(float64(int(1) << min(d.failed, 3)))
 		return
 	}
-	for i := 0; i < len(d.workers) && kind != ListDelta; i++ { // who is not in a full list is gone
-		d.workers[i].State = Gone
-	}
-	for _, e := range list {
-		e.Zone, e.Kind = min(max(e.Zone, 0), d.set.Zones-1), min(max(e.Kind, 0), d.set.Kinds-1)
-		d.seat(e)
-	}
-	d.ready = d.ready[:0]
-	for i := range d.workers {
-		if d.workers[i].State == Ready {
-			d.ready = append(d.ready, int32(i))
-		}
-		d.release(int32(i))
-	}
-	slots := 0.0
-	for _, i := range d.ready {
-		d.workers[i].linked = d.link(&d.workers[i])
-		slots += d.workers[i].size
-	}
+	d.relist(kind, list)
 	d.failed = 0
 	if d.limit == 0 { // the first list
+		slots := 0.0
+		for _, i := range d.ready {
+			slots += d.workers[i].size
+		}
 		slots /= float64(d.set.Instances)
 		d.limit = max(fewest, slots+2*math.Sqrt(slots))
 		if d.set.Subscribe {
--- /dev/null
+++ b/internal/balance/kept_test.go
@@ -0,0 +1,102 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestKeptAreFresh compares what is kept with the same made anew, after events of random courses.
+func TestKeptAreFresh(t *testing.T) {
+	hopeless, barred := 0, 0
+	for _, fleet := range []int{2, 15, 64, 65, 300} {
+		for variant := range 6 {
+			p := newCourse(t, fleet, variant)
+			for i := range 1500 {
+				if p.event(); i%20 == 0 {
+					w := &p.list[i%fleet]
+					w.Kind = 1 - w.Kind
+					p.d.Workers(p.now, ListDelta, []Worker{*w})
+					p.take()
+					p.fresh(t)
+				}
+			}
+			hopeless, barred = hopeless+p.hopeless, barred+p.barred
+		}
+	}
+	require.Greater(t, hopeless, 100)
+	require.Greater(t, barred, 100)
+}
+
+func (p *course) fresh(t *testing.T) {
+	d := p.d
+	for class := range d.set.Classes {
+		for _, over := range []bool{false, true} {
+			r := &request{Request: Request{Class: class}, over: over}
+			require.Equal(t, d.value(r), d.valueOf(r))
+		}
+	}
+	total := 0.0
+	for _, i := range d.ready {
+		total += d.speed(p.now, &d.workers[i])
+	}
+	require.InDelta(t, total, d.allSpeed(p.now), total*1e-9)
+	links, reach := keyLinks/max(total, 1e-9), 1.0
+	if total > 0 {
+		reach = d.reach(&request{}, links)
+	}
+	for at, i := range d.ready {
+		w := &d.workers[i]
+		require.Equal(t, markOf(w), d.marks[at])
+		require.LessOrEqual(t, min(1, links*d.speed(p.now, w)), reach)
+	}
+	for _, r := range d.reqs { // the barred are legal nowhere
+		if d.barred(r) {
+			p.barred++
+			for _, i := range d.ready {
+				require.False(t, d.legal(p.now, r, &d.workers[i]))
+			}
+		}
+	}
+	d.newWindow(p.now)
+	old := d.rng
+	for class := range d.set.Classes { // hopeless says and draws what pick does
+		for _, key := range []uint64{0, 7, 900} {
+			r := &request{Request: Request{Class: class, Key: key}}
+			d.rng = rand.New(rand.NewPCG(1, 2))
+			place := d.pick(p.now, r)
+			after := d.rng.Uint64()
+			d.rng = rand.New(rand.NewPCG(1, 2))
+			clear(d.none)
+			for range 2 { // found, then remembered
+				if hopeless := d.hopeless(p.now, r); hopeless {
+					p.hopeless++
+					require.Equal(t, int32(-1), place)
+					require.Equal(t, after, d.rng.Uint64())
+					d.rng = rand.New(rand.NewPCG(1, 2))
+				} else if len(d.ready) <= sample {
+					require.NotEqual(t, int32(-1), place)
+				}
+			}
+		}
+	}
+	d.rng = old
+}
+
+// TestBarredIsLegal: a req is barred just where even the backend that it was sent to may not have it again at once.
+func TestBarredIsLegal(t *testing.T) {
+	for _, dup := range []bool{false, true} {
+		s := testSettings()
+		s.MayDuplicate = dup
+		d, _ := start(t, s, fleet(1))
+		w := &d.workers[0]
+		for class := range s.Classes[:5] {
+			for _, a := range []attempt{{}, {out: true}, {never: true}} {
+				a.zone, a.cell, a.sent = w.Zone, w.Cell, 10
+				r := &request{Request: Request{Class: class}, attempts: []attempt{a}}
+				require.Equal(t, !d.legal(11, r, w), d.barred(r), "class %d, %+v", class, a)
+			}
+		}
+	}
+}
