--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -27,6 +27,7 @@
 func ended(at float64, id string, n int, never bool) Event {
 	return Event{At: at, What: Ended, Req: id, Try: n, Never: never}
 }
+func (e Event) of(effect Effect) Event { e.Effect = effect; return e }
 func answer(at float64, id string, v Verdict) Event {
 	return Event{At: at, What: Answered, Req: id, Verdict: v}
 }
@@ -51,26 +52,32 @@
 		rule string
 		at   int
 	}{
-		"served":                           {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), ended(200, "x", 0, false), answer(200, "x", Served)}, "", 0},
-		"no answer":                        {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1)}, "lost", 2},
-		"an answer within the slack":       {[]Event{ask(0, "x"), answer(5050, "x", Failed)}, "", 0},
-		"an answer too late":               {[]Event{ask(0, "x"), answer(5051, "x", Failed)}, "lost", 1},
-		"two answers":                      {[]Event{ask(0, "x"), answer(1, "x", Failed), answer(2, "x", Served)}, "twice", 2},
-		"an answer to nobody":              {[]Event{answer(1, "x", Failed)}, "lost", 0},
-		"sent again after it never ran":    {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), ended(2, "x", 0, true), sent(3, "x", 1, "b", 2), answer(9, "x", Served)}, "", 0},
-		"sent to another group":            {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), ended(2, "x", 0, false), sent(3, "x", 1, "b", 2), answer(9, "x", Served)}, "repeat", 3},
-		"a copy in its group":              {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), sent(3, "x", 1, "b", 1), answer(9, "x", Served)}, "", 0},
-		"a copy that its group forgot":     {[]Event{{What: Asked, Req: "x", Deadline: 20000}, sent(1, "x", 0, "a", 1), sent(7501, "x", 1, "b", 1), answer(9000, "x", Served)}, "repeat", 2},
-		"refused while it may run":         {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), answer(9, "x", Refused)}, "repeat", 2},
-		"a first attempt that never began": {[]Event{ask(0, "x"), sent(3, "x", 1, "b", 2), answer(9, "x", Served)}, "", 0},
-		"to one that drains, in the grace": {[]Event{told(0, false), ask(1, "x"), sent(500, "x", 0, "a", 1), answer(600, "x", Served)}, "", 0},
-		"to one that drains":               {[]Event{told(0, false), told(400, false), ask(1, "x"), sent(501, "x", 0, "a", 1), answer(600, "x", Served)}, "drain", 3},
-		"to one that is ready again":       {[]Event{told(0, false), told(400, true), ask(401, "x"), sent(901, "x", 0, "a", 1), answer(950, "x", Served)}, "", 0},
-		"to one that is banned":            {[]Event{{What: Banned, Backend: "a"}, ask(1, "x"), sent(501, "x", 0, "a", 1), answer(600, "x", Served)}, "ban", 2},
-		"to one that was called back":      {[]Event{{What: Banned, Backend: "a"}, {At: 9, What: Lifted, Backend: "a"}, ask(10, "x"), sent(600, "x", 0, "a", 1), answer(700, "x", Served)}, "", 0},
-		"too much for a cold one":          {many(8, 100), "cold", 22},
-		"as much, spread out":              {many(20, 300), "", 0},
-		"one that fell":                    {[]Event{{What: Fell, Backend: "a"}}, "cold", 0},
+		"served":                                {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), ended(200, "x", 0, false), answer(200, "x", Served)}, "", 0},
+		"no answer":                             {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1)}, "lost", 2},
+		"an answer within the slack":            {[]Event{ask(0, "x"), answer(5050, "x", Failed)}, "", 0},
+		"an answer too late":                    {[]Event{ask(0, "x"), answer(5051, "x", Failed)}, "lost", 1},
+		"two answers":                           {[]Event{ask(0, "x"), answer(1, "x", Failed), answer(2, "x", Served)}, "twice", 2},
+		"an answer to nobody":                   {[]Event{answer(1, "x", Failed)}, "lost", 0},
+		"sent again after it never ran":         {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), ended(2, "x", 0, true), sent(3, "x", 1, "b", 2), answer(9, "x", Served)}, "", 0},
+		"sent to another group":                 {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), ended(2, "x", 0, false), sent(3, "x", 1, "b", 2), answer(9, "x", Served)}, "repeat", 3},
+		"a copy in its group":                   {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), sent(3, "x", 1, "b", 1), answer(9, "x", Served)}, "", 0},
+		"a copy that its group forgot":          {[]Event{{What: Asked, Req: "x", Deadline: 20000}, sent(1, "x", 0, "a", 1), sent(7501, "x", 1, "b", 1), answer(9000, "x", Served)}, "repeat", 2},
+		"refused while it may run":              {[]Event{ask(0, "x"), sent(1, "x", 0, "a", 1), answer(9, "x", Refused)}, "repeat", 2},
+		"a first attempt that never began":      {[]Event{ask(0, "x"), sent(3, "x", 1, "b", 2), answer(9, "x", Served)}, "", 0},
+		"to one that drains, in the grace":      {[]Event{told(0, false), ask(1, "x"), sent(500, "x", 0, "a", 1), answer(600, "x", Served)}, "", 0},
+		"to one that drains":                    {[]Event{told(0, false), told(400, false), ask(1, "x"), sent(501, "x", 0, "a", 1), answer(600, "x", Served)}, "drain", 3},
+		"to one that is ready again":            {[]Event{told(0, false), told(400, true), ask(401, "x"), sent(901, "x", 0, "a", 1), answer(950, "x", Served)}, "", 0},
+		"to one that is banned":                 {[]Event{{What: Banned, Backend: "a"}, ask(1, "x"), sent(501, "x", 0, "a", 1), answer(600, "x", Served)}, "ban", 2},
+		"to one that was called back":           {[]Event{{What: Banned, Backend: "a"}, {At: 9, What: Lifted, Backend: "a"}, ask(10, "x"), sent(600, "x", 0, "a", 1), answer(700, "x", Served)}, "", 0},
+		"too much for a cold one":               {many(8, 100), "cold", 22},
+		"as much, spread out":                   {many(20, 300), "", 0},
+		"a safe one, sent anywhere and refused": {[]Event{ask(0, "x").of(Safe), sent(1, "x", 0, "a", 1), sent(8000, "x", 1, "b", 2), answer(5000, "x", Refused)}, "", 0},
+		"once, after it never ran":              {[]Event{ask(0, "x").of(Once), sent(1, "x", 0, "a", 1), ended(2, "x", 0, true), sent(3, "x", 1, "a", 1), answer(9, "x", Served)}, "", 0},
+		"once, in its own group":                {[]Event{ask(0, "x").of(Once), sent(1, "x", 0, "a", 1), ended(2, "x", 0, false), sent(3, "x", 1, "a", 1), answer(9, "x", Served)}, "repeat", 3},
+		"once, refused after it may have run":   {[]Event{ask(0, "x").of(Once), sent(1, "x", 0, "a", 1), ended(2, "x", 0, false), answer(9, "x", Refused)}, "repeat", 3},
+		"owed by one that was killed":           {[]Event{told(0, false), ask(0, "x"), sent(1, "x", 0, "a", 1), {At: 2, What: Stopped}, ask(700, "y"), sent(700, "y", 0, "a", 1), answer(800, "y", Served)}, "", 0},
+		"owed by another":                       {[]Event{ask(0, "x"), {At: 2, What: Stopped, Node: 1}}, "lost", 2},
+		"one that fell":                         {[]Event{{What: Fell, Backend: "a"}}, "cold", 0},
 	} {
 		j := judge(c.log...)
 		if c.rule == "" {
--- a/internal/lab/live/backend.go
+++ b/internal/lab/live/backend.go
@@ -147,7 +147,7 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			b.change(func(now float64) []fleet.Event { return b.model.Cancel(now, n, false) })
+			b.change(func(now float64) []fleet.Event { return b.model.Cancel(now, n) })
 			return
 		case what := <-news:
 			switch what {
--- a/internal/lab/sim/side.go
+++ b/internal/lab/sim/side.go
@@ -128,7 +128,7 @@
 		w.at(w.now+w.delay(), func() {
 			if t.n.out[t.id] != nil {
 				delete(t.n.out, t.id)
-				w.told(t.n, t.n.model.Cancel(w.now, t.id, false))
+				w.told(t.n, t.n.model.Cancel(w.now, t.id))
 			}
 		})
 	}
