--- a/internal/lab/fleet/backend_test.go
+++ b/internal/lab/fleet/backend_test.go
@@ -113,6 +113,65 @@
 	assert.Equal(t, Refused, v)
 }
 
+// TestWideHead: behind a job of two slots at the head all wait, also one that would fit, and the queue is still bounded.
+func TestWideHead(t *testing.T) {
+	b := warm(kind())
+	offer(t, b, 0, 1, 100)
+	v, _ := b.Offer(0, Job{ID: 2, Work: 50, Slots: 2}, false)
+	assert.Equal(t, Accepted, v)
+	assert.Equal(t, "", offer(t, b, 0, 3, 10))
+	v, _ = b.Offer(0, Job{ID: 4, Work: 10, Slots: 1}, false)
+	assert.Equal(t, Full, v, "one slot is free, but two wait")
+	assert.Equal(t, "1 done 100, 2 started 100, 2 done 150, 3 started 150, 3 done 160", words(b.Advance(1000)))
+	k := kind()
+	k.Queue = 0
+	b = warm(k)
+	b.Set(0, Trouble{Frozen: true})
+	for id, want := range []Verdict{Accepted, Accepted, Full} {
+		v, _ = b.Offer(0, Job{ID: uint64(id + 1), Work: 10, Slots: 1}, false)
+		assert.Equal(t, want, v)
+	}
+}
+
+// TestOnCancel: what a job that is called off does, as the kind has it.
+func TestOnCancel(t *testing.T) {
+	for on, want := range map[OnCancel]string{DropWaiting: "1 done 100, 2 done 100", DropAll: "", DropNone: "1 done 100, 2 done 100, 3 started 100, 3 done 200"} {
+		k := kind()
+		k.OnCancel = on
+		b := warm(k)
+		for id := range uint64(3) {
+			offer(t, b, 0, id+1, 100)
+		}
+		for id := range uint64(3) {
+			b.Cancel(1, id+1)
+		}
+		assert.Equal(t, want, words(b.Advance(1000)))
+	}
+}
+
+// TestPauses: a machine stands still now and then, tells nothing meanwhile, and has lost just that time.
+func TestPauses(t *testing.T) {
+	k := kind()
+	k.PauseEvery, k.Pause = 100, 30
+	b := warm(k)
+	offer(t, b, 0, 1, 2000)
+	still := 0.0
+	for now := 0.5; now < 1000; now += 0.5 {
+		before := b.Share(1)
+		require.Empty(t, b.Advance(now))
+		if b.SpeaksAt(now) > now {
+			still += 0.5
+			assert.InDelta(t, before, b.Share(1), 1e-3)
+		}
+	}
+	assert.InDelta(t, 1000*30/130, still, 100)
+	assert.InDelta(t, (1000-still)/2000, b.Share(1), 1e-3)
+	b.Set(1000, Trouble{PauseEvery: 1, Pause: 1e6})
+	b.Advance(1100)
+	assert.Greater(t, b.SpeaksAt(1100), 1e6)
+	assert.Zero(t, b.Share(2))
+}
+
 // TestAnyJobs: whatever is offered, called off and troubled at any time, each job that was accepted
 // ends once at most, starts before it ends, and no more runs than fits; and looking at the clock
 // more often changes nothing.
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -71,7 +71,7 @@
 		"to one that was called back":           {[]Event{{What: Banned, Backend: "a"}, {At: 9, What: Lifted, Backend: "a"}, ask(10, "x"), sent(600, "x", 0, "a", 1), answer(700, "x", Served)}, "", 0},
 		"too much for a cold one":               {many(8, 100), "cold", 22},
 		"as much, spread out":                   {many(20, 300), "", 0},
-		"a safe one, sent anywhere and refused": {[]Event{ask(0, "x").of(Safe), sent(1, "x", 0, "a", 1), sent(8000, "x", 1, "b", 2), answer(5000, "x", Refused)}, "", 0},
+		"a safe one, sent anywhere and refused": {[]Event{{What: Asked, Req: "x", Deadline: 20000, Effect: Safe}, sent(1, "x", 0, "a", 1), sent(8000, "x", 1, "b", 2), answer(9000, "x", Refused)}, "", 0},
 		"once, after it never ran":              {[]Event{ask(0, "x").of(Once), sent(1, "x", 0, "a", 1), ended(2, "x", 0, true), sent(3, "x", 1, "a", 1), answer(9, "x", Served)}, "", 0},
 		"once, in its own group":                {[]Event{ask(0, "x").of(Once), sent(1, "x", 0, "a", 1), ended(2, "x", 0, false), sent(3, "x", 1, "a", 1), answer(9, "x", Served)}, "repeat", 3},
 		"once, refused after it may have run":   {[]Event{ask(0, "x").of(Once), sent(1, "x", 0, "a", 1), ended(2, "x", 0, false), answer(9, "x", Refused)}, "repeat", 3},
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -66,6 +67,9 @@
 
 // Play plays a scenario in real time. It starts the program once for each dispatcher, ends those processes by SIGTERM, and touches no other.
 func Play(ctx context.Context, sc sim.Scenario, o Options) (res Result, err error) {
+	if len(sc.Classes)+len(sc.Restarts)+len(sc.Heavy)+len(sc.Stale) > 0 || sc.Site != (sim.Site{}) {
+		return res, errors.New("classes, restarts and sites are played in virtual time alone so far")
+	}
 	st := &stage{sc: sc, backends: map[string]*backend{}, works: map[string]float64{}}
 	if st.director, err = platform.StartDirector(); err != nil {
 		return res, err
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -29,6 +30,20 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "service\t%.4f (whole %.4f, worst 10 s %.4f)\n", r.Service(), r.InTimePart(), r.Worst)
 	fmt.Fprintf(w, "first reqs\t%d: served %d (%d in time), refused %d, failed %d\n", r.First, r.Served, r.InTime, r.Refused, r.Failed)
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		fmt.Fprintf(w, "class %s\t%.4f; %d of %d in time", c.Name, c.Part(), c.InTime, c.First)
+		for _, how := range slices.Sorted(maps.Keys(c.Wrong)) {
+			fmt.Fprintf(w, ", %s %d", how, c.Wrong[how])
+		}
+		if c.Early > 0 {
+			fmt.Fprintf(w, "; %d given up too early", c.Early)
+		}
+		fmt.Fprintln(w)
+	}
+	if r.Twice > 0 {
+		fmt.Fprintf(w, "ran twice\t%d that must not\n", r.Twice)
+	}
 	fmt.Fprintf(w, "answers, attempts\t%d, %d\n", r.Answers, r.Attempts)
 	fmt.Fprintf(w, "latency ms\tp50 %.0f, p99 %.0f, p99.9 %.0f\n", ms(r.Latency, 50), ms(r.Latency, 99), ms(r.Latency, 99.9))
 	least, most := spread(r.Load)
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -48,6 +48,7 @@
 	for call, f := range map[string]func(*args) (starlark.Value, error){
 		"traffic": r.traffic, "network": r.network, "dispatchers": r.dispatchers, "reports": r.reports, "kind": r.kind,
 		"backends": r.backends, "burst": r.burst, "at": r.event, "deploy": r.deploy,
+		"job_class": r.class, "site": r.site, "heavy": r.heavy, "stale": r.stale, "restart": r.restart,
 	} {
 		calls[call] = starlark.NewBuiltin(call, func(t *starlark.Thread, b *starlark.Builtin, pos starlark.Tuple, kw []starlark.Tuple) (starlark.Value, error) {
 			a := &args{call: b.Name(), pos: pos, kw: map[string]starlark.Value{}}
@@ -250,6 +251,9 @@
 	k.FallWindow = a.seconds("fall_window", 2000)
 	k.FallSlack = a.number("fall_slack", 3, 0, 1e6)
 	k.RepeatWindow = a.seconds("repeat_window", 7500)
+	k.PauseEvery = a.seconds("pause_every", 0)
+	k.Pause = a.number("pause_ms", 0, 0, 1e6)
+	k.OnCancel = oneOf(a, "cancel", "queued", map[string]fleet.OnCancel{"queued": fleet.DropWaiting, "none": fleet.DropNone, "all": fleet.DropAll})
 	r.kinds[name] = k
 	return starlark.String(name), nil
 }
@@ -268,14 +272,14 @@
 		a.fail("kind is %q, which no kind() has made", kind)
 	}
 	pod := int(a.number("pod", 5, 1, 1e6))
-	cold := a.number("cold", 0, 0, 1) == 1
+	cold, vary := a.number("cold", 0, 0, 1) == 1, a.number("vary", 0, 0, 2)
 	if a.err != nil {
 		return nil, nil
 	}
 	var names []starlark.Value
 	for range count {
 		name := fmt.Sprint(prefix, len(names)+1)
-		r.sc.Backends = append(r.sc.Backends, sim.Backend{Name: name, Kind: k, Pod: len(r.sc.Backends) / pod, Cold: cold})
+		r.sc.Backends = append(r.sc.Backends, sim.Backend{Name: name, Kind: k, Pod: len(r.sc.Backends) / pod, Cold: cold, Vary: vary})
 		names = append(names, starlark.String(name))
 	}
 	return starlark.NewList(names), nil
@@ -295,7 +299,7 @@
 	r.sc.Events = append(r.sc.Events, e)
 }
 
-// event is at(seconds, backends, what, ...): one of sim.Dos, or slow, errors, neighbour, freeze and well, which are troubles.
+// event is at(seconds, backends, what, ...): one of sim.Dos, or slow, errors, neighbour, pauses, freeze and well, which are troubles.
 func (r *reader) event(a *args) (starlark.Value, error) {
 	v, ok := a.next("time")
 	if !ok {
@@ -313,13 +317,15 @@
 		e.Do, e.Trouble.Taken = "trouble", a.number("part", 0.5, 0, 0.99)
 	case "freeze":
 		e.Do, e.Trouble.Frozen = "trouble", true
+	case "pauses":
+		e.Do, e.Trouble.PauseEvery, e.Trouble.Pause = "trouble", a.seconds("every", 3000), a.number("ms", 150, 0.001, 1e6)
 	case "well":
 		e.Do = "trouble"
 	case "drain", "list", "unlist":
 		e.Heard = a.seconds("heard", 0)
 	case "kill", "start", "ban", "lift":
 	default:
-		a.fail("do is %q, want slow, errors, neighbour, freeze, well or one of %s", do, strings.Join(sim.Dos, ", "))
+		a.fail("do is %q, want slow, errors, neighbour, pauses, freeze, well or one of %s", do, strings.Join(sim.Dos, ", "))
 	}
 	for _, e.Backend = range names {
 		r.add(a, e)
--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tinsail/internal/balance"
+	"tinsail/internal/lab/defaults"
 	"tinsail/internal/lab/sim"
 )
 
@@ -23,6 +25,11 @@
 for t in [1, 2]:
     at(t, a[:2], "slow", times = 9)
 at(3, b, "drain", heard = 0.5)
+site(weights = "none", progress = 1, guess = 0.5, worst_class = 0.3)
+job_class("x", share = 2, work_ms = 50, effect = "unsafe", wide = 0.2)
+heavy(start = 1, length = 2, name = "x", part = 0.1, times = 9)
+stale(start = 3, length = 4, by = 6)
+restart(start = 9, dispatcher = 2, down = 0.5, notice = 1)
 deploy(a, start = 4, batch = 2, every = 3, drain = 1)
 `))
 	require.NoError(t, err)
@@ -36,6 +43,11 @@
 	assert.Equal(t, "trouble", sc.Events[0].Do)
 	assert.Equal(t, 9.0, sc.Events[3].Trouble.Slow)
 	assert.Equal(t, 500.0, sc.Events[4].Heard)
+	assert.Equal(t, sim.Site{Unweighted: true, Progress: 1000, Guess: 0.5, Mix: balance.Mix{WorstClass: 0.3}}, sc.Site)
+	assert.Equal(t, []sim.Class{{Name: "x", Share: 2, Work: 50, Spread: 0.4, Aim: 120, Stretch: 2, Deadline: 5000, Worth: 1, Wide: 0.2, Window: 7500,
+		Effect: balance.Unsafe}}, sc.Classes)
+	assert.Equal(t, []any{[]sim.Heavy{{From: 1000, To: 3000, Class: "x", Part: 0.1, Times: 9}}, []sim.Stale{{From: 3000, To: 7000, By: 6000}},
+		[]sim.Restart{{At: 9000, Node: 2, Down: 500, Notice: 1000}}}, []any{sc.Heavy, sc.Stale, sc.Restarts})
 	assert.Equal(t, 7000.0, sc.Events[len(sc.Events)-4].At, "the second batch")
 }
 
@@ -43,31 +55,60 @@
 func TestFaults(t *testing.T) {
 	const fine = "k = kind(\"k\")\nb = backends(\"b\", 2, k)\n"
 	for text, want := range map[string]string{
-		"":                                       "x.star:1:1: the script calls backends() nowhere",
-		fine + "traffic(rate = 0)":               "x.star:3:8: traffic: rate is 0, want a number from 0.01",
-		fine + "traffic(rate = \"a\")":           `traffic: rate is "a", want a number`,
-		fine + "traffic(rat = 3)":                "traffic: there is no rat",
-		fine + "traffic()\ntraffic()":            "x.star:4:8: traffic: is called a second time",
-		fine + "dispatchers(0)":                  "dispatchers: count is 0, want a number from 1 to 1000",
-		fine + "at(1, b, \"explode\")":           `at: do is "explode", want slow`,
-		fine + "at(1, 3, \"kill\")":              "at: backends is missing, or neither a name nor a list",
-		fine + "at(1, b, \"kill\", times = 3)":   "at: there is no times",
-		fine + "at(1, b, \"slow\", 4, 5)":        "at: takes 2 values less",
-		fine + "kind(\"k\")":                     "kind: k is there already",
-		"backends(\"b\", 2, \"none\")":           `backends: kind is "none", which no kind() has made`,
-		fine + "while True: pass":                "does not support while loops",
-		fine + "def f():\n  f()\nf()":            "called recursively",
-		fine + "[x for x in range(100000000)]":   "too many steps",
-		fine + "unknown()":                       "undefined: unknown",
-		fine + "burst(times = float(\"nan\"))":   "burst: times is nan",
-		fine + "reports(period_ms = -1)":         "reports: period_ms is -1",
-		fine + "deploy(b, start = 1, batch = 0)": "deploy: batch is 0",
+		"":                                        "x.star:1:1: the script calls backends() nowhere",
+		fine + "traffic(rate = 0)":                "x.star:3:8: traffic: rate is 0, want a number from 0.01",
+		fine + "traffic(rate = \"a\")":            `traffic: rate is "a", want a number`,
+		fine + "traffic(rat = 3)":                 "traffic: there is no rat",
+		fine + "traffic()\ntraffic()":             "x.star:4:8: traffic: is called a second time",
+		fine + "dispatchers(0)":                   "dispatchers: count is 0, want a number from 1 to 1000",
+		fine + "at(1, b, \"explode\")":            `at: do is "explode", want slow`,
+		fine + "at(1, 3, \"kill\")":               "at: backends is missing, or neither a name nor a list",
+		fine + "at(1, b, \"kill\", times = 3)":    "at: there is no times",
+		fine + "at(1, b, \"slow\", 4, 5)":         "at: takes 2 values less",
+		fine + "kind(\"k\")":                      "kind: k is there already",
+		fine + "job_class(\"c\", effect = \"x\")": `job_class: effect is "x", want one of keyed, safe, unsafe`,
+		fine + "site(weights = 3)":                "site: weights is \"\", want one of none, size",
+		fine + "restart(dispatcher = 1.5e3)":      "restart: dispatcher is 1500.0",
+		fine + "heavy(part = 2)":                  "heavy: part is 2",
+		"kind(\"k\", cancel = \"no\")":            "kind: cancel is \"no\", want one of all, none, queued",
+		"backends(\"b\", 2, \"none\")":            `backends: kind is "none", which no kind() has made`,
+		fine + "while True: pass":                 "does not support while loops",
+		fine + "def f():\n  f()\nf()":             "called recursively",
+		fine + "[x for x in range(100000000)]":    "too many steps",
+		fine + "unknown()":                        "undefined: unknown",
+		fine + "burst(times = float(\"nan\"))":    "burst: times is nan",
+		fine + "reports(period_ms = -1)":          "reports: period_ms is -1",
+		fine + "deploy(b, start = 1, batch = 0)":  "deploy: batch is 0",
 	} {
 		_, err := Load("x.star", []byte(text))
 		assert.ErrorContains(t, err, want, text)
 	}
 }
 
+// TestSites: the two sites' scenarios play by the rules, on several seeds, and show what they are there for.
+func TestSites(t *testing.T) {
+	for name, shows := range map[string]string{"feeds": "", "feeds-roll": "lost begun", "feeds-overload": "late", "ingest": "", "ingest-fleet": "late"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile("../../../lab/scenarios/" + name + ".star")
+			require.NoError(t, err)
+			sc, err := Load(name, text)
+			require.NoError(t, err)
+			for sc.Seed = 1; sc.Seed <= 3; sc.Seed++ {
+				r, err := sim.Play(sc, defaults.Settings())
+				require.NoError(t, err)
+				assert.Empty(t, r.Broken, "seed %d", sc.Seed)
+				assert.Equal(t, []int{0, r.First}, []int{r.Twice, r.Served + r.Refused + r.Failed})
+				wrong := 0
+				for _, c := range r.Classes {
+					wrong += c.Wrong[shows]
+				}
+				assert.Equal(t, shows != "", wrong > 20, "seed %d: %d", sc.Seed, wrong)
+			}
+		})
+	}
+}
+
 // TestScenarios: those of the repository are read, and hold to what a scenario must.
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("../../../lab/scenarios/*.star")
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"iter"
-	"math"
+	"strings"
 	"time"
 
 	"tinsail/internal/balance"
@@ -12,18 +12,23 @@
 	"tinsail/internal/lab/judge"
 )
 
-// Arrival is a first req: when it comes, and its work.
-type Arrival struct{ At, Work float64 }
+// Arrival is a first req: when it comes, and what it is.
+type Arrival struct {
+	At, Work float64
+	Class    int
+	Slots    float64
+	Guess    float64 // of the work, as its client tells; 0 for none
+}
 
 // Arrivals are a scenario's first reqs, in the order of their times; they wait for no answer, so that the same
 // seed has the same ones in virtual time and on sockets.
 func (sc *Scenario) Arrivals() iter.Seq[Arrival] {
+	classes := sc.classes()
 	return func(yield func(Arrival) bool) {
-		chance := fleet.Chance(sc.Seed, "arrivals")
+		chance, more := fleet.Chance(sc.Seed, "arrivals"), fleet.Chance(sc.Seed, "classes")
 		if sc.Times != nil { // a recording's
 			for _, at := range sc.Times {
-				work := sc.Work * math.Exp(sc.Spread*chance.NormFloat64()-sc.Spread*sc.Spread/2)
-				if at >= sc.Length || !yield(Arrival{at, work}) {
+				if at >= sc.Length || !yield(sc.draw(at, chance.NormFloat64(), classes, more)) {
 					return
 				}
 			}
@@ -37,8 +42,8 @@
 				}
 			}
 			at += chance.ExpFloat64() * 1000 / (sc.Rate * times)
-			work := sc.Work * math.Exp(sc.Spread*chance.NormFloat64()-sc.Spread*sc.Spread/2)
-			if at >= sc.Length || !yield(Arrival{at, work}) {
+			z := chance.NormFloat64()
+			if at >= sc.Length || !yield(sc.draw(at, z, classes, more)) {
 				return
 			}
 		}
@@ -53,20 +58,23 @@
 	}
 	w.at(a.At, func() {
 		w.res.First++
-		(&client{w: w, key: fmt.Sprint("k", w.res.First), work: a.Work, begun: w.now}).ask()
+		(&client{w: w, n: w.res.First, key: fmt.Sprint("k", w.res.First), Arrival: a, begun: w.now}).ask()
 		w.arrive()
 	})
 }
 
 // client is one first req with its retries.
 type client struct {
+	Arrival
 	w     *world
+	n     int
 	key   string
-	work  float64
 	begun float64
 	tries int
 	side  *side
-	id    string // of the try
+	id    string  // of the try
+	trips []*trip // of the try
+	ran   int     // how often a job of its began, in all tries
 }
 
 func (w *world) second(at float64) *Second {
@@ -77,31 +85,72 @@
 	return &w.res.Seconds[i]
 }
 
+func (c *client) class() *Class { return &c.w.classes[c.Class] }
+
+// until is when its patience ends: that of a class is for all tries, that of a scenario without classes for each.
+func (c *client) until() float64 {
+	if len(c.w.sc.Classes) == 0 {
+		return c.w.now + c.class().Deadline
+	}
+	return c.begun + c.class().Deadline
+}
+
 func (c *client) ask() {
 	w := c.w
 	c.tries++
-	w.open++
+	c.trips = c.trips[:0]
 	if c.tries == 1 {
 		w.second(w.now).Asked++
+		r := &w.res.Classes[c.Class]
+		r.First++
+		r.Asked += c.worth()
+	}
+	fronts := w.fronts()
+	if len(fronts) == 0 {
+		c.unreachable()
+		return
+	}
+	c.side = fronts[0]
+	if n := len(fronts); n > 1 {
+		c.side = fronts[w.front.IntN(n)]
 	}
-	c.side = w.sides[0]
-	if n := len(w.sides); n > 1 {
-		c.side = w.sides[w.front.IntN(n)]
+	if c.side.dead {
+		c.unreachable()
+		return
 	}
+	w.open++
+	c.side.asked[c] = struct{}{}
 	c.id = fmt.Sprint(c.key, "-", c.tries)
-	w.note(judge.Event{What: judge.Asked, Node: c.side.at, Req: c.id, Key: c.key, Deadline: w.now + w.sc.Deadline, Work: c.work})
+	deadline := c.until()
+	w.note(judge.Event{What: judge.Asked, Node: c.side.at, Req: c.id, Key: c.key, Deadline: deadline, Work: c.Work, Effect: effects[c.class().Effect]})
 	w.tries[c.id] = c
-	job := &core.Job{Method: "POST", Target: "/photo", ID: c.id, IdempotencyKey: c.key}
-	left := time.Duration(w.sc.Deadline * float64(time.Millisecond))
-	c.side.core.Take(balance.Request{Key: hashOf(c.key), Slots: 1, Retry: c.tries > 1}, job, w.time(), left, c)
+	job := &core.Job{Method: "POST", Target: "/photo", ID: c.id}
+	q := balance.Request{Class: c.Class, Slots: c.Slots, Work: c.Guess, Retry: c.tries > 1}
+	if c.class().Effect == balance.Deduped {
+		job.IdempotencyKey = c.key
+	}
+	if len(w.sc.Classes) == 0 { // where classes are told, reqs concern nothing that could be told again
+		q.Key = hashOf(c.key)
+	}
+	left := time.Duration((deadline - w.now) * float64(time.Millisecond))
+	c.side.core.Take(q, job, w.time(), left, c)
 	c.side.touch()
 }
 
+// worth is what the req counts, relative to others of its class.
+func (c *client) worth() float64 {
+	if c.w.sc.Site.ByWork {
+		return c.Work
+	}
+	return 1
+}
+
 var verdicts = [...]judge.Verdict{core.ResultOf: judge.Served, core.Refusal: judge.Refused, core.Failure: judge.Failed}
 
 // Answer takes the final answer. That there is no second is the judge's to see.
 func (c *client) Answer(a core.Answer) {
 	w := c.w
+	delete(c.side.asked, c)
 	w.open--
 	w.res.Answers++
 	w.note(judge.Event{What: judge.Answered, Node: c.side.at, Req: c.id, Verdict: verdicts[a.Verdict]})
@@ -116,24 +165,79 @@
 	}
 	if a.Verdict == core.ResultOf {
 		w.res.Served++
-		good := w.now-c.begun <= w.sc.Aim+w.sc.Stretch*c.work
+		good := w.now-c.begun <= c.class().Aim+c.class().Stretch*c.Work
 		if good {
 			w.res.InTime++
 			w.second(c.begun).InTime++
 		}
-		w.service.Add(c.begun, good)
+		c.over(good, "late")
 		_ = w.res.Latency.RecordValue(int64((w.now-c.begun)*1000) + 1) // in its bounds: it is over by the last deadline
 		return
 	}
-	if c.tries <= w.sc.Retries {
-		pause := max(w.sc.Backoff*(0.5+w.clients.Float64()), float64(a.Pause)/float64(time.Millisecond))
-		w.at(w.now+pause, c.ask)
-		return
+	// Clients of classes come back after a failure only where a repeat harms nobody.
+	again := a.Verdict == core.Refusal || len(w.sc.Classes) == 0 || c.class().Effect == balance.Safe
+	c.ended([...]string{core.Refusal: "refused ", core.Failure: "failed "}[a.Verdict]+c.where(), a.Verdict, again, float64(a.Pause)/float64(time.Millisecond))
+}
+
+// ended ends a try that was not served: another follows, or the first req is over.
+func (c *client) ended(how string, v core.Verdict, again bool, least float64) {
+	w := c.w
+	if again && c.tries <= w.sc.Retries {
+		pause := max(w.sc.Backoff*(0.5+w.clients.Float64()), least)
+		if len(w.sc.Classes) == 0 || w.now+pause < c.begun+c.class().Deadline {
+			w.open++ // it is not over
+			w.at(w.now+pause, func() { w.open--; c.ask() })
+			return
+		}
 	}
-	w.service.Add(c.begun, false)
-	if a.Verdict == core.Refusal {
+	c.over(false, how)
+	if v == core.Refusal {
 		w.res.Refused++
 	} else {
 		w.res.Failed++
 	}
 }
+
+// where says how far a try had come: what a dispatcher could know (no attempt, or all proven not to have run), and
+// what it could not (whether a job had begun).
+func (c *client) where() string {
+	switch {
+	case len(c.trips) == 0:
+		return "held"
+	case c.never():
+		return "turned away"
+	}
+	for _, t := range c.trips {
+		if t.began {
+			return "begun"
+		}
+	}
+	return "waiting"
+}
+
+// never says that no attempt of the try may have run, as far as anybody was told.
+func (c *client) never() bool {
+	for _, t := range c.trips {
+		if !t.never {
+			return false
+		}
+	}
+	return true
+}
+
+// over ends a first req.
+func (c *client) over(good bool, how string) {
+	w, r := c.w, &c.w.res.Classes[c.Class]
+	w.service.Weigh(c.begun, c.worth()*c.class().Worth, good)
+	if good {
+		r.InTime++
+		r.Good += c.worth()
+		return
+	}
+	r.Wrong[how]++
+	// Nobody decided on what was late, lost or reached no dispatcher.
+	decided := strings.HasPrefix(how, "refused") || strings.HasPrefix(how, "failed")
+	if aim := c.begun + c.class().Aim + c.class().Stretch*c.Work; decided && c.never() && w.now+c.Work <= aim {
+		r.Early++
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/restart.go
@@ -0,0 +1,100 @@
+package sim
+
+import (
+	"maps"
+	"slices"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/lab/judge"
+	"tinsail/internal/maintenance"
+)
+
+// Restart kills a dispatcher and starts it again from nothing but its last list. Times are ms.
+type Restart struct {
+	At     float64
+	Node   int
+	Down   float64 // until the new process serves
+	Notice float64 // until the front sends it nobody any more
+}
+
+// fronts are the dispatchers that the front sends clients to, dead ones that it has not noticed among them.
+func (w *world) fronts() []*side {
+	out := w.fronted[:0]
+	for _, s := range w.sides {
+		if s.fronted {
+			out = append(out, s)
+		}
+	}
+	w.fronted = out
+	return out
+}
+
+func (w *world) restart(r Restart) {
+	old := w.sides[r.Node]
+	if old.dead {
+		return
+	}
+	w.note(judge.Event{What: judge.Stopped, Node: old.at})
+	old.dead = true
+	for _, n := range w.names { // in one order, so that a run stays the same
+		for _, id := range slices.Sorted(maps.Keys(w.nodes[n].out)) {
+			if t := w.nodes[n].out[id]; t.side == old {
+				t.over = true
+				t.call()
+			}
+		}
+	}
+	for _, c := range old.clients() {
+		c.lost()
+	}
+	w.at(w.now+r.Notice, func() { old.fronted = false })
+	w.at(w.now+r.Down, func() {
+		w.restarts++
+		settings := w.settings
+		settings.Seed, settings.Self = w.sc.Seed*1_000_003+uint64(r.Node)+uint64(w.restarts)*7919, r.Node
+		s, err := newSide(w, r.Node, settings, w.policy)
+		if err != nil { // the same settings have made one before
+			panic(err)
+		}
+		w.sides[r.Node], old.fronted = s, false
+		last := make([]maintenance.Backend, 0, len(w.names))
+		for _, n := range w.names {
+			if b, known := old.last[n]; known {
+				last = append(last, b)
+			}
+		}
+		s.listed(balance.ListCached, last)
+		// Where lists are pushed, the agent tells at once what it has.
+		w.at(w.now+w.delay(), func() {
+			if !s.dead {
+				s.whole(w.list())
+			}
+		})
+	})
+}
+
+// clients are those that wait for this dispatcher, in the order in which they came.
+func (s *side) clients() []*client {
+	var out []*client
+	for c := range s.asked {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b *client) int { return a.n - b.n })
+	return out
+}
+
+// lost ends a try whose dispatcher was killed.
+func (c *client) lost() {
+	w := c.w
+	delete(c.side.asked, c)
+	w.open--
+	w.second(w.now).Failed++
+	c.ended("lost "+c.where(), core.Failure, c.class().Effect == balance.Safe, 0)
+}
+
+// unreachable ends a try that no dispatcher took.
+func (c *client) unreachable() {
+	c.w.second(c.w.now).Failed++
+	c.ended("unreachable", core.Failure, true, 0)
+}
--- a/internal/lab/sim/side.go
+++ b/internal/lab/sim/side.go
@@ -13,17 +13,22 @@
 
 // side is one dispatcher: the real core and module, the real bans over its list, and its connections.
 type side struct {
-	w     *world
-	at    int
-	core  *core.Core
-	bans  maintenance.Bans
-	conns map[*node]int // idle connections
-	timer float64       // that an event is set for; +Inf if none
-	dirty bool
+	w       *world
+	at      int
+	core    *core.Core
+	bans    maintenance.Bans
+	conns   map[*node]int // idle connections
+	timer   float64       // that an event is set for; +Inf if none
+	dirty   bool
+	asked   map[*client]struct{}           // that wait for its answer
+	last    map[string]maintenance.Backend // the list as it was last told
+	dead    bool                           // killed; another may serve in its place
+	fronted bool                           // the front sends it clients
 }
 
 func newSide(w *world, at int, settings balance.Settings, p Policy) (s *side, err error) {
-	s = &side{w: w, at: at, conns: map[*node]int{}, timer: math.Inf(1)}
+	s = &side{w: w, at: at, conns: map[*node]int{}, timer: math.Inf(1),
+		asked: map[*client]struct{}{}, last: map[string]maintenance.Backend{}, fronted: true}
 	s.core, err = core.NewWith(w.time, p, settings, s, s, &counters.Set{})
 	return s, err
 }
@@ -38,6 +43,9 @@
 
 // step has the core take what has come and what is due, and sets an event for its next timer.
 func (s *side) step() {
+	if s.dead {
+		return
+	}
 	s.core.Step()
 	t := s.core.Next()
 	if t.IsZero() {
@@ -58,9 +66,16 @@
 
 // whole tells it the whole list.
 func (s *side) whole(list []*node) {
-	in := make([]maintenance.Backend, len(list))
-	for i, n := range list {
-		in[i] = maintenance.Backend(n.entry())
+	in := make([]maintenance.Backend, 0, len(list))
+	for _, n := range list {
+		if n.state == balance.Gone {
+			continue
+		}
+		in = append(in, maintenance.Backend(n.entry()))
+		if n.state != balance.Ready {
+			s.w.note(judge.Event{What: judge.Told, Node: s.at, Backend: n.name})
+		}
+		s.last[n.name] = in[len(in)-1]
 	}
 	s.listed(balance.ListFull, s.bans.List(balance.ListFull, in))
 }
@@ -68,6 +83,9 @@
 // tell tells it what the director says of one backend.
 func (s *side) tell(n *node) {
 	s.w.note(judge.Event{What: judge.Told, Node: s.at, Backend: n.name, Ready: n.state == balance.Ready})
+	if s.last[n.name] = maintenance.Backend(n.entry()); n.state == balance.Gone {
+		delete(s.last, n.name)
+	}
 	s.listed(balance.ListDelta, s.bans.List(balance.ListDelta, []maintenance.Backend{maintenance.Backend(n.entry())}))
 }
 
@@ -103,13 +121,17 @@
 	id   uint64
 	a    *core.Attempt
 	over bool
+	// never is what its dispatcher was told, began what happened.
+	never, began bool
 }
 
 // Send carries an attempt out on the model.
 func (s *side) Send(a *core.Attempt) func() {
 	w := s.w
 	w.jobs++
-	t := &trip{s, w.byID[a.Backend.ID], w.jobs, a, false}
+	t := &trip{side: s, n: w.byID[a.Backend.ID], id: w.jobs, a: a}
+	c := w.tries[a.Job.ID]
+	c.trips = append(c.trips, t)
 	w.res.Attempts++
 	wait := w.delay()
 	connect := s.conns[t.n] == 0
@@ -125,15 +147,36 @@
 		}
 		t.over = true
 		w.note(judge.Event{What: judge.Ended, Node: s.at, Req: a.Job.ID, Try: a.Number()})
-		w.at(w.now+w.delay(), func() {
-			if t.n.out[t.id] != nil {
-				delete(t.n.out, t.id)
-				w.told(t.n, t.n.model.Cancel(w.now, t.id))
-			}
-		})
+		t.call()
 	}
 }
 
+// call calls the job off at its backend, by closing its connection.
+func (t *trip) call() {
+	w := t.side.w
+	w.at(w.now+w.delay(), func() {
+		if t.n.out[t.id] != nil {
+			delete(t.n.out, t.id)
+			w.told(t.n, t.n.model.Cancel(w.now, t.id))
+		}
+	})
+}
+
+// progress tells the share that is done, every so often while the job runs.
+func (t *trip) progress() {
+	w := t.side.w
+	w.at(w.now+w.sc.Site.Progress, func() {
+		w.told(t.n, t.n.model.Advance(w.now))
+		if t.over || t.n.out[t.id] != t {
+			return
+		}
+		if share := t.n.model.Share(t.id); t.n.model.SpeaksAt(w.now) == w.now {
+			w.at(w.now+w.delay(), func() { t.side.touch(); t.a.Progress(share) })
+		}
+		t.progress()
+	})
+}
+
 // begin is the moment of the first byte, and of the last: jobs are short.
 func (t *trip) begin(connect bool) {
 	w, s := t.side.w, t.side
@@ -141,21 +184,29 @@
 		return
 	}
 	if !t.a.MayBegin() {
-		t.over = true
+		t.over, t.never = true, true
 		s.touch()
 		t.a.Ended(core.Unsent, "", nil)
 		return
 	}
-	job := w.tries[t.a.Job.ID]
+	c := w.tries[t.a.Job.ID]
+	work := c.Work
+	if z := c.class().Noise; z > 0 {
+		work *= math.Exp(z*w.attempts.NormFloat64() - z*z/2)
+	}
 	e := judge.Event{What: judge.Sent, Node: s.at, Req: t.a.Job.ID, Key: t.a.Job.IdempotencyKey, Try: t.a.Number(), Backend: t.n.name,
-		Group: t.n.cfg.Pod, Work: job.work}
-	if c := t.n.model.Capacity(w.now); c < 1 {
-		e.Capacity = c * t.n.cfg.Kind.Cores * t.n.cfg.Kind.Speed
+		Group: t.n.cfg.Pod, Work: c.Work}
+	if part := t.n.model.Capacity(w.now); part < 1 {
+		e.Capacity = part * t.n.cfg.Kind.Cores * t.n.cfg.Kind.Speed
 	}
 	w.note(e)
 	w.res.Load[t.n.name]++
-	t.n.out[t.id] = t
-	verdict, list := t.n.model.Offer(w.now, fleet.Job{ID: t.id, Key: hashOf(t.a.Job.IdempotencyKey), Work: job.work, Slots: 1}, connect)
+	t.n.out[t.id], w.owners[t.id] = t, t
+	job := fleet.Job{ID: t.id, Work: work, Slots: c.Slots}
+	if key := t.a.Job.IdempotencyKey; key != "" {
+		job.Key = hashOf(key)
+	}
+	verdict, list := t.n.model.Offer(w.now, job, connect)
 	w.told(t.n, list)
 	switch verdict {
 	case fleet.Full:
@@ -169,15 +220,15 @@
 func (t *trip) reply(e core.Ending) {
 	w, s := t.side.w, t.side
 	delete(t.n.out, t.id)
-	w.at(w.now+w.delay(), func() {
+	w.at(t.n.model.SpeaksAt(w.now)+w.delay(), func() {
 		if e != core.Broken && e != core.Unreached {
 			s.conns[t.n]++
 		}
 		if t.over { // the dispatcher has stopped waiting
 			return
 		}
-		t.over = true
-		w.note(judge.Event{What: judge.Ended, Node: s.at, Req: t.a.Job.ID, Try: t.a.Number(), Never: e == core.Returned || e == core.Unreached})
+		t.over, t.never = true, e == core.Returned || e == core.Unreached
+		w.note(judge.Event{What: judge.Ended, Node: s.at, Req: t.a.Job.ID, Try: t.a.Number(), Never: t.never})
 		s.touch()
 		t.a.Ended(e, "", w.report(t.n))
 	})
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -39,6 +39,12 @@
 	Report   fleet.Reports
 	Backends []Backend
 	Events   []Event
+	// Classes, where given, stand for Work, Spread, Aim, Stretch and Deadline.
+	Classes  []Class
+	Site     Site
+	Heavy    []Heavy
+	Stale    []Stale
+	Restarts []Restart
 }
 
 // Burst multiplies the rate for a while.
@@ -50,6 +56,8 @@
 	Kind fleet.Kind
 	Pod  int
 	Cold bool // starts at the beginning, and is not warm
+	// Vary is the spread of the logarithm of its speed: machines of a kind differ, by the seed.
+	Vary float64
 }
 
 // Dos are what can happen to a backend; see Event.
@@ -69,10 +77,36 @@
 // Second is what became of the first reqs that came in a second, and of all answers in it.
 type Second struct{ Asked, InTime, Served, Refused, Failed int }
 
+// ClassResult is what became of a class's first reqs.
+type ClassResult struct {
+	Name          string
+	First, InTime int
+	Asked, Good   float64 // worth, in reqs or in work as the site counts it, of all and of those in time
+	// Wrong counts those that were not in time by how their last try ended: late, unreachable (no dispatcher took it),
+	// or refused, failed and lost (its dispatcher was killed), each held (not sent), turned away (proven not to
+	// have run), waiting (at a backend, not begun) or begun.
+	Wrong map[string]int
+	// Early of these were refused or failed by a dispatcher though no attempt of theirs may have run, and would have been in
+	// time on a core of speed 1 if they had begun then.
+	Early int
+}
+
+// Part is the part of the class's worth that was served in time.
+func (c *ClassResult) Part() float64 {
+	if c.Asked == 0 {
+		return 1
+	}
+	return c.Good / c.Asked
+}
+
 // Result is what came of it.
 type Result struct {
-	First    int // reqs, a client's retries not counted
-	InTime   int // of First, served within the aim, retries credited
+	Classes  []ClassResult
+	Twice    int         // first reqs of classes that must not, whose job began twice
+	Mix      balance.Mix // how the figures of service are put together; zero for 85% and 15%
+	Whole    float64     // part of the worth in time
+	First    int         // reqs, a client's retries not counted
+	InTime   int         // of First, served within the aim, retries credited
 	Served   int
 	Refused  int // given up by their clients after a refusal
 	Failed   int
@@ -93,8 +127,17 @@
 // InTimePart is the part of all first reqs that were served in time.
 func (r *Result) InTimePart() float64 { return float64(r.InTime) / float64(max(r.First, 1)) }
 
-// Service is the operators' figure: 85% of the whole run, 15% of the worst 10 s.
-func (r *Result) Service() float64 { return 0.85*r.InTimePart() + 0.15*r.Worst }
+// Service is the operators' figure: 85% of the whole run, 15% of the worst 10 s, where the site says nothing else.
+func (r *Result) Service() float64 {
+	if r.Mix == (balance.Mix{}) {
+		return 0.85*r.InTimePart() + 0.15*r.Worst
+	}
+	worst := 1.0
+	for i := range r.Classes {
+		worst = min(worst, r.Classes[i].Part())
+	}
+	return r.Mix.Whole*r.Whole + r.Mix.WorstWindow*r.Worst + r.Mix.WorstClass*worst
+}
 
 // Policy makes a dispatcher's decisions; New is the real module's.
 type Policy func(balance.Settings, balance.Actions) (balance.Events, error)
@@ -116,12 +159,11 @@
 	if err != nil {
 		return Result{}, err
 	}
-	var list []*node
-	for _, b := range sc.Backends {
-		list = append(list, w.nodes[b.Name])
-	}
 	for _, s := range w.sides {
-		s.whole(list)
+		s.whole(w.list())
+	}
+	for _, r := range sc.Restarts {
+		w.at(r.At, func() { w.restart(r) })
 	}
 	for _, e := range sc.Events {
 		w.at(e.At, func() { w.happen(e) })
@@ -184,7 +226,7 @@
 			return fmt.Errorf("scenario: %s", f.says)
 		}
 	}
-	return nil
+	return sc.checkSite()
 }
 
 // origin is the wall clock at the start of every run.
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -42,15 +42,16 @@
 
 // node is a backend with what is out at it.
 type node struct {
-	name  string
-	id    balance.WorkerID
-	kind  int
-	cfg   Backend
-	model *fleet.Backend
-	out   map[uint64]*trip
-	wake  float64 // that an event for it is set for
-	fell  bool
-	state balance.State // as the director has it
+	name   string
+	id     balance.WorkerID
+	kind   int
+	cfg    Backend
+	model  *fleet.Backend
+	out    map[uint64]*trip
+	wake   float64 // that an event for it is set for
+	fell   bool
+	weight float64       // as the director has it
+	state  balance.State // as the director has it
 
 	reporter *fleet.Reporter
 }
@@ -77,28 +78,42 @@
 	next    func() (Arrival, bool)
 	jobs    uint64
 	open    int
+
+	settings balance.Settings
+	policy   Policy
+	classes  []Class
+	names    []string // of the backends, in the scenario's order
+	fronted  []*side
+	owners   map[uint64]*trip // of jobs that have not begun
+	attempts *rand.Rand       // of what attempts of a job differ by
+	heard    float64          // when the last change is heard: a stale list keeps their order
+	restarts int
 }
 
 func newWorld(sc Scenario, settings balance.Settings, p Policy) (*world, error) {
 	w := &world{sc: sc, tries: map[string]*client{}, nodes: map[string]*node{}, byID: map[balance.WorkerID]*node{}, pods: map[int]*fleet.Pod{},
 		net: fleet.Chance(sc.Seed, "network"), clients: fleet.Chance(sc.Seed, "clients"), front: fleet.Chance(sc.Seed, "front"),
-		noise: fleet.Chance(sc.Seed, "reports"), log: fnv.New64a()}
+		noise: fleet.Chance(sc.Seed, "reports"), log: fnv.New64a(),
+		policy: p, owners: map[uint64]*trip{}, attempts: fleet.Chance(sc.Seed, "attempts")}
+	if w.sc.Stretch == 0 {
+		w.sc.Stretch = 2
+	}
+	w.classes = w.sc.classes()
+	settings = w.sc.settings(settings)
+	w.res.Mix = w.sc.Site.Mix
+	mean, share := 0.0, 0.0
+	for _, c := range w.classes {
+		w.res.Classes = append(w.res.Classes, ClassResult{Name: c.Name, Wrong: map[string]int{}})
+		mean, share = mean+c.Share*c.Work, share+c.Share
+	}
 	w.res.Load = map[string]int{}
 	w.res.Latency = hdrhistogram.New(1, 60_000_000, 3)
 	r := settings.Rules
 	w.judge.Rules = judge.Rules{Slack: r.AnswerSlack + 50, Grace: r.DrainGrace, Single: !settings.MayDuplicate,
-		FallMultiple: r.FallMultiple, FallWindow: r.FallWindow, FallSlack: 3 * sc.Work}
+		FallMultiple: r.FallMultiple, FallWindow: r.FallWindow, FallSlack: 3 * mean / share}
 	for i := range settings.Classes {
 		w.judge.Rules.Window = max(w.judge.Rules.Window, settings.Classes[i].RepeatWindow)
 	}
-	if w.sc.Stretch == 0 {
-		w.sc.Stretch = 2
-	}
-	n := max(sc.Dispatchers, 1)
-	settings.Instances = n
-	if sc.Report.Period > 0 {
-		settings.ReportInAnswer, settings.Metrics = true, []balance.Metric{balance.MetricFreeSlots}
-	}
 	kinds := map[string]int{}
 	for _, b := range sc.Backends {
 		if _, known := kinds[b.Kind.Name]; !known {
@@ -106,10 +121,11 @@
 		}
 	}
 	settings.Kinds = max(settings.Kinds, len(kinds))
+	w.settings = settings
 	for _, b := range sc.Backends {
 		w.add(b, kinds[b.Kind.Name])
 	}
-	for i := range n {
+	for i := range settings.Instances {
 		settings.Seed, settings.Self = sc.Seed*1_000_003+uint64(i), i
 		s, err := newSide(w, i, settings, p)
 		if err != nil {
@@ -133,8 +149,11 @@
 // dispatcher's timers are events too; only those that something has come to are looked at.
 func (w *world) run() error {
 	w.settle()
-	still, last := 0, -1.0
-	for end := w.sc.Length + w.sc.Deadline + 10_000; w.now <= end && len(w.queue) > 0; w.res.Steps++ {
+	still, last, longest := 0, -1.0, 0.0
+	for i := range w.classes {
+		longest = max(longest, w.classes[i].Deadline)
+	}
+	for end := w.sc.Length + longest + 10_000; w.now <= end && len(w.queue) > 0; w.res.Steps++ {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.do()
@@ -196,14 +215,30 @@
 		pod = fleet.NewPod()
 		w.pods[b.Pod] = pod
 	}
+	if b.Vary > 0 {
+		b.Kind.Speed *= math.Exp(b.Vary*fleet.Chance(w.sc.Seed, "speed "+b.Name).NormFloat64() - b.Vary*b.Vary/2)
+	}
 	started := math.Inf(-1)
 	if b.Cold {
 		started = w.now
 	}
-	n := &node{name: b.Name, id: idOf(b.Name), kind: kind, cfg: b, out: map[uint64]*trip{}, wake: math.Inf(1), state: balance.Ready,
+	n := &node{name: b.Name, id: idOf(b.Name), kind: kind, cfg: b, out: map[uint64]*trip{}, wake: math.Inf(1), state: balance.Ready, weight: b.Kind.Slots,
 		model:    fleet.New(b.Kind, pod, started, w.now, fleet.Chance(w.sc.Seed, "backend "+b.Name)),
 		reporter: fleet.NewReporter(w.sc.Report, b.Kind.Slots)}
+	if w.sc.Site.Unweighted {
+		n.weight = 1
+	}
 	w.nodes[b.Name], w.byID[n.id] = n, n
+	w.names = append(w.names, b.Name)
+}
+
+// list is all backends, in the scenario's order.
+func (w *world) list() []*node {
+	list := make([]*node, len(w.names))
+	for i, name := range w.names {
+		list[i] = w.nodes[name]
+	}
+	return list
 }
 
 func idOf(name string) balance.WorkerID { return balance.WorkerID(hashOf(name)) }
@@ -216,7 +251,7 @@
 
 // entry is a backend's line in the director's list.
 func (n *node) entry() core.Entry {
-	e := core.Entry{Name: n.name, Address: n.name, Worker: balance.Worker{ID: n.id, Kind: n.kind, Cell: n.cfg.Pod, State: n.state, Weight: n.cfg.Kind.Slots}}
+	e := core.Entry{Name: n.name, Address: n.name, Worker: balance.Worker{ID: n.id, Kind: n.kind, Cell: n.cfg.Pod, State: n.state, Weight: n.weight}}
 	if n.cfg.Cold {
 		e.Started = float64(origin.UnixMilli()) + n.model.StartedAt()
 	}
@@ -226,10 +261,22 @@
 func (w *world) happen(e Event) {
 	n := w.nodes[e.Backend]
 	say := func(s balance.State) {
-		w.at(w.now+e.Heard, func() {
+		heard := w.now + e.Heard
+		for _, x := range w.sc.Stale {
+			if w.now >= x.From && w.now < x.To {
+				heard += x.By
+			}
+		}
+		if len(w.sc.Stale) > 0 { // what is heard late holds up what comes behind it
+			w.heard = max(w.heard, heard)
+			heard = w.heard
+		}
+		w.at(heard, func() {
 			n.state = s
 			for _, d := range w.sides {
-				d.tell(n)
+				if !d.dead {
+					d.tell(n)
+				}
 			}
 		})
 	}
@@ -258,6 +305,9 @@
 			what = judge.Lifted
 		}
 		for _, s := range w.sides {
+			if s.dead {
+				continue
+			}
 			s.ban(n, e.Do == "ban")
 		}
 		w.note(judge.Event{What: what, Backend: n.name})
@@ -275,6 +325,9 @@
 // told passes on what happened at a backend, and sees to it that the next is not missed.
 func (w *world) told(n *node, list []fleet.Event) {
 	for _, e := range list {
+		if e.What == fleet.Started {
+			w.began(e.Job)
+		}
 		t := n.out[e.Job]
 		if t == nil {
 			continue
@@ -282,6 +335,9 @@
 		switch e.What {
 		case fleet.Started:
 			w.at(w.now+w.delay(), func() { t.side.touch(); t.a.Started() })
+			if w.sc.Site.Progress > 0 {
+				t.progress()
+			}
 		case fleet.Done:
 			t.reply(core.Served)
 		case fleet.Failed:
@@ -309,8 +365,20 @@
 	}
 }
 
+// began counts a job that begins, whether anybody waits for it or not.
+func (w *world) began(job uint64) {
+	t := w.owners[job]
+	delete(w.owners, job)
+	t.began = true
+	c := w.tries[t.a.Job.ID]
+	if c.ran++; c.ran == 2 && c.class().Effect == balance.Unsafe {
+		w.res.Twice++
+	}
+}
+
 // finish adds up.
 func (w *world) finish() {
+	w.res.Whole = w.service.Whole()
 	w.judge.End(math.Inf(1))
 	w.res.Broken, w.res.Breaches = w.judge.Breaches(), w.judge.Count("")
 	w.res.Worst = w.service.Worst()
--- /dev/null
+++ b/lab/scenarios/ingest.star
@@ -0,0 +1,11 @@
+# One keyed class whose repeats a pod drops, sizes and free slots told: fourteen backends of two kinds, two dispatchers, a calm evening.
+traffic(length = 45, rate = 125, retries = 1, backoff_ms = 45)
+network(latency_ms = 0.25, connect_ms = 1.2)
+dispatchers(2)
+reports(period_ms = 950, delay_ms = 300, noise = 0.04)
+site(whole = 0.85, worst_window = 0.15)
+job_class("ingest", work_ms = 265, spread = 0.45, noise = 0.3, aim_ms = 120, stretch = 2, deadline_ms = 5000, effect = "keyed", repeat_window = 7.5)
+fast = kind("fast", cores = 4, speed = 1.5, queue = 40, cold_from = 0.49, cold = 6.4, thrash = 0.46, thrash_at = 12, handshake_ms = 3, cancel = "all")
+std = kind("std", cores = 4, speed = 0.98, slots = 4, queue = 40, cold_from = 0.45, cold = 6.2, thrash = 0.4, thrash_at = 12, handshake_ms = 3)
+f = backends("f", 6, fast, vary = 0.1)
+s = backends("s", 8, std, vary = 0.13)
