--- a/internal/lab/fleet/backend_test.go
+++ b/internal/lab/fleet/backend_test.go
@@ -170,6 +170,11 @@
 	b.Advance(1100)
 	assert.Greater(t, b.SpeaksAt(1100), 1e6)
 	assert.Zero(t, b.Share(2))
+	b = warm(kind())
+	offer(t, b, 0, 1, 100)
+	offer(t, b, 50, 2, 200)
+	b.Advance(99)
+	assert.InDelta(t, 49.0/200, b.Share(2), 1e-9, "from where it began")
 }
 
 // TestAnyJobs: whatever is offered, called off and troubled at any time, each job that was accepted
--- a/internal/lab/sim/site_test.go
+++ b/internal/lab/sim/site_test.go
@@ -86,6 +86,9 @@
 	shares []float64
 	work   []float64
 	lists  []float64
+	kinds  []balance.ListKind
+	sizes  []int
+	weight float64
 }
 
 func (e *ear) Progressed(now balance.Millis, p balance.Progress) {
@@ -102,9 +105,31 @@
 
 func (e *ear) Workers(now balance.Millis, kind balance.ListKind, list []balance.Worker) {
 	e.lists = append(e.lists, now-float64(origin.UnixMilli()))
+	e.kinds, e.sizes, e.weight = append(e.kinds, kind), append(e.sizes, len(list)), list[0].Weight
 	e.Events.Workers(now, kind, list)
 }
 
+func (e *ear) play(t *testing.T, sc Scenario) Result {
+	r, err := PlayWith(sc, defaults.Settings(), func(s balance.Settings, a balance.Actions) (balance.Events, error) {
+		d, err := balance.New(s, a)
+		e.Events, e.set = d, s
+		return e, err
+	})
+	require.NoError(t, err)
+	return r
+}
+
+// TestLastList: a dispatcher that was killed has the list that it was told last, then what was told meanwhile.
+func TestLastList(t *testing.T) {
+	sc := bench(unsafe(), 0, 2000)
+	sc.Restarts = []Restart{{At: 50, Down: 800, Notice: 100}}
+	sc.Events = []Event{{At: 100, Backend: "a", Do: "unlist"}}
+	e := &ear{}
+	e.play(t, sc)
+	assert.Equal(t, []balance.ListKind{balance.ListFull, balance.ListCached, balance.ListFull}, e.kinds)
+	assert.Equal(t, []int{2, 2, 1}, e.sizes)
+}
+
 // TestTold: shares of running jobs, guesses of their work, and changes that a stale list holds back, in order.
 func TestTold(t *testing.T) {
 	sc := bench(unsafe(), 0)
@@ -113,12 +138,8 @@
 	sc.Stale = []Stale{{From: 900, To: 1100, By: 500}}
 	sc.Events = []Event{{At: 1000, Backend: "b", Do: "drain", Heard: 100}, {At: 1200, Backend: "b", Do: "list", Heard: 100}}
 	e := &ear{}
-	r, err := PlayWith(sc, defaults.Settings(), func(s balance.Settings, a balance.Actions) (balance.Events, error) {
-		d, err := balance.New(s, a)
-		e.Events, e.set = d, s
-		return e, err
-	})
-	require.NoError(t, err)
+	r := e.play(t, sc)
+	assert.Equal(t, 1.0, e.weight, "no sizes are told")
 	require.Len(t, e.shares, 2)
 	assert.InDelta(t, 1000/e2(r), e.shares[0], 0.01)
 	assert.InDelta(t, 2*e.shares[0], e.shares[1], 0.01)
