Refuse a budget message with a byte changed: a CRC-32C ends each

Cause: no field of a grant guarded its units (internal/budget/wire Read). UDP's own sum has 16 bits and may be left out. The version is TSB2: an earlier one is refused, and its holders keep their reserves. TestAnyByteChanged tries every byte and value, and every cut.

--- a/internal/budget/wire/wire.go
+++ b/internal/budget/wire/wire.go
@@ -1,18 +1,21 @@
 // Package wire is the bytes of the budgets' messages between dispatchers: one ask or grant a
 // UDP datagram, a line of text so that a capture can be read by eye.
 //
-//	TSB1 ask connections n17 9034128871 42 600 0
-//	TSB1 grant connections n17 9034128871 42 25 800
+//	TSB2 ask connections n17 9034128871 42 600 0 2308a3e5
+//	TSB2 grant connections n17 9034128871 42 25 800 9f26f500
 //
 // The fields are: the version, the kind, the budget's name, the asking peer's name, its epoch, the
-// ask's number, the units wanted or granted, and for a grant the total of the keeper's plan (0 in
-// an ask). It knows no socket and no clock.
+// ask's number, the units wanted or granted, for a grant the total of the keeper's plan (0 in an
+// ask), and the CRC-32C of all before it and the space there, in hex: a units field with one digit
+// changed on the way reads as well as before, and would lift the sum of the shares above the whole
+// (UDP's own sum is 16 bits, and may be left out). It knows no socket and no clock.
 package wire
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"strconv"
 
 	"tinsail/internal/budget"
@@ -23,7 +26,7 @@
 	MaxMessage = 256       // bytes of a datagram; more is not read
 	MaxName    = 64        // bytes of a budget's or peer's name
 	MaxUnits   = 1_000_000 // units wanted or granted: no budget is larger
-	version    = "TSB1"
+	version    = "TSB2"
 )
 
 // Message is one decoded datagram: an ask or a grant, for one budget.
@@ -38,12 +41,21 @@
 
 // AppendAsk appends an ask for a budget to b.
 func AppendAsk(b []byte, name string, a budget.Ask) []byte {
-	return fmt.Appendf(b, "%s ask %s %s %d %d %d 0\n", version, name, a.Peer, a.Epoch, a.Seq, a.Want)
+	from := len(b)
+	return appendSum(fmt.Appendf(b, "%s ask %s %s %d %d %d 0 ", version, name, a.Peer, a.Epoch, a.Seq, a.Want), from)
 }
 
 // AppendGrant appends a grant for a budget to b.
 func AppendGrant(b []byte, name string, g budget.Grant) []byte {
-	return fmt.Appendf(b, "%s grant %s %s %d %d %d %d\n", version, name, g.Peer, g.Epoch, g.Seq, g.Units, g.Of)
+	from := len(b)
+	return appendSum(fmt.Appendf(b, "%s grant %s %s %d %d %d %d ", version, name, g.Peer, g.Epoch, g.Seq, g.Units, g.Of), from)
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendSum ends the message that begins at from.
+func appendSum(b []byte, from int) []byte {
+	return fmt.Appendf(b, "%08x\n", crc32.Checksum(b[from:], castagnoli))
 }
 
 // Read decodes one datagram. Its error names the field at fault and wraps ErrMessage.
@@ -52,12 +64,16 @@
 		return Message{}, fmt.Errorf("%w: %d bytes, at most %d", ErrMessage, len(p), MaxMessage)
 	}
 	f := bytes.Fields(p)
-	if len(f) != 8 {
-		return Message{}, fmt.Errorf("%w: %d fields, want 8", ErrMessage, len(f))
+	if len(f) != 9 {
+		return Message{}, fmt.Errorf("%w: %d fields, want 9", ErrMessage, len(f))
 	}
 	if string(f[0]) != version {
 		return Message{}, fmt.Errorf("%w: version %q, want %s", ErrMessage, f[0], version)
 	}
+	at := bytes.LastIndexByte(p, ' ') + 1 // fields are parted by one space, the line ends in \n: all else fails here
+	if want := appendSum(p[:at:at], 0); !bytes.Equal(want, p) {
+		return Message{}, fmt.Errorf("%w: sum %q, want %q", ErrMessage, f[8], bytes.TrimSpace(want[at:]))
+	}
 	var m Message
 	var err error
 	if m.Budget, err = name("budget", f[2]); err != nil {
--- a/internal/budget/wire/wire_test.go
+++ b/internal/budget/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 
@@ -23,29 +24,45 @@
 
 func TestFaultsNameTheField(t *testing.T) {
 	for text, field := range map[string]string{
-		"TSB1 ask c n1 1 2 3":                                 "fields",
-		"TSB2 ask c n1 1 2 3 0":                               "version",
-		"TSB1 lend c n1 1 2 3 0":                              "kind",
-		"TSB1 ask c n/1 1 2 3 0":                              "peer",
-		"TSB1 ask " + strings.Repeat("c", 65) + " n1 1 2 3 0": "budget",
-		"TSB1 ask c n1 -1 2 3 0":                              "epoch",
-		"TSB1 ask c n1 1 x 3 0":                               "seq",
-		"TSB1 ask c n1 1 2 -3 0":                              "units",
-		"TSB1 grant c n1 1 2 1000001 0":                       "units",
-		"TSB1 grant c n1 1 2 1 -8":                            "total",
+		"TSB2 ask c n1 1 2 3":                                 "fields",
+		"TSB1 ask c n1 1 2 3 0":                               "version",
+		"TSB2 lend c n1 1 2 3 0":                              "kind",
+		"TSB2 ask c n/1 1 2 3 0":                              "peer",
+		"TSB2 ask " + strings.Repeat("c", 65) + " n1 1 2 3 0": "budget",
+		"TSB2 ask c n1 -1 2 3 0":                              "epoch",
+		"TSB2 ask c n1 1 x 3 0":                               "seq",
+		"TSB2 ask c n1 1 2 -3 0":                              "units",
+		"TSB2 grant c n1 1 2 1000001 0":                       "units",
+		"TSB2 grant c n1 1 2 1 -8":                            "total",
 		strings.Repeat("x", MaxMessage+1):                     "bytes",
 	} {
-		_, err := Read([]byte(text))
+		_, err := Read(appendSum([]byte(text+" "), 0))
 		assert.ErrorIs(t, err, ErrMessage, text)
 		assert.ErrorContains(t, err, field, text)
 	}
 }
 
+// TestAnyByteChanged: a message with any one byte changed to any other, or cut anywhere, is refused.
+func TestAnyByteChanged(t *testing.T) {
+	good := AppendGrant(nil, "connections", budget.Grant{Peer: "n17", Epoch: 9034128871, Seq: 42, Units: 25, Of: 800})
+	for i := range good {
+		_, err := Read(good[:i])
+		assert.ErrorIs(t, err, ErrMessage, "cut at %d", i)
+		for x := 1; x < 256; x++ {
+			b := bytes.Clone(good)
+			b[i] ^= byte(x)
+			if _, err := Read(b); err == nil {
+				t.Fatalf("%q was read", b)
+			}
+		}
+	}
+}
+
 // FuzzRead: nothing a peer sends panics the reader, and what it reads is written back the same.
 func FuzzRead(f *testing.F) {
-	f.Add([]byte("TSB1 ask connections n17 9034128871 42 600 0\n"))
-	f.Add([]byte("TSB1 grant c n 0 0 0 0"))
-	f.Add([]byte("TSB1 grant c n 18446744073709551615 18446744073709551615 1000000 1000000"))
+	f.Add(appendSum([]byte("TSB2 ask connections n17 9034128871 42 600 0 "), 0))
+	f.Add(appendSum([]byte("TSB2 grant c n 0 0 0 0 "), 0))
+	f.Add(appendSum([]byte("TSB2 grant c n 18446744073709551615 18446744073709551615 1000000 1000000 "), 0))
 	f.Fuzz(func(t *testing.T, p []byte) {
 		m, err := Read(p)
 		if err != nil {
