--- a/internal/mutate/mutate.go
+++ b/internal/mutate/mutate.go
@@ -23,7 +23,8 @@
 	// Deliver hands m to the node m.To, and returns what is sent because of it. A mutated m may
 	// hold any bytes, and may be one that m.To never gets.
 	Deliver(now time.Duration, m Message) []Message
-	// Check says what does not hold that must at any time. It is asked after each event.
+	// Check says what does not hold that must at any time. It is asked after each
+	// message and after each round of ticks.
 	Check(now time.Duration) error
 	// End says what the end state lacks. It is asked once, at Setup.Length.
 	End(now time.Duration) error
--- a/internal/mutate/run.go
+++ b/internal/mutate/run.go
@@ -206,11 +206,19 @@
 			return []change{{as: []Message{m}}}
 		}
 	case Changed:
-		for _, at := range pick(rnd, len(m.Bytes), most) {
+		var digits []int // another digit there is what a reader of text most easily takes
+		for i, c := range m.Bytes {
+			if c >= '0' && c <= '9' {
+				digits = append(digits, i)
+			}
+		}
+		for d := range min(most, len(m.Bytes)) {
 			b := bytes.Clone(m.Bytes)
-			if b[at] >= '0' && b[at] <= '9' && rnd.IntN(4) > 0 { // a digit that is another digit is harder to see
+			if at := 0; d%2 == 0 && len(digits) > 0 {
+				at = digits[rnd.IntN(len(digits))]
 				b[at] = '0' + (b[at]-'0'+byte(1+rnd.IntN(9)))%10
 			} else {
+				at = rnd.IntN(len(b))
 				b[at] ^= byte(1 + rnd.IntN(255))
 			}
 			out = append(out, as(b))
@@ -243,7 +251,7 @@
 	return out
 }
 
-// pick draws up to most of the numbers below n, the last among them, in order.
+// pick draws up to most of the numbers below n, the last among them, in rising order.
 func pick(rnd *rand.Rand, n, most int) []int {
 	all := rnd.Perm(n)
 	if len(all) <= most {
