--- a/internal/budget/mutate_test.go
+++ b/internal/budget/mutate_test.go
@@ -14,21 +14,30 @@
 )
 
 // fleetWorld is one keeper and eight holders that talk by the real codec, each with a clock of its
-// own at an edge of the drift or within it. Holders join one after another, one leaves, the plan is
-// changed at each process at a moment of its own, and the keeper starts again once.
+// own at an edge of the drift or within it. What befalls them is a day's.
 type fleetWorld struct {
-	plan, lower budget.Plan
-	keeper      *budget.Keeper
-	kclock      ownClock
-	kread       bool // the keeper has read the changed plan
-	holders     []*fleetHolder
-	at          fleetTimes
-	rnd         *rand.Rand
-	restarted   bool
+	day       *fleetDay
+	keeper    *budget.Keeper
+	kclock    ownClock
+	kread     bool // the keeper has read the changed plan
+	restarted bool
+	holders   []*fleetHolder
+	rnd       *rand.Rand
 }
 
-// fleetTimes are when things happen, in real time.
-type fleetTimes struct{ joins, leaves, replan, restart, faults, end time.Duration }
+// fleetDay is what happens and when, in real time from the end of the keeper's first quiet time;
+// what is 0 never does.
+type fleetDay struct {
+	plan, changed budget.Plan
+	joins         time.Duration // all have joined by then, one after another
+	again         time.Duration // n1 starts again, knowing nothing
+	leaves        time.Duration // n2 leaves
+	cut, mends    time.Duration // no message is sent by n3 or to it between them
+	replan        time.Duration // each holder reads the changed plan within a lease from here ...
+	kread         time.Duration // ... and the keeper now
+	restart       time.Duration // the keeper starts again, knowing nothing
+	from, faults  time.Duration // messages sent in between are mutated
+}
 
 type ownClock struct {
 	rate   float64
@@ -40,47 +49,55 @@
 }
 
 type fleetHolder struct {
-	name                string
-	h                   *budget.Holder
-	clock               ownClock
-	joins, leaves, read time.Duration
-	told                bool // has read the changed plan
+	name        string
+	h           *budget.Holder
+	clock       ownClock
+	joins, read time.Duration
+	again, told bool
 }
 
-func (m *fleetHolder) there(now time.Duration) bool { return now >= m.joins && now < m.leaves }
-
 const fleetTick = 10 * time.Millisecond
 
-// times lays out a play. After the last fault comes Late, then the design's time for the end state:
-// two leases, and the quiet time where the keeper started again; both on the slowest clock.
-func times(p budget.Plan, late time.Duration) (t fleetTimes) {
-	t.joins = p.Quiet()
-	t.leaves = t.joins + 2*p.Lease
-	t.replan = t.leaves + p.Lease
-	t.restart = t.replan + 2*p.Lease
-	t.faults = t.restart + p.Quiet() + p.Lease/2
-	t.end = t.faults + late + time.Duration(float64(2*p.Lease)/(1-p.Drift)) + 4*fleetTick
-	return t
-}
-
-func buildFleet(p, lower budget.Plan, at fleetTimes) func(uint64) mutate.World {
-	return func(seed uint64) mutate.World {
-		w := &fleetWorld{plan: p, lower: lower, at: at, rnd: rand.New(rand.NewPCG(seed, 0))}
-		clock := func() ownClock {
-			edge := []float64{1 - p.Drift, 1 + p.Drift, 1 + p.Drift*(2*w.rnd.Float64()-1)}
-			return ownClock{edge[w.rnd.IntN(3)], w.rnd.Int64N(2e12) - 1e12}
-		}
-		w.kclock = clock()
-		w.keeper = must(budget.NewKeeper(p, w.kclock.at(0)))
-		for i := range 8 {
-			m := &fleetHolder{name: fmt.Sprintf("n%d", i), clock: clock(), joins: at.joins * time.Duration(i) / 8, leaves: 1 << 60,
-				read: at.replan + time.Duration(w.rnd.Int64N(int64(p.Lease)))}
-			m.h = must(budget.NewHolder(p, m.name, w.rnd.Uint64N(1e4)+uint64(i)*1e4))
-			w.holders = append(w.holders, m)
+// setup lays out a play. After the last fault comes the late message's time, then the design's for
+// the end state: two leases, on the slowest clock, and two ticks, at which holders ask.
+func (d *fleetDay) setup(name string) mutate.Setup {
+	p := d.plan
+	quiet := p.Quiet() * 11 / 10
+	for _, at := range []*time.Duration{&d.again, &d.leaves, &d.cut, &d.mends, &d.replan, &d.kread, &d.restart, &d.from, &d.faults} {
+		if *at > 0 {
+			*at += quiet
 		}
-		w.holders[w.rnd.IntN(8)].leaves = at.leaves
-		return w
 	}
+	late := p.Lease + 2*fleetTick
+	return mutate.Setup{Name: "budgets " + name, Seed: 1, Build: d.build, Tick: fleetTick, From: d.from, Faults: d.faults, Late: late,
+		Length: d.faults + late + time.Duration(float64(2*p.Lease)/(1-p.Drift)) + 2*fleetTick, Plays: 240}
+}
+
+func (d *fleetDay) build(seed uint64) mutate.World {
+	w := &fleetWorld{day: d, rnd: rand.New(rand.NewPCG(seed, 0))}
+	clock := func() ownClock {
+		edge := []float64{1 - d.plan.Drift, 1 + d.plan.Drift, 1 + d.plan.Drift*(2*w.rnd.Float64()-1)}
+		return ownClock{edge[w.rnd.IntN(3)], w.rnd.Int64N(2e12) - 1e12}
+	}
+	w.kclock = clock()
+	w.keeper = must(budget.NewKeeper(d.plan, w.kclock.at(0)))
+	for i := range 8 {
+		m := &fleetHolder{name: fmt.Sprintf("n%d", i), clock: clock(), joins: d.plan.Quiet()*11/10 + d.joins*time.Duration(i)/8,
+			read: d.replan + time.Duration(w.rnd.Int64N(int64(d.plan.Lease)))}
+		m.h = must(budget.NewHolder(d.plan, m.name, uint64(i)*1000+w.rnd.Uint64N(1000)))
+		w.holders = append(w.holders, m)
+	}
+	return w
+}
+
+// there says whether a holder spends and asks.
+func (w *fleetWorld) there(m *fleetHolder, now time.Duration) bool {
+	return now >= m.joins && (m.name != "n2" || w.day.leaves == 0 || now < w.day.leaves)
+}
+
+// cut says whether nothing is sent by a node or to it.
+func (w *fleetWorld) cut(now time.Duration, node string) bool {
+	return node == "n3" && now >= w.day.cut && now < w.day.mends
 }
 
 func must[T any](v T, err error) T {
@@ -102,32 +119,39 @@
 	return w.holders[name[1]-'0']
 }
 
-func (w *fleetWorld) message(from, to string, b []byte) []mutate.Message {
+func (w *fleetWorld) message(now time.Duration, from, to string, b []byte) []mutate.Message {
+	if w.cut(now, from) || w.cut(now, to) {
+		return nil
+	}
 	return []mutate.Message{{From: from, To: to, Bytes: b, Delay: time.Millisecond + time.Duration(w.rnd.Int64N(int64(20*time.Millisecond)))}}
 }
 
 func (w *fleetWorld) Tick(now time.Duration, node string) []mutate.Message {
-	m := w.holder(node)
+	m, d := w.holder(node), w.day
 	if m == nil {
-		if !w.kread && now >= w.at.replan+w.plan.Lease/3 {
+		if d.kread > 0 && !w.kread && now >= d.kread {
 			w.kread = true
-			check(w.keeper.Replan(w.lower))
+			check(w.keeper.Replan(d.changed))
 		}
-		if !w.restarted && now >= w.at.restart {
+		if d.restart > 0 && !w.restarted && now >= d.restart {
 			w.restarted = true
-			w.keeper = must(budget.NewKeeper(w.lower, w.kclock.at(now)))
+			w.keeper = must(budget.NewKeeper(d.plan, w.kclock.at(now)))
 		}
 		return nil
 	}
-	if !m.there(now) {
+	if !w.there(m, now) {
 		return nil
 	}
-	if !m.told && now >= m.read {
+	if node == "n1" && d.again > 0 && !m.again && now >= d.again {
+		m.again = true
+		m.h = must(budget.NewHolder(d.plan, m.name, 1e6))
+	}
+	if d.replan > 0 && !m.told && now >= m.read {
 		m.told = true
-		check(m.h.Replan(w.lower))
+		check(m.h.Replan(d.changed))
 	}
 	if a, due := m.h.Due(m.clock.at(now)); due {
-		return w.message(node, "keeper", wire.AppendAsk(nil, w.plan.Name, a))
+		return w.message(now, node, "keeper", wire.AppendAsk(nil, d.plan.Name, a))
 	}
 	return nil
 }
@@ -142,55 +166,65 @@
 // ask, a holder takes grants of its budget.
 func (w *fleetWorld) Deliver(now time.Duration, m mutate.Message) []mutate.Message {
 	msg, err := wire.Read(m.Bytes)
-	if err != nil || msg.Budget != w.plan.Name {
+	if err != nil || msg.Budget != w.day.plan.Name {
 		return nil
 	}
 	if to := w.holder(m.To); to != nil {
-		if msg.Grant != nil && to.there(now) {
+		if msg.Grant != nil && w.there(to, now) {
 			to.h.Granted(to.clock.at(now), *msg.Grant)
 		}
 		return nil
 	}
-	if msg.Ask == nil {
+	if msg.Ask == nil || m.From == "keeper" { // who has no socket of a holder's gets no answer
 		return nil
 	}
-	return w.message("keeper", m.From, wire.AppendGrant(nil, msg.Budget, w.keeper.Take(w.kclock.at(now), *msg.Ask)))
+	return w.message(now, "keeper", m.From, wire.AppendGrant(nil, msg.Budget, w.keeper.Take(w.kclock.at(now), *msg.Ask)))
 }
 
-// Check: what the holders may spend is never above the whole: the old one until the last process
-// that is there has read the changed plan, the new one from then on.
+// inForce is the plan that all go by, or the old one while not all have read the changed one.
+func (w *fleetWorld) inForce(now time.Duration) (p budget.Plan, all bool) {
+	all = w.kread
+	for _, m := range w.holders {
+		all = all && (m.told || !w.there(m, now))
+	}
+	if all {
+		return w.day.changed, true
+	}
+	return w.day.plan, w.day.replan == 0 || now < w.day.replan
+}
+
+// Check: what the holders may spend is never above the whole: the plan's; while a changed plan is
+// being read the larger of the two.
 func (w *fleetWorld) Check(now time.Duration) error {
-	sum, all := 0, w.kread
+	sum := 0
 	for _, m := range w.holders {
-		if m.there(now) {
+		if w.there(m, now) {
 			sum += m.h.Share(m.clock.at(now))
-			all = all && m.told
 		}
 	}
-	whole := max(w.plan.Total, w.lower.Total)
-	if all {
-		whole = w.lower.Total
+	p, all := w.inForce(now)
+	whole := p.Total
+	if !all {
+		whole = max(w.day.plan.Total, w.day.changed.Total)
 	}
 	if sum > whole {
 		return fmt.Errorf("the holders may spend %d of %d", sum, whole)
 	}
-	if lent := w.keeper.Lent(w.kclock.at(now)); lent > max(w.plan.Pool(), w.lower.Pool()) {
-		return fmt.Errorf("%d lent of a pool of %d", lent, w.plan.Pool())
-	}
 	return nil
 }
 
 // End: every holder that is there has its reserve and its fair part of the pool, less one unit.
 func (w *fleetWorld) End(now time.Duration) error {
-	there := 0
+	n := 0
 	for _, m := range w.holders {
-		if m.there(now) {
-			there++
+		if w.there(m, now) {
+			n++
 		}
 	}
-	want := w.lower.Reserve() + w.lower.Pool()/there - 1
+	p, _ := w.inForce(now)
+	want := p.Reserve() + p.Pool()/n - 1
 	for _, m := range w.holders {
-		if got := m.h.Share(m.clock.at(now)); m.there(now) && got < want {
+		if got := m.h.Share(m.clock.at(now)); w.there(m, now) && got < want {
 			return fmt.Errorf("%s may spend %d, its fair part is %d", m.name, got, want)
 		}
 	}
@@ -200,20 +234,23 @@
 // TestFleetUnderMutation: whatever happens to any one message, the shares never sum to more than
 // the whole, and all are back at their fair parts within the time that docs/design/budget.md names.
 func TestFleetUnderMutation(t *testing.T) {
-	p := budget.Plan{Name: "connections", Total: 400, Most: 9, Part: 0.25, Lease: 300 * time.Millisecond, Drift: 0.05}
-	for name, c := range map[string]struct {
-		total int
-		part  float64
-	}{"lowered": {200, 0.25}, "raised": {600, 0.25}} {
+	const ms = time.Millisecond
+	p := budget.Plan{Name: "connections", Total: 400, Most: 9, Part: 0.25, Lease: 300 * ms, Drift: 0.05}
+	with := func(total int, part float64) budget.Plan {
+		changed := p
+		changed.Total, changed.Part = total, part
+		return changed
+	}
+	for name, d := range map[string]fleetDay{
+		"joins and leaves": {joins: 60 * ms, again: 130 * ms, leaves: 350 * ms, cut: 500 * ms, mends: 1000 * ms, from: 1, faults: 900 * ms},
+		"lowered":          {changed: with(200, 0.25), replan: 700 * ms, kread: 1000 * ms, from: 500 * ms, faults: 1050 * ms},
+		"raised":           {changed: with(600, 0.25), replan: 700 * ms, kread: 700 * ms, from: 500 * ms, faults: 1050 * ms},
+		"keeper again":     {restart: 700 * ms, from: 500 * ms, faults: 1200 * ms},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			changed := p
-			changed.Total, changed.Part = c.total, c.part
-			late := p.Lease + 20*time.Millisecond
-			at := times(p, late)
-			rep := mutate.Test(t, mutate.Setup{Name: "budgets " + name, Seed: 1, Build: buildFleet(p, changed, at),
-				Tick: fleetTick, Length: at.end, Faults: at.faults, Late: late, Plays: 240})
-			assert.Positive(t, rep.Played)
+			d.plan = p
+			assert.Positive(t, mutate.Test(t, d.setup(name)).Played)
 		})
 	}
 }
--- a/internal/mutate/mutate.go
+++ b/internal/mutate/mutate.go
@@ -42,7 +42,7 @@
 	Changed               // one byte is another
 	Cut                   // its end is missing
 	Replayed              // an earlier message of its link comes in its place
-	Misrouted             // another node gets it
+	Misrouted             // another node gets it; in every second draw the right one does, too
 	Split                 // comes in two pieces; for streams, whose bytes may come in any pieces
 	kinds
 )
@@ -88,7 +88,8 @@
 	Build  func(seed uint64) World
 	Tick   time.Duration // between two ticks of a node
 	Length time.Duration // of a play
-	Faults time.Duration // messages sent after this are left alone; 0 for Length
+	From   time.Duration // messages sent before this are left alone
+	Faults time.Duration // and those sent after this; 0 for Length
 	Late   time.Duration // how late Late is; several messages of a link should fall into it
 	Kinds  []Kind        // nil for Datagrams
 	Draws  int           // of Changed, Cut, Replayed and Misrouted for a message; 0 for 3
@@ -128,7 +129,7 @@
 type Report struct {
 	Name     string
 	Seed     uint64
-	Messages int            // of the run without mutations, sent before Setup.Faults
+	Messages int            // of the run without mutations, sent from Setup.From to Setup.Faults
 	Possible int            // mutations of them
 	Played   int            // of those
 	ByKind   map[string]int // played
--- a/internal/mutate/run.go
+++ b/internal/mutate/run.go
@@ -163,6 +163,10 @@
 		if m.at > faults {
 			break
 		}
+		if m.at < s.From {
+			earlier[m.link()] = append(earlier[m.link()], i)
+			continue
+		}
 		rep.Messages++
 		for _, k := range kinds {
 			for d, c := range s.draws(k, log, i, after[i], earlier[m.link()], nodes) {
@@ -236,7 +240,11 @@
 	case Misrouted:
 		for _, j := range pick(rnd, len(nodes), most+1) {
 			if nodes[j] != m.To && len(out) < most {
-				out = append(out, change{as: []Message{{m.From, nodes[j], m.Bytes, 0}}})
+				c := change{as: []Message{{m.From, nodes[j], m.Bytes, 0}}}
+				if len(out)%2 == 1 {
+					c.as = append(c.as, m)
+				}
+				out = append(out, c)
 			}
 		}
 	case Split:
