--- a/internal/mutate/mutate.go
+++ b/internal/mutate/mutate.go
@@ -37,7 +37,7 @@
 const (
 	Lost      Kind = iota // never comes
 	Twice                 // comes, and at once again
-	Late                  // comes Setup.Late after it was due, and past its successor of the run without mutations
+	Late                  // comes Setup.Late after it was due; in a second draw just past its successor, as that came without mutation
 	Swapped               // comes right behind its successor on the link
 	Changed               // one byte is another
 	Cut                   // its end is missing
--- a/internal/mutate/play.go
+++ b/internal/mutate/play.go
@@ -168,7 +168,7 @@
 	what := c.Kind.String() + " "
 	switch c.Kind {
 	case Late:
-		r.push(event{at: max(c.due, due+r.s.Late), m: m, n: n, what: what})
+		r.push(event{at: c.due, m: m, n: n, what: what})
 	case Swapped:
 		held := true
 		e := event{at: due + r.s.Late, m: m, n: n, held: &held, what: what}
@@ -201,6 +201,8 @@
 		if t.before = append(t.before, line); len(t.before) > traceMost {
 			t.before = t.before[1:]
 		}
+	case c != nil && n == c.Message && t.after != nil: // whenever it comes
+		t.after = append(t.after, line)
 	case c != nil && len(t.after) < traceMost:
 		t.after = append(t.after, line)
 	default:
--- a/internal/mutate/run.go
+++ b/internal/mutate/run.go
@@ -200,11 +200,10 @@
 	case Twice:
 		return []change{{as: []Message{m, m}}}
 	case Late:
-		c := change{as: []Message{m}}
+		out = []change{{as: []Message{m}, due: log[i].due + s.Late}}
 		if next >= 0 {
-			c.due = log[next].due + 1
+			out = append(out, change{as: []Message{m}, due: max(log[next].due+1, log[i].due+s.Late/4)})
 		}
-		return []change{c}
 	case Swapped:
 		if next >= 0 {
 			return []change{{as: []Message{m}}}
