Keep the fleet's whole when a reload moves units between reserves and pool

Cause: Keeper.Replan and Holder.Replan put the new pool and the new reserve in force at once (keeper.go Take: k.plan.Pool(); holder.go Share: h.plan.Reserve()). The plans of a process's life are now kept (past.go), and the side that grows is held back until its next start; a changed total alone holds as before.

--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -15,6 +15,7 @@
 // renewals fail, before the keeper lends the units to another.
 type Holder struct {
 	plan    Plan
+	past    past
 	name    string
 	epoch   uint64
 	seq     uint64
@@ -67,9 +68,9 @@
 // Share is what this dispatcher may spend at now: its reserve, and its lease while it is valid.
 func (h *Holder) Share(now Time) int {
 	if now < h.until {
-		return h.plan.Reserve() + h.units
+		return h.past.reserve(h.plan) + h.units
 	}
-	return h.plan.Reserve()
+	return h.past.reserve(h.plan)
 }
 
 // Replan puts a changed plan in force, from a reload. Where the whole or the reserve gets smaller,
@@ -88,6 +89,8 @@
 	if h.want == h.plan.Pool() {
 		h.want = p.Pool()
 	}
-	h.plan = p
+	if p != h.plan {
+		h.past, h.plan = h.past.add(h.plan), p
+	}
 	return nil
 }
--- a/internal/budget/keeper.go
+++ b/internal/budget/keeper.go
@@ -32,6 +32,7 @@
 // Plan.Most peers of mostGrants grants each; asks from further peers are given nothing.
 type Keeper struct {
 	plan  Plan
+	past  past
 	quiet Time                // lends nothing before this: its earlier life's leases may stand
 	peers map[string][]lentAt // grants not yet ended, units falling as their ends rise
 }
@@ -93,7 +94,8 @@
 	if !known {
 		n++
 	}
-	units := min(a.Want, k.plan.Pool()/n, k.plan.Pool()-others)
+	pool := k.past.pool(k.plan)
+	units := min(a.Want, pool/n, pool-others)
 	if len(mine) >= mostGrants && units < mine[len(mine)-1].units {
 		units = mine[len(mine)-1].units // no further entry: the last amount again
 	}
@@ -120,11 +122,15 @@
 
 // Replan puts a changed plan in force, from a reload. Grants already made stay counted until they
 // end, so a smaller pool is lent out only as far as what they leave; the quiet time is not begun
-// again, since the keeper still knows what it lent.
+// again, since the keeper still knows what it lent. Of units that the change moves from the reserves
+// to the pool nothing is lent before the keeper's next start: a dispatcher that has not read the plan
+// spends its old reserve still.
 func (k *Keeper) Replan(p Plan) error {
 	if err := p.Check(); err != nil {
 		return err
 	}
-	k.plan = p
+	if p != k.plan {
+		k.past, k.plan = k.past.add(k.plan), p
+	}
 	return nil
 }
