Refuse replies and lists that net/http and encoding/json refuse

The iterator takes a second { for a comma. reply.go frame took another reply's head for a trailer and a bare LF behind a chunk one too large; readHead took HTTP/1.k, chunks of HTTP/1.0, and a body behind a 204. Each is refused now, with a line in TestReplies, TestReadLine or TestReadList.

--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -1,7 +1,9 @@
 package platform
 
 import (
+	stdjson "encoding/json"
 	"errors"
+	"io"
 	"math"
 	"slices"
 
@@ -23,6 +25,9 @@
 // ReadList reads a list. One that is bad in any entry is bad as a whole: half a list would
 // drop backends that are there.
 func (n *Names) ReadList(text []byte) (List, error) {
+	if !stdjson.Valid(text) { // the iterator takes a second { for a comma, and more of the kind
+		return List{}, errList
+	}
 	it := json.BorrowIterator(text)
 	defer json.ReturnIterator(it)
 	return n.readList(it)
@@ -49,12 +54,18 @@
 			it.Skip()
 		}
 	}
-	if it.Error != nil || it.WhatIsNext() != jsoniter.InvalidValue || !index || !endpoints {
+	if !ended(it) || !index || !endpoints {
 		return List{}, errList
 	}
 	return list, nil
 }
 
+// ended says whether a text was read without a fault and has nothing behind what was read.
+// WhatIsNext alone does not tell: it calls an end and a byte that begins no value by one name.
+func ended(it *jsoniter.Iterator) bool {
+	return it.Error == nil && it.WhatIsNext() == jsoniter.InvalidValue && it.Error == io.EOF
+}
+
 // entry reads one line of a list. An unknown zone or kind reads as the first, an unknown
 // status as Terminating: nothing new goes to a backend in a state that is not known.
 func (n *Names) entry(it *jsoniter.Iterator) (e core.Entry, ok bool) {
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -125,6 +125,9 @@
 			if line := m.line(); line != nil { // lines that the last chunk still holds
 				return Line, line, nil
 			}
+			if m.state == inBreak && m.r < m.w && m.b[m.r] != '\r' { // with a size one too large the CR is the chunk's
+				return More, nil, errReply
+			}
 			text, ok := m.text()
 			if !ok {
 				if m.w-m.r > MaxHead {
@@ -209,6 +212,8 @@
 	case inTrailer:
 		if text == "" {
 			m.state = inTail
+		} else if strings.IndexByte(text, ':') <= 0 { // no field: the next reply's head must not pass for one
+			return errReply
 		}
 	}
 	return nil
@@ -222,7 +227,7 @@
 	version, rest, _ := strings.Cut(h.first, " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 10)
-	if err != nil || status < 100 || status > 599 || !strings.HasPrefix(version, "HTTP/1.") {
+	if err != nil || status < 100 || status > 599 || version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return errReply
 	}
 	m.Status = int(status)
@@ -235,6 +240,13 @@
 	m.Keep = !h.has("Connection", "close") && version != "HTTP/1.0"
 	m.chunked = h.has("Transfer-Encoding", "chunked")
 	m.state = inData
+	if m.chunked && version == "HTTP/1.0" { // knows no chunks (RFC 9112 section 6.1)
+		return errReply
+	}
+	if status == 204 || status == 304 { // no body, whatever the head says (section 6.3)
+		m.left, m.chunked = 0, false
+		return nil
+	}
 	if m.chunked {
 		m.state, m.left = inSize, 0
 		return nil
@@ -242,9 +254,6 @@
 	if m.left, err = h.length(); err != nil || m.left > m.most {
 		return errReply
 	}
-	if status == 204 || status == 304 {
-		m.left = 0
-	}
 	if m.left < 0 {
 		m.Keep = false
 	}
@@ -292,7 +301,7 @@
 			it.Skip()
 		}
 	}
-	if it.Error != nil || it.WhatIsNext() != jsoniter.InvalidValue || got != id {
+	if !ended(it) || got != id {
 		return News{}, errLine
 	}
 	news.Last = true
--- a/internal/platform/reply_test.go
+++ b/internal/platform/reply_test.go
@@ -100,6 +100,14 @@
 		{"not a reply", "send SSH-2.0-x\\r\\n\\r\\n\nexpect bad"},
 		{"a bad chunk", chunked + "send zz\\r\\n\nexpect head\nexpect bad"},
 		{"a chunk without its end", chunked + "send 1\\r\\nabc\\r\\n\nexpect head\nexpect bad"},
+		{"a chunk one longer than what is there", chunked + `send 4\r\nabc\r\n` + "\nexpect head\nexpect bad"},
+		{"another head for a trailer", chunked + `send 0\r\nHTTP/1.1 200 OK\r\n` + "\nexpect head\nexpect bad"},
+		{"chunks of HTTP/1.0", `send HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n` + "\nexpect bad"},
+		{"no version", `send HTTP/1.k 200 OK\r\n\r\n` + "\nexpect bad"},
+		{"204 has no body, whatever it says", `
+			send HTTP/1.1 204 N\r\nTransfer-Encoding: chunked\r\n\r\n
+			expect head 204 failed
+			expect end`},
 		{"a chunk too long", chunked + "send 7fffffff\\r\\n\nexpect head\nexpect bad"},
 		{"a line too long", chunked + `send 1ffff\r\n{{131071*a}}\r\n10\r\n{{16*b}}` + "\nexpect head\nexpect bad"},
 		{"a head without end", "send HTTP/1.1 200 {{17000*a}}\nexpect bad"},
@@ -140,7 +148,7 @@
 	// Nothing that is not plainly this req's result may reach its client.
 	for _, line := range []string{``, `[]`, `{"id":"9b","state":"done"}`, `{"id":"other","state":"done","result":""}`,
 		`{"state":"done","result":""}`, `{"id":"9b","state":"odd"}`, `{"id":"9b","state":"done","result":"cut`,
-		`{"id":"9b","state":"started"} {}`, `{"id":"9b","state":"lost",}`} {
+		`{"id":"9b","state":"started"} {}`, `{"id":"9b","state":"done","result":"a"}x`, `{"id":"9b","state":"lost",}`} {
 		_, err := testNames.ReadLine([]byte(line), "9b")
 		assert.Error(t, err, line)
 	}
@@ -161,7 +169,7 @@
 	assert.True(t, list.Full)
 	assert.Equal(t, []balance.State{balance.Gone, balance.Draining}, []balance.State{list.Entries[0].State, list.Entries[1].State})
 	for _, bad := range []string{``, `{}`, `{"index":1}`, `{"index":-1,"endpoints":[]}`, `{"index":1,"endpoints":[{}]}`,
-		`{"index":1,"endpoints":[{"name":"x","status":"Ready"}]}`, `{"index":1,"endpoints":[]`} {
+		`{"index":1,"endpoints":[{"name":"x","status":"Ready"}]}`, `{"index":1,"endpoints":[]`, `{"index":1,"endpoints":[]}H`, `{"index":1{"endpoints":[]}`} {
 		_, err := testNames.ReadList([]byte(bad))
 		assert.Error(t, err, bad)
 	}
