Want CR LF behind a chunk's size and its bytes from backends, as net/http does

Cause: Replies.text cut a CR off if one was there, so that a reply with a bare LF, or a chunk whose size took its CR in, was read in a way of our own. The judge of lists takes field names by their exact case.

--- a/internal/platform/mutate_test.go
+++ b/internal/platform/mutate_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"reflect"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -372,16 +373,24 @@
 	if err != nil || resp.StatusCode != 200 {
 		return List{}, fmt.Errorf("status %d: %w", resp.StatusCode, err)
 	}
+	type entry struct {
+		Name, Address, Zone, Type, Status string
+		Group                             int
+		Weight                            float64
+		Since                             float64 `json:"since_ms"`
+	}
 	var l struct {
 		Index     *uint64
 		Snapshot  bool
-		Endpoints *[]struct {
-			Name, Address, Zone, Type, Status string
-			Group                             int
-			Weight                            float64
-			Since                             float64 `json:"since_ms"`
-		}
+		Endpoints *[]entry
 	}
+	// Unmarshal takes a field's name in any case, the protocol does not.
+	body = regexp.MustCompile(`"[^"]*"\s*:`).ReplaceAllFunc(body, func(key []byte) []byte {
+		if bytes.Equal(key, bytes.ToLower(key)) {
+			return key
+		}
+		return []byte(`"other":`)
+	})
 	if err := stdjson.Unmarshal(body, &l); err != nil {
 		return List{}, err
 	}
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -125,9 +125,6 @@
 			if line := m.line(); line != nil { // lines that the last chunk still holds
 				return Line, line, nil
 			}
-			if m.state == inBreak && m.r < m.w && m.b[m.r] != '\r' { // with a size one too large the CR is the chunk's
-				return More, nil, errReply
-			}
 			text, ok := m.text()
 			if !ok {
 				if m.w-m.r > MaxHead {
@@ -182,18 +179,24 @@
 	return nil
 }
 
-// text is the next line of the framing.
+// text is the next line of the framing, without its LF.
 func (m *Replies) text() (string, bool) {
 	i := bytes.IndexByte(m.rest(), '\n')
 	if i < 0 {
 		return "", false
 	}
-	s := strings.TrimSuffix(string(m.b[m.r:m.r+i]), "\r")
+	s := string(m.b[m.r : m.r+i])
 	m.r += i + 1
 	return s, true
 }
 
+// frame takes a line of the framing. One of chunks ends in CR LF, as net/http has it: two readings of
+// the framing would let a body pass for a second reply.
 func (m *Replies) frame(text string) error {
+	text, cr := strings.CutSuffix(text, "\r")
+	if !cr && m.state != inTrailer {
+		return errReply
+	}
 	switch m.state {
 	case inBreak:
 		m.state = inSize
--- a/internal/platform/reply_test.go
+++ b/internal/platform/reply_test.go
@@ -101,6 +101,7 @@
 		{"a bad chunk", chunked + "send zz\\r\\n\nexpect head\nexpect bad"},
 		{"a chunk without its end", chunked + "send 1\\r\\nabc\\r\\n\nexpect head\nexpect bad"},
 		{"a chunk one longer than what is there", chunked + `send 4\r\nabc\r\n` + "\nexpect head\nexpect bad"},
+		{"a size's line without CR", chunked + `send 3 \nabc\r\n` + "\nexpect head\nexpect bad"},
 		{"another head for a trailer", chunked + `send 0\r\nHTTP/1.1 200 OK\r\n` + "\nexpect head\nexpect bad"},
 		{"chunks of HTTP/1.0", `send HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n` + "\nexpect bad"},
 		{"no version", `send HTTP/1.k 200 OK\r\n\r\n` + "\nexpect bad"},
