--- a/internal/mutate/run.go
+++ b/internal/mutate/run.go
@@ -21,12 +21,12 @@
 func (s Setup) Run() Report {
 	start := time.Now()
 	rep := Report{Name: s.Name, Seed: s.Seed, ByKind: map[string]int{}, Excused: map[string]int{}}
-	log, fail := s.base()
+	log, nodes, fail := s.base()
 	if fail != nil {
 		rep.Failed, rep.Failures = 1, []Failure{*fail}
 		return rep
 	}
-	changes := s.changes(log, &rep)
+	changes := s.changes(log, nodes, &rep)
 	rep.Possible = len(changes)
 	changes = s.sample(changes)
 	fails := make([]*Failure, len(changes))
@@ -46,12 +46,12 @@
 
 // Only plays one mutation and returns what failed, and the trace whether it did or not.
 func (s Setup) Only(p Play) (lines []string, fail *Failure) {
-	log, fail := s.base()
+	log, nodes, fail := s.base()
 	if fail != nil {
 		return fail.Trace, fail
 	}
 	var rep Report
-	for _, c := range s.changes(log, &rep) {
+	for _, c := range s.changes(log, nodes, &rep) {
 		if c.Play == p {
 			t := &trace{}
 			var err error
@@ -75,7 +75,7 @@
 }
 
 // base plays without a mutation.
-func (s *Setup) base() ([]sent, *Failure) {
+func (s *Setup) base() (log []sent, nodes []string, fail *Failure) {
 	var logs [2][]sent
 	for i := range logs {
 		t := &trace{}
@@ -83,17 +83,17 @@
 		var err error
 		s.around(func() { r, err = s.play(nil, t) })
 		if err != nil {
-			return nil, &Failure{Setup: s.Name, Seed: s.Seed, At: r.now, Err: err, Trace: t.lines()}
+			return nil, nil, &Failure{Setup: s.Name, Seed: s.Seed, At: r.now, Err: err, Trace: t.lines()}
 		}
-		logs[i] = r.log
+		logs[i], nodes = r.log, r.w.Nodes()
 	}
 	same := slices.EqualFunc(logs[0], logs[1], func(a, b sent) bool {
 		return a.link() == b.link() && a.at == b.at && a.due == b.due && bytes.Equal(a.Bytes, b.Bytes)
 	})
 	if !same {
-		return nil, &Failure{Setup: s.Name, Seed: s.Seed, Err: fmt.Errorf("two plays of one seed differ: the world is not deterministic")}
+		return nil, nil, &Failure{Setup: s.Name, Seed: s.Seed, Err: fmt.Errorf("two plays of one seed differ: the world is not deterministic")}
 	}
-	return logs[0], nil
+	return logs[0], nodes, nil
 }
 
 // one plays a mutation; a failure is played again with its trace.
@@ -139,7 +139,7 @@
 }
 
 // changes makes out every mutation of the run.
-func (s *Setup) changes(log []sent, rep *Report) (out []change) {
+func (s *Setup) changes(log []sent, nodes []string, rep *Report) (out []change) {
 	kinds := s.Kinds
 	if kinds == nil {
 		kinds = Datagrams
@@ -148,7 +148,6 @@
 	if faults == 0 {
 		faults = s.Length
 	}
-	nodes := s.Build(s.Seed).Nodes()
 	earlier := map[[2]string][]int{}
 	after := make([]int, len(log)) // the next message of the link
 	last := map[[2]string]int{}
--- /dev/null
+++ b/internal/network/mutate_test.go
@@ -0,0 +1,358 @@
+package network
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/mutate"
+	"tinsail/internal/platform"
+)
+
+// deal is a dispatcher without its front, on pipes: the real core and module, pool, links and
+// director's watch. What its peers write is messages: To is the connection, s1/2 the second made to
+// backend s1. Reqs are of a class that must never run twice.
+type deal struct {
+	*world
+	start   time.Time
+	stop    chan struct{}
+	begun   int
+	seen    map[string]int // whole reqs that came to backends, by id
+	calls   map[string]int // of the director, on each of its connections
+	waiting map[string]int // connections of the director on which a watch waits, and for what
+	mu      sync.Mutex
+	answers map[string][]core.Answer
+	wrong   error
+}
+
+// kinds of reqs, by turns; each is what backends make of it.
+var dealt = []string{"started running done", "done", "unprocessed", "failed", "returned", "lost", "broken", "500", "silent", "done load"}
+
+const (
+	dealReqs  = 30
+	dealEvery = 20 * time.Millisecond
+	dealStart = 100 * time.Millisecond // the first req
+	dealTick  = 10 * time.Millisecond
+)
+
+func dealKind(id string) string {
+	var n int
+	fmt.Sscanf(id, "r%02d", &n)
+	return dealt[n%len(dealt)]
+}
+
+func newDeal(t *testing.T) *deal {
+	s := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 3, MayCancel: true,
+		TellsStart: true, ConnectTimeout: 120, Tick: 2, Subscribe: true,
+		Rules:   balance.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
+		Classes: []balance.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: balance.Unsafe}}}
+	names := &platform.Names{Classes: []string{"ingest"}, Keyed: []bool{true}, Limits: []time.Duration{5 * time.Second}, Columns: []string{"x0"}}
+	w := &deal{world: &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{}, slow: map[string]time.Duration{}, made: map[string]int{}},
+		start: time.Now(), stop: make(chan struct{}), seen: map[string]int{}, calls: map[string]int{}, waiting: map[string]int{}, answers: map[string][]core.Answer{}}
+	w.pool = &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: 50, Dial: w.dial}
+	w.watch = &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: w.stop}
+	var err error
+	if w.core, err = core.New(s, w.pool, w.watch, w.count); err != nil {
+		t.Fatal(err)
+	}
+	w.watch.Told = w.core.Listed
+	w.watch.Start(41)
+	w.core.Listed(balance.ListCached, list(balance.Ready, "s1", "s2"))
+	go w.core.Run(w.stop)
+	return w
+}
+
+// over ends all that the play began.
+func (w *deal) over() {
+	w.world.mu.Lock()
+	for _, n := range w.Nodes() {
+		name, _, _ := strings.Cut(n, "/")
+		w.refuse[name] = true
+	}
+	for _, p := range w.peers {
+		p.conn.Close()
+	}
+	w.world.mu.Unlock()
+	time.Sleep(10 * time.Second)
+	close(w.stop)
+	synctest.Wait()
+}
+
+func (w *deal) Nodes() []string {
+	return []string{"us", "s1/1", "s1/2", "s2/1", "s2/2", "s2/3", "d/1"}
+}
+
+// at moves the clock on to a time of the play, and lets all come to rest.
+func (w *deal) at(now time.Duration) {
+	time.Sleep(time.Until(w.start.Add(now)))
+	synctest.Wait()
+}
+
+func (w *deal) Tick(now time.Duration, node string) (out []mutate.Message) {
+	if node != "us" {
+		return nil
+	}
+	w.at(now)
+	for w.begun < dealReqs && now >= dealStart+time.Duration(w.begun)*dealEvery {
+		w.req(fmt.Sprintf("r%02d", w.begun))
+		w.begun++
+	}
+	synctest.Wait()
+	w.world.mu.Lock()
+	var conns []string
+	for _, host := range []string{"s1", "s2", "d"} {
+		for i := range w.made[host] {
+			conns = append(conns, fmt.Sprint(host, "/", i+1))
+		}
+	}
+	w.world.mu.Unlock()
+	for _, c := range conns {
+		for q := w.ask(c); q != nil; q = w.ask(c) {
+			if c[0] == 'd' {
+				w.waiting[c] = w.call(q)
+			} else {
+				out = append(out, w.work(c, q)...)
+			}
+		}
+		if since, ok := w.waiting[c]; ok && since < w.index(now) {
+			delete(w.waiting, c)
+			out = append(out, w.tell(c, since, now)...)
+		}
+	}
+	return out
+}
+
+func (w *deal) req(id string) {
+	left := 500 * time.Millisecond
+	if dealKind(id) == "silent" {
+		left = 150 * time.Millisecond
+	}
+	job := &core.Job{Method: "POST", Target: "/ingest", ID: id, Body: []byte("photo " + id)}
+	w.core.Take(balance.Request{Slots: 1}, job, time.Now(), left, dealClient{w, id})
+}
+
+type dealClient struct {
+	w  *deal
+	id string
+}
+
+// Answer judges each req's answers: one, and no result but its own.
+func (c dealClient) Answer(a core.Answer) {
+	w := c.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers[c.id] = append(w.answers[c.id], a)
+	if len(w.answers[c.id]) > 1 {
+		w.wrong = fmt.Errorf("%s has answers %v", c.id, w.answers[c.id])
+	}
+	if a.Verdict == core.ResultOf && (a.Result != "result-"+c.id || !dealServed(c.id)) {
+		w.wrong = fmt.Errorf("%s was given the result %q", c.id, a.Result)
+	}
+}
+
+// dealServed says whether any backend ever says "done" of a req.
+func dealServed(id string) bool {
+	return strings.Contains(dealKind(id), "done") || dealUnrun(id)
+}
+
+// dealUnrun says whether a backend first hands it back: only then may another see it.
+func dealUnrun(id string) bool { return dealKind(id) == "unprocessed" || dealKind(id) == "returned" }
+
+// ask is the next whole request that has come on a connection, or nil.
+func (w *deal) ask(conn string) *http.Request {
+	p := w.peers[conn]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.got) == 0 {
+		return nil
+	}
+	src := bytes.NewReader(p.got)
+	r := bufio.NewReader(src)
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	body := make([]byte, max(q.ContentLength, 0))
+	if n, _ := r.Read(body); n < len(body) {
+		return nil
+	}
+	p.got = p.got[len(p.got)-src.Len()-r.Buffered():]
+	return q
+}
+
+// work is what a backend writes for a req.
+func (w *deal) work(conn string, q *http.Request) (out []mutate.Message) {
+	id := q.Header.Get("X-Correlation-Id")
+	w.seen[id]++
+	kind := dealKind(id)
+	if w.seen[id] > 1 {
+		if !dealUnrun(id) && w.wrong == nil {
+			w.wrong = fmt.Errorf("%s was sent again, and may have run", id)
+		}
+		kind = "done"
+	}
+	host, _, _ := strings.Cut(conn, "/")
+	write := func(b string) {
+		out = append(out, mutate.Message{From: host, To: conn, Bytes: []byte(b), Delay: time.Duration(len(out)+1) * time.Millisecond})
+	}
+	line := func(rest string) {
+		l := fmt.Sprintf(`{"id":"%s","from":"%s",%s}`+"\n", id, host, rest)
+		write(fmt.Sprintf("%x\r\n%s\r\n", len(l), l))
+	}
+	switch kind {
+	case "silent":
+		return nil
+	case "unprocessed":
+		write("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nX-Backend-Load: {\"x0\":3}\r\nContent-Length: 0\r\n\r\n")
+		return out
+	case "500":
+		write("HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno")
+		return out
+	}
+	write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, word := range strings.Fields(kind) {
+		switch word {
+		case "running":
+			line(`"state":"running","share":0.4`)
+		case "done":
+			load := ""
+			if strings.HasSuffix(kind, "load") {
+				load = `,"load":{"x0":2}`
+			}
+			line(`"state":"done","result":"result-` + id + `"` + load)
+		case "broken":
+			write(hangUp)
+			return out
+		case "load":
+		default:
+			line(`"state":"` + word + `"`)
+		}
+	}
+	write("0\r\n\r\n")
+	return out
+}
+
+// hangUp is the message by which a peer ends its connection.
+const hangUp = "(hang up)"
+
+// index is the version of the list: s3 drains at first, and is gone later; s2 drains for a while.
+func (w *deal) index(now time.Duration) int {
+	switch {
+	case now < 300*time.Millisecond:
+		return 42
+	case now < 450*time.Millisecond:
+		return 43
+	}
+	return 44
+}
+
+// call is what version a call of the director has, -1 for one that asks for the whole list.
+func (w *deal) call(q *http.Request) int {
+	since := -1
+	fmt.Sscan(q.URL.Query().Get("since"), &since)
+	return since
+}
+
+// tell answers a call.
+func (w *deal) tell(conn string, since int, now time.Duration) []mutate.Message {
+	index := w.index(now)
+	entry := func(name, status string) string {
+		return fmt.Sprintf("\n  {\"name\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"type\":\"m\",\"group\":1,\"status\":\"%s\",\"weight\":4.0,\"since_ms\":0}", name, name, status)
+	}
+	s2 := "Ready"
+	if index == 43 {
+		s2 = "Terminating"
+	}
+	full := since < 42
+	body := entry("s1", "Ready") + "," + entry("s2", s2)
+	if index == 42 {
+		body += "," + entry("s3", "Terminating")
+	} else if !full {
+		body = `{"name":"s3","status":"Gone"},` + entry("s2", s2)
+	}
+	text := fmt.Sprintf("{\"index\":%d,\"snapshot\":%v,\"endpoints\":[%s]}", index, full, body)
+	return []mutate.Message{{From: "d", To: conn, Bytes: fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(text)), Delay: time.Millisecond},
+		{From: "d", To: conn, Bytes: []byte(text), Delay: 2 * time.Millisecond}}
+}
+
+func (w *deal) Deliver(now time.Duration, m mutate.Message) []mutate.Message {
+	w.at(now)
+	w.world.mu.Lock()
+	p := w.peers[m.To]
+	w.world.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	if string(m.Bytes) == hangUp {
+		p.conn.Close()
+	} else if len(m.Bytes) > 0 {
+		p.conn.SetWriteDeadline(time.Now().Add(time.Microsecond)) // nobody may read what comes unasked
+		p.conn.Write(m.Bytes)
+	}
+	synctest.Wait()
+	return nil
+}
+
+func (w *deal) Check(time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.wrong
+}
+
+// End: each req has had its answer, nothing of any is kept, and the last reqs that can be were served.
+func (w *deal) End(now time.Duration) error {
+	w.at(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range dealReqs {
+		id := fmt.Sprintf("r%02d", i)
+		if len(w.answers[id]) != 1 {
+			return fmt.Errorf("%s has answers %v", id, w.answers[id])
+		}
+		if i >= dealReqs-len(dealt) && dealServed(id) && w.answers[id][0].Verdict != core.ResultOf {
+			return fmt.Errorf("%s was not served: %v", id, w.answers[id])
+		}
+	}
+	if open := w.core.Open(); open != 0 {
+		return fmt.Errorf("%d reqs are open", open)
+	}
+	return nil
+}
+
+func excuseDeal(p mutate.Play, of, as mutate.Message) string {
+	const key = `"result":"`
+	switch at := bytes.Index(of.Bytes, []byte(key)); {
+	case p.Kind == mutate.Changed && at >= 0 && len(of.Bytes) == len(as.Bytes):
+		from := at + len(key)
+		to := from + bytes.IndexByte(of.Bytes[from:], '"')
+		if bytes.Equal(of.Bytes[:from], as.Bytes[:from]) && bytes.Equal(of.Bytes[to:], as.Bytes[to:]) {
+			return "a byte of the result itself: the protocol has no sum of it"
+		}
+	case (p.Kind == mutate.Replayed || p.Kind == mutate.Misrouted) && bytes.Contains(as.Bytes, []byte("X-Unprocessed: 1")):
+		return "a head names no req: another's 'never ran' reads as this one's"
+	}
+	return ""
+}
+
+// TestDealUnderMutation: whatever becomes of one write of a backend or of the director, each req has
+// exactly one final answer, no result but its own, and is sent again only where it was proven never to
+// have run; and reqs that come later are served.
+func TestDealUnderMutation(t *testing.T) {
+	var now *deal
+	rep := mutate.Test(t, mutate.Setup{Name: "deal", Seed: 1, Tick: dealTick, Faults: dealStart + time.Duration(dealReqs-len(dealt)-2)*dealEvery,
+		Length: 1500 * time.Millisecond, Late: 50 * time.Millisecond, Kinds: mutate.Streams, Splits: 3, Plays: 250, Excuse: excuseDeal,
+		Build:  func(uint64) mutate.World { now = newDeal(t); return now },
+		Around: func(play func()) { synctest.Test(t, func(*testing.T) { play(); now.over() }) }})
+	assert.Positive(t, rep.Played)
+}
