--- a/internal/network/mutate_test.go
+++ b/internal/network/mutate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -22,9 +23,12 @@
 
 // deal is a dispatcher without its front, on pipes: the real core and module, pool, links and
 // director's watch. What its peers write is messages: To is the connection, s1/2 the second made to
-// backend s1. Reqs are of a class that must never run twice.
+// backend s1. Reqs are of a class that must never run twice, unless safe.
 type deal struct {
 	*world
+	reqs    int  // how many
+	safe    bool // they may run twice, and copies may be out together
+	watched bool // the list of backends must be right in the end
 	start   time.Time
 	stop    chan struct{}
 	begun   int
@@ -40,7 +44,7 @@
 var dealt = []string{"started running done", "done", "unprocessed", "failed", "returned", "lost", "broken", "500", "silent", "done load"}
 
 const (
-	dealReqs  = 30
+	dealReqs  = 30 // where not said otherwise
 	dealEvery = 20 * time.Millisecond
 	dealStart = 100 * time.Millisecond // the first req
 	dealTick  = 10 * time.Millisecond
@@ -52,13 +56,16 @@
 	return dealt[n%len(dealt)]
 }
 
-func newDeal(t *testing.T) *deal {
+func newDeal(t *testing.T, reqs int, safe, watched bool) *deal {
 	s := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 3, MayCancel: true,
 		TellsStart: true, ConnectTimeout: 120, Tick: 2, Subscribe: true,
 		Rules:   balance.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
 		Classes: []balance.Class{{Worth: 1, Aim: 120, Stretch: 2, Deadline: 5000, Kind: -1, Effect: balance.Unsafe}}}
+	if safe {
+		s.MayDuplicate, s.Classes[0].Effect = true, balance.Safe
+	}
 	names := &platform.Names{Classes: []string{"ingest"}, Keyed: []bool{true}, Limits: []time.Duration{5 * time.Second}, Columns: []string{"x0"}}
-	w := &deal{world: &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{}, slow: map[string]time.Duration{}, made: map[string]int{}},
+	w := &deal{reqs: reqs, safe: safe, watched: watched, world: &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{}, slow: map[string]time.Duration{}, made: map[string]int{}},
 		start: time.Now(), stop: make(chan struct{}), seen: map[string]int{}, calls: map[string]int{}, waiting: map[string]int{}, answers: map[string][]core.Answer{}}
 	w.pool = &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: 50, Dial: w.dial}
 	w.watch = &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: w.stop}
@@ -104,7 +111,7 @@
 		return nil
 	}
 	w.at(now)
-	for w.begun < dealReqs && now >= dealStart+time.Duration(w.begun)*dealEvery {
+	for w.begun < w.reqs && now >= dealStart+time.Duration(w.begun)*dealEvery {
 		w.req(fmt.Sprintf("r%02d", w.begun))
 		w.begun++
 	}
@@ -197,10 +204,12 @@
 	w.seen[id]++
 	kind := dealKind(id)
 	if w.seen[id] > 1 {
-		if !dealUnrun(id) && w.wrong == nil {
+		if !w.safe && !dealUnrun(id) && w.wrong == nil {
 			w.wrong = fmt.Errorf("%s was sent again, and may have run", id)
 		}
-		kind = "done"
+		if kind = "done"; !dealServed(id) { // a copy fares no better
+			kind = "failed"
+		}
 	}
 	host, _, _ := strings.Cut(conn, "/")
 	write := func(b string) {
@@ -246,12 +255,13 @@
 // hangUp is the message by which a peer ends its connection.
 const hangUp = "(hang up)"
 
-// index is the version of the list: s3 drains at first, and is gone later; s2 drains for a while.
+// index is the version of the list: s3 is there at first and gone later; s2 drains for a while. The
+// module asks half a second after its start.
 func (w *deal) index(now time.Duration) int {
 	switch {
-	case now < 300*time.Millisecond:
+	case now < 800*time.Millisecond:
 		return 42
-	case now < 450*time.Millisecond:
+	case now < 1100*time.Millisecond:
 		return 43
 	}
 	return 44
@@ -274,10 +284,14 @@
 	if index == 43 {
 		s2 = "Terminating"
 	}
+	s3 := "Terminating"
+	if w.watched {
+		s3 = "Ready"
+	}
 	full := since < 42
 	body := entry("s1", "Ready") + "," + entry("s2", s2)
 	if index == 42 {
-		body += "," + entry("s3", "Terminating")
+		body += "," + entry("s3", s3)
 	} else if !full {
 		body = `{"name":"s3","status":"Gone"},` + entry("s2", s2)
 	}
@@ -315,15 +329,18 @@
 	w.at(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i := range dealReqs {
+	for i := range w.reqs {
 		id := fmt.Sprintf("r%02d", i)
 		if len(w.answers[id]) != 1 {
 			return fmt.Errorf("%s has answers %v", id, w.answers[id])
 		}
-		if i >= dealReqs-len(dealt) && dealServed(id) && w.answers[id][0].Verdict != core.ResultOf {
+		if i >= w.reqs-len(dealt) && dealServed(id) && w.answers[id][0].Verdict != core.ResultOf {
 			return fmt.Errorf("%s was not served: %v", id, w.answers[id])
 		}
 	}
+	if ready := w.core.Ready(); w.watched && ready != 2 {
+		return fmt.Errorf("%d backends are ready, 2 should be", ready)
+	}
 	if open := w.core.Open(); open != 0 {
 		return fmt.Errorf("%d reqs are open", open)
 	}
@@ -345,14 +362,38 @@
 	return ""
 }
 
+func dealSetup(t *testing.T, name string, reqs int, safe, watched bool) mutate.Setup {
+	var now *deal
+	return mutate.Setup{Name: "deal " + name, Seed: 1, Tick: dealTick, Faults: dealStart + time.Duration(max(reqs-len(dealt)-2, 0))*dealEvery,
+		Length: dealStart + time.Duration(reqs)*dealEvery + 800*time.Millisecond, Late: 50 * time.Millisecond,
+		Kinds: mutate.Streams, Splits: 3, Excuse: excuseDeal,
+		Build:  func(uint64) mutate.World { now = newDeal(t, reqs, safe, watched); return now },
+		Around: func(play func()) { synctest.Test(t, func(*testing.T) { play(); now.over() }) }}
+}
+
 // TestDealUnderMutation: whatever becomes of one write of a backend or of the director, each req has
 // exactly one final answer, no result but its own, and is sent again only where it was proven never to
 // have run; and reqs that come later are served.
 func TestDealUnderMutation(t *testing.T) {
-	var now *deal
-	rep := mutate.Test(t, mutate.Setup{Name: "deal", Seed: 1, Tick: dealTick, Faults: dealStart + time.Duration(dealReqs-len(dealt)-2)*dealEvery,
-		Length: 1500 * time.Millisecond, Late: 50 * time.Millisecond, Kinds: mutate.Streams, Splits: 3, Plays: 250, Excuse: excuseDeal,
-		Build:  func(uint64) mutate.World { now = newDeal(t); return now },
-		Around: func(play func()) { synctest.Test(t, func(*testing.T) { play(); now.over() }) }})
-	assert.Positive(t, rep.Played)
+	s := dealSetup(t, "unsafe", dealReqs, false, false)
+	s.Plays = 200
+	assert.Positive(t, mutate.Test(t, s).Played)
+	s = dealSetup(t, "safe", dealReqs, true, false)
+	s.Plays = 60
+	assert.Positive(t, mutate.Test(t, s).Played)
+}
+
+// TestWatchUnderMutation: whatever becomes of one write of the director, the list is right in the end:
+// within a call that is never answered, and the next.
+func TestWatchUnderMutation(t *testing.T) {
+	s := dealSetup(t, "watch", 0, false, true)
+	s.Faults, s.Length, s.Tick = 2*time.Second, 20*time.Second, 50*time.Millisecond
+	s.Draws = 10
+	s.Excuse = func(p mutate.Play, of, as mutate.Message) string {
+		if p.Kind == mutate.Changed && json.Valid(as.Bytes) {
+			return "a list that reads as one: the protocol has no sum of it"
+		}
+		return excuseDeal(p, of, as)
+	}
+	assert.Positive(t, mutate.Test(t, s).Played)
 }
--- a/internal/platform/mutate_test.go
+++ b/internal/platform/mutate_test.go
@@ -29,7 +29,9 @@
 	result string
 }
 
-func chunkOf(line string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line) }
+func chunkOf(line string) string { return sized(line+"\n", "") }
+
+func sized(text, ext string) string { return fmt.Sprintf("%x%s\r\n%s\r\n", len(text), ext, text) }
 
 func saidLines(id string, ending core.Ending, result string, lines ...string) said {
 	s := said{id: id, ending: ending, result: result, writes: []string{"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nTransfer-Encoding: chunked\r\n\r\n"}}
@@ -55,6 +57,8 @@
 		saidLines("a7000002", core.Served, "three", `{"id":"ID","from":"s-2","state":"started"}`, `{"id":"ID","from":"s-2","state":"done","result":"three"}`),
 		{id: "a7000003", ending: core.Failed, writes: []string{"HTTP/1.1 500 Error\r\nContent-Length: 3\r\n\r\n", "out"}},
 		{id: "a7000004", ending: core.Failed, writes: []string{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}},
+		{id: "a7000006", ending: core.Served, result: "a line in two chunks", writes: []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+			sized(`{"id":"a7000006","state":"d`, ""), sized(`one","result":"a line in two chunks"`, ";x=y"), sized("}\n", "") + "0\r\nX-Sum: 1\r\n\r\n"}},
 		saidLines("a7000005", core.Served, "four", `{"id":"ID","from":"s-2","state":"running","share":1}`, `{"id":"ID","from":"s-2","state":"done","result":"four"}`),
 	},
 }
@@ -241,7 +245,7 @@
 }
 
 func repliesSetup(name string, strict bool, kinds ...mutate.Kind) mutate.Setup {
-	return mutate.Setup{Name: name, Seed: 1, Build: buildReplies(strict), Tick: reqEvery / 2, Length: 7 * reqEvery,
+	return mutate.Setup{Name: name, Seed: 1, Build: buildReplies(strict), Tick: reqEvery / 2, Length: 8 * reqEvery,
 		Late: reqEvery, Kinds: kinds, Draws: 12, Splits: -1, Excuse: excuseReply}
 }
 
