--- a/internal/network/mutate_test.go
+++ b/internal/network/mutate_test.go
@@ -41,7 +41,7 @@
 }
 
 // kinds of reqs, by turns; each is what backends make of it.
-var dealt = []string{"started running done", "done", "unprocessed", "failed", "returned", "lost", "broken", "500", "silent", "done load"}
+var dealt = []string{"started running done", "done", "unprocessed", "failed", "returned", "lost", "broken", "500", "silent", "done load", "slow done"}
 
 const (
 	dealReqs  = 30 // where not said otherwise
@@ -207,13 +207,17 @@
 		if !w.safe && !dealUnrun(id) && w.wrong == nil {
 			w.wrong = fmt.Errorf("%s was sent again, and may have run", id)
 		}
-		if kind = "done"; !dealServed(id) { // a copy fares no better
+		if kind = "done"; dealKind(id) == "slow done" {
+			kind = dealKind(id)
+		} else if !dealServed(id) { // a copy fares no better
 			kind = "failed"
 		}
 	}
 	host, _, _ := strings.Cut(conn, "/")
+	delay := time.Millisecond
 	write := func(b string) {
-		out = append(out, mutate.Message{From: host, To: conn, Bytes: []byte(b), Delay: time.Duration(len(out)+1) * time.Millisecond})
+		out = append(out, mutate.Message{From: host, To: conn, Bytes: []byte(b), Delay: delay})
+		delay += time.Millisecond
 	}
 	line := func(rest string) {
 		l := fmt.Sprintf(`{"id":"%s","from":"%s",%s}`+"\n", id, host, rest)
@@ -232,6 +236,8 @@
 	write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for _, word := range strings.Fields(kind) {
 		switch word {
+		case "slow":
+			delay += 200 * time.Millisecond
 		case "running":
 			line(`"state":"running","share":0.4`)
 		case "done":
@@ -288,7 +294,7 @@
 	if w.watched {
 		s3 = "Ready"
 	}
-	full := since < 42
+	full := since < index-1 // what a later one changed is not kept
 	body := entry("s1", "Ready") + "," + entry("s2", s2)
 	if index == 42 {
 		body += "," + entry("s3", s3)
@@ -321,6 +327,9 @@
 func (w *deal) Check(time.Duration) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.watched && w.core.Ready() == 0 { // s1 is ready in every list
+		return fmt.Errorf("no backend is ready")
+	}
 	return w.wrong
 }
 
