--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -179,18 +179,24 @@
 	return nil
 }
 
-// text is the next line of the framing.
+// text is the next line of the framing, without its LF.
 func (m *Replies) text() (string, bool) {
 	i := bytes.IndexByte(m.rest(), '\n')
 	if i < 0 {
 		return "", false
 	}
-	s := strings.TrimSuffix(string(m.b[m.r:m.r+i]), "\r")
+	s := string(m.b[m.r : m.r+i])
 	m.r += i + 1
 	return s, true
 }
 
+// frame takes a line of the framing. One of chunks ends in CR LF, as net/http has it: two readings of
+// the framing would let a body pass for a second reply.
 func (m *Replies) frame(text string) error {
+	text, cr := strings.CutSuffix(text, "\r")
+	if !cr && m.state != inTrailer {
+		return errReply
+	}
 	switch m.state {
 	case inBreak:
 		m.state = inSize
@@ -209,6 +215,8 @@
 	case inTrailer:
 		if text == "" {
 			m.state = inTail
+		} else if strings.IndexByte(text, ':') <= 0 { // no field: the next reply's head must not pass for one
+			return errReply
 		}
 	}
 	return nil
@@ -222,7 +230,7 @@
 	version, rest, _ := strings.Cut(h.first, " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 10)
-	if err != nil || status < 100 || status > 599 || !strings.HasPrefix(version, "HTTP/1.") {
+	if err != nil || status < 100 || status > 599 || version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return errReply
 	}
 	m.Status = int(status)
@@ -235,6 +243,13 @@
 	m.Keep = !h.has("Connection", "close") && version != "HTTP/1.0"
 	m.chunked = h.has("Transfer-Encoding", "chunked")
 	m.state = inData
+	if m.chunked && version == "HTTP/1.0" { // knows no chunks (RFC 9112 section 6.1)
+		return errReply
+	}
+	if status == 204 || status == 304 { // no body, whatever the head says (section 6.3)
+		m.left, m.chunked = 0, false
+		return nil
+	}
 	if m.chunked {
 		m.state, m.left = inSize, 0
 		return nil
@@ -242,9 +257,6 @@
 	if m.left, err = h.length(); err != nil || m.left > m.most {
 		return errReply
 	}
-	if status == 204 || status == 304 {
-		m.left = 0
-	}
 	if m.left < 0 {
 		m.Keep = false
 	}
@@ -292,7 +304,7 @@
 			it.Skip()
 		}
 	}
-	if it.Error != nil || it.WhatIsNext() != jsoniter.InvalidValue || got != id {
+	if !ended(it) || got != id {
 		return News{}, errLine
 	}
 	news.Last = true
