--- a/internal/network/hard_test.go
+++ b/internal/network/hard_test.go
@@ -46,11 +46,12 @@
 			w.set(i, "Ready")
 		}
 		stop := make(chan struct{})
-		dir := &Director{Names: &platform.Names{}, Count: &counters.Set{}, Address: "d", Stop: stop}
+		dir := &Director{Names: &platform.Names{}, Count: &counters.Set{}, Address: "d", Stop: stop, Pace: Pushed()}
+		w.terms = standin.Terms{Began: time.Now()}
 		if !pushed {
-			dir.Ask = 10 * time.Second
+			w.terms.AskEvery = 10 * time.Second
+			dir.Pace = Asked(w.terms.AskEvery)
 		}
-		w.terms = standin.Terms{Began: time.Now(), AskEvery: dir.Ask}
 		dir.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			if w.dialled() {
 				return nil, syscall.ECONNREFUSED
--- a/internal/network/mutate_test.go
+++ b/internal/network/mutate_test.go
@@ -68,7 +68,7 @@
 	w := &deal{reqs: reqs, safe: safe, watched: watched, world: &world{t: t, count: &counters.Set{}, peers: map[string]*peer{}, refuse: map[string]bool{}, slow: map[string]time.Duration{}, made: map[string]int{}},
 		start: time.Now(), stop: make(chan struct{}), seen: map[string]int{}, calls: map[string]int{}, waiting: map[string]int{}, answers: map[string][]core.Answer{}}
 	w.pool = &Pool{Names: names, Count: w.count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: 50, Dial: w.dial}
-	w.watch = &Director{Names: names, Count: w.count, Address: "d", Ask: 10 * time.Second, Dial: w.dial, Stop: w.stop}
+	w.watch = &Director{Names: names, Count: w.count, Address: "d", Pace: Asked(10 * time.Second), Dial: w.dial, Stop: w.stop}
 	var err error
 	if w.core, err = core.New(s, w.pool, w.watch, w.count); err != nil {
 		t.Fatal(err)
--- a/internal/network/silence_test.go
+++ b/internal/network/silence_test.go
@@ -13,10 +13,10 @@
 	standin "tinsail/internal/standin/platform"
 )
 
-// TestSilentWatch: a watch falls silent, at any moment of its wait and of the next one's, while
+// TestSilenceSweep: a watch falls silent, at any moment of its wait and of the next one's, while
 // drains are told elsewhere. Each is here within half a second of when it counts as told, lists
 // asked for or pushed.
-func TestSilentWatch(t *testing.T) {
+func TestSilenceSweep(t *testing.T) {
 	for _, pushed := range []bool{false, true} {
 		t.Run(fmt.Sprintf("pushed %v", pushed), func(t *testing.T) {
 			worst, when, bad := -time.Hour, time.Duration(0), 0
--- a/internal/network/site_test.go
+++ b/internal/network/site_test.go
@@ -62,7 +62,10 @@
 		dial := func(ctx context.Context, address string) (net.Conn, error) { return at[address].Dial(ctx, address) }
 		count, stop := &counters.Set{}, make(chan struct{})
 		pool := &Pool{Names: names, Count: count, Connect: 120 * time.Millisecond, Idle: 7 * time.Second, Most: 64, Dial: dial}
-		dir := &Director{Names: names, Count: count, Address: "d", Ask: s.terms.AskEvery, Dial: dial, Stop: stop}
+		dir := &Director{Names: names, Count: count, Address: "d", Pace: Pushed(), Dial: dial, Stop: stop}
+		if !pushed {
+			dir.Pace = Asked(s.terms.AskEvery)
+		}
 		c, err := core.New(set, pool, dir, count)
 		require.NoError(t, err)
 		dir.Told = c.Listed
