Module: running times start from aim and stretch and are learned fast at first

At fault: the running time that the cold budget divides by began at the aims and moved by 1/32 a job; a dispatcher with a req a second never learned it. TestFallOfAllHeavy fails without.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -23,7 +23,8 @@
 	held        []*request // waiting here for room or for a worker, oldest first
 	runs, seen  []float64  // mean running time of each class here, and the jobs it rests on
 	work, worth []float64  // asked for so far, by class
-	run         Millis     // mean running time of all jobs
+	run         Millis     // mean running time of all jobs ...
+	ran         float64    // ... and the jobs it rests on
 	kinds       []float64  // running time on a kind, relative to the class's mean
 	zones       []float64  // mean of others' slots met at a worker, by zone
 	lost        []float64  // part of the connections that failed of late, by zone and kind
@@ -74,9 +75,11 @@
 	for _, t := range s.Tenants {
 		d.quotas += t.QuotaPerS
 	}
-	for i, c := range s.Classes { // until jobs have been seen, the aim stands for the running time
-		d.runs[i] = c.Aim
-		d.run += c.Aim / float64(n)
+	// Until jobs have been seen, the aim of one that runs for the class's aim stands for the running
+	// time: too long rather than too short, which would let cold workers have more than they can take.
+	for i, c := range s.Classes {
+		d.runs[i] = c.Aim * (1 + c.Stretch)
+		d.run += d.runs[i] / float64(n)
 	}
 	return d, nil
 }
@@ -223,7 +226,8 @@
 func (d *Dispatcher) learnRun(r *request, w *worker, took Millis) {
 	run := &d.runs[r.Class]
 	d.seen[r.Class]++
-	d.run += (took - d.run) * gain / 4
+	d.ran++
+	d.run += (took - d.run) * max(gain/4, 1/(d.ran+1))
 	*run += (took - *run) * max(gain/4, 1/(d.seen[r.Class]+1))
 	ratio := min(max(took / *run, 0.25), 4) // one heavy job must not brand a worker
 	d.kinds[w.Kind] += (ratio - d.kinds[w.Kind]) * gain / 4
