--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -26,6 +26,7 @@
 	run         Millis     // mean running time of all jobs ...
 	ran         float64    // ... and the jobs it rests on
 	kinds       []float64  // running time on a kind, relative to the class's mean
+	wide        []float64  // most slots seen running at once at a worker of a kind
 	zones       []float64  // mean of others' slots met at a worker, by zone
 	lost        []float64  // part of the connections that failed of late, by zone and kind
 	rates       rates      // requests a second here, by tenant; the last is all of them
@@ -50,6 +51,8 @@
 	copyShare = 0.2     // work of second copies, as a share of that of first tries
 	ill       = 2.0     // times slower than its kind: such a worker is not used on an equal footing
 	reserve   = 0.4     // part of the limit that worthless requests leave free
+	ahead     = 0.3     // part of its slots that a fast worker may fill before an idle slow one has its turn
+	untold    = 4.0     // slots of a worker whose size is not told, at first
 	fewest    = 8.0     // of slots or links: fewer say more about chance than about load
 	window    = 2000.0  // ms over which rates are measured: shorter than a surge, longer than a cluster
 )
@@ -67,6 +70,7 @@
 		book: book{index: map[WorkerID]int32{}, reqs: map[RequestID]*request{}, keys: map[uint64]int{}},
 		runs: make([]float64, n), seen: make([]float64, n), work: make([]float64, n),
 		worth: make([]float64, n), kinds: slices.Repeat([]float64{1}, s.Kinds),
+		wide:  make([]float64, s.Kinds),
 		zones: make([]float64, s.Zones), cold: make([]float64, s.Zones),
 		lost: make([]float64, s.Zones*s.Kinds), rates: rates{last: make([]float64, len(s.Tenants)+1)}}
 	if d.rise = gain; s.Weight == WeightNone { // slots not told: up fast to the first crowd
@@ -150,7 +154,8 @@
 	return d.shortest(now, r, 0, true)
 }
 
-// shortest is JFSQ: the eligible worker with the fewest own slots in flight. News of others'
+// shortest is JFSQ: the eligible worker with the least of its slots in use by own jobs, what waits there
+// for a slot counting in full; the paper's workers have one slot each. News of others'
 // slots is left out: it reaches many dispatchers alike, and were it counted, all would leave one
 // worker for the same few others at once, a herd that grows with their number. Equals are drawn
 // by speed. Unlinked workers and other zones count as some slots more, drawn anew each time so
@@ -170,11 +175,14 @@
 			continue
 		}
 		left--
-		count := w.own
+		count := d.fill(r, w)
+		if over := w.own + r.Slots - d.slots(w); over > 0 {
+			count += over
+		}
 		if w.Zone != d.set.Zone {
-			count += 2 * luck * max(1, perCross*d.set.Prices.CrossZone)
+			count += 2 * luck * max(1, perCross*d.set.Prices.CrossZone) / d.slots(w)
 		} else if w.link >= arc {
-			count += 2 * luck * aside
+			count += 2 * luck * aside / d.slots(w)
 		}
 		if count > best || min(w.tickets, d.cold[w.Zone]) < 1 && d.warmth(now, w) < 1 {
 			continue
@@ -190,6 +198,21 @@
 	return choice
 }
 
+// fill is how much of a worker's slots this dispatcher's jobs take, counted by how slow it is, since they
+// take them for longer. Where there are so few dispatchers that own jobs are most of what a worker has, an
+// idle slow one waits for the fast to fill a little. What must never run twice is lost with this process
+// while it is out: it goes by the square, to where it is out for the shortest time.
+func (d *Dispatcher) fill(r *request, w *worker) float64 {
+	count, slow := w.own/d.slots(w), d.kinds[w.Kind]*w.pace
+	if float64(d.set.Instances) <= d.slots(w) {
+		count += ahead
+	}
+	if d.set.Classes[r.Class].Effect == Unsafe {
+		count *= slow
+	}
+	return count * slow
+}
+
 // link says how far a worker is from here, and arc how far those are that are preferred: dispatchers and
 // workers stand on a circle, each takes the nearest, so that a few of many see a worker often and their news
 // means something.
@@ -215,6 +238,9 @@
 	return d.warmth(now, w) * w.size / (t * t)
 }
 
+// slots is how many a worker has, as far as is known.
+func (d *Dispatcher) slots(w *worker) float64 { return max(w.size, d.wide[w.Kind]) }
+
 // crowd is what others have at a worker, in slots. News fades towards the mean of its
 // zone in about the time of a job.
 func (d *Dispatcher) crowd(now Millis, w *worker) float64 {
@@ -251,7 +277,7 @@
 func (d *Dispatcher) report(now Millis, w *worker, values []float32) {
 	for i, m := range d.set.Metrics {
 		if m == MetricFreeSlots && i < len(values) {
-			d.learnCrowd(now, w, max(0, w.size-float64(values[i])-w.own), false)
+			d.learnCrowd(now, w, max(0, d.slots(w)-float64(values[i])-w.own), false)
 		}
 	}
 }
@@ -303,10 +329,10 @@
 		w := &d.workers[i]
 		w.tickets = 0
 		if warm := d.warmth(now, w); warm < 1 {
-			part := min(1, rules.FallMultiple/2) * warm * w.size * rules.FallWindow / d.run / n
+			part := min(1, rules.FallMultiple/2) * warm * d.slots(w) * rules.FallWindow / d.run / n
 			if d.shared { // two processes of one node: each half of FallMultiple/2, which is one process's
 				// margin below FallMultiple; no least ticket, which both would have
-				part = min(1, rules.FallMultiple/4) * warm * w.size * rules.FallWindow / d.run / n
+				part = min(1, rules.FallMultiple/4) * warm * d.slots(w) * rules.FallWindow / d.run / n
 				w.tickets = math.Floor(part + d.rng.Float64())
 			} else {
 				w.tickets = max(1, math.Floor(part+d.rng.Float64()))
@@ -394,7 +420,7 @@
 
 // free says whether a job would start at once at a worker, by what is known.
 func (d *Dispatcher) free(now Millis, w *worker, r *request) bool {
-	return w.own+trust*d.crowd(now, w)+r.Slots <= w.size*d.warmth(now, w)
+	return w.own+trust*d.crowd(now, w)+r.Slots <= d.slots(w)*d.warmth(now, w)
 }
 
 // Answer takes an attempt's outcome, learns from it and goes on with the request.
@@ -404,6 +430,9 @@
 		return
 	}
 	w := &d.workers[a.worker]
+	if a.started > 0 {
+		w.running -= r.Slots
+	}
 	a.out, w.own, w.out, d.busy, r.out = false, w.own-r.Slots, w.out-1, d.busy-r.Slots, r.out-1
 	a.never = o.Result == Full || o.Result == ConnectFailed || o.Result == NotSent
 	r.open = r.open && !o.Closed
@@ -428,7 +457,7 @@
 		}
 	case Full: // a full worker answers at once and would keep winning: it rests until a slot may be free
 		w.until = max(w.until, now+d.run*d.kinds[w.Kind]/max(2, w.own+1))
-		d.learnCrowd(now, w, w.size, o.Attempt > 0) // one may be a herd's, two are a crowd
+		d.learnCrowd(now, w, d.slots(w), o.Attempt > 0) // one may be a herd's, two are a crowd
 	case Error, ConnectFailed, Reset:
 		d.strike(now, w, "failed attempts")
 	}
@@ -455,6 +484,9 @@
 	a.news = now
 	if a.started == 0 {
 		a.started = now
+		w := &d.workers[a.worker]
+		w.running += r.Slots
+		d.wide[w.Kind] = max(d.wide[w.Kind], w.running)
 		if d.set.ProgressEvery > 0 { // where no progress is told, silence after a start says nothing
 			d.watch(r, p.Attempt, 2.5*d.set.ProgressEvery)
 		}
@@ -468,7 +500,7 @@
 		w, c, wait := &d.workers[a.worker], &d.set.Classes[r.Class], now-a.sent
 		// More may be waited where a late answer still earns, or the aim grows with the job's own work.
 		bad := c.Aim/2 + max(c.LateWorth*c.Stretch, (c.Stretch-1)/4)*d.runs[r.Class]
-		d.learnCrowd(now, w, w.size*min(wait/d.run, 2), wait > bad)
+		d.learnCrowd(now, w, d.slots(w)*min(wait/d.run, 2), wait > bad)
 	}
 }
 
@@ -609,6 +641,9 @@
 		slots := 0.0
 		for _, i := range d.ready {
 			slots += d.workers[i].size
+			if d.set.Weight == WeightNone { // a guess, too high rather than too low: a crowd is soon met
+				slots += untold - 1
+			}
 		}
 		slots /= float64(d.set.Instances)
 		d.limit = max(fewest, slots+2*math.Sqrt(slots))
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -26,6 +26,7 @@
 	link     float64 // how far it is from this dispatcher: those within arc are preferred
 	size     float64 // largest weight listed: about its slots
 	own      float64 // slots of this dispatcher's jobs in flight
+	running  float64 // of them, those whose jobs have told that they started
 	others   float64 // slots that others held or waited for, by the last news ...
 	othersAt Millis  // ... and when that was
 	pace     float64 // running time relative to its kind's
@@ -150,7 +151,7 @@
 	}
 	w := &b.workers[i]
 	if !known || e.Started != w.Started {
-		*w = worker{own: w.own, out: w.out, pace: 1}
+		*w = worker{own: w.own, out: w.out, running: w.running, pace: 1}
 	}
 	b.index[e.ID] = i
 	w.Worker, w.size = e, max(1, w.size, e.Weight)
--- /dev/null
+++ b/internal/balance/untold_test.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// untoldSite is a site that tells no sizes, with two kinds of workers, the second twice as fast as the first.
+func untoldSite(t *testing.T, instances int) (*Dispatcher, *recorder) {
+	s := testSettings()
+	s.Zones, s.Instances, s.Weight = 1, instances, WeightNone
+	list := make([]Worker, 8)
+	for i := range list {
+		list[i] = Worker{ID: WorkerID(1 + i), Kind: i % 2, State: Ready, Weight: 1}
+	}
+	d, rec := start(t, s, list)
+	d.kinds[0], d.kinds[1] = 4.0/3, 2.0/3
+	return d, rec
+}
+
+// TestFirstLimitWhereSizesAreNotTold: a dispatcher that has just started has room for about four jobs a worker. It
+// took each worker for one slot, and held or refused what came until starts had told of more.
+func TestFirstLimitWhereSizesAreNotTold(t *testing.T) {
+	d, rec := untoldSite(t, 1)
+	placed := 0
+	for i := range 32 {
+		if sent(d, rec, 10, req(i, 0)) != 0 {
+			placed++
+		}
+	}
+	assert.Equal(t, 32, placed, "of 32 jobs for 8 workers")
+}
+
+// TestSizesAreLearnedFromStarts: jobs that run at once at a worker show how many slots its kind has at least; then a
+// second copy may go where one of them is free, which a worker of one slot never had.
+func TestSizesAreLearnedFromStarts(t *testing.T) {
+	d, rec := untoldSite(t, 1)
+	at := map[WorkerID]int{}
+	for i := range 32 {
+		w := sent(d, rec, 10, req(i, 0))
+		at[w]++
+		d.Progressed(20, Progress{ID: RequestID(i), Worker: w, Started: true})
+	}
+	most := [2]int{}
+	for w, n := range at {
+		k := d.workers[d.index[w]].Kind
+		most[k] = max(most[k], n)
+	}
+	assert.Equal(t, []float64{float64(most[0]), float64(most[1])}, d.wide)
+	for i := range 32 {
+		d.Answer(30, Outcome{ID: RequestID(i), Worker: d.workers[d.reqs[RequestID(i)].attempts[0].worker].ID, Took: 10, Closed: true})
+	}
+	for i := range d.workers {
+		assert.Zero(t, d.workers[i].running)
+	}
+	one := &request{Request: req(99, 0)}
+	one.Slots = 1
+	w := &d.workers[1]
+	w.own, w.others, d.zones[0] = 1, 0, 0
+	assert.True(t, d.free(1e6, w, one), "one of several slots is taken")
+}
+
+// TestUnsafeJobsGoToTheFast: what must never run twice is lost with the dispatcher while it is out. It goes to the
+// faster kind while that has a slot free, where safe jobs begin to spread to the slower one.
+func TestUnsafeJobsGoToTheFast(t *testing.T) {
+	slow := func(class int) (n int) {
+		d, rec := untoldSite(t, 1)
+		d.wide[0], d.wide[1] = 4, 4
+		for i := range 16 {
+			n += int(sent(d, rec, 10, req(i, class))) % 2
+		}
+		return n
+	}
+	safe, unsafe := slow(0), slow(1)
+	assert.Greater(t, safe, unsafe, "of 16 jobs on slow workers")
+	assert.LessOrEqual(t, unsafe, 3)
+}
+
+// TestManyDispatchersSpread: where dispatchers are more than slots, an idle slow worker is as good as an idle fast
+// one but for the draw: all of them would fill the fast at once.
+func TestManyDispatchersSpread(t *testing.T) {
+	slow := 0
+	for i := range 60 {
+		d, rec := untoldSite(t, 300)
+		d.rng = rand.New(rand.NewPCG(uint64(i), 1))
+		slow += int(sent(d, rec, 10, req(1, 1))) % 2
+	}
+	assert.Greater(t, slow, 4, "of 60 first jobs, on slow workers")
+}
