--- /dev/null
+++ b/internal/fleet/accord/keeper.go
@@ -0,0 +1,310 @@
+package accord
+
+import (
+	"bytes"
+	"errors"
+	"time"
+)
+
+// Keeper is the leader's side, from its election to the end of its term. What it remembers dies
+// with it: the next leader starts from the log alone. Not for concurrent use.
+type Keeper struct {
+	plan  Plan
+	term  uint64
+	born  Time
+	state State
+	at    map[life]*lessee
+
+	change *change
+	count  uint64 // of changes in this term
+	ends   map[uint64]Outcome
+	order  []uint64 // of ends, oldest first
+	last   Outcome  // of a change, told to those who ask about none
+
+	submit *Decide
+	nudge  bool
+	notes  []Note
+}
+
+type life struct {
+	peer  string
+	epoch uint64
+}
+
+// lessee is one life of a dispatcher as the keeper knows it.
+type lessee struct {
+	seq     uint64 // the newest ask believed
+	seen    Time
+	version uint64 // as it said
+	until   Time   // it may be using a lease until then
+	stands  uint64 // the change that it has accepted
+}
+
+// change is the one under way.
+type change struct {
+	id       uint64
+	proposal uint64
+	version  uint64
+	by       string
+	body     []byte
+	stage    Stage
+	since    Time
+	held     int // leases out when preparing began
+	ready    int // of them, given up
+	decided  Time
+}
+
+// NewKeeper begins a term. state is the log's after a barrier of this term was committed: all that
+// earlier leaders decided is in it, and nothing else that they tried can be decided any more.
+func NewKeeper(p Plan, term uint64, now Time, state State) (*Keeper, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	if term == 0 || term >= 1<<47 {
+		return nil, errors.New("accord: a term of 0 or beyond 47 bits")
+	}
+	return &Keeper{plan: p, term: term, born: now, state: state, at: map[life]*lessee{}, ends: map[uint64]Outcome{}}, nil
+}
+
+// Take answers an ask. The caller has a majority's word, got after the ask came, that this
+// keeper's term has not ended; without that no answer may be sent (docs/design/accord.md, "a
+// grant is confirmed").
+func (k *Keeper) Take(now Time, a Ask) Answer {
+	k.Tick(now)
+	out := Answer{Peer: a.Peer, Epoch: a.Epoch, Seq: a.Seq, Leads: true, Term: k.term, Version: k.state.Version}
+	l := k.at[life{a.Peer, a.Epoch}]
+	if l == nil && len(k.at) < MaxLessees {
+		l = &lessee{}
+		k.at[life{a.Peer, a.Epoch}] = l
+	}
+	believed := l != nil && a.Seq > l.seq
+	if believed {
+		l.seq, l.seen, l.version = a.Seq, now, a.Version
+		k.stance(now, l, a)
+		k.proposed(now, a)
+		k.move(now)
+	}
+	if believed && k.lends() && k.state.Version > 0 && a.Version == k.state.Version {
+		out.Lent = true
+		l.until = max(l.until, now.Add(k.plan.Lease))
+	}
+	k.tell(&out, a)
+	return out
+}
+
+// lends says whether leases of the version in force are lent now.
+func (k *Keeper) lends() bool { return k.change == nil || k.change.stage == Checking }
+
+// stance takes what a lessee says of the change under way; of any other it means nothing.
+func (k *Keeper) stance(now Time, l *lessee, a Ask) {
+	c := k.change
+	if c == nil || a.Change != c.id {
+		return
+	}
+	switch {
+	case a.Stance == Refused && c.stage == Checking:
+		k.end(c, Outcome{End: Withdrawn, Who: a.Peer, Why: cut(a.Why)})
+	case a.Stance == Accepted && c.stage == Checking:
+		l.stands = c.id
+	case a.Stance == Ready && c.stage == Preparing:
+		if l.until > now {
+			c.ready++
+		}
+		l.until = 0
+	}
+}
+
+// proposed takes a proposal, unless what became of it is known.
+func (k *Keeper) proposed(now Time, a Ask) {
+	id := a.Propose
+	if id&ProposalBit == 0 || k.state.decided(id) || k.change != nil && k.change.proposal == id {
+		return
+	}
+	if _, known := k.ends[id]; known {
+		return
+	}
+	no := func(why string) { k.remember(Outcome{ID: id, End: Withdrawn, Who: a.Peer, Why: why}) }
+	switch {
+	case k.change != nil:
+		no("another change is under way, proposed by " + k.change.by)
+	case a.Base != k.state.Version:
+		no(orders(a.Base, k.state.Version))
+	case len(a.Body) > MaxBody:
+		no("its policy is too long")
+	case k.state.Version > 0 && bytes.Equal(a.Body, k.state.Body):
+		no("it is in force already")
+	default:
+		k.count++
+		k.change = &change{id: k.term<<16 | k.count&0xffff, proposal: id, version: k.state.Version + 1, by: a.Peer,
+			body: a.Body, stage: Checking, since: now}
+		k.nudge = true
+		k.note(Note{Step: "checking", Change: k.change.id, Version: k.change.version, By: a.Peer})
+	}
+}
+
+// Tick lets time pass: leases end, and a change that waits for that moves on.
+func (k *Keeper) Tick(now Time) {
+	for who, l := range k.at {
+		if l.until <= now && l.seen.Add(2*k.plan.Lease) <= now {
+			delete(k.at, who)
+		}
+	}
+	k.move(now)
+}
+
+// move takes the change under way as far as it may go.
+func (k *Keeper) move(now Time) {
+	c := k.change
+	if c == nil {
+		return
+	}
+	if c.stage == Checking {
+		k.checked(now, c)
+	}
+	if c.stage == Preparing {
+		for _, l := range k.at {
+			if l.until > now {
+				return
+			}
+		}
+		c.stage = Deciding
+		k.submit = &Decide{Change: c.id, Proposal: c.proposal, Version: c.version, By: c.by, Body: c.body}
+		k.note(Note{Step: "deciding", Change: c.id, Version: c.version, By: c.by, Lapsed: c.held - c.ready})
+	}
+}
+
+// checked ends the checking once every live lessee has accepted. Until all leases of earlier leaders
+// are over there may be lessees that this keeper does not know.
+func (k *Keeper) checked(now Time, c *change) {
+	if now < k.born.Add(k.plan.Quiet()) {
+		return
+	}
+	held := 0
+	for who, l := range k.at {
+		if l.until > now {
+			held++
+		}
+		if k.live(now, l) && l.stands != c.id {
+			if now >= max(c.since, k.born.Add(k.plan.Quiet())).Add(k.plan.patience()) {
+				k.end(c, Outcome{End: Withdrawn, Who: who.peer, Why: "did not check it in time"})
+			}
+			return
+		}
+	}
+	c.stage, c.held = Preparing, held
+	k.nudge = true
+}
+
+// live says whether a lessee has a say: it may be using a lease, or it waits for one of the version in force.
+func (k *Keeper) live(now Time, l *lessee) bool {
+	return l.until > now || l.version == k.state.Version && l.seen.Add(k.plan.Lease) > now
+}
+
+// Applied tells the log's state after an entry. Only then does a decided version count as one.
+func (k *Keeper) Applied(now Time, state State) {
+	k.state = state
+	if c := k.change; c != nil && state.won(c.id) {
+		k.end(c, Outcome{End: InForce})
+	}
+	k.nudge = true
+}
+
+// end ends the change under way.
+func (k *Keeper) end(c *change, o Outcome) {
+	o.ID = c.proposal
+	k.remember(o)
+	o.ID = c.id
+	k.remember(o)
+	k.last, k.change, k.nudge = o, nil, true
+}
+
+func (k *Keeper) remember(o Outcome) {
+	k.ends[o.ID] = o
+	if k.order = append(k.order, o.ID); len(k.order) > keptEnds {
+		delete(k.ends, k.order[0])
+		k.order = k.order[1:]
+	}
+}
+
+// tell writes into an answer how things are.
+func (k *Keeper) tell(out *Answer, a Ask) {
+	if a.Version != k.state.Version {
+		out.Body = k.state.Body
+	}
+	if c := k.change; c != nil {
+		out.Change, out.Stage, out.Next, out.By = c.id, c.stage, c.version, c.by
+		if c.stage == Checking && a.Change != c.id {
+			out.Draft = c.body
+		}
+	}
+	out.Ended = k.last
+	if a.Change != 0 && a.Change != out.Change {
+		out.Ended = k.ended(a.Change)
+	}
+	if a.Propose != 0 {
+		switch o, known := k.ends[a.Propose]; {
+		case known:
+			out.Proposal = o
+		case k.state.decided(a.Propose):
+			out.Proposal = Outcome{ID: a.Propose, End: InForce}
+		}
+	}
+}
+
+// ended is what became of a change that is not under way. One of an earlier leader that the log
+// does not have, after this leader's barrier, can never be decided.
+func (k *Keeper) ended(id uint64) Outcome {
+	if k.state.won(id) {
+		return Outcome{ID: id, End: InForce}
+	}
+	if o, known := k.ends[id]; known {
+		return o
+	}
+	return Outcome{ID: id, End: Withdrawn, Why: "the leader that asked for it is gone"}
+}
+
+// Submit is the entry to give to the log, once.
+func (k *Keeper) Submit() (Decide, bool) {
+	if k.submit == nil {
+		return Decide{}, false
+	}
+	d := *k.submit
+	k.submit = nil
+	return d, true
+}
+
+// Nudge says, once, that all lessees should ask now.
+func (k *Keeper) Nudge() bool {
+	n := k.nudge
+	k.nudge = false
+	return n
+}
+
+// Notes hands out what is to be logged.
+func (k *Keeper) Notes() []Note {
+	n := k.notes
+	k.notes = nil
+	return n
+}
+
+func (k *Keeper) note(n Note) { k.notes = append(k.notes, n) }
+
+// Lent is how many leases may be in use.
+func (k *Keeper) Lent(now Time) (n int) {
+	for _, l := range k.at {
+		if l.until > now {
+			n++
+		}
+	}
+	return n
+}
+
+// Next is when time alone changes something: a lease that is waited for ends, the quiet time or a
+// change's patience is over. Never where nothing is under way.
+func (k *Keeper) Next(now Time) Time {
+	c := k.change
+	if c == nil || c.stage == Deciding {
+		return Never
+	}
+	return now.Add(max(k.plan.Lease/50, 5*time.Millisecond))
+}
--- /dev/null
+++ b/internal/fleet/accord/lessee.go
@@ -0,0 +1,349 @@
+package accord
+
+import (
+	"bytes"
+	"errors"
+	"time"
+)
+
+// Gate is what a lessee allows now. Times are of its own clock.
+type Gate struct {
+	Version  uint64 // that reqs are taken by, 0 for none
+	Take     Time   // a req may be taken before this
+	Start    Time   // an attempt of a req taken by Version may start before this; none of another version may
+	Lapsed   Time   // from here on what is taken is taken on no lease (keep alone); Never under stop
+	Refusing string // why no req is taken, where that was decided; empty while the lease alone limits
+}
+
+// Check is what the process must find out: whether its binary and configuration can take a body.
+type Check struct {
+	Change  uint64 // the draft of this change; 0: the version in force
+	Version uint64
+	Body    []byte
+}
+
+// draft is the change that a lessee was asked to check.
+type draft struct {
+	id     uint64
+	next   uint64
+	by     string
+	body   []byte
+	stance Stance
+	why    string
+}
+
+// proposal is this dispatcher's own.
+type proposal struct {
+	id, base uint64
+	body     []byte
+	change   uint64 // that a leader made of it, 0 while none did
+}
+
+// ringed is how many asks are remembered: answers to older ones are ignored.
+const ringed = 16
+
+// Lessee is one dispatcher's side. Not for concurrent use.
+type Lessee struct {
+	plan  Plan
+	peer  string
+	epoch uint64
+
+	seq      uint64
+	sent     [ringed]Time // by seq
+	answered uint64       // the newest ask that was answered
+	floor    uint64       // no grant of an ask up to this one is believed
+	due      Time
+
+	version uint64 // whose body is held, checked and in force here
+	body    []byte
+	gate    Gate
+	granted bool // a lease of version was had
+
+	draft    draft
+	mine     proposal
+	fencing  uint64 // the change that this one has stopped for, 0 for none
+	fenced   Time
+	closed   bool // nothing begins by version any more
+	said     bool // and an ask has said so
+	heard    Time // the last answer of a leader
+	serving  bool
+	refused  uint64 // the version in force that cannot be taken here
+	checking uint64 // the version in force that is being checked here
+	coming   []byte // its body
+
+	checks []Check
+	enters bool
+	notes  []Note
+}
+
+// NewLessee starts a dispatcher's side: it knows no version and takes nothing. epoch must be new
+// with each start of the process.
+func NewLessee(p Plan, peer string, epoch uint64) (*Lessee, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	if peer == "" || len(peer) > MaxName {
+		return nil, errors.New("accord: the dispatcher's name has no byte or too many")
+	}
+	return &Lessee{plan: p, peer: peer, epoch: epoch, gate: Gate{Lapsed: Never}}, nil
+}
+
+// Due returns the ask to send now, if one is.
+func (l *Lessee) Due(now Time) (Ask, bool) {
+	if now < l.due {
+		return Ask{}, false
+	}
+	l.seq++
+	l.sent[l.seq%ringed] = now
+	l.due = now.Add(l.plan.Renew())
+	a := Ask{Peer: l.peer, Epoch: l.epoch, Seq: l.seq, Version: l.version}
+	if d := &l.draft; d.id != 0 && d.stance != None {
+		a.Change, a.Stance, a.Why = d.id, d.stance, d.why
+	}
+	if l.fencing != 0 {
+		a.Change, a.Stance, a.Why = l.fencing, None, ""
+		if l.closed {
+			a.Stance = Ready
+			if !l.said { // the keeper counts nothing more of what it lent for asks before this
+				l.said, l.floor = true, l.seq-1
+			}
+		}
+	}
+	if l.mine.id != 0 {
+		a.Propose, a.Base, a.Body = l.mine.id, l.mine.base, l.mine.body
+	}
+	return a, true
+}
+
+// Now makes the next ask due: a nudge came, or a new link.
+func (l *Lessee) Now() { l.due = 0 }
+
+// Propose proposes a body as the version after the one in force here. id must be new.
+func (l *Lessee) Propose(id uint64, body []byte) error {
+	switch {
+	case l.mine.id != 0:
+		return errors.New("a proposal of this dispatcher is under way")
+	case id&ProposalBit == 0:
+		return errors.New("the id is not a proposal's")
+	case len(body) > MaxBody:
+		return errors.New("the policy is too long")
+	}
+	l.mine = proposal{id: id, base: l.version, body: body}
+	l.note(Note{Step: "proposed", Version: l.version + 1, Base: l.version})
+	l.Now()
+	return nil
+}
+
+// Answered takes an answer. One that is late, told twice or for another life changes nothing.
+func (l *Lessee) Answered(now Time, a Answer) {
+	if a.Peer != l.peer || a.Epoch != l.epoch || !a.Leads || a.Seq <= l.answered || a.Seq > l.seq || l.seq-a.Seq >= ringed {
+		return
+	}
+	if a.Version < l.version {
+		return // of a leader that was deposed: its leases are not confirmed
+	}
+	l.answered, l.heard = a.Seq, now
+	l.ends(a)
+	l.stage(now, a)
+	if a.Version > l.version {
+		l.news(a)
+	}
+	if a.Lent && a.Version == l.version && a.Seq > l.floor {
+		l.lease(now, l.sent[a.Seq%ringed])
+	}
+	l.show(now)
+}
+
+// ends takes what became of changes.
+func (l *Lessee) ends(a Answer) {
+	if o := a.Proposal; o.ID != 0 && o.ID == l.mine.id && o.End != Open {
+		if o.End == Withdrawn && (l.mine.change == 0 || l.mine.change != l.draft.id) { // else told below, as a change
+			l.note(Note{Step: "withdrawn", Version: l.mine.base + 1, Who: o.Who, Why: o.Why})
+		}
+		l.mine = proposal{}
+	}
+	d := &l.draft
+	if d.id == 0 || a.Ended.ID != d.id || a.Ended.End == Open {
+		return
+	}
+	if a.Ended.End == Withdrawn {
+		l.note(Note{Step: "withdrawn", Change: d.id, Version: d.next, By: d.by, Who: a.Ended.Who, Why: a.Ended.Why})
+		*d = draft{}
+	}
+}
+
+// stage takes how far the change under way has come.
+func (l *Lessee) stage(now Time, a Answer) {
+	if a.Change != 0 && a.By == l.peer && l.mine.id != 0 {
+		l.mine.change = a.Change
+	}
+	if l.fencing != 0 && a.Change != l.fencing && a.Seq > l.floor {
+		l.fencing, l.closed = 0, false // it is over; what may be taken, the next lease says
+	}
+	switch a.Stage {
+	case Checking:
+		if l.draft.id != a.Change && a.Draft != nil {
+			l.draft = draft{id: a.Change, next: a.Next, by: a.By, body: a.Draft}
+			l.checks = append(l.checks, Check{Change: a.Change, Version: a.Next, Body: a.Draft})
+		}
+	case Preparing, Deciding:
+		if l.fencing == a.Change {
+			return
+		}
+		l.fencing, l.fenced, l.closed, l.said, l.floor = a.Change, now, false, false, l.seq
+		l.gate.Take = 0
+		l.gate.Lapsed = Never
+		l.gate.Start = min(l.gate.Start, now.Add(l.plan.Drain()))
+		l.note(Note{Step: "preparing", Change: a.Change, Version: a.Next, By: a.By})
+	}
+}
+
+// news takes a version in force that is not held here: one that was checked as a draft is taken up, another
+// is checked first.
+func (l *Lessee) news(a Answer) {
+	l.gate, l.granted = Gate{Version: l.version, Lapsed: Never}, false // where it held still, it holds no more
+	switch {
+	case l.draft.stance == Accepted && l.draft.next == a.Version && bytes.Equal(l.draft.body, a.Body):
+		l.adopt(a.Version, a.Body)
+	case l.checking != a.Version && l.refused != a.Version:
+		l.checking, l.coming = a.Version, a.Body
+		l.checks = append(l.checks, Check{Version: a.Version, Body: a.Body})
+	}
+}
+
+// adopt makes a version the one held: what is taken from the next lease on is taken by it. The old
+// one is over here, whatever lease of it was had.
+func (l *Lessee) adopt(version uint64, body []byte) {
+	l.version, l.body = version, body
+	l.gate = Gate{Version: version, Lapsed: Never}
+	l.granted, l.checking, l.coming, l.refused = false, 0, nil, 0
+	l.draft, l.fencing, l.closed = draft{}, 0, false
+	l.floor = l.seq
+	l.Now()
+}
+
+// Checked tells what a Check found; err is why the body cannot be taken.
+func (l *Lessee) Checked(now Time, c Check, err error) {
+	why := ""
+	if err != nil {
+		why = cut(err.Error())
+	}
+	switch d := &l.draft; {
+	case c.Change != 0:
+		if c.Change != d.id {
+			return
+		}
+		d.stance, d.why = Accepted, why
+		if err != nil {
+			d.stance = Refused
+		}
+		l.note(Note{Step: "checked", Change: d.id, Version: d.next, By: d.by, Accepted: err == nil, Why: why})
+	case c.Version != l.checking:
+		return
+	case err != nil:
+		l.refused, l.checking, l.coming = c.Version, 0, nil
+		l.note(Note{Step: "cannot take", Version: c.Version, Why: why})
+	default:
+		l.adopt(l.checking, l.coming)
+	}
+	l.Now()
+	l.show(now)
+}
+
+// lease takes a grant of the version held, for an ask sent at a time.
+func (l *Lessee) lease(now, sent Time) {
+	until := sent.Add(l.plan.Usable())
+	if until <= l.gate.Start && l.gate.Take > 0 || now >= until {
+		return
+	}
+	l.gate = Gate{Version: l.version, Take: until.Add(-l.plan.Drain()), Start: until, Lapsed: Never}
+	if l.plan.Keep {
+		l.gate.Lapsed = l.gate.Take
+		l.gate.Take, l.gate.Start = Never, Never
+	}
+	if !l.granted {
+		l.granted, l.enters = true, true
+		l.note(Note{Step: "in force", Version: l.version})
+	}
+}
+
+// Tick lets time pass. waiting is how many reqs were taken by the version held and have begun
+// nowhere; with none left, or the drain over, a lessee that has stopped closes the version.
+func (l *Lessee) Tick(now Time, waiting int) {
+	if l.fencing != 0 && !l.closed && (waiting == 0 || now >= l.fenced.Add(l.plan.Drain())) {
+		l.closed = true
+		l.gate.Start = 0
+		l.note(Note{Step: "ready", Change: l.fencing, Version: l.version + 1, Took: time.Duration(now - l.fenced)})
+		l.Now()
+	}
+	if l.plan.Keep && l.granted && l.gate.Take == 0 && now >= max(l.fenced, l.heard).Add(l.plan.Lease) {
+		l.fencing, l.closed = 0, false // cut off since it was told to stop
+		l.gate = Gate{Version: l.version, Take: Never, Start: Never, Lapsed: now}
+	}
+	l.show(now)
+}
+
+// show notes when taking begins and ends.
+func (l *Lessee) show(now Time) {
+	serving := now < l.gate.Take
+	if serving == l.serving {
+		return
+	}
+	l.serving = serving
+	if serving {
+		l.note(Note{Step: "serving", Version: l.version})
+		return
+	}
+	l.note(Note{Step: "fenced", Version: l.version, Why: l.Why()})
+}
+
+// Why says why nothing is taken, where nothing is.
+func (l *Lessee) Why() string {
+	switch {
+	case l.fencing != 0:
+		return "preparing"
+	case l.refused > l.version:
+		return "cannot take"
+	case l.version == 0:
+		return "no version yet"
+	}
+	return "lease over"
+}
+
+// Gate is what is allowed now, until the next event.
+func (l *Lessee) Gate() Gate { return l.gate }
+
+// Serving says whether reqs are taken, as of the last event.
+func (l *Lessee) Serving() bool { return l.serving }
+
+// Held is the version held and its body, which is the lessee's.
+func (l *Lessee) Held() (uint64, []byte) { return l.version, l.body }
+
+// Enter hands out the version held, once, at its first lease: the process puts it in force before it opens
+// the gate to reqs.
+func (l *Lessee) Enter() (version uint64, body []byte, ok bool) {
+	ok, l.enters = l.enters, false
+	return l.version, l.body, ok
+}
+
+// Checks hands out what is to be checked; Checked takes what was found.
+func (l *Lessee) Checks() []Check {
+	c := l.checks
+	l.checks = nil
+	return c
+}
+
+// Notes hands out what is to be logged.
+func (l *Lessee) Notes() []Note {
+	n := l.notes
+	l.notes = nil
+	return n
+}
+
+func (l *Lessee) note(n Note) { l.notes = append(l.notes, n) }
+
+// Retry has a version in force that could not be taken checked again: the configuration has changed.
+func (l *Lessee) Retry() { l.refused = 0 }
+
+// Proposing says whether a proposal of this dispatcher has no outcome yet.
+func (l *Lessee) Proposing() bool { return l.mine.id != 0 }
