--- /dev/null
+++ b/internal/fleet/accord/wire/wire.go
@@ -0,0 +1,312 @@
+// Package wire is the bytes of the accord's messages between dispatchers, and of its entries in the
+// majority log: msgpack maps, each with a format number and a kind (docs/design/accord.md lists the
+// fields). It knows no socket and no clock.
+//
+// Reading is strict: what is read must be, byte by byte, what writing it again gives. That refuses
+// an unknown, a missing or a repeated key, another format, a value written in another width and
+// bytes after the end, all of which are a peer of another version or a damaged message.
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tinsail/internal/fleet/accord"
+)
+
+// Format is the number that every message carries.
+const Format = 1
+
+// MaxFrame is the most bytes of a message: two bodies and what stands around them.
+const MaxFrame = 2*accord.MaxBody + 8<<10
+
+// ErrMessage is wrapped by every fault of a message.
+var ErrMessage = errors.New("bad accord message")
+
+// Message is one message: the one of its parts that is there.
+type Message struct {
+	Ask    *accord.Ask
+	Answer *accord.Answer
+	Nudge  bool
+}
+
+type head struct {
+	F    uint8  `msgpack:"f"`
+	Kind string `msgpack:"kind"`
+}
+
+type ask struct {
+	F       uint8  `msgpack:"f"`
+	Kind    string `msgpack:"kind"`
+	Peer    string `msgpack:"peer"`
+	Epoch   uint64 `msgpack:"epoch"`
+	Seq     uint64 `msgpack:"seq"`
+	Version uint64 `msgpack:"version"`
+	Change  uint64 `msgpack:"change"`
+	Stance  uint8  `msgpack:"stance"`
+	Why     string `msgpack:"why"`
+	Propose uint64 `msgpack:"propose"`
+	Base    uint64 `msgpack:"base"`
+	Body    []byte `msgpack:"body"`
+}
+
+type outcome struct {
+	ID  uint64 `msgpack:"id"`
+	End uint8  `msgpack:"end"`
+	Who string `msgpack:"who"`
+	Why string `msgpack:"why"`
+}
+
+type answer struct {
+	F        uint8   `msgpack:"f"`
+	Kind     string  `msgpack:"kind"`
+	Peer     string  `msgpack:"peer"`
+	Epoch    uint64  `msgpack:"epoch"`
+	Seq      uint64  `msgpack:"seq"`
+	Leads    bool    `msgpack:"leads"`
+	Leader   string  `msgpack:"leader"`
+	Term     uint64  `msgpack:"term"`
+	Version  uint64  `msgpack:"version"`
+	Lent     bool    `msgpack:"lent"`
+	Body     []byte  `msgpack:"body"`
+	Change   uint64  `msgpack:"change"`
+	Stage    uint8   `msgpack:"stage"`
+	Next     uint64  `msgpack:"next"`
+	By       string  `msgpack:"by"`
+	Draft    []byte  `msgpack:"draft"`
+	Ended    outcome `msgpack:"ended"`
+	Proposal outcome `msgpack:"proposal"`
+}
+
+type decide struct {
+	F        uint8  `msgpack:"f"`
+	Kind     string `msgpack:"kind"`
+	Change   uint64 `msgpack:"change"`
+	Proposal uint64 `msgpack:"proposal"`
+	Version  uint64 `msgpack:"version"`
+	By       string `msgpack:"by"`
+	Body     []byte `msgpack:"body"`
+}
+
+type done struct {
+	Change   uint64 `msgpack:"change"`
+	Proposal uint64 `msgpack:"proposal"`
+	Version  uint64 `msgpack:"version"`
+}
+
+type state struct {
+	F        uint8  `msgpack:"f"`
+	Kind     string `msgpack:"kind"`
+	Version  uint64 `msgpack:"version"`
+	Change   uint64 `msgpack:"change"`
+	Proposal uint64 `msgpack:"proposal"`
+	By       string `msgpack:"by"`
+	Body     []byte `msgpack:"body"`
+	Done     []done `msgpack:"done"`
+}
+
+// Kinds.
+const (
+	kindAsk    = "ask"
+	kindAnswer = "answer"
+	kindNudge  = "nudge"
+	kindDecide = "decide"
+	kindState  = "state"
+)
+
+func encode(v any) []byte {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil { // plain fields into memory: nothing can fail
+		panic(err)
+	}
+	return b.Bytes()
+}
+
+// decode reads p into v, and refuses what encode would not have written.
+func decode(p []byte, v any) error {
+	d := msgpack.NewDecoder(bytes.NewReader(p))
+	d.DisallowUnknownFields(true)
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	if !bytes.Equal(encode(v), p) {
+		return fmt.Errorf("%w: a field is missing, repeated or written otherwise", ErrMessage)
+	}
+	return nil
+}
+
+// WriteAsk is the bytes of an ask.
+func WriteAsk(a accord.Ask) []byte {
+	return encode(&ask{Format, kindAsk, a.Peer, a.Epoch, a.Seq, a.Version, a.Change, uint8(a.Stance), a.Why, a.Propose, a.Base, a.Body})
+}
+
+// WriteAnswer is the bytes of an answer.
+func WriteAnswer(a accord.Answer) []byte {
+	return encode(&answer{Format, kindAnswer, a.Peer, a.Epoch, a.Seq, a.Leads, a.Leader, a.Term, a.Version, a.Lent, a.Body,
+		a.Change, uint8(a.Stage), a.Next, a.By, a.Draft, fromOutcome(a.Ended), fromOutcome(a.Proposal)})
+}
+
+// WriteNudge is the bytes of a nudge.
+func WriteNudge() []byte { return encode(&head{Format, kindNudge}) }
+
+func fromOutcome(o accord.Outcome) outcome { return outcome{o.ID, uint8(o.End), o.Who, o.Why} }
+
+func (o outcome) to() (accord.Outcome, error) {
+	if o.End > uint8(accord.Withdrawn) || len(o.Who) > accord.MaxName || len(o.Why) > accord.MaxWhy {
+		return accord.Outcome{}, fmt.Errorf("%w: an outcome is out of range", ErrMessage)
+	}
+	return accord.Outcome{ID: o.ID, End: accord.End(o.End), Who: o.Who, Why: o.Why}, nil
+}
+
+// Read reads a message of a link. Its error wraps ErrMessage; the link is of no use after one.
+func Read(p []byte) (m Message, err error) {
+	if len(p) > MaxFrame {
+		return m, fmt.Errorf("%w: %d bytes, at most %d", ErrMessage, len(p), MaxFrame)
+	}
+	switch kind, err := kindOf(p); {
+	case err != nil:
+		return m, err
+	case kind == kindAsk:
+		m.Ask, err = readAsk(p)
+		return m, err
+	case kind == kindAnswer:
+		m.Answer, err = readAnswer(p)
+		return m, err
+	case kind == kindNudge:
+		m.Nudge = true
+		return m, decode(p, &head{})
+	default:
+		return m, fmt.Errorf("%w: kind %q", ErrMessage, kind)
+	}
+}
+
+// kindOf reads the first two fields, which all messages have in common.
+func kindOf(p []byte) (string, error) {
+	d := msgpack.NewDecoder(bytes.NewReader(p))
+	bad := func(what string) (string, error) { return "", fmt.Errorf("%w: %s", ErrMessage, what) }
+	if n, err := d.DecodeMapLen(); err != nil || n < 2 {
+		return bad("no map of fields")
+	}
+	if key, err := d.DecodeString(); err != nil || key != "f" {
+		return bad("no format")
+	}
+	if f, err := d.DecodeUint64(); err != nil || f != Format {
+		return bad(fmt.Sprintf("format %d, want %d", f, Format))
+	}
+	if key, err := d.DecodeString(); err != nil || key != "kind" {
+		return bad("no kind")
+	}
+	kind, err := d.DecodeString()
+	if err != nil {
+		return bad("no kind")
+	}
+	return kind, nil
+}
+
+func readAsk(p []byte) (*accord.Ask, error) {
+	var a ask
+	if err := decode(p, &a); err != nil {
+		return nil, err
+	}
+	switch {
+	case a.Peer == "" || len(a.Peer) > accord.MaxName:
+		return nil, fmt.Errorf("%w: a peer's name of %d bytes", ErrMessage, len(a.Peer))
+	case a.Stance > uint8(accord.Ready):
+		return nil, fmt.Errorf("%w: stance %d", ErrMessage, a.Stance)
+	case len(a.Why) > accord.MaxWhy || len(a.Body) > accord.MaxBody:
+		return nil, fmt.Errorf("%w: a reason or a body that is too long", ErrMessage)
+	}
+	return &accord.Ask{Peer: a.Peer, Epoch: a.Epoch, Seq: a.Seq, Version: a.Version, Change: a.Change, Stance: accord.Stance(a.Stance),
+		Why: a.Why, Propose: a.Propose, Base: a.Base, Body: a.Body}, nil
+}
+
+func readAnswer(p []byte) (*accord.Answer, error) {
+	var a answer
+	if err := decode(p, &a); err != nil {
+		return nil, err
+	}
+	if a.Stage > uint8(accord.Deciding) || len(a.Body) > accord.MaxBody || len(a.Draft) > accord.MaxBody ||
+		len(a.Peer) > accord.MaxName || len(a.Leader) > accord.MaxName || len(a.By) > accord.MaxName {
+		return nil, fmt.Errorf("%w: an answer's field is out of range", ErrMessage)
+	}
+	ended, err := a.Ended.to()
+	if err != nil {
+		return nil, err
+	}
+	proposal, err := a.Proposal.to()
+	if err != nil {
+		return nil, err
+	}
+	return &accord.Answer{Peer: a.Peer, Epoch: a.Epoch, Seq: a.Seq, Leads: a.Leads, Leader: a.Leader, Term: a.Term, Version: a.Version,
+		Lent: a.Lent, Body: a.Body, Change: a.Change, Stage: accord.Stage(a.Stage), Next: a.Next, By: a.By, Draft: a.Draft,
+		Ended: ended, Proposal: proposal}, nil
+}
+
+// WriteDecide is the bytes of an entry of the log, ReadDecide their reading.
+func WriteDecide(d accord.Decide) []byte {
+	return encode(&decide{Format, kindDecide, d.Change, d.Proposal, d.Version, d.By, d.Body})
+}
+
+// ReadDecide reads an entry of the log.
+func ReadDecide(p []byte) (accord.Decide, error) {
+	var d decide
+	if kind, err := kindOf(p); err != nil || kind != kindDecide {
+		return accord.Decide{}, fmt.Errorf("%w: no entry of this format", ErrMessage)
+	}
+	err := decode(p, &d)
+	return accord.Decide{Change: d.Change, Proposal: d.Proposal, Version: d.Version, By: d.By, Body: d.Body}, err
+}
+
+// WriteState is the bytes of a snapshot of the log.
+func WriteState(s accord.State) []byte {
+	out := state{Format, kindState, s.Version, s.Change, s.Proposal, s.By, s.Body, nil}
+	for _, d := range s.Done {
+		out.Done = append(out.Done, done(d))
+	}
+	return encode(&out)
+}
+
+// ReadState reads a snapshot.
+func ReadState(p []byte) (accord.State, error) {
+	var s state
+	if kind, err := kindOf(p); err != nil || kind != kindState {
+		return accord.State{}, fmt.Errorf("%w: no snapshot of this format", ErrMessage)
+	}
+	if err := decode(p, &s); err != nil {
+		return accord.State{}, err
+	}
+	out := accord.State{Version: s.Version, Change: s.Change, Proposal: s.Proposal, By: s.By, Body: s.Body}
+	for _, d := range s.Done {
+		out.Done = append(out.Done, accord.Decided(d))
+	}
+	return out, nil
+}
+
+// Frame puts a message's length before it.
+func Frame(p []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(p)), uint32(len(p))), p...)
+}
+
+// Next reads one framed message from a link. A longer one than MaxFrame is not read.
+func Next(r io.Reader) (Message, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return Message{}, err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > MaxFrame {
+		return Message{}, fmt.Errorf("%w: a frame of %d bytes, at most %d", ErrMessage, n, MaxFrame)
+	}
+	var b bytes.Buffer // grows with what comes: a length alone takes no memory
+	if _, err := io.CopyN(&b, r, int64(n)); err != nil {
+		return Message{}, err
+	}
+	return Read(b.Bytes())
+}
--- /dev/null
+++ b/internal/fleet/accord/wire/wire_test.go
@@ -0,0 +1,109 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tinsail/internal/fleet/accord"
+)
+
+var (
+	anAsk = accord.Ask{Peer: "n3", Epoch: 7 << 60, Seq: 2, Version: 4, Change: 65537, Stance: accord.Refused, Why: "unknown key",
+		Propose: accord.ProposalBit | 9, Base: 4, Body: []byte(`{"connections":20}`)}
+	anAnswer = accord.Answer{Peer: "n3", Epoch: 7, Seq: 2, Leads: true, Leader: "n0", Term: 3, Version: 4, Lent: true, Body: []byte("x"),
+		Change: 65537, Stage: accord.Preparing, Next: 5, By: "n1", Draft: []byte("y"),
+		Ended: accord.Outcome{ID: 1, End: accord.Withdrawn, Who: "n2", Why: "no"}, Proposal: accord.Outcome{ID: 2, End: accord.InForce}}
+)
+
+func TestRoundTrips(t *testing.T) {
+	m, err := Read(WriteAsk(anAsk))
+	require.NoError(t, err)
+	assert.Equal(t, Message{Ask: &anAsk}, m)
+	m, err = Next(bytes.NewReader(Frame(WriteAnswer(anAnswer))))
+	require.NoError(t, err)
+	assert.Equal(t, Message{Answer: &anAnswer}, m)
+	m, err = Read(WriteNudge())
+	require.NoError(t, err)
+	assert.Equal(t, Message{Nudge: true}, m)
+	d := accord.Decide{Change: 1, Proposal: 2, Version: 3, By: "n1", Body: []byte("b")}
+	got, err := ReadDecide(WriteDecide(d))
+	require.NoError(t, err)
+	assert.Equal(t, d, got)
+	var s accord.State
+	s.Apply(accord.Decide{Change: 1, Proposal: 2, Version: 1, By: "n1", Body: []byte("b")})
+	back, err := ReadState(WriteState(s))
+	require.NoError(t, err)
+	assert.Equal(t, s, back)
+}
+
+// TestStrict: each way in which a message may be another's, or damaged, is refused.
+func TestStrict(t *testing.T) {
+	fields := map[string]any{}
+	require.NoError(t, msgpack.Unmarshal(WriteAsk(anAsk), &fields))
+	again := func(change func(map[string]any)) []byte {
+		m := map[string]any{}
+		for k, v := range fields {
+			m[k] = v
+		}
+		change(m)
+		b, err := msgpack.Marshal(m)
+		require.NoError(t, err)
+		return b
+	}
+	long := anAsk
+	long.Why = strings.Repeat("x", accord.MaxWhy+1)
+	noName := anAsk
+	noName.Peer = ""
+	stance := anAsk
+	stance.Stance = 9
+	stage := anAnswer
+	stage.Stage = 9
+	whole := WriteAsk(anAsk)
+	for what, p := range map[string][]byte{
+		"empty": {}, "cut short": whole[:len(whole)-1], "bytes after the end": append(bytes.Clone(whole), 0),
+		"another format":    bytes.Replace(whole, []byte("\xa1f\x01"), []byte("\xa1f\x02"), 1),
+		"another kind":      bytes.Replace(whole, []byte("\xa3ask"), []byte("\xa3asx"), 1),
+		"an unknown key":    bytes.Replace(whole, []byte("\xa3seq"), []byte("\xa3sex"), 1),
+		"a repeated key":    bytes.Replace(whole, []byte("\xa5epoch"), []byte("\xa4peer"), 1),
+		"a key more":        again(func(m map[string]any) { m["more"] = 1 }),
+		"a key less":        again(func(m map[string]any) { delete(m, "why") }),
+		"a reason too long": WriteAsk(long), "no name": WriteAsk(noName), "no such stance": WriteAsk(stance),
+		"no such stage": WriteAnswer(stage), "too long": make([]byte, MaxFrame+1), "an entry on a link": WriteDecide(accord.Decide{}),
+	} {
+		_, err := Read(p)
+		assert.ErrorIs(t, err, ErrMessage, what)
+	}
+	_, err := Next(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
+	assert.ErrorIs(t, err, ErrMessage)
+	_, err = ReadDecide(whole)
+	assert.ErrorIs(t, err, ErrMessage)
+	_, err = ReadState(whole)
+	assert.ErrorIs(t, err, ErrMessage)
+}
+
+// FuzzRead: nothing that a peer sends panics the reader, and what it reads is written back the same.
+func FuzzRead(f *testing.F) {
+	f.Add(WriteAsk(anAsk))
+	f.Add(WriteAnswer(anAnswer))
+	f.Add(WriteNudge())
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff, 0xa1, 'f', 1})
+	f.Fuzz(func(t *testing.T, p []byte) {
+		m, err := Read(p)
+		if err != nil {
+			return
+		}
+		switch {
+		case m.Ask != nil:
+			assert.Equal(t, p, WriteAsk(*m.Ask))
+		case m.Answer != nil:
+			assert.Equal(t, p, WriteAnswer(*m.Answer))
+		default:
+			assert.Equal(t, p, WriteNudge())
+		}
+	})
+}
