--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -24,7 +24,8 @@
 		Until: c.clock.origin.Add(time.Duration((until - c.clock.unix) * float64(time.Millisecond)))}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if a.Backend == nil || !r.open || until <= now { // only ever to a listed backend
+	if a.Backend == nil || !r.open || until <= now || // only ever to a listed backend
+		c.Versions != nil && !c.Versions.MayStart(r.version) {
 		if a.Backend == nil {
 			a.Backend = &Backend{ID: to}
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,7 +89,9 @@
 	client   Client
 	job      *Job
 	deadline float64
-	open     bool // a final answer is owed
+	open     bool        // a final answer is owed
+	version  uint64      // of the fleet's policy that it was taken by, 0 without Versions
+	began    atomic.Bool // at a backend, or never will; told to Versions once
 	attempts []*Attempt
 	out      int
 	cut      bool // an attempt was stopped from here, and may be reading the job still
@@ -114,9 +116,13 @@
 // have changed while a connection was being made: nothing new may reach a backend that is
 // known to drain, or that operators have banned.
 func (a *Attempt) MayBegin() bool {
-	return a.Backend.ready.Load() && !a.Backend.Withheld() && !a.stopped.Load() && a.core.clock.read().Before(a.Until)
+	return a.Backend.ready.Load() && !a.Backend.Withheld() && !a.stopped.Load() && a.core.clock.read().Before(a.Until) &&
+		(a.core.Versions == nil || a.core.mayStart(a.req))
 }
 
+// Version is the version of the fleet's policy that the req was taken by; 0 where there is none.
+func (a *Attempt) Version() uint64 { return a.req.version }
+
 // Number is the attempt's among those of its req, from 0.
 func (a *Attempt) Number() int { return a.number }
 
@@ -137,6 +143,8 @@
 type Core struct {
 	// Log takes what the module and the core have to tell; set it before Run, if at all.
 	Log zerolog.Logger
+	// Versions, where set before Run, says by which version of the fleet's policy reqs are taken.
+	Versions Versions
 
 	clock    clock
 	count    *counters.Set
@@ -311,11 +319,18 @@
 // known at which it was there, left how long its client waits from then. It is not taken, and
 // nothing is owed, if its id is that of another: backends would take one for the other.
 func (c *Core) Take(q balance.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
+	r := &req{client: client, job: job, open: true}
+	if c.Versions != nil && !c.admit(r) {
+		return Ticket{c, r}, true
+	}
 	if !c.ids.take(job.ID, c.clock.read()) {
 		c.count.ReqsRepeated.Add(1)
+		if c.Versions != nil {
+			c.begun(r)
+		}
 		return Ticket{}, false
 	}
-	r := &req{client: client, job: job, deadline: c.clock.millis(came.Add(left)), open: true}
+	r.deadline = c.clock.millis(came.Add(left))
 	c.open.Add(1)
 	c.post(func() {
 		c.last++
@@ -358,6 +373,9 @@
 func (c *Core) close(r *req) {
 	r.open = false
 	c.open.Add(-1)
+	if c.Versions != nil {
+		c.begun(r)
+	}
 }
 
 // answer gives the one final answer of a req.
@@ -419,6 +437,10 @@
 		c.answer(a.req, Answer{Verdict: ResultOf, Result: result})
 	case Rejected: // another backend would say the same
 		c.answer(a.req, Answer{Verdict: Failure})
+	case Unsent:
+		if c.Versions != nil {
+			c.outlived(a.req)
+		}
 	}
 	now := c.clock.now()
 	c.mod.Answer(now, balance.Outcome{ID: a.req.id, Attempt: a.number, Worker: a.Backend.ID,
--- /dev/null
+++ b/internal/core/versions_test.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+)
+
+// policy is a Versions that a test sets by hand.
+type policy struct {
+	version uint64
+	open    bool
+	starts  uint64 // the version whose attempts may start
+	waiting int
+}
+
+func (p *policy) Take() (uint64, time.Duration, bool) {
+	if p.open {
+		p.waiting++
+	}
+	return p.version, time.Second, p.open
+}
+func (p *policy) Begun(uint64)           { p.waiting-- }
+func (p *policy) MayStart(v uint64) bool { return v == p.starts }
+func (p *policy) Serves() bool           { return p.open }
+
+// TestReqsAreTakenByOneVersion: a fenced core refuses with advice and holds nothing; one that serves
+// stamps the req, and its attempts start by that version alone. A req whose version is over before
+// anything of it began is refused, one that had begun fails.
+func TestReqsAreTakenByOneVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, balance.Ready)
+		p := &policy{version: 7}
+		b.core.Versions = p
+		take := func(id string) {
+			b.core.Take(balance.Request{Slots: 1}, &Job{ID: id}, time.Now(), 2*time.Second, b)
+			b.core.step()
+		}
+		take("a")
+		assert.Equal(t, []Answer{{Verdict: Refusal, Pause: time.Second, Free: true}}, b.answers)
+		assert.Zero(t, b.core.Open())
+
+		p.open, p.starts = true, 7
+		take("a") // its id was not used up
+		require.Len(t, b.sent, 1)
+		assert.EqualValues(t, 7, b.sent[0].Version())
+		assert.Equal(t, 1, p.waiting)
+		assert.True(t, b.sent[0].MayBegin())
+		assert.Zero(t, p.waiting, "it has begun")
+
+		take("b")
+		require.Len(t, b.sent, 2)
+		p.open, p.starts = false, 0 // the version is over
+		assert.False(t, b.sent[1].MayBegin())
+		b.sent[1].Ended(Unsent, "", nil)
+		b.core.step()
+		require.Len(t, b.answers, 2)
+		assert.Equal(t, Refusal, b.answers[1].Verdict, "nothing of it had begun")
+		b.sent[0].Ended(Unsent, "", nil)
+		b.core.step()
+		require.Len(t, b.answers, 3)
+		assert.Equal(t, Failure, b.answers[2].Verdict, "an attempt of it had begun")
+		assert.Zero(t, p.waiting)
+		assert.Zero(t, b.core.Open())
+		assert.Empty(t, b.core.reqs)
+	})
+}
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -32,6 +32,9 @@
 	// Gate, where set, is waited on before each new connection, within the connect time: a share of
 	// a fleet-wide budget of new connections. An attempt that finds no room ends unsent.
 	Gate interface{ Wait(context.Context) error }
+	// Stamp, where set, is this dispatcher's name, which attempts carry to backends with the version
+	// of the fleet's policy that their req was taken by.
+	Stamp string
 
 	mu   sync.Mutex
 	idle map[balance.WorkerID][]*link // the last used is last
@@ -70,7 +73,11 @@
 	x := &exchange{backend: a.Backend, body: a.Job.Body, until: a.Until, id: a.Job.ID, may: a.MayBegin,
 		started: a.Started, share: a.Progress, ended: a.Ended}
 	x.head = func(left time.Duration) []byte {
-		return platform.AppendJob(make([]byte, 0, 384), a.Job, a.Backend.Address, left)
+		var stamp *platform.Stamp
+		if p.Stamp != "" {
+			stamp = &platform.Stamp{Version: a.Version(), By: p.Stamp}
+		}
+		return platform.AppendJob(make([]byte, 0, 384), a.Job, a.Backend.Address, left, stamp)
 	}
 	return p.begin(x)
 }
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -436,7 +436,7 @@
 	case method != "GET":
 		return 405, ""
 	case path == "/health/ready":
-		if !c.told().Ready || c.Core.Ready() == 0 {
+		if !c.told().Ready || c.Core.Ready() == 0 || !c.Core.Serves() {
 			return 503, ""
 		}
 		return 200, ""
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -249,7 +249,7 @@
 // never ran.
 func TestBreakWhileWriting(t *testing.T) {
 	job := &core.Job{Method: "POST", Target: "/ingest", ID: "9b", Body: []byte("photo")}
-	whole := len(platform.AppendJob(nil, job, "s1", time.Minute)) + len(job.Body)
+	whole := len(platform.AppendJob(nil, job, "s1", time.Minute, nil)) + len(job.Body)
 	for room, want := range map[int]core.Ending{0: core.Unreached, 9: core.Unreached, whole - 1: core.Unreached, whole: core.Broken} {
 		synctest.Test(t, func(t *testing.T) {
 			near, far := net.Pipe()
@@ -258,7 +258,7 @@
 			var got []core.Ending
 			x := &exchange{backend: &core.Backend{}, body: job.Body, until: time.Now().Add(time.Minute), id: job.ID,
 				may: func() bool { return true }, ended: func(e core.Ending, _ string, _ []float32) { got = append(got, e) }}
-			x.head = func(left time.Duration) []byte { return platform.AppendJob(nil, job, "s1", left) }
+			x.head = func(left time.Duration) []byte { return platform.AppendJob(nil, job, "s1", left, nil) }
 			p.begin(x)
 			synctest.Wait()
 			far.Close()
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -7,8 +7,15 @@
 	"tinsail/internal/core"
 )
 
-// AppendJob writes the head of a job for a backend; the body follows as it is.
-func AppendJob(b []byte, j *core.Job, host string, left time.Duration) []byte {
+// Stamp is the version of the fleet's policy that a job was taken by, and by which dispatcher.
+type Stamp struct {
+	Version uint64 // 0 for none: then nothing of it is written
+	By      string
+}
+
+// AppendJob writes the head of a job for a backend; the body follows as it is. v is nil where
+// dispatchers agree on no policy.
+func AppendJob(b []byte, j *core.Job, host string, left time.Duration, v *Stamp) []byte {
 	b = append(b, j.Method...)
 	b = append(b, ' ')
 	b = append(b, j.Target...)
@@ -20,6 +27,12 @@
 		b = append(b, "\r\nIdempotency-Key: "...)
 		b = append(b, j.IdempotencyKey...)
 	}
+	if v != nil && v.Version > 0 {
+		b = append(b, "\r\nX-Policy-Version: "...)
+		b = strconv.AppendUint(b, v.Version, 10)
+		b = append(b, "\r\nX-Dispatcher: "...)
+		b = append(b, v.By...)
+	}
 	b = append(b, "\r\nX-Time-Left-Ms: "...)
 	b = strconv.AppendInt(b, max(left.Milliseconds(), 1), 10)
 	b = append(b, "\r\nContent-Length: "...)
