--- a/internal/fleet/accord/keeper.go
+++ b/internal/fleet/accord/keeper.go
@@ -54,6 +54,13 @@
 	decided  Time
 }
 
+// Count is how many changes this keeper has made. A further keeper of the same term goes on from it (After),
+// so that no two changes have one id.
+func (k *Keeper) Count() uint64 { return k.count }
+
+// After has a new keeper count its changes from where another of its term stopped.
+func (k *Keeper) After(count uint64) { k.count = count }
+
 // NewKeeper begins a term. state is the log's after a barrier of this term was committed: all that
 // earlier leaders decided is in it, and nothing else that they tried can be decided any more.
 func NewKeeper(p Plan, term uint64, now Time, state State) (*Keeper, error) {
--- /dev/null
+++ b/internal/network/fleet/accord/accord.go
@@ -0,0 +1,208 @@
+// Package accord carries the accord between dispatchers (docs/design/accord.md). It is a thin driver:
+// package fleet/accord decides, fleet/accord/wire frames, hashicorp/raft keeps the majority log, and
+// this package reads the clock, the sockets and the disk.
+//
+// A Member is each dispatcher's side: one link to the leader, the gate that the core asks for each
+// req. A Voter is, beside that, one of the few that keep the log; one listen address serves the log's
+// streams and the members' links. Off unless the settings name voters; never on where the platform
+// forbids talk between dispatchers.
+package accord
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tinsail/internal/fleet/accord"
+)
+
+// Peer is a voter: its dispatcher's name and where it listens.
+type Peer struct{ Name, Address string }
+
+// ParseVoters reads "name=host:port" texts. There must be 1, 3 or 5, no name and no address twice.
+func ParseVoters(texts []string) ([]Peer, error) {
+	if n := len(texts); n != 1 && n != 3 && n != 5 {
+		return nil, fmt.Errorf("%d voters, want 3 or 5 (1 for a trial)", n)
+	}
+	var out []Peer
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for _, text := range texts {
+		name, address, ok := strings.Cut(text, "=")
+		if _, _, err := net.SplitHostPort(address); !ok || name == "" || len(name) > accord.MaxName || err != nil {
+			return nil, fmt.Errorf("%q is not name=host:port", text)
+		}
+		if names[name] || addresses[address] {
+			return nil, fmt.Errorf("%q names a voter or an address twice", text)
+		}
+		names[name], addresses[address] = true, true
+		out = append(out, Peer{name, address})
+	}
+	return out, nil
+}
+
+// Config is what a dispatcher takes part with. All fields are read at the start alone.
+type Config struct {
+	Plan   accord.Plan
+	Name   string // this dispatcher's, unique in the fleet
+	Epoch  uint64 // new with each start of the process
+	Voters []Peer
+	Listen string // of a voter; empty for its address among Voters
+	Data   string // a voter's folder, which must outlive the process; made if it is not there
+
+	First []byte                                  // a voter's own policy, proposed where none was ever decided; may be nil
+	Check func(body []byte) error                 // whether this binary and configuration can take a policy
+	Enter func(version uint64, body []byte) error // puts a policy in force; no req is taken before it returns
+	Log   zerolog.Logger
+}
+
+// voter is this dispatcher among the voters, if it is one.
+func (c *Config) voter() (Peer, bool) {
+	for _, p := range c.Voters {
+		if p.Name == c.Name {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Clock is the process's own monotonic clock, from its making.
+type clock struct{ start time.Time }
+
+func (c clock) now() accord.Time { return accord.Time(time.Since(c.start)) }
+
+// Counts are the accord's counters.
+type Counts struct {
+	Changes, Withdrawn atomic.Int64 // that took force here; that were heard to be nowhere
+	Refused            atomic.Int64 // changes that this dispatcher refused
+	Fenced             atomic.Int64 // reqs answered 503 since no version is known to hold
+	Lapsed             atomic.Int64 // reqs taken on no lease (when_cut keep)
+	Fences             atomic.Int64 // times that this dispatcher stopped taking
+	Bad                atomic.Int64 // messages that could not be read
+	DecidedMS          atomic.Int64 // from decided to in force here, of the last change; voters alone
+}
+
+// Accord is a dispatcher's part in the accord.
+type Accord struct {
+	Count  Counts
+	cfg    Config
+	clock  clock
+	voter  *voter // nil where it is none
+	member *member
+}
+
+// New starts a dispatcher's part. Close ends it.
+func New(cfg Config) (*Accord, error) {
+	if err := cfg.Plan.Check(); err != nil {
+		return nil, err
+	}
+	if cfg.Check == nil || cfg.Enter == nil {
+		return nil, errors.New("accord: no check or no enter")
+	}
+	a := &Accord{cfg: cfg, clock: clock{time.Now()}}
+	if me, ok := cfg.voter(); ok {
+		var err error
+		if a.voter, err = newVoter(a, me); err != nil {
+			return nil, err
+		}
+	}
+	l, err := accord.NewLessee(cfg.Plan, cfg.Name, cfg.Epoch)
+	if err != nil {
+		a.Close()
+		return nil, err
+	}
+	a.member = newMember(a, l)
+	return a, nil
+}
+
+// Close ends this dispatcher's part; what it has taken is its own affair. It is called once.
+func (a *Accord) Close() {
+	if a.member != nil {
+		a.member.close()
+	}
+	if a.voter != nil {
+		a.voter.close()
+	}
+}
+
+// Propose proposes a policy as the one after the version in force here. What became of it is in the log.
+func (a *Accord) Propose(body []byte) error { return a.member.propose(body) }
+
+// Retry has a version in force that this dispatcher could not take checked again.
+func (a *Accord) Retry() { a.member.retry() }
+
+// Held is the version that this dispatcher holds and its policy.
+func (a *Accord) Held() (uint64, []byte) { return a.member.held() }
+
+// Each calls f for the counters and levels of the accord.
+func (a *Accord) Each(f func(name string, n int64)) {
+	v, _ := a.Held()
+	f("accord_version", int64(v))
+	f("accord_ready", flag(a.Serves()))
+	f("accord_changes", a.Count.Changes.Load())
+	f("accord_withdrawn", a.Count.Withdrawn.Load())
+	f("accord_refused", a.Count.Refused.Load())
+	f("accord_fences", a.Count.Fences.Load())
+	f("accord_fenced_reqs", a.Count.Fenced.Load())
+	f("accord_taken_lapsed", a.Count.Lapsed.Load())
+	f("accord_bad_messages", a.Count.Bad.Load())
+	if a.voter != nil {
+		leads, leases := a.voter.leads()
+		f("accord_leads", flag(leads))
+		f("accord_leases", int64(leases))
+		f("accord_decided_ms", a.Count.DecidedMS.Load())
+	}
+}
+
+func flag(on bool) int64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+// tell logs the steps of a change, and counts those that the counters tell.
+func (a *Accord) tell(notes []accord.Note) {
+	for _, n := range notes {
+		e := a.cfg.Log.Info().Str("process", a.cfg.Name).Uint64("version", n.Version).Str("change", fmt.Sprintf("%x", n.Change))
+		if n.By != "" {
+			e.Str("by", n.By)
+		}
+		if n.Who != "" {
+			e.Str("who", n.Who)
+		}
+		if n.Why != "" {
+			e.Str("why", n.Why)
+		}
+		switch n.Step {
+		case "proposed":
+			e.Uint64("base", n.Base)
+		case "checked":
+			e.Bool("accepted", n.Accepted)
+			if !n.Accepted {
+				a.Count.Refused.Add(1)
+			}
+		case "ready":
+			e.Int64("waited_ms", n.Took.Milliseconds())
+		case "deciding":
+			e.Int("lapsed", n.Lapsed)
+		case "in force":
+			a.Count.Changes.Add(1)
+			if a.voter != nil {
+				if took, ok := a.voter.since(n.Version); ok {
+					a.Count.DecidedMS.Store(took.Milliseconds())
+					e.Int64("decided_ms", took.Milliseconds())
+				}
+			}
+		case "withdrawn":
+			a.Count.Withdrawn.Add(1)
+		case "fenced":
+			a.Count.Fences.Add(1)
+		}
+		e.Msg("accord: " + n.Step)
+	}
+}
--- /dev/null
+++ b/internal/network/fleet/accord/gate.go
@@ -0,0 +1,68 @@
+package accord
+
+import (
+	"sync/atomic"
+	"time"
+
+	"tinsail/internal/fleet/accord"
+)
+
+// gate is what the lessee last allowed, as the many goroutines of the fronts and the pool read it.
+type gate struct {
+	accord.Gate
+	waiting *atomic.Int64 // reqs taken by this version that have begun nowhere
+}
+
+// Take admits a req by the version in force: core.Versions. The req is counted before the gate is
+// read once more, so that a member that closes the gate and then finds none waiting has none.
+func (a *Accord) Take() (version uint64, pause time.Duration, ok bool) {
+	m := a.member
+	g := m.gate.Load()
+	g.waiting.Add(1)
+	now := a.clock.now()
+	if g2 := m.gate.Load(); g2.Version == g.Version && g2.waiting == g.waiting && now < g2.Take {
+		if now >= g2.Lapsed {
+			a.Count.Lapsed.Add(1)
+		}
+		return g.Version, 0, true
+	}
+	m.leave(g)
+	a.Count.Fenced.Add(1)
+	return 0, a.cfg.Plan.Drain(), false
+}
+
+// Begun tells that a req which was taken has begun, or never will.
+func (a *Accord) Begun(version uint64) {
+	if g := a.member.gate.Load(); g.Version == version {
+		a.member.leave(g)
+	}
+}
+
+// MayStart says whether an attempt of a req that was taken by a version may start now.
+func (a *Accord) MayStart(version uint64) bool {
+	g := a.member.gate.Load()
+	return g.Version == version && a.clock.now() < g.Start
+}
+
+// Serves says whether reqs are taken now.
+func (a *Accord) Serves() bool { return a.clock.now() < a.member.gate.Load().Take }
+
+// leave takes a req out of those that wait; a member that has stopped waits for the last.
+func (m *member) leave(g *gate) {
+	if g.waiting.Add(-1) == 0 && g.Take == 0 {
+		m.wake()
+	}
+}
+
+// show publishes what the lessee allows. m.mu is held.
+func (m *member) show() {
+	old, now := m.gate.Load(), m.lessee.Gate()
+	if old.Gate == now {
+		return
+	}
+	g := &gate{Gate: now, waiting: old.waiting}
+	if now.Version != old.Version {
+		g.waiting = &atomic.Int64{}
+	}
+	m.gate.Store(g)
+}
