--- /dev/null
+++ b/cmd/tinsail/accord.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"regexp"
+	"time"
+
+	"tinsail/internal/config"
+	leases "tinsail/internal/fleet/accord"
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/network/fleet/accord"
+	"tinsail/internal/settings"
+)
+
+// accordPlan is the plan of leases that the settings declare.
+func accordPlan(a *settings.Accord) leases.Plan {
+	return leases.Plan{Lease: millis(a.LeaseMS), Drift: a.Drift, Keep: a.Keep()}
+}
+
+// accordName is what a dispatcher may be called: backends are told its name in a header.
+var accordName = regexp.MustCompile(`^[A-Za-z0-9_.-]{1,64}$`)
+
+// checkAccord finds what the calls allow and the schema cannot say. cfg and set may be nil.
+func checkAccord(cfg *config.Config, set *settings.Settings) error {
+	if set == nil {
+		return nil
+	}
+	a := set.Accord
+	switch {
+	case a == nil && set.Policy == nil:
+		return nil
+	case a == nil:
+		return settings.Faults{set.Fault("policy", "is set, and accord is not: nothing would agree on it")}
+	case set.Policy == nil:
+		return settings.Faults{set.Fault("accord", "is set, and policy is not: there is nothing to agree on")}
+	}
+	if err := accordPlan(a).Check(); err != nil {
+		return settings.Faults{set.Fault("accord", err.Error())}
+	}
+	voters, err := accord.ParseVoters(a.Voters)
+	if err != nil {
+		return settings.Faults{set.Fault("accord.voters", err.Error())}
+	}
+	if err := policyOf(set).Check(); err != nil {
+		return settings.Faults{set.Fault("policy", err.Error())}
+	}
+	if cfg == nil {
+		return nil
+	}
+	if !accordName.MatchString(cfg.Name) {
+		return settings.Faults{set.Fault("accord", "the configuration's name is not 1 to 64 letters, digits, dots, - and _")}
+	}
+	for _, v := range voters {
+		if v.Name == cfg.Name && a.Data == "" {
+			return settings.Faults{set.Fault("accord.data", "is not set, and "+cfg.Name+" is a voter")}
+		}
+	}
+	return nil
+}
+
+func policyOf(set *settings.Settings) policy.Policy { return policy.Policy(*set.Policy) }
+
+// addAccord starts this dispatcher's part in the accord. Until a version is known to hold nothing is taken.
+func (d *dispatcher) addAccord(set *settings.Settings, from handed) error {
+	a := set.Accord
+	if a == nil {
+		return nil
+	}
+	voters, err := accord.ParseVoters(a.Voters)
+	if err != nil {
+		return settings.Faults{set.Fault("accord.voters", err.Error())}
+	}
+	for _, v := range voters {
+		if v.Name == d.cfg.Name && from.link != nil {
+			return errors.New("accord: a voter is not taken over, its log has one process: end it and start it anew")
+		}
+	}
+	d.accord, err = accord.New(accord.Config{Plan: accordPlan(a), Name: d.cfg.Name, Epoch: uint64(time.Now().UnixNano()), Voters: voters,
+		Listen: a.Listen, Data: a.Data, First: policyOf(set).Append(nil), Check: d.canTake, Enter: d.takeUp, Log: d.log})
+	if err != nil {
+		return errors.Join(errors.New("accord"), err)
+	}
+	d.core.Versions = d.accord
+	d.pool.Stamp = d.cfg.Name
+	return nil
+}
+
+// canTake checks a policy of the fleet against this binary and configuration.
+func (d *dispatcher) canTake(body []byte) error {
+	p, err := policy.Read(body)
+	if err != nil || p.Connections == 0 {
+		return err
+	}
+	if d.budgets == nil {
+		return errors.New("it sets policy.connections, and this dispatcher has no budgets(...)")
+	}
+	return d.budgets.plan(d.cfg.Settings.Instances, &p).Check()
+}
+
+// takeUp puts a version of the fleet's policy in force. No req is taken before it returns.
+func (d *dispatcher) takeUp(_ uint64, body []byte) error {
+	p, err := policy.Read(body)
+	if err != nil {
+		return err
+	}
+	d.desk.Policy(p.Bans)
+	if d.budgets == nil {
+		return nil
+	}
+	d.budgets.policy.Store(nil)
+	if p.Connections > 0 {
+		d.budgets.policy.Store(&p)
+	}
+	return d.budgets.replan(d.cfg.Settings.Instances)
+}
+
+// reloadAccord proposes the script's policy where it has changed since it was last read, or where it is
+// what was proposed here last and withdrawn. Any other difference from the version in force is old
+// text in one dispatcher's file, and no wish of the operators.
+func (d *dispatcher) reloadAccord(old, next *settings.Settings) {
+	if d.accord == nil || old.Policy == nil || next.Policy == nil {
+		return
+	}
+	d.accord.Retry()
+	was, body := policyOf(old).Append(nil), policyOf(next).Append(nil)
+	if bytes.Equal(was, body) && !bytes.Equal(body, d.accord.Lost()) {
+		return
+	}
+	if err := d.accord.Propose(body); err != nil {
+		d.log.Error().Err(err).Msg("accord: not proposed")
+	}
+}
--- /dev/null
+++ b/cmd/tinsail/accord_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/config"
+	"tinsail/internal/settings"
+	"tinsail/internal/standin/platform"
+)
+
+// agreeing is a fleet of real processes with an accord, three of them voters.
+type agreeing struct {
+	fleet
+	director string
+	voters   string // as the script has them
+	data     string
+}
+
+func (f *agreeing) script(i, connections int, bans string) string {
+	return fmt.Sprintf("budgets(connections = 1000)\npolicy(connections = %d, bans = [%s])\n"+
+		"accord(voters = [%s], lease_ms = 900, data = %q)\n", connections, bans, f.voters, filepath.Join(f.data, fmt.Sprint(i)))
+}
+
+func startAgreeing(t *testing.T, n int) *agreeing {
+	director, err := platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(director.Close)
+	f := &agreeing{director: director.Address, data: t.TempDir()}
+	for i := range 3 {
+		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(string) time.Duration { return 5 * time.Millisecond })
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		director.Set(b.Entry("fast", "here", i, "Ready"))
+		f.backends = append(f.backends, b)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		f.voters += fmt.Sprintf("%q, ", fmt.Sprintf("n%d=%s", i, l.Addr()))
+		l.Close()
+	}
+	for i := range n {
+		f.members = append(f.members, nil)
+		f.start(t, i, n)
+	}
+	return f
+}
+
+func (f *agreeing) start(t *testing.T, i, n int) {
+	f.members[i] = startMember(t, fmt.Sprintf("n%d", i), n, f.director, f.script(i, 500, ""))
+}
+
+// change writes a member's script anew and tells it.
+func (f *agreeing) change(t *testing.T, i, connections int, bans string) {
+	m := f.members[i]
+	assert.NoError(t, os.WriteFile(m.cmd.Args[3], []byte(f.script(i, connections, bans)), 0o600))
+	assert.NoError(t, m.cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// await waits until the members, but one, are ready at a version.
+func (f *agreeing) await(t *testing.T, version int64, skip int) {
+	for i, m := range f.members {
+		if i != skip {
+			m.await(t, "accord_version", version)
+			m.await(t, "accord_ready", 1)
+		}
+	}
+}
+
+// starts are all attempts at all backends by version; none of one version comes after the first of a
+// later one, but for the time that bytes need on a loaded machine.
+func (f *agreeing) starts(t *testing.T) map[int]int {
+	const slack = 20 * time.Millisecond
+	count, first, last := map[int]int{}, map[int]time.Time{}, map[int]time.Time{}
+	for _, b := range f.backends {
+		for _, s := range b.Starts() {
+			v, err := strconv.Atoi(s.Version)
+			require.NoError(t, err, "an attempt with no version")
+			require.NotEmpty(t, s.Dispatcher)
+			if count[v]++; count[v] == 1 || s.At.Before(first[v]) {
+				first[v] = s.At
+			}
+			if s.At.After(last[v]) {
+				last[v] = s.At
+			}
+		}
+	}
+	for a := range count {
+		for b := range count {
+			if a < b {
+				assert.True(t, last[a].Add(-slack).Before(first[b]), "version %d until %v, version %d from %v", a, last[a], b, first[b])
+			}
+		}
+	}
+	return count
+}
+
+// TestPolicyOfTheFleet: five real processes under load take a change of the budget and a ban from one
+// script and a SIGHUP: everywhere, and never two versions at once at the backends. A voter is killed
+// and the next change goes on without it; it is back on the version in force. A change that a
+// dispatcher cannot take is nowhere.
+func TestPolicyOfTheFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts six processes")
+	}
+	const n = 5
+	f := startAgreeing(t, n)
+	f.await(t, 1, -1)
+	served := f.load(t, 8, 150, map[int64]func(){
+		200: func() { f.change(t, 4, 400, `"b0"`) },
+		700: func() {
+			f.await(t, 2, -1)
+			_ = f.members[1].cmd.Process.Signal(syscall.SIGKILL)
+			f.change(t, 3, 300, "")
+		},
+	})
+	f.await(t, 3, 1)
+	f.start(t, 1, n)
+	f.await(t, 3, -1)
+	for _, m := range f.members {
+		assert.EqualValues(t, 300/n, m.counter(t, "budget_connections_share"), "of the version in force, not of its script")
+	}
+	count := f.starts(t)
+	t.Logf("served %d of 1200; attempts by version %v", served, count)
+	assert.Positive(t, count[1])
+	assert.Positive(t, count[2])
+	assert.Greater(t, served, int64(300))
+	assert.Empty(t, byVersion(f.backends[0], "2"), "b0 is banned by version 2")
+	assert.NotEmpty(t, byVersion(f.backends[1], "2"))
+}
+
+func byVersion(b *platform.Backend, version string) (all []platform.Start) {
+	for _, s := range b.Starts() {
+		if s.Version == version {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// TestAloneItDoesNotKnow: one voter of three is up: it is not ready, and answers 503 with Retry-After.
+func TestAloneItDoesNotKnow(t *testing.T) {
+	f := startAgreeing(t, 1)
+	m := f.members[0]
+	ready, err := http.Get("http://" + m.address + "/health/ready")
+	require.NoError(t, err)
+	ready.Body.Close()
+	assert.Equal(t, 503, ready.StatusCode)
+	r, err := http.NewRequest("POST", "http://"+m.address+"/photo/1", strings.NewReader("b"))
+	require.NoError(t, err)
+	r.Header.Set("X-Correlation-Id", "a")
+	r.Header.Set("Idempotency-Key", "a")
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	answer.Body.Close()
+	assert.Equal(t, 503, answer.StatusCode)
+	assert.NotEmpty(t, answer.Header.Get("Retry-After"))
+	assert.EqualValues(t, 1, m.counter(t, "accord_fenced_reqs"))
+}
+
+// TestCheckAccord: what the schema cannot say is told with its key.
+func TestCheckAccord(t *testing.T) {
+	for script, key := range map[string]string{
+		`policy()`:                           "policy: ",
+		`accord(voters = ["a=127.0.0.1:1"])`: "accord: ",
+		"policy()\n" + `accord(voters = ["a=127.0.0.1:1", "b=127.0.0.1:2"])`: "accord.voters: ",
+		"policy()\n" + `accord(voters = ["a=127.0.0.1:1"])`:                  "accord.data: ",
+		"policy()\n" + `accord(voters = ["b=127.0.0.1:1"])`:                  "",
+		"policy()\n" + `accord(voters = ["a=127.0.0.1:1"], data = "d")`:      "",
+	} {
+		set, err := settings.Parse("s.star", func(string) ([]byte, error) { return []byte(script), nil })
+		require.NoError(t, err, script)
+		err = checkAccord(&config.Config{Name: "a"}, set)
+		if key == "" {
+			assert.NoError(t, err, script)
+		} else {
+			assert.ErrorContains(t, err, key, script)
+		}
+	}
+}
--- a/cmd/tinsail/budgets.go
+++ b/cmd/tinsail/budgets.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tinsail/internal/budget"
+	"tinsail/internal/fleet/policy"
 	"tinsail/internal/network/budgets"
 	"tinsail/internal/settings"
 )
@@ -19,7 +20,9 @@
 	holder *budgets.Holder // nil without a keeper
 	keeper *budgets.Keeper // nil but at the keeper
 	share  budgets.Sharer
-	fleet  atomic.Int64 // the fleet's size as this dispatcher estimates it
+	fleet  atomic.Int64                     // the fleet's size as this dispatcher estimates it
+	script atomic.Pointer[settings.Budgets] // as last read, with what waits for the next start as at this one
+	policy atomic.Pointer[policy.Policy]    // the fleet's, where it sets the budgets; else nil
 }
 
 // connectionsPlan is the plan of the budget of new connections that the settings declare, with
@@ -66,6 +69,7 @@
 	}
 	f := &fleetBudgets{}
 	plan := connectionsPlan(b, d.cfg.Settings.Instances)
+	f.script.Store(b)
 	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
 	if b.Keeper == "" {
 		f.fixed = budgets.NewFixed(split(plan, d.cfg.Settings.Instances))
@@ -115,13 +119,31 @@
 	}
 	o, n := *old.Budgets, *next.Budgets
 	n.Keeper, n.KeeperAt, n.LeaseMs, n.Drift = o.Keeper, o.KeeperAt, o.LeaseMs, o.Drift
-	plan := connectionsPlan(&n, d.cfg.Settings.Instances)
-	if err := plan.Check(); err != nil {
+	if err := connectionsPlan(&n, d.cfg.Settings.Instances).Check(); err != nil {
 		return settings.Faults{next.Fault("budgets", err.Error())}
 	}
-	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
+	f.script.Store(&n)
+	return f.replan(d.cfg.Settings.Instances)
+}
+
+// plan is the plan in force: the script's, or the fleet's policy's where that sets the budgets.
+func (f *fleetBudgets) plan(instances int, p *policy.Policy) budget.Plan {
+	b := *f.script.Load()
+	if p != nil {
+		b.Connections, b.Most, b.Reserve = p.Connections, p.Most, p.Reserve
+	}
+	return connectionsPlan(&b, instances)
+}
+
+// replan puts the plan in force while shares are held.
+func (f *fleetBudgets) replan(instances int) error {
+	plan := f.plan(instances, f.policy.Load())
+	if err := plan.Check(); err != nil {
+		return err
+	}
+	f.fleet.Store(int64(budget.Estimate(instances, plan.Most)))
 	if f.fixed != nil {
-		f.fixed.Set(split(plan, d.cfg.Settings.Instances))
+		f.fixed.Set(split(plan, instances))
 		return nil
 	}
 	// the keeper first: a holder of this process that asks anew is answered from the new pool
--- a/cmd/tinsail/door.go
+++ b/cmd/tinsail/door.go
@@ -61,6 +61,8 @@
 			return no(503, "no list of backends yet")
 		case !d.handover.serves():
 			return no(503, "another process serves still")
+		case !d.core.Serves():
+			return no(503, "does not know which policy of the fleet holds: "+d.accord.Why())
 		default:
 			return yes("serves, " + state.String())
 		}
--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -160,7 +160,7 @@
 		t.oldGone(err)
 	}()
 	go func() {
-		for !d.core.Known() {
+		for !d.core.Known() || !d.core.Serves() { // nor before it knows which policy of the fleet holds
 			time.Sleep(service.LookEvery)
 		}
 		d.accept()
--- a/cmd/tinsail/metrics.go
+++ b/cmd/tinsail/metrics.go
@@ -14,6 +14,7 @@
 	"budget_connections_share": true, "budget_connections_fleet": true, "budget_connections_lent": true,
 	"banned": true, "service_state": true, "door_slowest_us": true, "handover_ready_ms": true,
 	"handover_stage": true,
+	"accord_version": true, "accord_ready": true, "accord_leads": true, "accord_leases": true, "accord_decided_ms": true,
 }
 
 // metrics is every counter of the dispatcher, read now, in Prometheus' text exposition format
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -22,6 +22,7 @@
 	"tinsail/internal/logs"
 	"tinsail/internal/network"
 	"tinsail/internal/network/admin"
+	"tinsail/internal/network/fleet/accord"
 	"tinsail/internal/network/maintain"
 	"tinsail/internal/service"
 	"tinsail/internal/settings"
@@ -35,7 +36,7 @@
 	}
 	cfg, err := config.Load(os.Getenv)
 	set, err2 := settings.Load(o.settings)
-	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set)); err != nil {
+	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set)); err != nil {
 		return faulty{err}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
@@ -96,7 +97,7 @@
 	clients  *network.Clients
 	service  *network.Service
 	listener net.Listener
-	desk     *maintain.Desk // bans; nil where there is no door
+	desk     *maintain.Desk // bans; nil where there is no door and no accord
 	listed   func(balance.ListKind, []core.Entry)
 	door     *admin.Server // nil where it is off
 	doorAt   net.Listener
@@ -104,6 +105,7 @@
 
 	sources   *sources       // nil where the director alone is asked
 	budgets   *fleetBudgets  // nil where the settings declare none
+	accord    *accord.Accord // nil where it is off
 	http2     *network.HTTP2 // nil where it is off
 	listener2 net.Listener
 }
@@ -127,8 +129,11 @@
 		return nil, err
 	}
 	d.core.Log = log
-	if d.listed = d.core.Listed; cfg.Admin != "" {
-		d.desk = &maintain.Desk{Path: keptPath(cfg, "bans"), Told: d.core.Listed, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
+	if d.listed = d.core.Listed; cfg.Admin != "" || set.Accord != nil {
+		d.desk = &maintain.Desk{Told: d.core.Listed, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
+		if cfg.Admin != "" {
+			d.desk.Path = keptPath(cfg, "bans")
+		}
 		d.listed = d.desk.Listed
 	}
 	d.director.Told = d.listed
@@ -166,6 +171,10 @@
 		d.addHandover(from)
 	}
 	d.set = set
+	if err := d.addAccord(set, from); err != nil {
+		d.close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -237,6 +246,9 @@
 	if d.sources != nil && d.sources.self != nil {
 		d.sources.self.End()
 	}
+	if d.accord != nil {
+		d.accord.Close()
+	}
 	if d.budgets != nil {
 		d.budgets.close()
 	}
@@ -281,6 +293,9 @@
 	if d.budgets != nil {
 		d.budgets.each(f)
 	}
+	if d.accord != nil {
+		d.accord.Each(f)
+	}
 	if d.door != nil {
 		d.door.Count.Each(f)
 		f("banned", int64(len(d.desk.Banned())))
@@ -295,7 +310,7 @@
 func (d *dispatcher) reload(cfg *config.Config, set *settings.Settings, path string) (*config.Config, *settings.Settings) {
 	next, err := config.Load(os.Getenv)
 	nextSet, err2 := settings.Load(path)
-	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet)); err != nil {
+	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet), checkAccord(next, nextSet)); err != nil {
 		d.count.ReloadsBad.Add(1)
 		d.log.Error().Err(err).Msg("not reloaded")
 		return cfg, set
@@ -310,6 +325,7 @@
 	if err := d.reloadBudgets(set, nextSet); err != nil {
 		d.log.Error().Err(err).Msg("budgets not reloaded")
 	}
+	d.reloadAccord(set, nextSet)
 	later = append(cfg.Fixed(next), later...)
 	d.log.Info().Str("discovery", next.Discovery).Strs("changed", now).Strs("next_start", later).Msg("reloaded")
 	return next, nextSet
--- a/deploy/example.star
+++ b/deploy/example.star
@@ -72,3 +72,19 @@
     lease_ms = 3000,
     drift = 0.001,
 )
+
+policy(
+    connections = 600,
+    most = 0,
+    reserve = 0.2,
+    bans = [],
+)
+
+accord(
+    voters = ["n0=" + host + ":9401", "n1=" + host + ":9402", "n2=" + host + ":9403"],
+    listen = "",
+    lease_ms = 3000,
+    drift = 0.001,
+    when_cut = "stop",
+    data = "/var/lib/tinsail/accord",
+)
--- a/internal/fleet/accord/lessee.go
+++ b/internal/fleet/accord/lessee.go
@@ -61,6 +61,7 @@
 
 	draft    draft
 	mine     proposal
+	lost     []byte // of the last proposal, where that was withdrawn
 	fencing  uint64 // the change that this one has stopped for, 0 for none
 	fenced   Time
 	closed   bool // nothing begins by version any more
@@ -128,6 +129,7 @@
 	case len(body) > MaxBody:
 		return errors.New("the policy is too long")
 	}
+	l.lost = nil
 	l.mine = proposal{id: id, base: l.version, body: body}
 	l.note(Note{Step: "proposed", Version: l.version + 1, Base: l.version})
 	l.Now()
@@ -160,6 +162,10 @@
 		if o.End == Withdrawn && (l.mine.change == 0 || l.mine.change != l.draft.id) { // else told below, as a change
 			l.note(Note{Step: "withdrawn", Version: l.mine.base + 1, Who: o.Who, Why: o.Why})
 		}
+		l.lost = nil
+		if o.End == Withdrawn {
+			l.lost = l.mine.body
+		}
 		l.mine = proposal{}
 	}
 	d := &l.draft
@@ -345,5 +351,8 @@
 // Retry has a version in force that could not be taken checked again: the configuration has changed.
 func (l *Lessee) Retry() { l.refused = 0 }
 
+// Lost is the body of this dispatcher's last proposal where that was withdrawn, else nil.
+func (l *Lessee) Lost() []byte { return l.lost }
+
 // Proposing says whether a proposal of this dispatcher has no outcome yet.
 func (l *Lessee) Proposing() bool { return l.mine.id != 0 }
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -39,6 +39,7 @@
 	listed bool // some list has named it
 	mark   Mark
 	gone   uint64 // order in which it went; 0 while it is listed
+	policy bool   // the fleet's policy bans it, whatever operators said here
 }
 
 // Bans are the bans in force and the list that they lie over. The zero value has neither. It is not for
@@ -49,6 +50,8 @@
 	gones int
 
 	strangers int // marked, and never listed here
+
+	policy map[string]bool // names that the fleet's policy bans
 }
 
 func (b *Bans) entry(name string) *entry {
@@ -57,7 +60,7 @@
 		if b.all == nil {
 			b.all = map[string]*entry{}
 		}
-		e = &entry{last: Backend{Name: name}}
+		e = &entry{last: Backend{Name: name}, policy: b.policy[name]}
 		b.all[name] = e
 	}
 	return e
@@ -66,7 +69,7 @@
 // shown is how a backend is passed on.
 func (e *entry) shown() Backend {
 	out := e.last
-	if e.mark.Banned && out.State == balance.Ready {
+	if (e.mark.Banned || e.policy) && out.State == balance.Ready {
 		out.State = balance.Draining
 	}
 	if e.mark.Floor > 0 {
@@ -235,7 +238,30 @@
 	return change
 }
 
-// Banned lists the banned, in the order of names.
+// Policy takes the names that the fleet's policy bans from now on, in place of those before. It returns
+// what to pass on. What operators have said here stays as it was.
+func (b *Bans) Policy(names []string) (change []Backend) {
+	b.policy = make(map[string]bool, len(names))
+	for _, name := range names {
+		b.policy[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.all)) {
+		if e := b.all[name]; e.policy != b.policy[name] {
+			e.policy = b.policy[name]
+			change = append(change, e.change()...)
+		}
+	}
+	return change
+}
+
+// Withheld lists those that nothing may be sent to, the fleet's policy's and the operators', in the order of names.
+func (b *Bans) Withheld() []string {
+	names := append(slices.Collect(maps.Keys(b.policy)), b.Banned()...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Banned lists those that operators have banned here, in the order of names.
 func (b *Bans) Banned() (names []string) {
 	for _, m := range b.Marks() {
 		if m.Banned {
--- a/internal/network/fleet/accord/accord.go
+++ b/internal/network/fleet/accord/accord.go
@@ -138,6 +138,20 @@
 // Held is the version that this dispatcher holds and its policy.
 func (a *Accord) Held() (uint64, []byte) { return a.member.held() }
 
+// Lost is the policy that this dispatcher proposed last, where that was withdrawn; else nil.
+func (a *Accord) Lost() []byte {
+	a.member.mu.Lock()
+	defer a.member.mu.Unlock()
+	return a.member.lessee.Lost()
+}
+
+// Why says why no req is taken, where none is.
+func (a *Accord) Why() string {
+	a.member.mu.Lock()
+	defer a.member.mu.Unlock()
+	return a.member.lessee.Why()
+}
+
 // Each calls f for the counters and levels of the accord.
 func (a *Accord) Each(f func(name string, n int64)) {
 	v, _ := a.Held()
--- a/internal/network/maintain/maintain.go
+++ b/internal/network/maintain/maintain.go
@@ -105,7 +105,7 @@
 // follow has the core and the pool follow. d.mu is held.
 func (d *Desk) follow(change []maintenance.Backend) {
 	held := map[balance.WorkerID]struct{}{}
-	for _, name := range d.bans.Banned() {
+	for _, name := range d.bans.Withheld() {
 		held[balance.WorkerID(platform.Hash(name))] = struct{}{}
 	}
 	d.Withhold(held)
@@ -127,6 +127,14 @@
 	}
 }
 
+// Policy takes the names that the fleet's policy bans, in place of those before: when it returns,
+// nothing more begins at them.
+func (d *Desk) Policy(names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow(d.bans.Policy(names))
+}
+
 // SetOut notes whether the dispatcher is out of service.
 func (d *Desk) SetOut(out bool) error {
 	d.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Backends    *Backends    `json:"backends"`
 	MemberRules *MemberRules `json:"member_rules"`
 	Budgets     *Budgets     `json:"budgets"`
+	Policy      *Policy      `json:"policy"`
+	Accord      *Accord      `json:"accord"`
 
 	at map[string]Fault // where each call and key stands
 }
@@ -62,6 +64,27 @@
 	Drift       float64 `json:"drift"`
 }
 
+// Policy is what the fleet agrees on; the schema says what each value means.
+type Policy struct {
+	Connections int      `json:"connections"`
+	Most        int      `json:"most"`
+	Reserve     float64  `json:"reserve"`
+	Bans        []string `json:"bans"`
+}
+
+// Accord sets how the fleet agrees; the schema says what each value means.
+type Accord struct {
+	Voters  []string `json:"voters"`
+	Listen  string   `json:"listen"`
+	LeaseMS int      `json:"lease_ms"`
+	Drift   float64  `json:"drift"`
+	WhenCut string   `json:"when_cut"`
+	Data    string   `json:"data"`
+}
+
+// Keep says whether a dispatcher that is cut off goes on by the version it knew.
+func (a *Accord) Keep() bool { return a.WhenCut == "keep" }
+
 // HTTP2 sets the HTTP/2 front; the schema says what each value means.
 type HTTP2 struct {
 	Listen         string `json:"listen"`
@@ -255,6 +278,9 @@
 // holds from the next start of the program.
 func (s *Settings) Change(other *Settings) (now, later []string) {
 	for _, call := range calls() {
+		if call == "policy" { // the fleet's: a change of it is a proposal, and its log lines tell what became of it
+			continue
+		}
 		a, b := s.part(call), other.part(call)
 		if a == nil && b == nil {
 			continue
@@ -406,7 +432,8 @@
 	return faults
 }
 
-var holds = map[string]string{"next start": "the next start", "new connections": "connections from then on", "now": "at once"}
+var holds = map[string]string{"next start": "the next start", "new connections": "connections from then on", "now": "at once",
+	"accord": "the fleet, once it is decided"}
 
 // Reference writes what can be set, as Markdown, out of the schema.
 func Reference() string {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -55,7 +55,7 @@
 		{"http2(listen = \"a:1\", strems = 3)", "http2.strems: is no key of http2, want one of listen, drain_ms"},
 		{"http2(\"a:1\")", "http2: takes named values only"},
 		{"http2(listen = \"a:1\")\nhttp2(listen = \"a:2\")", "s.star:2:6: http2: is called a second time, first at s.star:1"},
-		{"http3(listen = \"a:1\")", "s.star:1:1: http3: is not known, the calls are backends, budgets, consul, http2, member_rules"},
+		{"http3(listen = \"a:1\")", "s.star:1:1: http3: is not known, the calls are accord, backends, budgets, consul, http2, member_rules, policy"},
 		{"http2(listen = \"a:1\"", "s.star:1:21: got end of file"},
 		{"http2(listen = 1 // 0)", "s.star:1:18: floored division by zero"},
 		{"http2(listen = len)", "http2.listen: is a builtin_function_or_method, which no setting takes"},
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -170,6 +170,14 @@
 	counts Counts
 	last   time.Time   // that a job's head came
 	conns  []time.Time // when each connection came, the first mostConns
+	starts []Start     // of attempts, the first mostConns
+}
+
+// Start is an attempt whose head is whole here, as it names itself.
+type Start struct {
+	At              time.Time
+	Dispatcher, Req string
+	Version         string // empty: it names none
 }
 
 // mostConns bounds what a backend remembers of its connections.
@@ -182,6 +190,13 @@
 	return append([]time.Time(nil), b.conns...)
 }
 
+// Starts are the attempts that came, in the order in which their heads were whole.
+func (b *Backend) Starts() []Start {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Start(nil), b.starts...)
+}
+
 // part spreads ids over 0 to 1.
 func part(id string) float64 {
 	h := fnv.New32a()
@@ -280,10 +295,13 @@
 }
 
 func (b *Backend) job(w http.ResponseWriter, r *http.Request) {
+	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	b.mu.Lock()
 	b.last = time.Now()
+	if len(b.starts) < mostConns {
+		b.starts = append(b.starts, Start{b.last, r.Header.Get("X-Dispatcher"), id, r.Header.Get("X-Policy-Version")})
+	}
 	b.mu.Unlock()
-	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" {
 		http.NotFound(w, r)
 		return
