--- a/cmd/tinsail/accord_test.go
+++ b/cmd/tinsail/accord_test.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +25,7 @@
 // agreeing is a fleet of real processes with an accord, three of them voters.
 type agreeing struct {
 	fleet
+	mu       sync.Mutex // of the members' addresses, while clients run
 	director string
 	voters   string // as the script has them
 	data     string
@@ -57,7 +60,37 @@
 }
 
 func (f *agreeing) start(t *testing.T, i, n int) {
-	f.members[i] = startMember(t, fmt.Sprintf("n%d", i), n, f.director, f.script(i, 500, ""))
+	m := startMember(t, fmt.Sprintf("n%d", i), n, f.director, f.script(i, 500, ""))
+	f.mu.Lock()
+	f.members[i] = m
+	f.mu.Unlock()
+}
+
+func (f *agreeing) addresses() (all []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		all = append(all, m.address)
+	}
+	return all
+}
+
+// kill ends a member outright.
+func (f *agreeing) kill(i int) {
+	m := f.members[i]
+	_ = m.cmd.Process.Kill()
+	_ = m.cmd.Wait()
+	m.gone = true
+}
+
+// awaitUp is await, of the members that were not killed.
+func (f *agreeing) awaitUp(t *testing.T, version int64) {
+	for _, m := range f.members {
+		if !m.gone {
+			m.await(t, "accord_version", version)
+			m.await(t, "accord_ready", 1)
+		}
+	}
 }
 
 // change writes a member's script anew and tells it.
@@ -139,6 +172,103 @@
 	assert.NotEmpty(t, byVersion(f.backends[1], "2"))
 }
 
+// leader is the voter that leads, in rounds, at most 2,000 of 5 ms.
+func (f *agreeing) leader(t *testing.T) int {
+	for range 2000 {
+		for i, m := range f.members[:3] {
+			if m.counter(t, "accord_leads") == 1 {
+				return i
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no leader")
+	return -1
+}
+
+// TestPolicyUnderFaults: six real processes under load. The leader is stopped over its lease while a change is
+// made, and woken; two changes are proposed at once, of which one takes force; two of the six are down during
+// a change and started after it; all voters are killed and started again. At the backends no two
+// versions are ever mixed, and after each fault all are on one version.
+func TestPolicyUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	const n = 6
+	f := startAgreeing(t, n)
+	f.await(t, 1, -1)
+	stop := make(chan struct{})
+	var served, refused atomic.Int64
+	var clients sync.WaitGroup
+	for c := range 6 {
+		clients.Go(func() {
+			client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{}}
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("u-%d-%d", c, i)
+				r, err := http.NewRequest("POST", "http://"+f.addresses()[(c+i)%n]+"/photo/1", strings.NewReader("b"))
+				if !assert.NoError(t, err) {
+					return
+				}
+				r.Header.Set("X-Correlation-Id", id)
+				r.Header.Set("Idempotency-Key", id)
+				answer, err := client.Do(r)
+				if err != nil { // stopped, or killed
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				answer.Body.Close()
+				if answer.StatusCode == 200 {
+					served.Add(1)
+				} else {
+					refused.Add(1)
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+
+	stopped := f.leader(t)
+	require.NoError(t, f.members[stopped].cmd.Process.Signal(syscall.SIGSTOP))
+	f.change(t, 5, 490, "")
+	f.await(t, 2, stopped)
+	require.NoError(t, f.members[stopped].cmd.Process.Signal(syscall.SIGCONT))
+	f.await(t, 2, -1)
+
+	f.change(t, 3, 480, "")
+	f.change(t, 4, 470, "")
+	f.await(t, 3, -1)
+
+	f.kill(2)
+	f.kill(5)
+	f.change(t, 3, 460, "")
+	f.awaitUp(t, 4)
+	f.start(t, 2, n)
+	f.start(t, 5, n)
+	f.await(t, 4, -1)
+
+	for i := range 3 {
+		f.kill(i)
+	}
+	for i := range 3 {
+		f.start(t, i, n)
+	}
+	f.await(t, 4, -1)
+	f.change(t, 4, 450, "")
+	f.await(t, 5, -1)
+	close(stop)
+	clients.Wait()
+	count := f.starts(t)
+	t.Logf("served %d, refused %d; attempts by version %v", served.Load(), refused.Load(), count)
+	for v := 1; v <= 5; v++ {
+		assert.Positive(t, count[v], "version %d", v)
+	}
+}
+
 func byVersion(b *platform.Backend, version string) (all []platform.Start) {
 	for _, s := range b.Starts() {
 		if s.Version == version {
--- a/cmd/tinsail/fleet_test.go
+++ b/cmd/tinsail/fleet_test.go
@@ -29,6 +29,7 @@
 	cmd      *exec.Cmd
 	address  string
 	keeperAt string // where it asks for its shares, where it has a budget
+	gone     bool   // it was killed
 }
 
 // startMember starts the program as one dispatcher of a fleet of n, named name, with a script.
