--- a/internal/network/fleet/accord/accord_test.go
+++ b/internal/network/fleet/accord/accord_test.go
@@ -53,6 +53,8 @@
 	halt   func()
 	mixed  atomic.Int64 // looks at which two versions were allowed at once
 	looks  atomic.Int64
+	early  atomic.Int64 // versions that could be used before they were put in force
+	mu     sync.Mutex   // of all, while a part starts
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -125,8 +127,16 @@
 			}
 			return nil
 		},
-		Enter: func(uint64, []byte) error { return nil },
-		Log:   zerolog.New(&f.log)}
+		Enter: func(version uint64, _ []byte) error {
+			f.mu.Lock()
+			a := f.all[i]
+			f.mu.Unlock()
+			if a != nil && a.MayStart(version) {
+				f.early.Add(1)
+			}
+			return nil
+		},
+		Log: zerolog.New(&f.log)}
 	if i < len(f.voters) {
 		cfg.Data, cfg.First = f.data[i], []byte("first")
 	} else {
@@ -141,7 +151,9 @@
 	}
 	a, err := New(cfg)
 	require.NoError(f.t, err)
+	f.mu.Lock()
 	f.all[i] = a
+	f.mu.Unlock()
 }
 
 // await waits until the dispatchers that are up, but those skipped, serve by a version.
@@ -218,6 +230,7 @@
 	f.start(was)
 	f.await(4)
 	assert.Zero(t, f.mixed.Load(), "two versions at once, of %d looks", f.looks.Load())
+	assert.Zero(t, f.early.Load(), "used before it was put in force")
 	t.Logf("%d looks", f.looks.Load())
 }
 
@@ -252,6 +265,45 @@
 	}
 }
 
+// TestGate: a req is taken before the gate's time alone and stamped by its version, started before its own
+// time by that version alone, and counted while it waits; on no lease it is counted as lapsed.
+func TestGate(t *testing.T) {
+	a := &Accord{clock: clock{time.Now()}, cfg: Config{Plan: accord.Plan{Lease: 3 * time.Second}}}
+	a.member = &member{a: a, woken: make(chan struct{}, 1)}
+	set := func(g accord.Gate) *gate {
+		now := &gate{Gate: g, waiting: &atomic.Int64{}}
+		a.member.gate.Store(now)
+		return now
+	}
+	open := set(accord.Gate{Version: 7, Take: accord.Never, Start: accord.Never, Lapsed: accord.Never})
+	v, _, ok := a.Take()
+	assert.True(t, ok)
+	assert.EqualValues(t, 7, v)
+	assert.True(t, a.MayStart(7))
+	assert.False(t, a.MayStart(6))
+	assert.EqualValues(t, 1, open.waiting.Load())
+	a.Begun(6) // of a version before
+	assert.EqualValues(t, 1, open.waiting.Load())
+	a.Begun(7)
+	assert.Zero(t, open.waiting.Load())
+	assert.Zero(t, a.Count.Lapsed.Load())
+
+	shut := set(accord.Gate{Version: 7, Take: 0, Start: accord.Never, Lapsed: accord.Never})
+	_, pause, ok := a.Take()
+	assert.False(t, ok)
+	assert.Equal(t, 500*time.Millisecond, pause)
+	assert.Zero(t, shut.waiting.Load())
+	assert.EqualValues(t, 1, a.Count.Fenced.Load())
+	assert.True(t, a.MayStart(7), "what was taken may begin")
+	assert.False(t, a.Serves())
+
+	set(accord.Gate{Version: 7, Take: accord.Never, Start: 0, Lapsed: 0})
+	_, _, ok = a.Take()
+	assert.True(t, ok)
+	assert.EqualValues(t, 1, a.Count.Lapsed.Load())
+	assert.False(t, a.MayStart(7))
+}
+
 // BenchmarkTake is what a req pays for its version: taken, started and told begun.
 func BenchmarkTake(b *testing.B) {
 	l, err := accord.NewLessee(accord.Plan{Lease: time.Second}, "n0", 1)
