--- a/cmd/tinsail/accord.go
+++ b/cmd/tinsail/accord.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"time"
 
+	"tinsail/internal/budget"
 	"tinsail/internal/config"
 	leases "tinsail/internal/fleet/accord"
 	"tinsail/internal/fleet/policy"
@@ -76,11 +77,21 @@
 			return errors.New("accord: a voter is not taken over, its log has one process: end it and start it anew")
 		}
 	}
-	d.accord, err = accord.New(accord.Config{Plan: accordPlan(a), Name: d.cfg.Name, Epoch: uint64(time.Now().UnixNano()), Voters: voters,
+	var lends func([]byte) (budget.Plan, bool)
+	if d.budgets != nil && d.budgets.leader != nil {
+		lends = func(body []byte) (budget.Plan, bool) {
+			p, err := policy.Read(body)
+			return d.budgets.plan(d.cfg.Settings.Instances, &p), err == nil && p.Connections > 0
+		}
+	}
+	d.accord, err = accord.New(accord.Config{Budget: lends, Plan: accordPlan(a), Name: d.cfg.Name, Epoch: uint64(time.Now().UnixNano()), Voters: voters,
 		Listen: a.Listen, Data: a.Data, First: policyOf(set).Append(nil), Check: d.canTake, Enter: d.takeUp, Log: d.log})
 	if err != nil {
 		return errors.Join(errors.New("accord"), err)
 	}
+	if lends != nil {
+		d.budgets.leader.of.Store(d.accord)
+	}
 	d.core.Versions = d.accord
 	d.pool.Stamp = d.cfg.Name
 	return nil
@@ -89,9 +100,15 @@
 // canTake checks a policy of the fleet against this binary and configuration.
 func (d *dispatcher) canTake(body []byte) error {
 	p, err := policy.Read(body)
-	if err != nil || p.Connections == 0 {
+	if err != nil {
 		return err
 	}
+	if p.Connections == 0 {
+		if d.budgets != nil && d.budgets.leader != nil {
+			return errors.New("it sets no policy.connections, and budgets.keeper is the leader")
+		}
+		return nil
+	}
 	if d.budgets == nil {
 		return errors.New("it sets policy.connections, and this dispatcher has no budgets(...)")
 	}
--- a/cmd/tinsail/accord_test.go
+++ b/cmd/tinsail/accord_test.go
@@ -29,18 +29,19 @@
 	director string
 	voters   string // as the script has them
 	data     string
+	keeper   string // of the budget's leases, as the script has it; none if empty
 }
 
 func (f *agreeing) script(i, connections int, bans string) string {
-	return fmt.Sprintf("budgets(connections = 1000)\npolicy(connections = %d, bans = [%s])\n"+
-		"accord(voters = [%s], lease_ms = 900, data = %q)\n", connections, bans, f.voters, filepath.Join(f.data, fmt.Sprint(i)))
+	return fmt.Sprintf("budgets(connections = 1000, %s)\npolicy(connections = %d, bans = [%s])\n"+
+		"accord(voters = [%s], lease_ms = 900, data = %q)\n", f.keeper, connections, bans, f.voters, filepath.Join(f.data, fmt.Sprint(i)))
 }
 
-func startAgreeing(t *testing.T, n int) *agreeing {
+func startAgreeing(t *testing.T, n int, keeper string) *agreeing {
 	director, err := platform.StartDirector()
 	require.NoError(t, err)
 	t.Cleanup(director.Close)
-	f := &agreeing{director: director.Address, data: t.TempDir()}
+	f := &agreeing{director: director.Address, data: t.TempDir(), keeper: keeper}
 	for i := range 3 {
 		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(string) time.Duration { return 5 * time.Millisecond })
 		require.NoError(t, err)
@@ -147,7 +148,7 @@
 		t.Skip("starts six processes")
 	}
 	const n = 5
-	f := startAgreeing(t, n)
+	f := startAgreeing(t, n, "")
 	f.await(t, 1, -1)
 	served := f.load(t, 8, 150, map[int64]func(){
 		200: func() { f.change(t, 4, 400, `"b0"`) },
@@ -195,7 +196,7 @@
 		t.Skip("starts eleven processes")
 	}
 	const n = 6
-	f := startAgreeing(t, n)
+	f := startAgreeing(t, n, `keeper = "leader", lease_ms = 600`)
 	f.await(t, 1, -1)
 	stop := make(chan struct{})
 	var served, refused atomic.Int64
@@ -260,6 +261,12 @@
 	f.await(t, 4, -1)
 	f.change(t, 4, 450, "")
 	f.await(t, 5, -1)
+	f.awaitShares(t, 450, n) // lent by whoever leads now
+	sum := int64(0)
+	for _, m := range f.members {
+		sum += m.counter(t, "budget_connections_share")
+	}
+	assert.LessOrEqual(t, sum, int64(450))
 	close(stop)
 	clients.Wait()
 	count := f.starts(t)
@@ -280,7 +287,7 @@
 
 // TestAloneItDoesNotKnow: one voter of three is up: it is not ready, and answers 503 with Retry-After.
 func TestAloneItDoesNotKnow(t *testing.T) {
-	f := startAgreeing(t, 1)
+	f := startAgreeing(t, 1, "")
 	m := f.members[0]
 	ready, err := http.Get("http://" + m.address + "/health/ready")
 	require.NoError(t, err)
--- a/cmd/tinsail/budgets.go
+++ b/cmd/tinsail/budgets.go
@@ -10,6 +10,7 @@
 	"tinsail/internal/budget"
 	"tinsail/internal/fleet/policy"
 	"tinsail/internal/network/budgets"
+	"tinsail/internal/network/fleet/accord"
 	"tinsail/internal/settings"
 )
 
@@ -19,12 +20,27 @@
 	fixed  *budgets.Fixed  // nil where there is a keeper
 	holder *budgets.Holder // nil without a keeper
 	keeper *budgets.Keeper // nil but at the keeper
+	leader *leaderShare    // nil but where the accord's leader keeps the leases
 	share  budgets.Sharer
 	fleet  atomic.Int64                     // the fleet's size as this dispatcher estimates it
 	script atomic.Pointer[settings.Budgets] // as last read, with what waits for the next start as at this one
 	policy atomic.Pointer[policy.Policy]    // the fleet's, where it sets the budgets; else nil
 }
 
+// leaderKeeps, as budgets.keeper, has the leader of the accord keep the leases.
+const leaderKeeps = "leader"
+
+// leaderShare is the share that the accord's leader lends; 0 until a version is in force.
+type leaderShare struct{ of atomic.Pointer[accord.Accord] }
+
+// Share is what this dispatcher may spend now, in units a second.
+func (l *leaderShare) Share() int {
+	if a := l.of.Load(); a != nil {
+		return a.Share()
+	}
+	return 0
+}
+
 // connectionsPlan is the plan of the budget of new connections that the settings declare, with
 // most taken from the configuration's count of instances where the settings leave it 0.
 func connectionsPlan(b *settings.Budgets, instances int) budget.Plan {
@@ -51,6 +67,12 @@
 	switch {
 	case b == nil:
 		return nil
+	case b.Keeper == leaderKeeps && set.Accord == nil:
+		return settings.Faults{set.Fault("budgets.keeper", "is the accord's leader, and accord is not set")}
+	case b.Keeper == leaderKeeps && b.KeeperAt != "":
+		return settings.Faults{set.Fault("budgets.keeper_at", "is set, and the accord's leader needs none")}
+	case b.Keeper == leaderKeeps:
+		return nil
 	case b.Keeper != "" && b.KeeperAt == "":
 		return settings.Faults{set.Fault("budgets.keeper_at", "is not set, where keeper is")}
 	case b.Keeper == "" && b.KeeperAt != "":
@@ -71,7 +93,10 @@
 	plan := connectionsPlan(b, d.cfg.Settings.Instances)
 	f.script.Store(b)
 	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
-	if b.Keeper == "" {
+	if b.Keeper == leaderKeeps {
+		f.leader = &leaderShare{}
+		f.share = f.leader
+	} else if b.Keeper == "" {
 		f.fixed = budgets.NewFixed(split(plan, d.cfg.Settings.Instances))
 		f.share = f.fixed
 	} else {
@@ -142,6 +167,9 @@
 		return err
 	}
 	f.fleet.Store(int64(budget.Estimate(instances, plan.Most)))
+	if f.leader != nil { // it follows the version in force by itself
+		return nil
+	}
 	if f.fixed != nil {
 		f.fixed.Set(split(plan, instances))
 		return nil
@@ -171,6 +199,11 @@
 	c("budget_connections_granted", f.gate.Passed.Load())
 	c("budget_connections_waited", f.gate.Waited.Load())
 	c("budget_connections_unsent", f.gate.Unsent.Load())
+	if f.leader != nil {
+		if a := f.leader.of.Load(); a != nil {
+			c("budget_connections_lent", int64(a.Lent()))
+		}
+	}
 	if f.keeper != nil {
 		c("budget_connections_lent", int64(f.keeper.Lent("connections")))
 		c("budget_bad_messages", int64(f.keeper.Bad()))
--- a/internal/fleet/accord/wire/wire.go
+++ b/internal/fleet/accord/wire/wire.go
@@ -33,6 +33,8 @@
 	Ask    *accord.Ask
 	Answer *accord.Answer
 	Nudge  bool
+	Want   *Want
+	Lent   *Lent
 }
 
 type head struct {
@@ -117,6 +119,8 @@
 	kindNudge  = "nudge"
 	kindDecide = "decide"
 	kindState  = "state"
+	kindWant   = "want"
+	kindLent   = "lent"
 )
 
 func encode(v any) []byte {
@@ -179,6 +183,12 @@
 	case kind == kindAnswer:
 		m.Answer, err = readAnswer(p)
 		return m, err
+	case kind == kindWant:
+		m.Want, err = readWant(p)
+		return m, err
+	case kind == kindLent:
+		m.Lent, err = readLent(p)
+		return m, err
 	case kind == kindNudge:
 		m.Nudge = true
 		return m, decode(p, &head{})
--- a/internal/fleet/accord/wire/wire_test.go
+++ b/internal/fleet/accord/wire/wire_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"tinsail/internal/budget"
 	"tinsail/internal/fleet/accord"
 )
 
@@ -30,6 +31,14 @@
 	m, err = Read(WriteNudge())
 	require.NoError(t, err)
 	assert.Equal(t, Message{Nudge: true}, m)
+	w := Want{"connections", budget.Ask{Peer: "n3", Epoch: 7, Seq: 2, Want: 480}}
+	m, err = Read(WriteWant(w))
+	require.NoError(t, err)
+	assert.Equal(t, Message{Want: &w}, m)
+	l := Lent{"connections", budget.Grant{Peer: "n3", Epoch: 7, Seq: 2, Units: 48, Of: 600}}
+	m, err = Read(WriteLent(l))
+	require.NoError(t, err)
+	assert.Equal(t, Message{Lent: &l}, m)
 	d := accord.Decide{Change: 1, Proposal: 2, Version: 3, By: "n1", Body: []byte("b")}
 	got, err := ReadDecide(WriteDecide(d))
 	require.NoError(t, err)
@@ -73,7 +82,8 @@
 		"a key more":        again(func(m map[string]any) { m["more"] = 1 }),
 		"a key less":        again(func(m map[string]any) { delete(m, "why") }),
 		"a reason too long": WriteAsk(long), "no name": WriteAsk(noName), "no such stance": WriteAsk(stance),
-		"no such stage": WriteAnswer(stage), "too long": make([]byte, MaxFrame+1), "an entry on a link": WriteDecide(accord.Decide{}),
+		"no such stage": WriteAnswer(stage), "too long": make([]byte, MaxFrame+1), "no budget's name": WriteWant(Want{Ask: budget.Ask{Peer: "n1"}}),
+		"too many units": WriteLent(Lent{"c", budget.Grant{Peer: "n1", Units: MaxUnits + 1}}), "an entry on a link": WriteDecide(accord.Decide{}),
 	} {
 		_, err := Read(p)
 		assert.ErrorIs(t, err, ErrMessage, what)
@@ -91,6 +101,8 @@
 	f.Add(WriteAsk(anAsk))
 	f.Add(WriteAnswer(anAnswer))
 	f.Add(WriteNudge())
+	f.Add(WriteWant(Want{"connections", budget.Ask{Peer: "n3", Epoch: 7, Seq: 2, Want: 480}}))
+	f.Add(WriteLent(Lent{"connections", budget.Grant{Peer: "n3", Epoch: 7, Seq: 2, Units: 48, Of: 600}}))
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff, 0xa1, 'f', 1})
 	f.Fuzz(func(t *testing.T, p []byte) {
 		m, err := Read(p)
@@ -102,6 +114,10 @@
 			assert.Equal(t, p, WriteAsk(*m.Ask))
 		case m.Answer != nil:
 			assert.Equal(t, p, WriteAnswer(*m.Answer))
+		case m.Want != nil:
+			assert.Equal(t, p, WriteWant(*m.Want))
+		case m.Lent != nil:
+			assert.Equal(t, p, WriteLent(*m.Lent))
 		default:
 			assert.Equal(t, p, WriteNudge())
 		}
--- a/internal/network/fleet/accord/accord.go
+++ b/internal/network/fleet/accord/accord.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tinsail/internal/budget"
 	"tinsail/internal/fleet/accord"
 )
 
@@ -57,7 +58,9 @@
 	First []byte                                  // a voter's own policy, proposed where none was ever decided; may be nil
 	Check func(body []byte) error                 // whether this binary and configuration can take a policy
 	Enter func(version uint64, body []byte) error // puts a policy in force; no req is taken before it returns
-	Log   zerolog.Logger
+	// Budget is the plan of the budget that a policy has, if it has one; nil where the leader keeps none.
+	Budget func(body []byte) (budget.Plan, bool)
+	Log    zerolog.Logger
 }
 
 // voter is this dispatcher among the voters, if it is one.
--- a/internal/network/fleet/accord/accord_test.go
+++ b/internal/network/fleet/accord/accord_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tinsail/internal/budget"
 	"tinsail/internal/faultnet"
 	"tinsail/internal/fleet/accord"
 	"tinsail/internal/fleet/accord/wire"
@@ -53,6 +54,7 @@
 	halt   func()
 	mixed  atomic.Int64 // looks at which two versions were allowed at once
 	looks  atomic.Int64
+	over   atomic.Int64 // looks at which the shares of the budget summed to more than the whole
 	early  atomic.Int64 // versions that could be used before they were put in force
 	mu     sync.Mutex   // of all, while a part starts
 }
@@ -106,6 +108,13 @@
 	for _, a := range all {
 		gates = append(gates, a.member.gate.Load())
 	}
+	sum := 0
+	for _, a := range all {
+		sum += a.Share()
+	}
+	if sum > lentPlan.Total {
+		f.over.Add(1)
+	}
 	by := uint64(0)
 	for i, g := range gates {
 		if now := all[i].clock.now(); now >= g.Take && now >= g.Start {
@@ -119,6 +128,22 @@
 	f.looks.Add(1)
 }
 
+// lentPlan is the budget that the fleet's leader lends.
+var lentPlan = budget.Plan{Name: "connections", Total: 60, Most: 8, Part: 0.2, Lease: 300 * time.Millisecond, Drift: 0.001}
+
+// fair waits until all hold their fair part of the budget, less one unit.
+func (f *fleet) fair() {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		for _, a := range f.all {
+			if a.Share() < lentPlan.Reserve()+lentPlan.Pool()/len(f.all)-1 {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 5*time.Millisecond, "fair shares")
+}
+
 func (f *fleet) start(i int) {
 	cfg := Config{Plan: f.plan, Name: fmt.Sprintf("n%d", i), Epoch: uint64(time.Now().UnixNano()), Voters: f.voters,
 		Check: func(body []byte) error {
@@ -136,7 +161,8 @@
 			}
 			return nil
 		},
-		Log: zerolog.New(&f.log)}
+		Budget: func([]byte) (budget.Plan, bool) { return lentPlan, true },
+		Log:    zerolog.New(&f.log)}
 	if i < len(f.voters) {
 		cfg.Data, cfg.First = f.data[i], []byte("first")
 	} else {
@@ -197,6 +223,7 @@
 func TestFleetOnSockets(t *testing.T) {
 	f := newFleet(t, 6)
 	f.await(1)
+	f.fair()
 	require.NoError(t, f.all[4].Propose([]byte("second")))
 	f.await(2)
 	assert.True(t, f.log.has(`"message":"accord: decided"`))
@@ -229,6 +256,8 @@
 	f.halt()
 	f.start(was)
 	f.await(4)
+	f.fair()
+	assert.Zero(t, f.over.Load(), "the budget was overdrawn")
 	assert.Zero(t, f.mixed.Load(), "two versions at once, of %d looks", f.looks.Load())
 	assert.Zero(t, f.early.Load(), "used before it was put in force")
 	t.Logf("%d looks", f.looks.Load())
--- a/internal/network/fleet/accord/member.go
+++ b/internal/network/fleet/accord/member.go
@@ -10,6 +10,7 @@
 
 	"math/rand/v2"
 
+	"tinsail/internal/budget"
 	"tinsail/internal/fleet/accord"
 	"tinsail/internal/fleet/accord/wire"
 )
@@ -24,10 +25,12 @@
 
 	mu     sync.Mutex
 	lessee *accord.Lessee
-	leader string    // the voter to ask, where one was named
-	silent string    // a voter that did not answer, which is not asked again
-	avoid  time.Time // until then, whoever names it
-	first  time.Time // when the first version was last proposed
+	holder *budget.Holder // of the policy's budget, where it has one
+	holds  string         // the budget's name
+	leader string         // the voter to ask, where one was named
+	silent string         // a voter that did not answer, which is not asked again
+	avoid  time.Time      // until then, whoever names it
+	first  time.Time      // when the first version was last proposed
 }
 
 func newMember(a *Accord, l *accord.Lessee) *member {
@@ -178,9 +181,9 @@
 	defer close(ended)
 	last := time.Now()
 	for {
-		if !m.turn(func(a accord.Ask) bool {
+		if !m.turn(func(p []byte) bool {
 			conn.SetWriteDeadline(time.Now().Add(plan.Lease / 3))
-			_, err := conn.Write(wire.Frame(wire.WriteAsk(a)))
+			_, err := conn.Write(wire.Frame(p))
 			return err == nil
 		}) {
 			return
@@ -219,6 +222,10 @@
 	switch {
 	case msg.Nudge:
 		m.lessee.Now()
+	case msg.Lent != nil:
+		if m.holder != nil && msg.Lent.Budget == m.holds {
+			m.holder.Granted(budget.Time(m.a.clock.now()), msg.Lent.Grant)
+		}
 	case msg.Answer != nil && !msg.Answer.Leads:
 		m.leader = msg.Answer.Leader
 		return false
@@ -244,9 +251,16 @@
 
 // turn does all that is due: time passes, bodies are checked, a version is put in force and then shown
 // to the core, and the ask that is due is sent. send is nil without a link.
-func (m *member) turn(send func(accord.Ask) bool) bool {
+func (m *member) turn(send func([]byte) bool) bool {
 	a, due := m.due(send != nil)
-	return !due || send(a) // bounded by the link's write deadline
+	if due && !send(wire.WriteAsk(a)) { // bounded by the link's write deadline
+		return false
+	}
+	if send == nil {
+		return true
+	}
+	w, due := m.wants()
+	return !due || send(wire.WriteWant(w))
 }
 
 func (m *member) due(linked bool) (accord.Ask, bool) {
@@ -273,6 +287,7 @@
 	if !ok {
 		return
 	}
+	m.share(body)
 	if err := m.a.cfg.Enter(version, body); err != nil { // it was checked: a fault of ours
 		m.a.cfg.Log.Error().Err(err).Uint64("version", version).Msg("accord: not put in force whole")
 	}
--- a/internal/network/fleet/accord/voter.go
+++ b/internal/network/fleet/accord/voter.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/raft"
 
+	"tinsail/internal/budget"
 	"tinsail/internal/fleet/accord"
 	"tinsail/internal/fleet/accord/wire"
 )
@@ -32,13 +33,17 @@
 	mu     sync.Mutex
 	keeper *accord.Keeper // nil while it does not lead
 	term   uint64
-	count  uint64 // of changes in term, by keepers before
+	count  uint64         // of changes in term, by keepers before
+	lender *budget.Keeper // of the policy's budget, while it leads
+	lends  string         // the budget's name
 	links  map[*link]struct{}
 }
 
+// asked is an ask, or one for a share where want is there.
 type asked struct {
 	from *link
 	ask  accord.Ask
+	want *wire.Want
 }
 
 // link is a member's connection, at a voter.
@@ -147,7 +152,8 @@
 	if v.term == term {
 		k.After(v.count)
 	}
-	v.keeper, v.term = k, term
+	v.keeper, v.term, v.lender = k, term, nil
+	v.lend(v.log.machine.State().Body)
 	v.mu.Unlock()
 	v.a.cfg.Log.Info().Str("process", v.a.cfg.Name).Uint64("term", term).Msg("accord: leads")
 }
@@ -207,14 +213,18 @@
 	for {
 		conn.SetReadDeadline(time.Now().Add(4 * v.a.cfg.Plan.Lease))
 		m, err := wire.Next(r)
-		if err != nil || m.Ask == nil {
+		if err != nil || m.Ask == nil && m.Want == nil {
 			if err == nil || errors.Is(err, wire.ErrMessage) {
 				v.a.Count.Bad.Add(1)
 			}
 			return
 		}
+		a := asked{from: l, want: m.Want}
+		if m.Ask != nil {
+			a.ask = *m.Ask
+		}
 		select {
-		case v.asks <- asked{l, *m.Ask}:
+		case v.asks <- a:
 		default: // it asks again
 		}
 	}
@@ -251,6 +261,9 @@
 				id = "" // a term whose keeper is still to come
 			}
 			for _, a := range batch {
+				if a.want != nil { // an ask for a share says nothing of who leads
+					continue
+				}
 				a.from.send(wire.WriteAnswer(accord.Answer{Peer: a.ask.Peer, Epoch: a.ask.Epoch, Seq: a.ask.Seq, Leader: string(id)}))
 			}
 			continue
@@ -258,6 +271,10 @@
 		v.mu.Lock()
 		if v.keeper == k {
 			for _, a := range batch {
+				if a.want != nil {
+					v.lent(a.from, a.want)
+					continue
+				}
 				a.from.send(wire.WriteAnswer(k.Take(v.a.clock.now(), a.ask)))
 			}
 			v.turn(k)
@@ -315,6 +332,8 @@
 		v.forget()
 		return
 	}
-	k.Applied(v.a.clock.now(), v.log.machine.State())
+	state := v.log.machine.State()
+	k.Applied(v.a.clock.now(), state)
+	v.lend(state.Body)
 	v.turn(k)
 }
