--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -38,5 +38,12 @@
 	go test -run - -bench 'Req|Decision|Worst' -benchtime 1000x -cpu 1 ./internal/balance
 	go test -run - -bench Wire -benchtime 1000x -cpu 1 ./cmd/drill
 
+# Random schedules of the accord in virtual time, the cost a req of a version, and the time of a change: docs/design/accord.md.
+measure-accord:
+	ACCORD_CASES=11000 go test -v -run 'OneVersion|ThreeHundred|ProposeTo' ./internal/fleet/accord
+	go test -run - -bench Take ./internal/network/fleet/accord
+	go test -run - -bench Version -benchtime 1x ./internal/network
+	go test -run - -bench Propose -benchtime 1x ./cmd/tinsail
+
 run: build
 	exec bin/tinsail serve
--- /dev/null
+++ b/cmd/tinsail/accord_test.go
@@ -0,0 +1,368 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/config"
+	"tinsail/internal/settings"
+	"tinsail/internal/standin/platform"
+)
+
+// agreeing is a fleet of real processes with an accord, three of them voters.
+type agreeing struct {
+	fleet
+	mu       sync.Mutex // of the members' addresses, while clients run
+	director string
+	voters   string // as the script has them
+	data     string
+	keeper   string // of the budget's leases, as the script has it; none if empty
+}
+
+func (f *agreeing) script(i, connections int, bans string) string {
+	return fmt.Sprintf("budgets(connections = 1000, %s)\npolicy(connections = %d, bans = [%s])\n"+
+		"accord(voters = [%s], lease_ms = 900, data = %q)\n", f.keeper, connections, bans, f.voters, filepath.Join(f.data, fmt.Sprint(i)))
+}
+
+func startAgreeing(t testing.TB, n int, keeper string) *agreeing {
+	director, err := platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(director.Close)
+	f := &agreeing{director: director.Address, data: t.TempDir(), keeper: keeper}
+	for i := range 3 {
+		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(string) time.Duration { return 5 * time.Millisecond })
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		director.Set(b.Entry("fast", "here", i, "Ready"))
+		f.backends = append(f.backends, b)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		f.voters += fmt.Sprintf("%q, ", fmt.Sprintf("n%d=%s", i, l.Addr()))
+		l.Close()
+	}
+	for i := range n {
+		f.members = append(f.members, nil)
+		f.start(t, i, n)
+	}
+	return f
+}
+
+func (f *agreeing) start(t testing.TB, i, n int) {
+	m := startMember(t, fmt.Sprintf("n%d", i), n, f.director, f.script(i, 500, ""))
+	f.mu.Lock()
+	f.members[i] = m
+	f.mu.Unlock()
+}
+
+func (f *agreeing) addresses() (all []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		all = append(all, m.address)
+	}
+	return all
+}
+
+// kill ends a member outright.
+func (f *agreeing) kill(i int) {
+	m := f.members[i]
+	_ = m.cmd.Process.Kill()
+	_ = m.cmd.Wait()
+	m.gone = true
+}
+
+// awaitUp is await, of the members that were not killed.
+func (f *agreeing) awaitUp(t *testing.T, version int64) {
+	for _, m := range f.members {
+		if !m.gone {
+			m.await(t, "accord_version", version)
+			m.await(t, "accord_ready", 1)
+		}
+	}
+}
+
+// change writes a member's script anew and tells it.
+func (f *agreeing) change(t testing.TB, i, connections int, bans string) {
+	m := f.members[i]
+	assert.NoError(t, os.WriteFile(m.cmd.Args[3], []byte(f.script(i, connections, bans)), 0o600))
+	assert.NoError(t, m.cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// await waits until the members, but one, are ready at a version.
+func (f *agreeing) await(t testing.TB, version int64, skip int) {
+	for i, m := range f.members {
+		if i != skip {
+			m.await(t, "accord_version", version)
+			m.await(t, "accord_ready", 1)
+		}
+	}
+}
+
+// starts are all attempts at all backends by version; none of one version comes after the first of a
+// later one, but for the time that bytes need on a loaded machine.
+func (f *agreeing) starts(t *testing.T) map[int]int {
+	const slack = 20 * time.Millisecond
+	count, first, last := map[int]int{}, map[int]time.Time{}, map[int]time.Time{}
+	for _, b := range f.backends {
+		for _, s := range b.Starts() {
+			v, err := strconv.Atoi(s.Version)
+			require.NoError(t, err, "an attempt with no version")
+			require.NotEmpty(t, s.Dispatcher)
+			if count[v]++; count[v] == 1 || s.At.Before(first[v]) {
+				first[v] = s.At
+			}
+			if s.At.After(last[v]) {
+				last[v] = s.At
+			}
+		}
+	}
+	for a := range count {
+		for b := range count {
+			if a < b {
+				assert.True(t, last[a].Add(-slack).Before(first[b]), "version %d until %v, version %d from %v", a, last[a], b, first[b])
+			}
+		}
+	}
+	return count
+}
+
+// TestPolicyOfTheFleet: five real processes under load take a change of the budget and a ban from one
+// script and a SIGHUP: everywhere, and never two versions at once at the backends. A voter is killed
+// and the next change goes on without it; it is back on the version in force. A change that a
+// dispatcher cannot take is nowhere.
+func TestPolicyOfTheFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts six processes")
+	}
+	const n = 5
+	f := startAgreeing(t, n, "")
+	f.await(t, 1, -1)
+	served := f.load(t, 8, 150, map[int64]func(){
+		200: func() { f.change(t, 4, 400, `"b0"`) },
+		700: func() {
+			f.await(t, 2, -1)
+			_ = f.members[1].cmd.Process.Signal(syscall.SIGKILL)
+			f.change(t, 3, 300, "")
+		},
+	})
+	f.await(t, 3, 1)
+	f.start(t, 1, n)
+	f.await(t, 3, -1)
+	for _, m := range f.members {
+		assert.EqualValues(t, 300/n, m.counter(t, "budget_connections_share"), "of the version in force, not of its script")
+	}
+	count := f.starts(t)
+	t.Logf("served %d of 1200; attempts by version %v", served, count)
+	assert.Positive(t, count[1])
+	assert.Positive(t, count[2])
+	assert.Greater(t, served, int64(300))
+	assert.Empty(t, byVersion(f.backends[0], "2"), "b0 is banned by version 2")
+	assert.NotEmpty(t, byVersion(f.backends[1], "2"))
+}
+
+// leader is the voter that leads, in rounds, at most 2,000 of 5 ms.
+func (f *agreeing) leader(t *testing.T) int {
+	for range 2000 {
+		for i, m := range f.members[:3] {
+			if m.counter(t, "accord_leads") == 1 {
+				return i
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no leader")
+	return -1
+}
+
+// TestPolicyUnderFaults: six real processes under load. The leader is stopped over its lease while a change is
+// made, and woken; two changes are proposed at once, of which one takes force; two of the six are down during
+// a change and started after it; all voters are killed and started again. At the backends no two
+// versions are ever mixed, and after each fault all are on one version.
+func TestPolicyUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	const n = 6
+	f := startAgreeing(t, n, `keeper = "leader", lease_ms = 600`)
+	f.await(t, 1, -1)
+	stop := make(chan struct{})
+	var served, refused atomic.Int64
+	var clients sync.WaitGroup
+	for c := range 6 {
+		clients.Go(func() {
+			client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{}}
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("u-%d-%d", c, i)
+				r, err := http.NewRequest("POST", "http://"+f.addresses()[(c+i)%n]+"/photo/1", strings.NewReader("b"))
+				if !assert.NoError(t, err) {
+					return
+				}
+				r.Header.Set("X-Correlation-Id", id)
+				r.Header.Set("Idempotency-Key", id)
+				answer, err := client.Do(r)
+				if err != nil { // stopped, or killed
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				answer.Body.Close()
+				if answer.StatusCode == 200 {
+					served.Add(1)
+				} else {
+					refused.Add(1)
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+
+	stopped := f.leader(t)
+	require.NoError(t, f.members[stopped].cmd.Process.Signal(syscall.SIGSTOP))
+	f.change(t, 5, 490, "")
+	f.await(t, 2, stopped)
+	require.NoError(t, f.members[stopped].cmd.Process.Signal(syscall.SIGCONT))
+	f.await(t, 2, -1)
+
+	f.change(t, 3, 480, "")
+	f.change(t, 4, 470, "")
+	f.await(t, 3, -1)
+
+	f.kill(2)
+	f.kill(5)
+	f.change(t, 3, 460, "")
+	f.awaitUp(t, 4)
+	f.start(t, 2, n)
+	f.start(t, 5, n)
+	f.await(t, 4, -1)
+
+	for i := range 3 {
+		f.kill(i)
+	}
+	for i := range 3 {
+		f.start(t, i, n)
+	}
+	f.await(t, 4, -1)
+	f.change(t, 4, 450, "")
+	f.await(t, 5, -1)
+	f.awaitShares(t, 450, n) // lent by whoever leads now
+	sum := int64(0)
+	for _, m := range f.members {
+		sum += m.counter(t, "budget_connections_share")
+	}
+	assert.LessOrEqual(t, sum, int64(450))
+	close(stop)
+	clients.Wait()
+	count := f.starts(t)
+	t.Logf("served %d, refused %d; attempts by version %v", served.Load(), refused.Load(), count)
+	for v := 1; v <= 5; v++ {
+		assert.Positive(t, count[v], "version %d", v)
+	}
+}
+
+// TestUpgradesOfALessee: a dispatcher that is no voter is taken over by a new process of it without a loss, as ever:
+// the new one takes clients once it knows which version holds, and both say by which their reqs were taken.
+func TestUpgradesOfALessee(t *testing.T) {
+	f := startAgreeing(t, 3, "")
+	f.await(t, 1, -1)
+	h := newHouse(t, "127.0.0.1:0")
+	h.script = filepath.Join(t.TempDir(), "s.star")
+	require.NoError(t, os.WriteFile(h.script, []byte(f.script(9, 500, "")), 0o600))
+	upgrades(t, h, 3)
+	for _, b := range h.backends {
+		for _, s := range b.Starts() {
+			assert.Equal(t, "1 by demo", s.Version+" by "+s.Dispatcher)
+		}
+	}
+}
+
+// BenchmarkPropose measures, with 9 and with 20 real processes and leases of 0.9 s, under a light load, the time from
+// SIGHUP at one of them to the version in force at all, as their counters tell it (polled: some 5 ms a process).
+func BenchmarkPropose(b *testing.B) {
+	for _, n := range []int{9, 20} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := startAgreeing(b, n, "")
+			f.await(b, 1, -1)
+			var took []time.Duration
+			for b.Loop() {
+				for i := range 15 {
+					start := time.Now()
+					f.change(b, n-1, 499-len(took), "")
+					f.await(b, int64(len(took)+2), -1)
+					took = append(took, time.Since(start))
+					time.Sleep(time.Duration(i*17) * time.Millisecond) // not in step with the renewals
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "ms-median")
+			b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "ms-most")
+		})
+	}
+}
+
+func byVersion(b *platform.Backend, version string) (all []platform.Start) {
+	for _, s := range b.Starts() {
+		if s.Version == version {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// TestAloneItDoesNotKnow: one voter of three is up: it is not ready, and answers 503 with Retry-After.
+func TestAloneItDoesNotKnow(t *testing.T) {
+	f := startAgreeing(t, 1, "")
+	m := f.members[0]
+	ready, err := http.Get("http://" + m.address + "/health/ready")
+	require.NoError(t, err)
+	ready.Body.Close()
+	assert.Equal(t, 503, ready.StatusCode)
+	r, err := http.NewRequest("POST", "http://"+m.address+"/photo/1", strings.NewReader("b"))
+	require.NoError(t, err)
+	r.Header.Set("X-Correlation-Id", "a")
+	r.Header.Set("Idempotency-Key", "a")
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	answer.Body.Close()
+	assert.Equal(t, 503, answer.StatusCode)
+	assert.NotEmpty(t, answer.Header.Get("Retry-After"))
+	assert.EqualValues(t, 1, m.counter(t, "accord_fenced_reqs"))
+}
+
+// TestCheckAccord: what the schema cannot say is told with its key.
+func TestCheckAccord(t *testing.T) {
+	for script, key := range map[string]string{
+		`policy()`:                           "policy: ",
+		`accord(voters = ["a=127.0.0.1:1"])`: "accord: ",
+		"policy()\n" + `accord(voters = ["a=127.0.0.1:1", "b=127.0.0.1:2"])`: "accord.voters: ",
+		"policy()\n" + `accord(voters = ["a=127.0.0.1:1"])`:                  "accord.data: ",
+		"policy()\n" + `accord(voters = ["b=127.0.0.1:1"])`:                  "",
+		"policy()\n" + `accord(voters = ["a=127.0.0.1:1"], data = "d")`:      "",
+	} {
+		set, err := settings.Parse("s.star", func(string) ([]byte, error) { return []byte(script), nil })
+		require.NoError(t, err, script)
+		err = checkAccord(&config.Config{Name: "a"}, set)
+		if key == "" {
+			assert.NoError(t, err, script)
+		} else {
+			assert.ErrorContains(t, err, key, script)
+		}
+	}
+}
--- a/cmd/tinsail/budgets.go
+++ b/cmd/tinsail/budgets.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"tinsail/internal/budget"
+	"tinsail/internal/fleet/policy"
 	"tinsail/internal/network/budgets"
+	"tinsail/internal/network/fleet/accord"
 	"tinsail/internal/settings"
 )
 
@@ -18,8 +20,25 @@
 	fixed  *budgets.Fixed  // nil where there is a keeper
 	holder *budgets.Holder // nil without a keeper
 	keeper *budgets.Keeper // nil but at the keeper
+	leader *leaderShare    // nil but where the accord's leader keeps the leases
 	share  budgets.Sharer
-	fleet  atomic.Int64 // the fleet's size as this dispatcher estimates it
+	fleet  atomic.Int64                     // the fleet's size as this dispatcher estimates it
+	script atomic.Pointer[settings.Budgets] // as last read, with what waits for the next start as at this one
+	policy atomic.Pointer[policy.Policy]    // the fleet's, where it sets the budgets; else nil
+}
+
+// leaderKeeps, as budgets.keeper, has the leader of the accord keep the leases.
+const leaderKeeps = "leader"
+
+// leaderShare is the share that the accord's leader lends; 0 until a version is in force.
+type leaderShare struct{ of atomic.Pointer[accord.Accord] }
+
+// Share is what this dispatcher may spend now, in units a second.
+func (l *leaderShare) Share() int {
+	if a := l.of.Load(); a != nil {
+		return a.Share()
+	}
+	return 0
 }
 
 // connectionsPlan is the plan of the budget of new connections that the settings declare, with
@@ -48,6 +67,12 @@
 	switch {
 	case b == nil:
 		return nil
+	case b.Keeper == leaderKeeps && set.Accord == nil:
+		return settings.Faults{set.Fault("budgets.keeper", "is the accord's leader, and accord is not set")}
+	case b.Keeper == leaderKeeps && b.KeeperAt != "":
+		return settings.Faults{set.Fault("budgets.keeper_at", "is set, and the accord's leader needs none")}
+	case b.Keeper == leaderKeeps:
+		return nil
 	case b.Keeper != "" && b.KeeperAt == "":
 		return settings.Faults{set.Fault("budgets.keeper_at", "is not set, where keeper is")}
 	case b.Keeper == "" && b.KeeperAt != "":
@@ -66,8 +91,12 @@
 	}
 	f := &fleetBudgets{}
 	plan := connectionsPlan(b, d.cfg.Settings.Instances)
+	f.script.Store(b)
 	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
-	if b.Keeper == "" {
+	if b.Keeper == leaderKeeps {
+		f.leader = &leaderShare{}
+		f.share = f.leader
+	} else if b.Keeper == "" {
 		f.fixed = budgets.NewFixed(split(plan, d.cfg.Settings.Instances))
 		f.share = f.fixed
 	} else {
@@ -115,13 +144,34 @@
 	}
 	o, n := *old.Budgets, *next.Budgets
 	n.Keeper, n.KeeperAt, n.LeaseMs, n.Drift = o.Keeper, o.KeeperAt, o.LeaseMs, o.Drift
-	plan := connectionsPlan(&n, d.cfg.Settings.Instances)
-	if err := plan.Check(); err != nil {
+	if err := connectionsPlan(&n, d.cfg.Settings.Instances).Check(); err != nil {
 		return settings.Faults{next.Fault("budgets", err.Error())}
 	}
-	f.fleet.Store(int64(budget.Estimate(d.cfg.Settings.Instances, plan.Most)))
+	f.script.Store(&n)
+	return f.replan(d.cfg.Settings.Instances)
+}
+
+// plan is the plan in force: the script's, or the fleet's policy's where that sets the budgets.
+func (f *fleetBudgets) plan(instances int, p *policy.Policy) budget.Plan {
+	b := *f.script.Load()
+	if p != nil {
+		b.Connections, b.Most, b.Reserve = p.Connections, p.Most, p.Reserve
+	}
+	return connectionsPlan(&b, instances)
+}
+
+// replan puts the plan in force while shares are held.
+func (f *fleetBudgets) replan(instances int) error {
+	plan := f.plan(instances, f.policy.Load())
+	if err := plan.Check(); err != nil {
+		return err
+	}
+	f.fleet.Store(int64(budget.Estimate(instances, plan.Most)))
+	if f.leader != nil { // it follows the version in force by itself
+		return nil
+	}
 	if f.fixed != nil {
-		f.fixed.Set(split(plan, d.cfg.Settings.Instances))
+		f.fixed.Set(split(plan, instances))
 		return nil
 	}
 	// the keeper first: a holder of this process that asks anew is answered from the new pool
@@ -149,6 +199,11 @@
 	c("budget_connections_granted", f.gate.Passed.Load())
 	c("budget_connections_waited", f.gate.Waited.Load())
 	c("budget_connections_unsent", f.gate.Unsent.Load())
+	if f.leader != nil {
+		if a := f.leader.of.Load(); a != nil {
+			c("budget_connections_lent", int64(a.Lent()))
+		}
+	}
 	if f.keeper != nil {
 		c("budget_connections_lent", int64(f.keeper.Lent("connections")))
 		c("budget_bad_messages", int64(f.keeper.Bad()))
--- a/internal/standin/platform/backend.go
+++ b/internal/standin/platform/backend.go
@@ -56,6 +56,21 @@
 	last   time.Time   // that a job's head came
 	conns  []time.Time // when each connection came, the first mostConns
 	seen   []*history.Attempt
+	starts []Start // of attempts, the first mostConns
+}
+
+// Start is an attempt whose head is whole here, as it names itself.
+type Start struct {
+	At              time.Time
+	Dispatcher, Req string
+	Version         string // empty: it names none
+}
+
+// Starts are the attempts that came, in the order in which their heads were whole.
+func (b *Backend) Starts() []Start {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Start(nil), b.starts...)
 }
 
 // mostConns bounds what a backend remembers of its connections, and of its attempts.
@@ -206,10 +221,13 @@
 }
 
 func (b *Backend) job(w http.ResponseWriter, r *http.Request) {
+	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	b.mu.Lock()
 	b.last = time.Now()
+	if len(b.starts) < mostConns {
+		b.starts = append(b.starts, Start{b.last, r.Header.Get("X-Dispatcher"), id, r.Header.Get("X-Policy-Version")})
+	}
 	b.mu.Unlock()
-	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	tap, f := tapOf(r), b.faulty()
 	a := &history.Attempt{ID: id, First: tap.begin()}
 	b.note(a)
