A req whose connection breaks while it is written is never called one that may have run

Checked by a print at each ending: the write had failed with no early verdict noted, then the reader's 'broken' ended the exchange. Ruled out: the module (it was told a reset), the stand-in (no whole attempt was seen). At fault: link.send gave up the lock between taking note that the write was over and ending the exchange as unreached; the reader, which sees the same break, came in between.

--- a/internal/network/link.go
+++ b/internal/network/link.go
@@ -113,11 +113,17 @@
 		return
 	}
 	early := l.early
+	if err != nil && (early == nil || early.ending == core.Broken) {
+		// Taken off under the lock: the reader, which sees the same break a moment later, knows nothing of the last
+		// byte and would call it one after which the req may have run.
+		l.cur, l.state = nil, dead
+		l.mu.Unlock()
+		l.conn.Close()
+		x.end(verdict{ending: core.Unreached})
+		return
+	}
 	l.mu.Unlock()
-	switch {
-	case err != nil && (early == nil || early.ending == core.Broken):
-		l.finish(verdict{ending: core.Unreached})
-	case early != nil:
+	if early != nil {
 		l.finish(*early)
 	}
 }
