--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -113,6 +113,11 @@
 // drained, by hand say, and none is about to come.
 func (d *Dispatcher) place(now Millis, r *request) {
 	if now+2*d.set.Tick < r.Deadline && len(r.attempts) < d.set.MaxAttempts {
+		if n := len(r.attempts); n > 0 && n >= d.set.MaxAttempts-2 && r.out == 0 && r.attempts[n-1].full {
+			c := &d.set.Classes[r.Class] // the last two tries wait for a slot
+			d.hold(now, r, now+c.Aim/2+c.Stretch*d.runs[r.Class]/4)
+			return
+		}
 		if i := d.pick(now, r); i >= 0 {
 			d.send(now, r, i)
 			return
@@ -134,7 +139,8 @@
 	if d.warmth(now, w) < 1 {
 		w.tickets, d.cold[w.Zone] = w.tickets-1, d.cold[w.Zone]-1
 	}
-	r.attempts = append(r.attempts, attempt{i, w.Zone, w.Cell, true, false, now, 0, now})
+	r.attempts = append(r.attempts,
+		attempt{worker: i, zone: w.Zone, cell: w.Cell, out: true, sent: now, news: now})
 	d.act.Dispatch(r.ID, w.ID, 0)
 	d.watch(r, len(r.attempts)-1, d.patience(r))
 }
@@ -434,6 +440,7 @@
 		w.running -= r.Slots
 	}
 	a.out, w.own, w.out, d.busy, r.out = false, w.own-r.Slots, w.out-1, d.busy-r.Slots, r.out-1
+	a.full = o.Result == Full
 	a.never = o.Result == Full || o.Result == ConnectFailed || o.Result == NotSent
 	r.open = r.open && !o.Closed
 	if lost := &d.lost[w.Zone*d.set.Kinds+w.Kind]; o.Result == ConnectFailed {
@@ -472,7 +479,9 @@
 		d.place(now, r)
 	}
 	d.drop(r)
-	d.serveHeld(now)
+	if o.Result != Full { // which frees no slot
+		d.serveHeld(now)
+	}
 }
 
 // Progressed takes a job's progress, and its start, which tells how long it waited.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -62,6 +62,7 @@
 	zone    int    // of the worker: its place may be another's by the time this matters ...
 	cell    int    // ... since the group that remembers a key outlives one that is gone
 	out     bool   // no outcome yet
+	full    bool   // turned away by a worker that had no room
 	never   bool   // proven never to have run
 	sent    Millis // when
 	started Millis // when it told that it started, 0 if it did not
