X-Weight-Hint is read; what cannot end by its deadline is refused unsent

After SIGTERM a req's time ends 0.2 s before the kill; a class that runs for 2 to 3 s was sent with one second left, cut off there and, being unsafe, lost. TestWhatCannotEndIsNotBegun and the rows of TestReadWork fail without.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -52,6 +52,7 @@
 	ill       = 2.0     // times slower than its kind: such a worker is not used on an equal footing
 	reserve   = 0.4     // part of the limit that worthless requests leave free
 	ahead     = 0.3     // part of its slots that a fast worker may fill before an idle slow one has its turn
+	soonest   = 0.4     // of the mean running time: what has less time left is not begun any more
 	untold    = 4.0     // slots of a worker whose size is not told, at first
 	fewest    = 8.0     // of slots or links: fewer say more about chance than about load
 	window    = 2000.0  // ms over which rates are measured: shorter than a surge, longer than a cluster
@@ -112,7 +113,8 @@
 // flight, it is held if time may help, else answered for good: it does not where all that are listed are
 // drained, by hand say, and none is about to come.
 func (d *Dispatcher) place(now Millis, r *request) {
-	if now+2*d.set.Tick < r.Deadline && len(r.attempts) < d.set.MaxAttempts {
+	least := max(2*d.set.Tick, d.runs[r.Class]*soonest) // in a shutdown the deadline is near
+	if now+least < r.Deadline && len(r.attempts) < d.set.MaxAttempts {
 		if n := len(r.attempts); n > 0 && n >= d.set.MaxAttempts-2 && r.out == 0 && r.attempts[n-1].full {
 			c := &d.set.Classes[r.Class] // the last two tries wait for a slot
 			d.hold(now, r, now+c.Aim/2+c.Stretch*d.runs[r.Class]/4)
--- a/internal/balance/untold_test.go
+++ b/internal/balance/untold_test.go
@@ -115,3 +115,15 @@
 		assert.Equal(t, RequestID(2), again[0].id)
 	}
 }
+
+// TestWhatCannotEndIsNotBegun: in a shutdown a req has a second or two left, and a class that runs for longer than that
+// could only be cut off, its work wasted and, where it must never run twice, lost. It is refused at once, unsent.
+func TestWhatCannotEndIsNotBegun(t *testing.T) {
+	d, rec := untoldSite(t, 1)
+	d.runs[1] = 3000
+	assert.NotZero(t, sent(d, rec, 10, withDeadline(req(1, 1), 2000)), "two thirds of its mean time are left")
+	rec.acts = rec.acts[:0]
+	d.Arrive(10, withDeadline(req(2, 1), 1000))
+	assert.Empty(t, d.held)
+	assert.Len(t, rec.only("refuse"), 1)
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -41,11 +41,16 @@
 	IdempotencyKey
 	Repeat
 	Facts
+	WeightHint
 	fieldCount
 )
 
+// maxHint is the heaviest work that a client may guess, in microseconds: a day.
+const maxHint = 24 * 3600 * 1e6
+
 // FieldNames are the fields' names, as HTTP/1.1 writes them; in HTTP/2 they are in lower case.
-var FieldNames = [fieldCount]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms", "Idempotency-Key", "X-Repeat", "X-Facts"}
+var FieldNames = [fieldCount]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms", "Idempotency-Key", "X-Repeat", "X-Facts",
+	"X-Weight-Hint"}
 
 // Value is what stands in a field: its first text, and how often it stands there.
 type Value struct {
@@ -288,6 +293,13 @@
 		}
 		w.Left = time.Duration(ms) * time.Millisecond
 	}
+	if hint := q.Fields[WeightHint].Text; hint != "" { // a guess at the work, in microseconds
+		us, err := strconv.ParseFloat(hint, 64)
+		if err != nil || !(us >= 0 && us <= maxHint) {
+			return bad(400, "a bad X-Weight-Hint")
+		}
+		w.Ask.Work = us / 1000
+	}
 	w.Ask.Retry = q.Fields[Repeat].Text == "1"
 	w.Ask.Key = key(rest)
 	for fact := range strings.SplitSeq(q.Fields[Facts].Text, ",") {
--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -159,6 +159,11 @@
 		{"an empty class", "", id + "X-Service-Class:\r\n", balance.Request{}, 0, 400},
 		{"an id that is too long", "", "X-Correlation-Id: " + strings.Repeat("9", maxID+1) + "\r\n", balance.Request{}, 0, 400},
 		{"a time that is too long", "", id + "X-Time-Left-Ms: 99999999999\r\n", balance.Request{}, 0, 400},
+		{"a guess of the work", "", id + "X-Weight-Hint: 412500\r\n", balance.Request{Work: 412.5}, 5 * time.Second, 0},
+		{"a guess that is no number", "", id + "X-Weight-Hint: much\r\n", balance.Request{}, 0, 400},
+		{"a guess below nothing", "", id + "X-Weight-Hint: -1\r\n", balance.Request{}, 0, 400},
+		{"a guess beyond a day", "", id + "X-Weight-Hint: 1e300\r\n", balance.Request{}, 0, 400},
+		{"a guess that is not a number by name", "", id + "X-Weight-Hint: NaN\r\n", balance.Request{}, 0, 400},
 		{"a path of another class", "2/7f", id + "X-Service-Class: ingest\r\n", balance.Request{}, 0, 404},
 		{"an unknown class", "", id + "X-Service-Class: other\r\n", balance.Request{}, 0, 404},
 	} {
