--- /dev/null
+++ b/internal/standin/accordhistory/history_test.go
@@ -0,0 +1,162 @@
+package accordhistory
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const ms = int64(time.Millisecond)
+
+var rules = Rules{Slack: 20 * time.Millisecond, Lease: 100 * time.Millisecond, Settle: 300 * time.Millisecond, Woken: 1}
+
+// good is a history in which all holds: version 1, a change that b refuses, a fault of a and c under which
+// the change "2a" takes hold, a req that breaks because its process was killed.
+const good = `
+{"t":1,"side":"rig","event":"began","process":"a"}
+{"t":1,"side":"rig","event":"began","process":"b"}
+{"t":1,"side":"rig","event":"began","process":"c"}
+{"t":5,"side":"control","process":"a","event":"checking","version":1,"change":"1a"}
+{"t":10,"side":"control","process":"a","event":"decided","version":1,"change":"1a","by":"a"}
+{"t":11,"side":"control","process":"b","event":"decided","version":1,"change":"1a","by":"a"}
+{"t":12,"side":"control","process":"a","event":"in force","version":1,"change":"1a"}
+{"t":12,"side":"control","process":"b","event":"in force","version":1,"change":"1a"}
+{"t":12,"side":"control","process":"c","event":"in force","version":1,"change":"1a"}
+{"t":13,"side":"rig","event":"over"}
+{"t":20,"side":"client","req":"r1","dispatcher":"a","asked":true}
+{"t":21,"side":"backend","backend":"w","dispatcher":"a","req":"r1","version":1,"started":true}
+{"t":30,"side":"backend","backend":"w","dispatcher":"a","req":"r1","version":1}
+{"t":31,"side":"client","req":"r1","status":200}
+{"t":40,"side":"control","process":"a","event":"checking","version":2,"change":"1b"}
+{"t":41,"side":"control","process":"b","event":"checked","version":2,"change":"1b","why":"an unknown key"}
+{"t":42,"side":"control","process":"a","event":"withdrawn","version":2,"change":"1b","why":"an unknown key"}
+{"t":42,"side":"control","process":"b","event":"withdrawn","version":2,"change":"1b","why":"an unknown key"}
+{"t":400,"side":"rig","event":"fault"}
+{"t":400,"side":"rig","event":"cut","process":"c"}
+{"t":410,"side":"client","req":"r2","dispatcher":"c","asked":true}
+{"t":420,"side":"backend","backend":"w","dispatcher":"c","req":"r2","version":1,"started":true}
+{"t":425,"side":"client","req":"r3","dispatcher":"a","asked":true}
+{"t":430,"side":"rig","event":"ended","process":"a"}
+{"t":431,"side":"client","req":"r3"}
+{"t":440,"side":"rig","event":"stopped","process":"c"}
+{"t":500,"side":"control","process":"b","event":"checking","version":2,"change":"2a"}
+{"t":520,"side":"control","process":"b","event":"decided","version":2,"change":"2a","by":"b"}
+{"t":530,"side":"control","process":"b","event":"in force","version":2,"change":"2a"}
+{"t":531,"side":"client","req":"r4","dispatcher":"b","asked":true}
+{"t":532,"side":"backend","backend":"w","dispatcher":"b","req":"r4","version":2,"started":true}
+{"t":533,"side":"client","req":"r4","status":200}
+{"t":600,"side":"rig","event":"woken","process":"c"}
+{"t":600,"side":"rig","event":"mended","process":"c"}
+{"t":601,"side":"control","process":"c","event":"fenced","version":1,"why":"lease over"}
+{"t":605,"side":"client","req":"r2","status":502}
+{"t":605,"side":"backend","backend":"w","dispatcher":"c","req":"r9","version":1,"started":true}
+{"t":610,"side":"rig","event":"began","process":"a"}
+{"t":611,"side":"control","process":"a","event":"decided","version":1,"change":"1a","by":"a"}
+{"t":612,"side":"control","process":"a","event":"decided","version":2,"change":"2a","by":"b"}
+{"t":620,"side":"rig","event":"over"}
+{"t":700,"side":"control","process":"c","event":"in force","version":2,"change":"2a"}
+{"t":701,"side":"control","process":"a","event":"in force","version":2,"change":"2a"}
+{"t":999,"side":"client","req":"r5","dispatcher":"b","asked":true}
+{"t":999,"side":"client","req":"r5","status":503}
+`
+
+// history is the good history with lines added; t is in milliseconds.
+func history(t *testing.T, without string, more ...string) []Line {
+	var kept []string
+	for _, text := range append(strings.Split(strings.TrimSpace(good), "\n"), more...) {
+		if without == "" || !strings.Contains(text, without) {
+			kept = append(kept, text)
+		}
+	}
+	lines, err := Read(strings.NewReader(strings.Join(kept, "\n")))
+	require.NoError(t, err)
+	for i := range lines {
+		lines[i].T *= ms
+	}
+	return lines
+}
+
+// TestItSaysNo: the good history holds, and each rule finds its own breach and nothing else does.
+func TestItSaysNo(t *testing.T) {
+	assert.Empty(t, Judge(history(t, ""), rules))
+	for name, c := range map[string]struct {
+		want    Rule
+		without string
+		more    []string
+	}{
+		"an old start after a new one": {OneAtOnce, "", []string{`{"t":560,"side":"backend","dispatcher":"b","req":"x","version":1,"started":true}`}},
+		"a new one before the old end": {OneAtOnce, "", []string{`{"t":399,"side":"backend","dispatcher":"b","req":"x","version":2,"started":true}`,
+			`{"t":398,"side":"control","process":"b","event":"decided","version":2,"change":"2a","by":"b"}`}},
+		"a second start after a wake":       {OneAtOnce, "", []string{`{"t":606,"side":"backend","dispatcher":"c","req":"x","version":1,"started":true}`}},
+		"a start long after a wake":         {OneAtOnce, "", []string{`{"t":650,"side":"backend","dispatcher":"c","req":"x","version":1,"started":true}`}},
+		"two versions of a req":             {OneOfReq, "", []string{`{"t":25,"side":"backend","dispatcher":"a","req":"r1","version":2}`}},
+		"a start with no version":           {OneOfReq, "", []string{`{"t":25,"side":"backend","dispatcher":"a","req":"x"}`}},
+		"used before it was decided":        {DecidedFirst, "", []string{`{"t":481,"side":"backend","dispatcher":"b","req":"x","version":2,"started":true}`}},
+		"used and never decided":            {DecidedFirst, "", []string{`{"t":990,"side":"backend","dispatcher":"b","req":"x","version":3,"started":true}`}},
+		"decided twice":                     {OneContent, "", []string{`{"t":525,"side":"control","process":"c","event":"decided","version":2,"change":"2c","by":"b"}`}},
+		"decided by two":                    {OneContent, "", []string{`{"t":525,"side":"control","process":"c","event":"decided","version":2,"change":"2a","by":"c"}`}},
+		"one change, two versions":          {OneContent, "", []string{`{"t":525,"side":"control","process":"b","event":"decided","version":3,"change":"2a","by":"b"}`, `{"t":800,"side":"control","process":"a","event":"in force","version":3,"change":"2a"}`, `{"t":800,"side":"control","process":"b","event":"in force","version":3,"change":"2a"}`, `{"t":800,"side":"control","process":"c","event":"in force","version":3,"change":"2a"}`}},
+		"in force with another content":     {OneContent, "", []string{`{"t":760,"side":"control","process":"c","event":"in force","version":2,"change":"2c"}`}},
+		"decided and withdrawn":             {EndsOnce, "", []string{`{"t":525,"side":"control","process":"c","event":"withdrawn","version":2,"change":"2a"}`}},
+		"decided although one refused":      {RefusedEnds, "", []string{`{"t":510,"side":"control","process":"c","event":"checked","version":2,"change":"2a","why":"no"}`}},
+		"a version goes back":               {NeverBack, "", []string{`{"t":800,"side":"control","process":"b","event":"in force","version":1,"change":"1a"}`, `{"t":801,"side":"control","process":"b","event":"in force","version":2,"change":"2a"}`}},
+		"a version is left out":             {NeverBack, `"version":2,"change":"2a"`, []string{`{"t":525,"side":"control","process":"b","event":"decided","version":3,"change":"2a"}`}},
+		"a req without an answer":           {NoneLost, `"req":"r4","status"`, nil},
+		"a req with two":                    {NoneLost, "", []string{`{"t":35,"side":"client","req":"r1","status":200}`}},
+		"a req that broke, its process not": {NoneLost, "", []string{`{"t":35,"side":"client","req":"x","dispatcher":"b","asked":true}`, `{"t":36,"side":"client","req":"x"}`}},
+		"an answer nobody asked":            {NoneLost, "", []string{`{"t":36,"side":"client","req":"x","status":200}`}},
+		"one stays behind":                  {Settles, `"t":701`, nil},
+		"one is late":                       {Settles, `"t":701`, []string{`{"t":930,"side":"control","process":"a","event":"in force","version":2,"change":"2a"}`}},
+		"one stays fenced":                  {Settles, "", []string{`{"t":702,"side":"control","process":"b","event":"fenced","version":2,"why":"lease over"}`}},
+		"a change without an end":           {Settles, "", []string{`{"t":605,"side":"control","process":"b","event":"checking","version":3,"change":"2d"}`}},
+		"the first fault finds one behind":  {Settles, `"t":12,"side":"control","process":"b"`, nil},
+		"a start after the cut":             {StopsWhenCut, "", []string{`{"t":530,"side":"backend","dispatcher":"c","req":"r2","version":1,"started":true}`}},
+	} {
+		got := Judge(history(t, c.without, c.more...), rules)
+		if assert.NotEmpty(t, got, name) {
+			assert.True(t, slices.ContainsFunc(got, func(v Verdict) bool { return v.Rule == c.want }), "%s: want %q of %v", name, c.want, got)
+		}
+		for _, v := range got {
+			allowed := v.Rule == c.want || c.without != "" && c.want == NeverBack || name == "a start after the cut" && v.Rule == OneAtOnce
+			assert.True(t, allowed, "%s: %v", name, v)
+		}
+	}
+}
+
+// TestKeep: under "keep" a cut-off dispatcher may go on by the old version, and nothing else may differ.
+func TestKeep(t *testing.T) {
+	keep := rules
+	keep.Keep = true
+	late := `{"t":590,"side":"backend","dispatcher":"c","req":"x","version":1,"started":true}`
+	assert.Len(t, Judge(history(t, "", late), rules), 2)
+	assert.Empty(t, Judge(history(t, "", late), keep))
+	assert.NotEmpty(t, Judge(history(t, `"t":701`, late), keep))
+}
+
+// TestRead: lines are read as they are written, and what is no line of a history is not.
+func TestRead(t *testing.T) {
+	var b bytes.Buffer
+	want := history(t, "")
+	for _, l := range want {
+		require.NoError(t, json.NewEncoder(&b).Encode(l))
+	}
+	got, err := Read(&b)
+	require.NoError(t, err)
+	assert.Equal(t, want, got)
+	for _, bad := range []string{`{"t":1,"side":"moon"}`, `{"side":"rig"}`, `{"t":1,`, `[]`} {
+		_, err := Read(strings.NewReader(bad))
+		assert.Error(t, err, bad)
+	}
+}
+
+// TestUnsettled names who is behind.
+func TestUnsettled(t *testing.T) {
+	assert.Empty(t, Unsettled(history(t, "")))
+	assert.Equal(t, []string{"a"}, Unsettled(history(t, `"t":701`)))
+}
