--- /dev/null
+++ b/cmd/tinsail/accord_rig_test.go
@@ -0,0 +1,391 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/faultnet"
+	history "tinsail/internal/standin/accordhistory"
+	"tinsail/internal/standin/platform"
+)
+
+// The rig's fleet: its lease, and the bound of the note's page "Times" after faults end, E + W + 5 L + d,
+// with five heartbeat time-outs of a third of a lease for E.
+const (
+	rigLease  = 900 * time.Millisecond
+	rigSettle = 5*rigLease/3 + rigLease*1001/999 + 5*rigLease + rigLease/6
+	rigSlack  = 20 * time.Millisecond
+)
+
+// judged is a fleet of real processes whose history is recorded and judged. Each process reaches each
+// voter but itself through a relay of its own.
+type judged struct {
+	t        *testing.T
+	n        int
+	director *platform.Director
+	backends []*platform.Backend
+	voters   []string          // where they listen
+	relays   [][]*faultnet.TCP // by dispatcher and voter
+	data     string
+	stop     chan struct{}
+	clients  sync.WaitGroup
+
+	mu      sync.Mutex
+	lives   []*life
+	lines   []history.Line // of the processes and of what was done to them
+	asked   []history.Line // of the clients
+	hooks   map[string]func(process string)
+	answers map[int]int // of the clients since the last case, by status; 0: the connection broke
+	bare    int         // 503 without Retry-After
+}
+
+// life is one process of a dispatcher.
+type life struct {
+	cmd     *exec.Cmd
+	address string
+	up      bool // clients ask it
+	read    chan struct{}
+}
+
+func startJudged(t *testing.T, n int) *judged {
+	j := &judged{t: t, n: n, data: t.TempDir(), stop: make(chan struct{}), hooks: map[string]func(string){}, answers: map[int]int{},
+		lives: make([]*life, n), relays: make([][]*faultnet.TCP, n)}
+	var err error
+	j.director, err = platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(j.director.Close)
+	for i := range 3 {
+		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(id string) time.Duration { return time.Duration(2+len(id)%7) * time.Millisecond })
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		b.Set(platform.Faults{Refuse: i == 2}) // some reqs need another attempt
+		j.director.Set(b.Entry("fast", "here", i, "Ready"))
+		j.backends = append(j.backends, b)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		j.voters = append(j.voters, l.Addr().String())
+		l.Close()
+	}
+	for i := range n {
+		for _, at := range j.voters {
+			r, err := faultnet.ListenTCP(at)
+			require.NoError(t, err)
+			t.Cleanup(r.Close)
+			j.relays[i] = append(j.relays[i], r)
+		}
+	}
+	t.Cleanup(j.keep)
+	for i := range n {
+		j.start(i)
+	}
+	return j
+}
+
+func named(i int) string { return fmt.Sprintf("n%d", i) }
+
+// script is that of a dispatcher; policy holds the policy's arguments. The last dispatcher has no
+// budgets(...), so that it cannot take a policy that sets a budget's total.
+func (j *judged) script(i int, policy string) string {
+	var voters []string
+	for v, at := range j.voters {
+		if v != i {
+			at = j.relays[i][v].Addr()
+		}
+		voters = append(voters, fmt.Sprintf("%q", named(v)+"="+at))
+	}
+	text := fmt.Sprintf("policy(%s)\naccord(voters = [%s], lease_ms = %d, data = %q)\n", policy, strings.Join(voters, ", "),
+		rigLease.Milliseconds(), filepath.Join(j.data, named(i)))
+	if i < j.n-1 {
+		text += "budgets(connections = 1000)\n"
+	}
+	return text
+}
+
+// tell adds a line of the rig; the time is that of the call.
+func (j *judged) tell(event, process string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = append(j.lines, history.Line{T: time.Now().UnixNano(), Side: history.Rig, Event: event, Process: process})
+}
+
+// on has f called, once, when a process first logs an event of the accord from now on.
+func (j *judged) on(event string, f func(process string)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.hooks[event] = f
+}
+
+func (j *judged) start(i int) {
+	text := strings.Replace(string(demoConfig), "127.0.0.1:1", j.director.Address, 1)
+	text = strings.Replace(text, `"name": "demo"`, fmt.Sprintf(`"name": %q`, named(i)), 1)
+	text = strings.Replace(text, `"Balancers": 1`, fmt.Sprintf(`"Balancers": %d`, j.n), 1)
+	j.tell(history.Began, named(i))
+	l := &life{read: make(chan struct{})}
+	var errs io.Reader
+	l.cmd, errs = launch(j.t, text, j.script(i, `bans = []`))
+	at := make(chan string, 1)
+	go func() {
+		defer close(l.read)
+		for r := bufio.NewScanner(errs); r.Scan(); {
+			j.heard(r.Bytes(), at)
+		}
+		close(at)
+	}()
+	l.address = <-at
+	require.NotEmpty(j.t, l.address, "%s did not serve", named(i))
+	l.up = true
+	j.mu.Lock()
+	j.lives[i] = l
+	j.mu.Unlock()
+}
+
+// heard takes a line of a process's log; its own time is the line's.
+func (j *judged) heard(text []byte, at chan string) {
+	var e struct {
+		Time                            time.Time
+		Event, Listen, Process, By, Why string
+		Change                          string
+		Version                         uint64
+		Accepted                        *bool
+		LeftOut                         int `json:"left_out"`
+	}
+	if json.Unmarshal(text, &e) != nil {
+		fmt.Fprintln(os.Stderr, string(text)) // the race detector's words, say
+		return
+	}
+	if e.Event == "serving" {
+		at <- e.Listen
+	}
+	step, ok := strings.CutPrefix(e.Event, "accord: ")
+	assert.NotEqual(j.t, "not proposed", step)
+	if !ok || e.Process == "" {
+		return
+	}
+	assert.Zero(j.t, e.LeftOut, "lines of %s are missing", e.Event)
+	line := history.Line{T: e.Time.UnixNano(), Side: history.Control, Process: e.Process, Event: step, Version: e.Version, Change: e.Change, By: e.By, Why: e.Why}
+	j.mu.Lock()
+	j.lines = append(j.lines, line)
+	hook := j.hooks[step]
+	delete(j.hooks, step)
+	j.mu.Unlock()
+	if hook != nil {
+		hook(e.Process)
+	}
+}
+
+// kill ends a process outright.
+func (j *judged) kill(i int) {
+	l := j.shut(i)
+	_ = l.cmd.Process.Kill()
+	_, _ = l.cmd.Process.Wait()
+	j.tell(history.Ended, named(i))
+}
+
+// shut has clients ask a process no more.
+func (j *judged) shut(i int) *life {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lives[i].up = false
+	return j.lives[i]
+}
+
+func (j *judged) pause(i int) {
+	j.tell(history.Stopped, named(i))
+	require.NoError(j.t, j.lives[i].cmd.Process.Signal(syscall.SIGSTOP))
+	j.shut(i) // what is under way waits until it is woken
+}
+
+func (j *judged) wake(i int) {
+	j.tell(history.Woken, named(i))
+	require.NoError(j.t, j.lives[i].cmd.Process.Signal(syscall.SIGCONT))
+	j.mu.Lock()
+	j.lives[i].up = true
+	j.mu.Unlock()
+}
+
+// links are the relays from a dispatcher, and to it.
+func (j *judged) links(i int) []*faultnet.TCP {
+	all := slices.Clone(j.relays[i])
+	if i < len(j.voters) {
+		for _, from := range j.relays {
+			all = append(all, from[i])
+		}
+	}
+	return all
+}
+
+// cut cuts a dispatcher off from all others.
+func (j *judged) cut(i int) {
+	j.rule(i, faultnet.Rule{Blackhole: true})
+	j.tell(history.Cut, named(i))
+}
+
+func (j *judged) mend(i int) {
+	j.rule(i, faultnet.Pass)
+	for _, r := range j.links(i) {
+		r.Reset() // bytes were swallowed, or are held back
+	}
+	j.tell(history.Mended, named(i))
+}
+
+func (j *judged) rule(i int, rule faultnet.Rule) {
+	for _, r := range j.links(i) {
+		r.Set(rule)
+	}
+}
+
+// change proposes a policy at a dispatcher.
+func (j *judged) change(i int, policy string) {
+	j.write(i, policy)
+	j.reload(i)
+}
+
+func (j *judged) write(i int, policy string) {
+	assert.NoError(j.t, os.WriteFile(j.lives[i].cmd.Args[3], []byte(j.script(i, policy)), 0o600))
+}
+
+func (j *judged) reload(i int) { assert.NoError(j.t, j.lives[i].cmd.Process.Signal(syscall.SIGHUP)) }
+
+// round looks in rounds, at most 2,000 of 5 ms, until what holds.
+func (j *judged) round(what string, holds func(lines []history.Line) bool) {
+	j.t.Helper()
+	for range 2000 {
+		j.mu.Lock()
+		lines := slices.Clone(j.lines)
+		j.mu.Unlock()
+		slices.SortStableFunc(lines, func(a, b history.Line) int { return int(min(max(a.T-b.T, -1), 1)) })
+		if holds(lines) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	j.t.Fatalf("never: %s", what)
+}
+
+// decided is the highest version that was decided.
+func decided(lines []history.Line) (v uint64) {
+	for _, l := range lines {
+		if l.Event == "decided" {
+			v = max(v, l.Version)
+		}
+	}
+	return v
+}
+
+// settled waits until all that run are on the version decided last, which is at least v.
+func (j *judged) settled(v uint64) {
+	j.t.Helper()
+	j.round(fmt.Sprintf("all on version %d", v), func(lines []history.Line) bool {
+		return decided(lines) >= v && len(history.Unsettled(lines)) == 0
+	})
+}
+
+// leader is the voter that began to lead last, of those that run.
+func (j *judged) leader() (at int) {
+	j.round("a leader", func(lines []history.Line) bool {
+		for _, l := range lines {
+			if l.Event == "leads" {
+				at, _ = strconv.Atoi(l.Process[1:])
+			}
+		}
+		return j.lives[at].up
+	})
+	return at
+}
+
+// load runs clients, each with one req at a time, until the rig ends or each has sent its most.
+func (j *judged) load(clients, most int) {
+	for c := range clients {
+		j.clients.Go(func() {
+			client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{}}
+			for i := range most {
+				select {
+				case <-j.stop:
+					return
+				default:
+				}
+				j.ask(client, fmt.Sprintf("h-%d-%d", c, i), (c+i)%j.n)
+				time.Sleep(3 * time.Millisecond)
+			}
+		})
+	}
+}
+
+func (j *judged) ask(client *http.Client, id string, to int) {
+	j.mu.Lock()
+	l := j.lives[to]
+	if l == nil || !l.up {
+		j.mu.Unlock()
+		return
+	}
+	j.asked = append(j.asked, history.Line{T: time.Now().UnixNano(), Side: history.Client, Req: id, Dispatcher: named(to), Asked: true})
+	j.mu.Unlock()
+	status, bare := 0, false
+	r, err := http.NewRequest("POST", "http://"+l.address+"/photo/1", strings.NewReader("b"))
+	if !assert.NoError(j.t, err) {
+		return
+	}
+	r.Header.Set("X-Correlation-Id", id)
+	r.Header.Set("Idempotency-Key", id)
+	if answer, err := client.Do(r); err == nil {
+		_, err = io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+		if err == nil {
+			status = answer.StatusCode
+		}
+		bare = status == 503 && answer.Header.Get("Retry-After") == ""
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.asked = append(j.asked, history.Line{T: time.Now().UnixNano(), Side: history.Client, Req: id, Dispatcher: named(to), Status: status})
+	j.answers[status]++
+	if bare {
+		j.bare++
+	}
+}
+
+// all is the whole history so far.
+func (j *judged) all() []history.Line {
+	j.mu.Lock()
+	out := append(slices.Clone(j.lines), j.asked...)
+	j.mu.Unlock()
+	for _, b := range j.backends {
+		for _, s := range b.Starts() {
+			v, _ := strconv.ParseUint(s.Version, 10, 64) // none: 0, which the checker refuses
+			out = append(out, history.Line{T: s.At.UnixNano(), Side: history.Backend, Backend: b.Name, Dispatcher: s.Dispatcher, Req: s.Req, Version: v, Started: true})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b history.Line) int { return int(min(max(a.T-b.T, -1), 1)) })
+	return out
+}
+
+// keep writes the history to the file that TINSAIL_HISTORY names, if it does, also of a test that failed.
+func (j *judged) keep() {
+	at := os.Getenv("TINSAIL_HISTORY")
+	if at == "" {
+		return
+	}
+	f, err := os.Create(at)
+	require.NoError(j.t, err)
+	defer f.Close()
+	for _, l := range j.all() {
+		require.NoError(j.t, json.NewEncoder(f).Encode(l))
+	}
+}
--- a/internal/standin/accordhistory/history.go
+++ b/internal/standin/accordhistory/history.go
@@ -233,6 +233,9 @@
 		if l.Side != Control || l.Event != "decided" && l.Event != "in force" {
 			continue
 		}
+		if l.Event == "in force" && (l.Change == "0" || l.Change == "") { // its first lease, and not by a change that it took part in
+			continue
+		}
 		if was, ok := change[l.Version]; ok && was != l.Change {
 			j.no(OneContent, "%d is the change %s and, at %s, %s", l.Version, was, l.Process, l.Change)
 		}
