--- a/cmd/tinsail/accord_rig_test.go
+++ b/cmd/tinsail/accord_rig_test.go
@@ -276,6 +276,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
+	j.verdicts(j.all()) // what is wrong may say why
 	j.t.Fatalf("never: %s", what)
 }
 
@@ -361,6 +362,16 @@
 	}
 }
 
+var rigRules = history.Rules{Slack: rigSlack, Lease: rigLease, Settle: rigSettle, Woken: 8}
+
+// verdicts has a history judged.
+func (j *judged) verdicts(lines []history.Line) {
+	j.t.Helper()
+	for _, v := range history.Judge(lines, rigRules) {
+		j.t.Error(v)
+	}
+}
+
 // all is the whole history so far.
 func (j *judged) all() []history.Line {
 	j.mu.Lock()
