A dispatcher away over 20 changes and an election is told of a false withdrawal

A leader remembers the last 16 decided changes. One that was cut off when it had checked a change, and comes back to another leader after 20 more, logged that change as withdrawn although it was decided. The leader is also cut off from the other voters alone.

--- a/cmd/tinsail/accord_history_test.go
+++ b/cmd/tinsail/accord_history_test.go
@@ -154,6 +154,20 @@
 		c.but(lead)
 		c.mend(lead)
 	})
+	c.play("the leader cut off from voters alone", 1, func() {
+		lead := c.leader()
+		links := c.between(lead)
+		c.at("deciding", 4, func() {
+			for _, r := range links {
+				r.Set(faultnet.Rule{Blackhole: true})
+			}
+		})
+		c.but(lead)
+		for _, r := range links {
+			r.Set(faultnet.Pass)
+			r.Reset()
+		}
+	})
 	c.play("a lessee stopped at checking", 1, func() {
 		c.at("checking", 4, func() { c.pause(6) })
 		c.but(6)
@@ -248,3 +262,35 @@
 	c.play("and a change after it", 1, func() { c.propose(4) })
 	c.judge()
 }
+
+// TestAccordLongAway: a lessee is cut off when it has checked a change. The change and 20 more are decided
+// without it, and the leader changes. When it is back it may not say that the change was withdrawn.
+func TestAccordLongAway(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts ten processes")
+	}
+	c := startTrial(t)
+	c.play("a lessee cut off at checked, over an election", 21, func() {
+		c.at("checked n7", 4, func() { c.cut(7) })
+		for range 20 {
+			c.but(7)
+			c.version++
+			c.propose(4)
+		}
+		c.but(7)
+		c.version -= 20
+		lead := c.leader()
+		c.kill(lead)
+		c.round("another leads", func(lines []history.Line) bool {
+			for _, l := range slices.Backward(lines) {
+				if l.Event == "leads" {
+					return l.Process != named(lead)
+				}
+			}
+			return false
+		})
+		c.start(lead)
+		c.mend(7)
+	})
+	c.judge()
+}
--- a/cmd/tinsail/accord_rig_test.go
+++ b/cmd/tinsail/accord_rig_test.go
@@ -125,7 +125,8 @@
 	j.lines = append(j.lines, history.Line{T: time.Now().UnixNano(), Side: history.Rig, Event: event, Process: process})
 }
 
-// on has f called, once, when a process first logs an event of the accord from now on.
+// on has f called, once, when a process first logs an event of the accord from now on; "event n7" means that
+// process alone.
 func (j *judged) on(event string, f func(process string)) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -182,8 +183,12 @@
 	line := history.Line{T: e.Time.UnixNano(), Side: history.Control, Process: e.Process, Event: step, Version: e.Version, Change: e.Change, By: e.By, Why: e.Why}
 	j.mu.Lock()
 	j.lines = append(j.lines, line)
-	hook := j.hooks[step]
-	delete(j.hooks, step)
+	key := step
+	if j.hooks[key] == nil {
+		key += " " + e.Process
+	}
+	hook := j.hooks[key]
+	delete(j.hooks, key)
 	j.mu.Unlock()
 	if hook != nil {
 		hook(e.Process)
@@ -231,6 +236,16 @@
 	return all
 }
 
+// between are the relays between a voter and the other voters, both ways.
+func (j *judged) between(i int) (all []*faultnet.TCP) {
+	for v := range j.voters {
+		if v != i {
+			all = append(all, j.relays[i][v], j.relays[v][i])
+		}
+	}
+	return all
+}
+
 // cut cuts a dispatcher off from all others.
 func (j *judged) cut(i int) {
 	j.rule(i, faultnet.Rule{Blackhole: true})
