A change older than the log remembers is not told as withdrawn

Keeper.ended took a change that is neither in the log's state nor among its own ends for one of a leader that is gone. Where the state has forgotten changes, one older than the oldest that it has may have been decided: of that nothing is said, and the asker's draft ends with the version it takes up. TestAccordLongAway failed before ("was decided, and is withdrawn at n7") and passes.

--- a/internal/fleet/accord/keeper.go
+++ b/internal/fleet/accord/keeper.go
@@ -259,7 +259,8 @@
 }
 
 // ended is what became of a change that is not under way. One of an earlier leader that the log
-// does not have, after this leader's barrier, can never be decided.
+// does not have, after this leader's barrier, can never be decided. Of one older than the log's state
+// remembers nothing is said: it may have been decided.
 func (k *Keeper) ended(id uint64) Outcome {
 	if k.state.won(id) {
 		return Outcome{ID: id, End: InForce}
@@ -267,6 +268,9 @@
 	if o, known := k.ends[id]; known {
 		return o
 	}
+	if d := k.state.Done; len(d) == keptDone && id < d[0].Change {
+		return Outcome{ID: id}
+	}
 	return Outcome{ID: id, End: Withdrawn, Why: "the leader that asked for it is gone"}
 }
 
