--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -144,8 +144,10 @@
 type Faults struct {
 	Fail   bool // every job fails at once
 	Refuse bool // every job is turned away unstarted
-	Break  bool // the connection breaks once the job has started
-	Hold   bool // a job that has started does not end until Hold is taken back
+	// RefuseAfter is how long each job that is turned away waits for that.
+	RefuseAfter time.Duration
+	Break       bool // the connection breaks once the job has started
+	Hold        bool // a job that has started does not end until Hold is taken back
 	// FailPart is the part of jobs, 0 to 1 by their ids, that fail as soon as they have started.
 	FailPart float64
 	// CloseEach ends each connection after its answer (Connection: close), so that every job
@@ -312,6 +314,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	if f.Refuse {
+		select {
+		case <-time.After(f.RefuseAfter):
+		case <-r.Context().Done():
+			return
+		}
 		w.Header().Set("X-Unprocessed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
