--- a/internal/standin/accordhistory/history_test.go
+++ b/internal/standin/accordhistory/history_test.go
@@ -155,6 +155,19 @@
 	}
 }
 
+// TestNobodyOwesAnEnd: a change of which only a leader knew that was killed, or leads no more, needs no end; one
+// that another process checked does.
+func TestNobodyOwesAnEnd(t *testing.T) {
+	checking := `{"t":402,"side":"control","process":"a","event":"checking","version":2,"change":"1c"}`
+	assert.Empty(t, Judge(history(t, "", checking), rules))
+	got := Judge(history(t, "", checking, `{"t":403,"side":"control","process":"b","event":"checked","version":2,"change":"1c"}`), rules)
+	require.Len(t, got, 1)
+	assert.Equal(t, Settles, got[0].Rule)
+	late := `{"t":605,"side":"control","process":"b","event":"checking","version":3,"change":"2d"}`
+	assert.NotEmpty(t, Judge(history(t, "", late), rules))
+	assert.Empty(t, Judge(history(t, "", late, `{"t":606,"side":"control","process":"b","event":"leads no more"}`), rules))
+}
+
 // TestUnsettled names who is behind.
 func TestUnsettled(t *testing.T) {
 	assert.Empty(t, Unsettled(history(t, "")))
