A req whose version is over and whose attempts all ran nowhere is refused, not failed

Seen by the accord's checker over nine processes: up to 17 reqs a change got 502 though their only attempt had been turned away with X-Unprocessed. At fault: outlived (core/versions.go) asked whether anything had been sent, not whether anything may have run. TestReqsAreTakenByOneVersion covers it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,6 +108,7 @@
 	number  int
 	sent    float64
 	over    bool
+	never   bool // proven never to have run
 	stopped atomic.Bool
 	stop    func()
 }
@@ -432,6 +433,7 @@
 		c.Log.Error().Stringer("ending", e).Msg("not an attempt's ending")
 		res = balance.Reset
 	}
+	a.never = res == balance.Full || res == balance.ConnectFailed || res == balance.NotSent
 	switch e {
 	case Served:
 		c.answer(a.req, Answer{Verdict: ResultOf, Result: result})
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -51,14 +51,16 @@
 }
 
 // outlived answers a req whose version is over and of which nothing is out: no attempt of it will
-// ever start. One that has begun nowhere may go to another dispatcher.
+// ever start. One that has run nowhere, sent or not, may go to another dispatcher.
 func (c *Core) outlived(r *req) {
 	if !r.open || r.out > 0 || c.Versions.MayStart(r.version) {
 		return
 	}
-	if r.began.Load() {
-		c.answer(r, Answer{Verdict: Failure})
-		return
+	for _, a := range r.attempts {
+		if !a.never { // sending it again may run it twice
+			c.answer(r, Answer{Verdict: Failure})
+			return
+		}
 	}
 	c.answer(r, Answer{Verdict: Refusal, Pause: outlivedPause})
 }
