--- a/cmd/tinsail-lab/lab_test.go
+++ b/cmd/tinsail-lab/lab_test.go
@@ -69,7 +69,7 @@
 		{[]string{"run"}, "wants one scenario"},
 		{[]string{"run", "none.star"}, "none.star"},
 		{[]string{"run", bad}, "bad.star:1:8: traffic: rate is 0"},
-		{[]string{"run", fine, "--variant", "none.json"}, "a variant is module, random or a configuration file"},
+		{[]string{"run", fine, "--variant", "none.json"}, "a variant is module, random, stop, keep or a configuration file"},
 		{[]string{"run", fine, "--variant", bad}, "config line 1"},
 		{[]string{"compare", fine, "--seeds", "0"}, "--seeds is 0"},
 		{[]string{"sweep", fine, "--param", "colour"}, `parameter "colour", want one of`},
--- a/cmd/tinsail-lab/play.go
+++ b/cmd/tinsail-lab/play.go
@@ -36,17 +36,20 @@
 }
 
 // variantOf finds what a variant's name stands for: module and random are built in, with the
-// laboratory's own settings; anything else is a platform's configuration file, whose settings the module is given.
+// laboratory's own settings, stop and keep the module under an accord's when_cut; anything else is a platform's configuration file, whose settings the module is given.
 func variantOf(name string) (experiment.Variant, error) {
 	switch name {
 	case "module":
 		return experiment.Variant{Name: name, Settings: defaults.Settings(), Policy: sim.Module}, nil
+	case "stop", "keep":
+		return experiment.Variant{Name: name, Settings: defaults.Settings(), Policy: sim.Module,
+			Alter: func(sc *sim.Scenario) { sc.Accord.Keep = name == "keep" }}, nil
 	case "random":
 		return experiment.Variant{Name: name, Settings: defaults.Settings(), Policy: experiment.Random}, nil
 	}
 	text, err := os.ReadFile(name)
 	if err != nil {
-		return experiment.Variant{}, faulty{fmt.Errorf("a variant is module, random or a configuration file: %w", err)}
+		return experiment.Variant{}, faulty{fmt.Errorf("a variant is module, random, stop, keep or a configuration file: %w", err)}
 	}
 	cfg, err := config.Parse(text, func(string) string { return "" })
 	if err != nil {
@@ -91,6 +94,9 @@
 				return err
 			}
 			sc.Seed = seed
+			if v.Alter != nil {
+				v.Alter(&sc)
+			}
 			if replay != "" {
 				if sc.Times, err = timesOf(replay); err != nil {
 					return err
@@ -108,7 +114,7 @@
 		},
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "of all chance")
-	c.Flags().StringVar(&name, "variant", "module", "module, random, or a platform's configuration file")
+	c.Flags().StringVar(&name, "variant", "module", "module, random, stop or keep (an accord's when_cut), or a platform's configuration file")
 	c.Flags().StringVar(&replay, "replay", "", "a recording whose first reqs come in place of the scenario's rate and bursts")
 	return c
 }
@@ -165,7 +171,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&nameA, "a", "module", "module, random, or a platform's configuration file")
+	c.Flags().StringVar(&nameA, "a", "module", "module, random, stop or keep (an accord's when_cut), or a platform's configuration file")
 	c.Flags().StringVar(&nameB, "b", "random", "the same")
 	c.Flags().IntVar(&o.Most, "seeds", 40, "at most")
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "the first; the next are those that follow")
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -23,6 +23,15 @@
 	Name     string
 	Settings balance.Settings
 	Policy   sim.Policy
+	// Alter, where given, changes its copy of the scenario: what is compared is then no setting of the module's.
+	Alter func(*sim.Scenario)
+}
+
+func (v *Variant) play(sc sim.Scenario) (sim.Result, error) {
+	if v.Alter != nil {
+		v.Alter(&sc)
+	}
+	return sim.PlayWith(sc, v.Settings, v.Policy)
 }
 
 // Options say how long an experiment goes on. Zero values are replaced by defaults.
@@ -66,14 +75,16 @@
 
 // Report is what came of an experiment.
 type Report struct {
-	A, B         string
-	Pairs        []Pair // in the order of seeds, those with a broken rule too
-	Sound        int    // pairs on which no rule was broken: those that count below
-	ServiceA     Estimate
-	ServiceB     Estimate
-	Diff         Estimate // of B over A, paired
-	Broken       []Broken
-	StoppedEarly bool
+	A, B     string
+	Pairs    []Pair // in the order of seeds, those with a broken rule too
+	Sound    int    // pairs on which no rule was broken: those that count below
+	ServiceA Estimate
+	ServiceB Estimate
+	Diff     Estimate // of B over A, paired
+	Broken   []Broken
+	// Of first reqs, the part that was served, in time or not.
+	ServedA, ServedB, ServedDiff Estimate
+	StoppedEarly                 bool
 }
 
 // resamples are the bootstrap's draws.
@@ -147,8 +158,8 @@
 				run.Seed = o.Seed + uint64(first+i)
 				s.pair.Seed = run.Seed
 				var errA, errB error
-				s.pair.A, errA = sim.PlayWith(run, a.Settings, a.Policy)
-				s.pair.B, errB = sim.PlayWith(run, b.Settings, b.Policy)
+				s.pair.A, errA = a.play(run)
+				s.pair.B, errB = b.play(run)
 				s.err = errors.Join(errA, errB)
 			})
 		}
@@ -182,13 +193,16 @@
 			r.Broken = append(r.Broken, Broken{p.Seed, x.name, x.res.Broken[0].String(), x.res.Breaches})
 		}
 	}
-	var as, bs, ds []float64
+	var as, bs, ds, servedA, servedB, served []float64
 	for i := range r.Pairs {
 		if p := &r.Pairs[i]; p.A.Breaches == 0 && p.B.Breaches == 0 {
 			as, bs = append(as, p.A.Service()), append(bs, p.B.Service())
 			ds = append(ds, p.B.Service()-p.A.Service())
+			servedA, servedB = append(servedA, p.A.ServedPart()), append(servedB, p.B.ServedPart())
+			served = append(served, p.B.ServedPart()-p.A.ServedPart())
 		}
 	}
 	r.Sound = len(ds)
 	r.ServiceA, r.ServiceB, r.Diff = Bootstrap(as, confidence), Bootstrap(bs, confidence), Bootstrap(ds, confidence)
+	r.ServedA, r.ServedB, r.ServedDiff = Bootstrap(servedA, confidence), Bootstrap(servedB, confidence), Bootstrap(served, confidence)
 }
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -26,7 +26,7 @@
 
 // TestWorseIsTold: random choice is told apart with few seeds, and keeps the rules.
 func TestWorseIsTold(t *testing.T) {
-	a, b := Variant{"module", defaults.Settings(), sim.Module}, Variant{"random", defaults.Settings(), Random}
+	a, b := Variant{"module", defaults.Settings(), sim.Module, nil}, Variant{"random", defaults.Settings(), Random, nil}
 	r, err := Compare(context.Background(), evening(), a, b, Options{Most: 8, Workers: 4})
 	require.NoError(t, err)
 	assert.Empty(t, r.Broken)
@@ -84,7 +84,7 @@
 		d, err := Random(s, a)
 		return reckless{d.(*random)}, err
 	}
-	r, err := Compare(context.Background(), evening(), Variant{"module", defaults.Settings(), sim.Module}, Variant{"reckless", defaults.Settings(), late}, Options{Most: 2, Least: 2})
+	r, err := Compare(context.Background(), evening(), Variant{"module", defaults.Settings(), sim.Module, nil}, Variant{"reckless", defaults.Settings(), late, nil}, Options{Most: 2, Least: 2})
 	require.NoError(t, err)
 	require.Len(t, r.Broken, 2)
 	assert.Equal(t, "reckless", r.Broken[0].Variant)
@@ -95,7 +95,7 @@
 
 // TestStops: early once the interval is narrow, and when it is told to.
 func TestStops(t *testing.T) {
-	v := Variant{"module", defaults.Settings(), sim.Module}
+	v := Variant{"module", defaults.Settings(), sim.Module, nil}
 	sc := evening()
 	sc.Length = 2000
 	r, err := Compare(context.Background(), sc, v, v, Options{Most: 50})
--- a/internal/lab/experiment/sweep.go
+++ b/internal/lab/experiment/sweep.go
@@ -56,7 +56,7 @@
 					run := sc
 					set(&run, x)
 					run.Seed = o.Seed + uint64(i)
-					results[i], errs[i] = sim.PlayWith(run, v.Settings, v.Policy)
+					results[i], errs[i] = v.play(run)
 				})
 			}
 			all.Wait()
--- a/internal/lab/experiment/sweep_test.go
+++ b/internal/lab/experiment/sweep_test.go
@@ -13,7 +13,7 @@
 
 // TestSweep: more work than the fleet can do serves less, at each variant; the same sweep gives the same points.
 func TestSweep(t *testing.T) {
-	variants := []Variant{{"module", defaults.Settings(), sim.Module}, {"random", defaults.Settings(), Random}}
+	variants := []Variant{{"module", defaults.Settings(), sim.Module, nil}, {"random", defaults.Settings(), Random, nil}}
 	sc := evening()
 	sc.Length = 5000
 	o := Options{Most: 3, Least: 3, Workers: 3}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -48,6 +48,10 @@
 	fmt.Fprintf(w, "latency ms\tp50 %.0f, p99 %.0f, p99.9 %.0f\n", ms(r.Latency, 50), ms(r.Latency, 99), ms(r.Latency, 99.9))
 	least, most := spread(r.Load)
 	fmt.Fprintf(w, "jobs at a backend\t%d to %d\n", least, most)
+	if a := &r.Accord; a.Most > 0 {
+		fmt.Fprintf(w, "accord\tversion %d, at most %d in use at one moment; fenced %d (%d where cut off), taken by one that was over %d, none took for %.0f ms\n",
+			a.Version, a.Most, a.Fenced, a.FencedCut, a.Over, a.Dark)
+	}
 	fmt.Fprintf(w, "log\t%016x, %d events, %d steps\n", r.Hash, r.Events, r.Steps)
 	if r.Breaches == 0 {
 		fmt.Fprintf(w, "rules\tkept\n")
@@ -83,6 +87,7 @@
 	fmt.Fprintf(w, "B - A\tpaired\t%v\n", r.Diff)
 	w.Flush()
 	fmt.Fprintln(out, Verdict(r))
+	versions(out, r)
 	for _, b := range r.Broken {
 		fmt.Fprintf(out, "seed %d: %s BROKE a rule, %d times; %s\n", b.Seed, b.Variant, b.Count, b.First)
 	}
@@ -124,6 +129,11 @@
 	if err := lines("service", "Served in time, mean of all seeds", "second", "part", r.A, seconds(r, true), r.B, seconds(r, false)); err != nil {
 		return nil, err
 	}
+	if withAccord(r) {
+		if err := lines("served", "Served in time or late, mean of all seeds", "second", "part", r.A, kept(r, true), r.B, kept(r, false)); err != nil {
+			return nil, err
+		}
+	}
 	if err := lines("latency", "Latency of what was served", "ms", "part", r.A, latency(r, true), r.B, latency(r, false)); err != nil {
 		return nil, err
 	}
@@ -178,14 +188,19 @@
 	}
 }
 
-func seconds(r *experiment.Report, a bool) (out plotter.XYs) {
+func seconds(r *experiment.Report, a bool) plotter.XYs {
+	return over(r, a, func(s sim.Second) int { return s.InTime })
+}
+
+// over is a part of what was asked in each second.
+func over(r *experiment.Report, a bool, of func(sim.Second) int) (out plotter.XYs) {
 	var good, asked []float64
 	each(r, a, func(x *sim.Result) {
 		for i, s := range x.Seconds {
 			for len(good) <= i {
 				good, asked = append(good, 0), append(asked, 0)
 			}
-			good[i], asked[i] = good[i]+float64(s.InTime), asked[i]+float64(s.Asked)
+			good[i], asked[i] = good[i]+float64(of(s)), asked[i]+float64(s.Asked)
 		}
 	})
 	for i := range good {
--- /dev/null
+++ b/internal/lab/script/accord.go
@@ -0,0 +1,39 @@
+package script
+
+import (
+	"go.starlark.net/starlark"
+
+	"tinsail/internal/lab/sim"
+)
+
+// accord has the dispatchers take reqs by versions of one policy.
+func (r *reader) accord(a *args) (starlark.Value, error) {
+	r.once(a)
+	r.sc.Accord = sim.Accord{Lease: a.number("lease_ms", 3000, 100, 600_000), Drift: a.number("drift", 0.001, 0, 0.1),
+		Keep:    oneOf(a, "when_cut", "stop", map[string]bool{"stop": false, "keep": true}),
+		Latency: a.number("latency_ms", 1, 0, 1e5), Loss: a.number("loss", 0, 0, 1), Flush: a.number("flush_ms", 5, 0, 1e5),
+		Check: a.number("check_ms", 2, 0, 1e5), Probe: a.number("probe_ms", 1000, 1, 1e6)}
+	return nil, nil
+}
+
+// cut cuts dispatchers, counted from 0, off from the accord.
+func (r *reader) cut(a *args) (starlark.Value, error) {
+	c := sim.Cut{At: a.seconds("start", 0), Length: a.seconds("length", 10_000)}
+	v, ok := a.next("dispatchers")
+	list, isList := v.(starlark.Iterable)
+	if !ok || !isList {
+		a.fail("dispatchers is missing, or no list of numbers")
+		return nil, nil
+	}
+	for x := range starlark.Elements(list) {
+		c.Nodes = append(c.Nodes, int(a.bounded("dispatchers", x, 0, 999)))
+	}
+	r.sc.Cuts = append(r.sc.Cuts, c)
+	return nil, nil
+}
+
+// change has a dispatcher, counted from 0, propose a new version.
+func (r *reader) change(a *args) (starlark.Value, error) {
+	r.sc.Changes = append(r.sc.Changes, sim.Change{At: a.seconds("start", 0), Node: int(a.number("dispatcher", 0, 0, 999))})
+	return nil, nil
+}
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -49,6 +49,7 @@
 		"traffic": r.traffic, "network": r.network, "dispatchers": r.dispatchers, "reports": r.reports, "kind": r.kind,
 		"backends": r.backends, "burst": r.burst, "at": r.event, "deploy": r.deploy,
 		"job_class": r.class, "site": r.site, "heavy": r.heavy, "stale": r.stale, "restart": r.restart,
+		"accord": r.accord, "cut": r.cut, "change": r.change,
 	} {
 		calls[call] = starlark.NewBuiltin(call, func(t *starlark.Thread, b *starlark.Builtin, pos starlark.Tuple, kw []starlark.Tuple) (starlark.Value, error) {
 			a := &args{call: b.Name(), pos: pos, kw: map[string]starlark.Value{}}
--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -30,6 +30,9 @@
 heavy(start = 1, length = 2, name = "x", part = 0.1, times = 9)
 stale(start = 3, length = 4, by = 6)
 restart(start = 9, dispatcher = 2, down = 0.5, notice = 1)
+accord(lease_ms = 900, when_cut = "keep", loss = 0.1, probe_ms = 500)
+cut(start = 2, length = 3, dispatchers = [1, 2])
+change(start = 4, dispatcher = 1)
 deploy(a, start = 4, batch = 2, every = 3, drain = 1)
 `))
 	require.NoError(t, err)
@@ -49,6 +52,8 @@
 	assert.Equal(t, []any{[]sim.Heavy{{From: 1000, To: 3000, Class: "x", Part: 0.1, Times: 9}}, []sim.Stale{{From: 3000, To: 7000, By: 6000}},
 		[]sim.Restart{{At: 9000, Node: 2, Down: 500, Notice: 1000}}}, []any{sc.Heavy, sc.Stale, sc.Restarts})
 	assert.Equal(t, 7000.0, sc.Events[len(sc.Events)-4].At, "the second batch")
+	assert.Equal(t, sim.Accord{Lease: 900, Drift: 0.001, Keep: true, Latency: 1, Loss: 0.1, Flush: 5, Check: 2, Probe: 500}, sc.Accord)
+	assert.Equal(t, []any{[]sim.Cut{{At: 2000, Length: 3000, Nodes: []int{1, 2}}}, []sim.Change{{At: 4000, Node: 1}}}, []any{sc.Cuts, sc.Changes})
 }
 
 // TestFaults: whoever wrote a script is told where and what.
@@ -69,6 +74,8 @@
 		fine + "job_class(\"c\", effect = \"x\")": `job_class: effect is "x", want one of keyed, safe, unsafe`,
 		fine + "site(weights = 3)":                "site: weights is \"\", want one of none, size",
 		fine + "restart(dispatcher = 1.5e3)":      "restart: dispatcher is 1500.0",
+		fine + "accord(when_cut = \"go\")":        `accord: when_cut is "go", want one of keep, stop`,
+		fine + "cut(dispatchers = 3)":             "cut: dispatchers is missing, or no list of numbers",
 		fine + "heavy(part = 2)":                  "heavy: part is 2",
 		"kind(\"k\", cancel = \"no\")":            "kind: cancel is \"no\", want one of all, none, queued",
 		"backends(\"b\", 2, \"none\")":            `backends: kind is "none", which no kind() has made`,
--- /dev/null
+++ b/internal/lab/sim/accord.go
@@ -0,0 +1,224 @@
+package sim
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tinsail/internal/fleet/accord"
+	"tinsail/internal/lab/fleet"
+)
+
+// Accord has the dispatchers take reqs by versions of one policy (docs/design/accord.md): the real Lessee at each, one
+// real Keeper, and links between them. The zero value is a fleet without an accord. Times are milliseconds.
+type Accord struct {
+	Lease   float64 // 0: no accord
+	Drift   float64 // of each clock's rate, drawn: slowest, right or fastest
+	Keep    bool    // a dispatcher that is cut off goes on by the version it knew
+	Latency float64 // one way between a dispatcher and the keeper, and between voters; half of it varies
+	Loss    float64 // part of the messages that never arrive
+	Flush   float64 // a decided entry's way to a majority's disks
+	Check   float64 // what a dispatcher needs to check a body
+	Probe   float64 // how often the front asks each dispatcher whether it is ready
+
+	whole bool // a seeded fault for tests: a lease is used to its whole length, not to what is left of it for drift
+}
+
+// Cut loses every message between the keeper and some dispatchers, counted from 0, for a while. Clients and backends
+// reach them as before.
+type Cut struct {
+	At, Length float64
+	Nodes      []int
+}
+
+// Change is a new version, proposed at a time by a dispatcher.
+type Change struct {
+	At   float64
+	Node int
+}
+
+// AccordResult is what came of the accord.
+type AccordResult struct {
+	Version    uint64  // decided last
+	Fenced     int     // tries refused, since the dispatcher might take none
+	FencedCut  int     // of them, by a dispatcher that was cut off
+	Over       int     // tries taken by a version after a later one was decided
+	OverStarts int     // attempts begun by one
+	Most       int     // versions that dispatchers might begin attempts by at one moment, at most
+	Dark       float64 // for how long no dispatcher took reqs
+}
+
+// keeperAt is the keeper with its clock and the majority's log.
+type keeperAt struct {
+	*accord.Keeper
+	w      *world
+	plan   accord.Plan
+	rate   float64
+	state  accord.State
+	chance *rand.Rand
+	lives  uint64
+	dark   float64 // since when nobody takes reqs; NaN while somebody does
+}
+
+func (sc *Scenario) checkAccord() error {
+	a, most := &sc.Accord, max(sc.Dispatchers, 1)
+	if a.Lease == 0 {
+		if len(sc.Cuts)+len(sc.Changes) > 0 {
+			return fmt.Errorf("cuts and changes want an accord")
+		}
+		return nil
+	}
+	for _, c := range sc.Cuts {
+		for _, n := range c.Nodes {
+			if n < 0 || n >= most {
+				return fmt.Errorf("dispatcher %d is cut off, which is none", n)
+			}
+		}
+	}
+	for _, c := range sc.Changes {
+		if c.Node < 0 || c.Node >= most {
+			return fmt.Errorf("dispatcher %d proposes a change, which is none", c.Node)
+		}
+	}
+	return a.plan().Check()
+}
+
+func (a *Accord) plan() accord.Plan {
+	return accord.Plan{Lease: span(a.Lease), Drift: a.Drift, Keep: a.Keep}
+}
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// newKeeper has version 1 in force since long before the run, so that the first reqs are taken by it.
+func newKeeper(w *world) (*keeperAt, error) {
+	k := &keeperAt{w: w, plan: w.sc.Accord.plan(), chance: fleet.Chance(w.sc.Seed, "accord"), dark: math.NaN()}
+	k.rate = k.drawRate()
+	k.state.Apply(accord.Decide{Change: 1, Proposal: accord.ProposalBit | 1, Version: 1, Body: []byte("version 1")})
+	var err error
+	k.Keeper, err = accord.NewKeeper(k.plan, 1, -accord.Time(k.plan.Quiet()), k.state)
+	return k, err
+}
+
+func (k *keeperAt) drawRate() float64 { return 1 + k.plan.Drift*float64(k.chance.IntN(3)-1) }
+
+// at is a clock's reading: the same instant on all, at the rate of each.
+func (w *world) clock(rate float64) accord.Time { return accord.Time(w.now * 1e6 * rate) }
+
+func (k *keeperAt) delay() float64 {
+	return k.w.sc.Accord.Latency * (0.5 + k.chance.Float64())
+}
+
+// carry has a message between a dispatcher and the keeper arrive, or not.
+func (k *keeperAt) carry(node int, further float64, arrive func()) {
+	if k.chance.Float64() < k.w.sc.Accord.Loss || k.w.severed(node) {
+		return
+	}
+	k.w.at(k.w.now+k.delay()+further, func() {
+		if !k.w.severed(node) {
+			arrive()
+		}
+	})
+}
+
+// severed says whether a dispatcher is cut off now.
+func (w *world) severed(node int) bool {
+	for _, c := range w.sc.Cuts {
+		if w.now >= c.At && w.now < c.At+c.Length && slices.Contains(c.Nodes, node) {
+			return true
+		}
+	}
+	return false
+}
+
+// ask takes an ask, once a majority has confirmed the keeper by a round trip, and answers it.
+func (k *keeperAt) ask(f *fence, a accord.Ask) {
+	k.carry(f.side.at, k.delay()+k.delay(), func() {
+		answer := k.Take(k.w.clock(k.rate), a)
+		k.carry(f.side.at, 0, func() { f.answered(answer) })
+		k.turn()
+	})
+}
+
+// turn carries out what the keeper wants.
+func (k *keeperAt) turn() {
+	w := k.w
+	if d, ok := k.Submit(); ok {
+		w.at(w.now+w.sc.Accord.Flush, func() {
+			k.state.Apply(d)
+			k.Applied(w.clock(k.rate), k.state)
+			k.turn()
+		})
+	}
+	if k.Nudge() {
+		for _, s := range w.sides {
+			k.carry(s.at, 0, func() { s.fence.nudged() })
+		}
+	}
+	k.Notes()
+}
+
+// begin starts the accord with all dispatchers on version 1 under a lease.
+func (w *world) begin() {
+	k := w.keeper
+	for _, s := range w.sides {
+		for !s.fence.lessee.Serving() {
+			s.fence.lessee.Now()
+			if a, ok := s.fence.lessee.Due(s.fence.now()); ok {
+				s.fence.lessee.Answered(s.fence.now(), k.Take(w.clock(k.rate), a))
+			}
+			for _, c := range s.fence.lessee.Checks() {
+				s.fence.lessee.Checked(s.fence.now(), c, nil)
+			}
+		}
+	}
+	w.beat(w.sc.Accord.Lease/50, func() { k.Tick(w.clock(k.rate)); k.turn() })
+	w.beat(w.sc.Accord.Probe, func() {
+		for _, s := range w.sides {
+			s.unready = !s.dead && !s.fence.Serves()
+		}
+	})
+	for i, c := range w.sc.Changes {
+		w.at(c.At, func() {
+			s := w.sides[c.Node]
+			version, _ := s.fence.lessee.Held()
+			// One of its own that is under way is not overtaken.
+			_ = s.fence.lessee.Propose(accord.ProposalBit|uint64(i+2), fmt.Appendf(nil, "version %d by change %d", version+1, i))
+			s.fence.turn()
+		})
+	}
+}
+
+// beat does something again and again, from a first time that is drawn.
+func (w *world) beat(every float64, do func()) {
+	var again func()
+	again = func() { do(); w.at(w.now+every, again) }
+	w.at(w.now+every*w.keeper.chance.Float64(), again)
+}
+
+// look counts the versions that attempts may begin by now. A gate opens only at an event of its lessee, after
+// which this is called, so that no moment is missed. It also counts the time in which nobody takes reqs.
+func (w *world) look() {
+	r, k := &w.res.Accord, w.keeper
+	r.Version = k.state.Version
+	var used []uint64
+	serves := false
+	for _, s := range w.sides {
+		if s.dead {
+			continue
+		}
+		serves = serves || s.fence.Serves()
+		if v, may := s.fence.starts(); may && !slices.Contains(used, v) {
+			used = append(used, v)
+		}
+	}
+	r.Most = max(r.Most, len(used))
+	switch {
+	case !serves && math.IsNaN(k.dark):
+		k.dark = w.now
+	case serves && !math.IsNaN(k.dark):
+		r.Dark += w.now - k.dark
+		k.dark = math.NaN()
+	}
+}
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -165,6 +165,7 @@
 	}
 	if a.Verdict == core.ResultOf {
 		w.res.Served++
+		w.second(c.begun).Kept++
 		good := w.now-c.begun <= c.class().Aim+c.class().Stretch*c.Work
 		if good {
 			w.res.InTime++
--- a/internal/lab/sim/restart.go
+++ b/internal/lab/sim/restart.go
@@ -18,11 +18,17 @@
 	Notice float64 // until the front sends it nobody any more
 }
 
-// fronts are the dispatchers that the front sends clients to, dead ones that it has not noticed among them.
+// fronts are the dispatchers that the front sends clients to, dead ones that it has not noticed among them. Where it
+// has heard of none that it is ready it sends to all, as a front that knows no better.
 func (w *world) fronts() []*side {
 	out := w.fronted[:0]
 	for _, s := range w.sides {
-		if s.fronted {
+		if s.fronted && !s.unready {
+			out = append(out, s)
+		}
+	}
+	for i := 0; len(out) == 0 && i < len(w.sides); i++ {
+		if s := w.sides[i]; s.fronted {
 			out = append(out, s)
 		}
 	}
--- a/internal/lab/sim/side.go
+++ b/internal/lab/sim/side.go
@@ -24,12 +24,19 @@
 	last    map[string]maintenance.Backend // the list as it was last told
 	dead    bool                           // killed; another may serve in its place
 	fronted bool                           // the front sends it clients
+	unready bool                           // the front has heard that it takes none
+	fence   *fence                         // nil without an accord
 }
 
 func newSide(w *world, at int, settings balance.Settings, p Policy) (s *side, err error) {
 	s = &side{w: w, at: at, conns: map[*node]int{}, timer: math.Inf(1),
 		asked: map[*client]struct{}{}, last: map[string]maintenance.Backend{}, fronted: true}
 	s.core, err = core.NewWith(w.time, p, settings, s, s, &counters.Set{})
+	if err == nil && w.keeper != nil {
+		if s.fence, err = newFence(s); err == nil {
+			s.core.Versions = s.fence
+		}
+	}
 	return s, err
 }
 
@@ -189,6 +196,9 @@
 		t.a.Ended(core.Unsent, "", nil)
 		return
 	}
+	if w.keeper != nil && t.a.Version() < w.keeper.state.Version {
+		w.res.Accord.OverStarts++
+	}
 	c := w.tries[t.a.Job.ID]
 	work := c.Work
 	if z := c.class().Noise; z > 0 {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -45,6 +45,9 @@
 	Heavy    []Heavy
 	Stale    []Stale
 	Restarts []Restart
+	Accord   Accord
+	Cuts     []Cut
+	Changes  []Change
 }
 
 // Burst multiplies the rate for a while.
@@ -74,8 +77,9 @@
 	Heard   float64 // for how long the dispatchers do not hear of it: drain, list and unlist
 }
 
-// Second is what became of the first reqs that came in a second, and of all answers in it.
-type Second struct{ Asked, InTime, Served, Refused, Failed int }
+// Second is what became of the first reqs that came in a second, and of all answers in it. Kept are those first reqs that
+// were served in the end, in time or not.
+type Second struct{ Asked, InTime, Served, Refused, Failed, Kept int }
 
 // ClassResult is what became of a class's first reqs.
 type ClassResult struct {
@@ -120,13 +124,17 @@
 	Broken   []judge.Breach
 	Breaches int // all, where only the first are kept
 	Seconds  []Second
-	Load     map[string]int          // jobs begun, by backend
+	Load     map[string]int // jobs begun, by backend
+	Accord   AccordResult
 	Latency  *hdrhistogram.Histogram // of served first reqs, from the first try to the answer, us
 }
 
 // InTimePart is the part of all first reqs that were served in time.
 func (r *Result) InTimePart() float64 { return float64(r.InTime) / float64(max(r.First, 1)) }
 
+// ServedPart is the part of all first reqs that were served, in time or not.
+func (r *Result) ServedPart() float64 { return float64(r.Served) / float64(max(r.First, 1)) }
+
 // Service is the operators' figure: 85% of the whole run, 15% of the worst 10 s, where the site says nothing else.
 func (r *Result) Service() float64 {
 	if r.Mix == (balance.Mix{}) {
@@ -165,6 +173,9 @@
 	for _, r := range sc.Restarts {
 		w.at(r.At, func() { w.restart(r) })
 	}
+	if w.keeper != nil {
+		w.begin()
+	}
 	for _, e := range sc.Events {
 		w.at(e.At, func() { w.happen(e) })
 	}
@@ -226,6 +237,9 @@
 			return fmt.Errorf("scenario: %s", f.says)
 		}
 	}
+	if err := sc.checkAccord(); err != nil {
+		return err
+	}
 	return sc.checkSite()
 }
 
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -88,6 +88,7 @@
 	attempts *rand.Rand       // of what attempts of a job differ by
 	heard    float64          // when the last change is heard: a stale list keeps their order
 	restarts int
+	keeper   *keeperAt // nil without an accord
 }
 
 func newWorld(sc Scenario, settings balance.Settings, p Policy) (*world, error) {
@@ -125,6 +126,12 @@
 	for _, b := range sc.Backends {
 		w.add(b, kinds[b.Kind.Name])
 	}
+	if sc.Accord.Lease > 0 {
+		var err error
+		if w.keeper, err = newKeeper(w); err != nil {
+			return nil, err
+		}
+	}
 	for i := range settings.Instances {
 		settings.Seed, settings.Self = sc.Seed*1_000_003+uint64(i), i
 		s, err := newSide(w, i, settings, p)
--- /dev/null
+++ b/lab/scenarios/cutoff-three.star
@@ -0,0 +1,9 @@
+# Nine dispatchers; three of them are cut off from the accord for ten seconds, and one second into that a change is made.
+traffic(length = 40, rate = 180, work_ms = 260, aim_ms = 250, retries = 6, backoff_ms = 100)
+dispatchers(9)
+reports()
+backends("f", 10, kind("fast", cores = 4, speed = 1.5))
+backends("s", 14, kind("std", cores = 4, speed = 1))
+accord(lease_ms = 3000, when_cut = "stop")
+cut(start = 15, length = 10, dispatchers = [6, 7, 8])
+change(start = 16, dispatcher = 0)
