Module: waiting for an own job and stepping ahead are for few dispatchers alone

With 300 dispatchers a req that met three full backends waited some 190 ms for an own job to end, where this dispatcher sees some eight ends a second, and after a full answer the room that it gives back went to no held req.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -53,7 +53,7 @@
 	reserve   = 0.4     // part of the limit that worthless requests leave free
 	ahead     = 0.3     // part of its slots that a fast worker may fill before an idle slow one has its turn
 	soonest   = 0.4     // of the mean running time: what has less time left is not begun any more
-	untold    = 4.0     // slots of a worker whose size is not told, at first
+	untold    = 4.0     // slots of a worker whose size is not told, at first, and of most
 	fewest    = 8.0     // of slots or links: fewer say more about chance than about load
 	window    = 2000.0  // ms over which rates are measured: shorter than a surge, longer than a cluster
 )
@@ -115,8 +115,9 @@
 func (d *Dispatcher) place(now Millis, r *request) {
 	least := max(2*d.set.Tick, d.runs[r.Class]*soonest) // in a shutdown the deadline is near
 	if now+least < r.Deadline && len(r.attempts) < d.set.MaxAttempts {
-		if n := len(r.attempts); n > 0 && n >= d.set.MaxAttempts-2 && r.out == 0 && r.attempts[n-1].full {
-			c := &d.set.Classes[r.Class] // the last two tries wait for a slot
+		c, n := &d.set.Classes[r.Class], len(r.attempts)
+		if d.few() && n > 0 && n >= d.set.MaxAttempts-2 && r.out == 0 && r.attempts[n-1].full {
+			// the last two tries wait for a slot
 			d.hold(now, r, now+c.Aim/2+c.Stretch*d.runs[r.Class]/4)
 			return
 		}
@@ -207,12 +208,12 @@
 }
 
 // fill is how much of a worker's slots this dispatcher's jobs take, counted by how slow it is, since they
-// take them for longer. Where there are so few dispatchers that own jobs are most of what a worker has, an
-// idle slow one waits for the fast to fill a little. What must never run twice is lost with this process
-// while it is out: it goes by the square, to where it is out for the shortest time.
+// take them for longer. Where dispatchers are few an idle slow one waits for the fast to fill a little. What
+// must never run twice is lost with this process while it is out: it goes by the square, to where it is out
+// for the shortest time.
 func (d *Dispatcher) fill(r *request, w *worker) float64 {
 	count, slow := w.own/d.slots(w), d.kinds[w.Kind]*w.pace
-	if float64(d.set.Instances) <= d.slots(w) {
+	if d.few() {
 		count += ahead
 	}
 	if d.set.Classes[r.Class].Effect == Unsafe {
@@ -246,6 +247,10 @@
 	return d.warmth(now, w) * w.size / (t * t)
 }
 
+// few says that there are no more dispatchers than a worker has slots, so that own jobs are much of what a
+// worker has: one that ends frees a slot soon. Where there are many, another worker is the better guess.
+func (d *Dispatcher) few() bool { return float64(d.set.Instances) <= untold }
+
 // slots is how many a worker has, as far as is known.
 func (d *Dispatcher) slots(w *worker) float64 { return max(w.size, d.wide[w.Kind]) }
 
@@ -481,7 +486,7 @@
 		d.place(now, r)
 	}
 	d.drop(r)
-	if o.Result != Full { // which frees no slot
+	if o.Result != Full || !d.few() { // which frees no slot there
 		d.serveHeld(now)
 	}
 }
--- a/internal/balance/untold_test.go
+++ b/internal/balance/untold_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // untoldSite is a site that tells no sizes, with two kinds of workers, the second twice as fast as the first.
@@ -93,26 +94,30 @@
 // TestLastTriesWaitForASlot: workers that are full answer at once. Three of them in a row, a few milliseconds apart, are
 // no reason to spend the two tries that are left on others; they wait for a job of this dispatcher's own to end well.
 func TestLastTriesWaitForASlot(t *testing.T) {
-	s := testSettings()
-	s.Zones, s.MaxAttempts = 1, 5
-	d, rec := start(t, s, oneZone(8))
-	own := sent(d, rec, 10, req(1, 1))
-	w := sent(d, rec, 11, req(2, 1))
-	for k := range 3 {
-		rec.acts = rec.acts[:0]
-		d.Answer(12+Millis(k), Outcome{ID: 2, Attempt: k, Worker: w, Result: Full, Took: 1})
-		again := rec.only("dispatch")
-		if k == 2 {
-			assert.Empty(t, again, "after the third")
-			break
+	for instances, wait := range map[int]bool{1: true, 300: false} { // among many, an own job that ends is far off
+		s := testSettings()
+		s.Zones, s.MaxAttempts, s.Instances = 1, 5, instances
+		d, rec := start(t, s, oneZone(8))
+		own := sent(d, rec, 10, req(1, 1))
+		w := sent(d, rec, 11, req(2, 1))
+		var again []act
+		for k := range 3 {
+			rec.acts = rec.acts[:0]
+			d.Answer(12+Millis(k), Outcome{ID: 2, Attempt: k, Worker: w, Result: Full, Took: 1})
+			if again = rec.only("dispatch"); k < 2 {
+				require.Len(t, again, 1)
+				w = again[0].worker
+			}
+		}
+		if !wait {
+			assert.Len(t, again, 1, "after the third")
+			continue
+		}
+		assert.Empty(t, again, "after the third")
+		d.Answer(60, Outcome{ID: 1, Worker: own, Took: 50, Closed: true})
+		if again = rec.only("dispatch"); assert.Len(t, again, 1, "a slot is free") {
+			assert.Equal(t, RequestID(2), again[0].id)
 		}
-		assert.Len(t, again, 1)
-		w = again[0].worker
-	}
-	d.Answer(60, Outcome{ID: 1, Worker: own, Took: 50, Closed: true})
-	again := rec.only("dispatch")
-	if assert.Len(t, again, 1, "a slot is free") {
-		assert.Equal(t, RequestID(2), again[0].id)
 	}
 }
 
