--- a/internal/fleet/accord/wire/wire.go
+++ b/internal/fleet/accord/wire/wire.go
@@ -5,6 +5,10 @@
 // Reading is strict: what is read must be, byte by byte, what writing it again gives. That refuses
 // an unknown, a missing or a repeated key, another format, a value written in another width and
 // bytes after the end, all of which are a peer of another version or a damaged message.
+//
+// After the map stand four bytes, big endian: the CRC-32C of all before them. msgpack has no sum of its own, and
+// one changed byte of a body, a version or an outcome reads as well as before: two dispatchers then hold two bodies
+// under one number. TCP's own sum is 16 bits, and a voter's disk has none.
 package wire
 
 import (
@@ -12,6 +16,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,7 +25,10 @@
 )
 
 // Format is the number that every message carries.
-const Format = 1
+const Format = 2
+
+// unsummed is the format before the sum. It is read from a voter's disk alone: a log outlives its binary.
+const unsummed = 1
 
 // MaxFrame is the most bytes of a message: two bodies and what stands around them.
 const MaxFrame = 2*accord.MaxBody + 8<<10
@@ -123,7 +131,24 @@
 	kindLent   = "lent"
 )
 
-func encode(v any) []byte {
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// seal puts the sum behind a map.
+func seal(p []byte) []byte {
+	return binary.BigEndian.AppendUint32(p, crc32.Checksum(p, castagnoli))
+}
+
+// unseal takes it off, and refuses one that is not right.
+func unseal(p []byte) ([]byte, error) {
+	if n := len(p) - 4; n >= 0 && binary.BigEndian.Uint32(p[n:]) == crc32.Checksum(p[:n], castagnoli) {
+		return p[:n], nil
+	}
+	return nil, fmt.Errorf("%w: its sum is not right", ErrMessage)
+}
+
+func encode(v any) []byte { return seal(encodeMap(v)) }
+
+func encodeMap(v any) []byte {
 	var b bytes.Buffer
 	e := msgpack.NewEncoder(&b)
 	e.UseCompactInts(true)
@@ -133,14 +158,14 @@
 	return b.Bytes()
 }
 
-// decode reads p into v, and refuses what encode would not have written.
+// decode reads the map p into v, and refuses what encodeMap would not have written.
 func decode(p []byte, v any) error {
 	d := msgpack.NewDecoder(bytes.NewReader(p))
 	d.DisallowUnknownFields(true)
 	if err := d.Decode(v); err != nil {
 		return fmt.Errorf("%w: %w", ErrMessage, err)
 	}
-	if !bytes.Equal(encode(v), p) {
+	if !bytes.Equal(encodeMap(v), p) {
 		return fmt.Errorf("%w: a field is missing, repeated or written otherwise", ErrMessage)
 	}
 	return nil
@@ -174,7 +199,10 @@
 	if len(p) > MaxFrame {
 		return m, fmt.Errorf("%w: %d bytes, at most %d", ErrMessage, len(p), MaxFrame)
 	}
-	switch kind, err := kindOf(p); {
+	if p, err = unseal(p); err != nil {
+		return m, err
+	}
+	switch kind, err := kindOf(p, Format); {
 	case err != nil:
 		return m, err
 	case kind == kindAsk:
@@ -198,7 +226,7 @@
 }
 
 // kindOf reads the first two fields, which all messages have in common.
-func kindOf(p []byte) (string, error) {
+func kindOf(p []byte, format uint64) (string, error) {
 	d := msgpack.NewDecoder(bytes.NewReader(p))
 	bad := func(what string) (string, error) { return "", fmt.Errorf("%w: %s", ErrMessage, what) }
 	if n, err := d.DecodeMapLen(); err != nil || n < 2 {
@@ -207,8 +235,8 @@
 	if key, err := d.DecodeString(); err != nil || key != "f" {
 		return bad("no format")
 	}
-	if f, err := d.DecodeUint64(); err != nil || f != Format {
-		return bad(fmt.Sprintf("format %d, want %d", f, Format))
+	if f, err := d.DecodeUint64(); err != nil || f != format {
+		return bad(fmt.Sprintf("format %d, want %d", f, format))
 	}
 	if key, err := d.DecodeString(); err != nil || key != "kind" {
 		return bad("no kind")
@@ -264,14 +292,29 @@
 	return encode(&decide{Format, kindDecide, d.Change, d.Proposal, d.Version, d.By, d.Body})
 }
 
-// ReadDecide reads an entry of the log.
+// stored is the map of an entry or a snapshot of a voter's disk, which may be of the format before the sum.
+func stored(p []byte, want string) ([]byte, error) {
+	format := uint64(unsummed)
+	if m, err := unseal(p); err == nil {
+		p, format = m, Format
+	}
+	if kind, err := kindOf(p, format); err != nil || kind != want {
+		return nil, fmt.Errorf("%w: damaged, or no %s that this binary reads", ErrMessage, want)
+	}
+	return p, nil
+}
+
+// ReadDecide reads an entry of the log. Its error wraps ErrMessage.
 func ReadDecide(p []byte) (accord.Decide, error) {
 	var d decide
-	if kind, err := kindOf(p); err != nil || kind != kindDecide {
-		return accord.Decide{}, fmt.Errorf("%w: no entry of this format", ErrMessage)
+	p, err := stored(p, kindDecide)
+	if err == nil {
+		err = decode(p, &d)
+	}
+	if err != nil {
+		return accord.Decide{}, err
 	}
-	err := decode(p, &d)
-	return accord.Decide{Change: d.Change, Proposal: d.Proposal, Version: d.Version, By: d.By, Body: d.Body}, err
+	return accord.Decide{Change: d.Change, Proposal: d.Proposal, Version: d.Version, By: d.By, Body: d.Body}, nil
 }
 
 // WriteState is the bytes of a snapshot of the log.
@@ -283,13 +326,14 @@
 	return encode(&out)
 }
 
-// ReadState reads a snapshot.
+// ReadState reads a snapshot. Its error wraps ErrMessage.
 func ReadState(p []byte) (accord.State, error) {
 	var s state
-	if kind, err := kindOf(p); err != nil || kind != kindState {
-		return accord.State{}, fmt.Errorf("%w: no snapshot of this format", ErrMessage)
+	p, err := stored(p, kindState)
+	if err == nil {
+		err = decode(p, &s)
 	}
-	if err := decode(p, &s); err != nil {
+	if err != nil {
 		return accord.State{}, err
 	}
 	out := accord.State{Version: s.Version, Change: s.Change, Proposal: s.Proposal, By: s.By, Body: s.Body}
