--- a/internal/fleet/accord/mutate_test.go
+++ b/internal/fleet/accord/mutate_test.go
@@ -46,6 +46,7 @@
 	cuts    time.Duration // n5, or those named, are cut off from here, or with the leader,
 	off     string
 	mends   time.Duration // for so long
+	travel  time.Duration // the longest that a message travels: 12 ms if 0
 	want    []string      // what may be in force in the end
 	from    time.Duration
 	faults  time.Duration
@@ -181,7 +182,7 @@
 	if w.cut(now, from) || w.cut(now, to) {
 		return nil
 	}
-	return []mutate.Message{{From: from, To: to, Bytes: b, Delay: time.Millisecond + time.Duration(w.rnd.Int64N(int64(12*time.Millisecond)))}}
+	return []mutate.Message{{From: from, To: to, Bytes: b, Delay: time.Millisecond + time.Duration(w.rnd.Int64N(int64(cmp.Or(w.day.travel, 12*time.Millisecond))))}}
 }
 
 func (w *accordWorld) Tick(now time.Duration, node string) []mutate.Message {
@@ -450,6 +451,7 @@
 		"change":        {changes: []proposalAt{first, change}, want: []string{"second"}, from: 560 * ms, faults: 750 * ms},
 		"refused":       {changes: []proposalAt{first, {600 * ms, "n1", "odd"}}, want: []string{"first"}, from: 560 * ms, faults: 750 * ms},
 		"two at once":   {changes: []proposalAt{first, change, {600 * ms, "n2", "other"}}, want: []string{"second", "other"}, from: 560 * ms, faults: 750 * ms},
+		"overtaking":    {changes: []proposalAt{first, change}, want: []string{"second"}, travel: 45 * ms, from: 560 * ms, faults: 800 * ms},
 		"cut off":       {changes: []proposalAt{first, change}, want: []string{"second"}, cuts: 590 * ms, off: "n2 n3 n4 n5 n6", mends: 500 * ms, from: 540 * ms, faults: 592 * ms},
 		"leader lost":   {changes: []proposalAt{first, {660 * ms, "n1", "second"}}, want: []string{"second"}, depose: 600 * ms, mends: 600 * ms, from: 480 * ms, faults: 1300 * ms},
 		"ready, stored": {changes: []proposalAt{first, change}, want: []string{"second"}, decides: true, stored: true, mends: 400 * ms, from: 560 * ms, faults: 1000 * ms},
