--- a/internal/mutate/doc.go
+++ b/internal/mutate/doc.go
@@ -22,10 +22,8 @@
 // Where a mutation cannot be told from an honest message, Excuse names why, and the play is
 // counted as excused rather than played. Prefer to narrow Excuse to the bytes in question.
 //
-// For the messages of a further fleet part (the accord's policy changes, say): the nodes are its
-// replicas, Tick gives each its time and takes what it wants sent, Deliver decodes with its codec
-// and takes the answers; Check asks that no two replicas have put different policies in force
-// under one version and that none goes back to an older one; End asks that all hold the newest.
+// internal/fleet/accord/mutate_test.go is an example of a fleet part on a majority log: voters that
+// store entries as bytes beside dispatchers whose versions are compared at each event.
 // A part whose messages are a log library's own is fed at the library's message boundary, as
 // bytes. internal/budget/mutate_test.go is the model to follow for datagrams,
 // internal/platform/mutate_test.go for streams, and internal/network/mutate_test.go for code that
