Module: the finer count of a worker's load is for few dispatchers alone

At fault: shortest counted the part of a worker's slots by its slowness also among 300 dispatchers. TestManyDispatchersSpread fails without.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -163,8 +163,11 @@
 	return d.shortest(now, r, 0, true)
 }
 
-// shortest is JFSQ: the eligible worker with the least of its slots in use by own jobs, what waits there
-// for a slot counting in full; the paper's workers have one slot each. News of others'
+// shortest is JFSQ: the eligible worker with the least load of own jobs (load says how that is counted). News
+// of others' slots is left out: it reaches many dispatchers alike, and were it counted, all would leave one
+// worker for the same few others at once, a herd that grows with their number. Equals are drawn
+// by speed. Unlinked workers and other zones count as some slots more, drawn anew each time so
+// that a crowd spills over by degrees.
 // slots is left out: it reaches many dispatchers alike, and were it counted, all would leave one
 // worker for the same few others at once, a herd that grows with their number. Equals are drawn
 // by speed. Unlinked workers and other zones count as some slots more, drawn anew each time so
@@ -184,14 +187,11 @@
 			continue
 		}
 		left--
-		count := d.fill(r, w)
-		if over := w.own + r.Slots - d.slots(w); over > 0 {
-			count += over
-		}
+		count, slot := d.load(r, w)
 		if w.Zone != d.set.Zone {
-			count += 2 * luck * max(1, perCross*d.set.Prices.CrossZone) / d.slots(w)
+			count += 2 * luck * max(1, perCross*d.set.Prices.CrossZone) * slot
 		} else if w.link >= arc {
-			count += 2 * luck * aside / d.slots(w)
+			count += 2 * luck * aside * slot
 		}
 		if count > best || min(w.tickets, d.cold[w.Zone]) < 1 && d.warmth(now, w) < 1 {
 			continue
@@ -207,19 +207,21 @@
 	return choice
 }
 
-// fill is how much of a worker's slots this dispatcher's jobs take, counted by how slow it is, since they
-// take them for longer. Where dispatchers are few an idle slow one waits for the fast to fill a little. What
-// must never run twice is lost with this process while it is out: it goes by the square, to where it is out
-// for the shortest time.
-func (d *Dispatcher) fill(r *request, w *worker) float64 {
-	count, slow := w.own/d.slots(w), d.kinds[w.Kind]*w.pace
-	if d.few() {
-		count += ahead
+// load is what a worker counts in the choice, and what one slot is worth in that count. Among many
+// dispatchers it is the own slots in flight: none or one at most workers, where the draw by speed spreads all
+// of them, and a finer order would send them to the same few. Where they are few it is the part of its
+// slots that own jobs take, by how slow it is, since they take them for longer; what waits for a slot
+// counts in full, and an idle slow worker waits for the fast to fill a little. What must never run twice is
+// lost with this process while it is out: it goes by the square, to where it is out for the shortest time.
+func (d *Dispatcher) load(r *request, w *worker) (count, slot float64) {
+	if !d.few() {
+		return w.own, 1
 	}
+	slot, slow := 1/d.slots(w), d.kinds[w.Kind]*w.pace
 	if d.set.Classes[r.Class].Effect == Unsafe {
-		count *= slow
+		slow *= slow
 	}
-	return count * slow
+	return (w.own*slot+ahead)*slow + max(0, w.own+r.Slots-d.slots(w)), slot
 }
 
 // link says how far a worker is from here, and arc how far those are that are preferred: dispatchers and
--- a/internal/balance/untold_test.go
+++ b/internal/balance/untold_test.go
@@ -89,6 +89,22 @@
 		slow += int(sent(d, rec, 10, req(1, 1))) % 2
 	}
 	assert.Greater(t, slow, 4, "of 60 first jobs, on slow workers")
+
+	d, rec := untoldSite(t, 300)
+	d.kinds[0], d.kinds[1], d.limit = 1.01, 0.99, 100 // hardly slower
+	slow = 0
+	for i := range 8 { // one job at each worker, all linked
+		sent(d, rec, 10, req(i, 0))
+	}
+	for i := range 40 { // all have one: a finer count would send each of these to the faster kind
+		d.rng = rand.New(rand.NewPCG(uint64(i), 2))
+		slow += int(sent(d, rec, 11, req(100+i, 0))) % 2
+		d.Answer(12, Outcome{ID: RequestID(100 + i), Worker: d.workers[d.reqs[RequestID(100+i)].attempts[0].worker].ID, Result: Reset, Closed: true})
+		for k := range d.workers {
+			d.workers[k].strikes, d.workers[k].until = 0, 0
+		}
+	}
+	assert.Greater(t, slow, 8, "of 40 second jobs, on slow workers")
 }
 
 // TestLastTriesWaitForASlot: workers that are full answer at once. Three of them in a row, a few milliseconds apart, are
