slices: a demand that a backend did not begin is told that it waits

Seen: TestWorld failed now and then with "r5 was lost". It was not lost: it waited at its old place, starved, with a device kept for it. A device whose backend refused the begin answers NotBegun; Table.NotBegun (table.go) put the demand back in the queue without an action. Ask says nothing to the demander when it places at once, since Placed follows Began. So its demander heard no word at all until it was placed, and with a full fleet and many starved ahead that is longer than the 600 ns which the test looks on.

NotBegun now says Waits, with its reason, if no other device took the demand at once. TestNotBegunIsToldToWait holds it.

TestWorld judges more sharply: only what is heard after the faults have ended counts, and a demand that was last told to wait has to be known to the table.

--- a/internal/fleet/slices/slices_test.go
+++ b/internal/fleet/slices/slices_test.go
@@ -134,6 +134,7 @@
 	for range 60 {
 		round()
 	}
+	clear(w.said) // what was heard before does not count
 	for i := 1; i <= n; i++ {
 		w.ask(fmt.Sprint("r", i))
 	}
@@ -142,8 +143,12 @@
 	}
 	for i := 1; i <= n; i++ {
 		id := fmt.Sprint("r", i)
-		if _, heard := w.said[id]; !heard && !w.gone[id] {
-			t.Fatalf("%s was lost", id)
+		a, heard := w.said[id]
+		if !heard && !w.gone[id] {
+			t.Fatalf("the demander of %s heard nothing", id)
+		}
+		if tab := w.table[0]; a.Step == Waits && tab.byID[id] == nil && tab.placed[id] == nil {
+			t.Fatalf("%s was lost: told to wait, and the table does not know it", id)
 		}
 		w.release(id)
 	}
@@ -228,6 +233,14 @@
 	assert.Equal(t, Ended, last(t, tab.Ask(0, dem("late", 1, 1))).Step, "the release came first")
 }
 
+func TestNotBegunIsToldToWait(t *testing.T) {
+	tab := ready(plain, BestFit, nil, free("d"))
+	b := last(t, tab.Ask(0, dem("x", 600, 100)))
+	out := tab.NotBegun(0, "d", "x", b.Try)
+	assert.Contains(t, out, Action{Step: Waits, ID: "x", Why: "the backend did not begin it"})
+	assert.Equal(t, Begin, last(t, tab.Said(0, "d", Stamp{1, 2}, nil)).Step)
+}
+
 func TestLoweredLimitEvictsNothing(t *testing.T) {
 	tab := ready(plain, Pattern, nil, free("d"))
 	for i := range 3 {
--- a/internal/fleet/slices/table.go
+++ b/internal/fleet/slices/table.go
@@ -276,6 +276,9 @@
 						t.place(now, w, o, a)
 					}
 				}
+				if w.queued { // nothing was said of it yet: its demander would hear no word for as long as it waits
+					t.say(Action{Step: Waits, ID: id, Why: w.why})
+				}
 			} else {
 				t.say(Action{Step: Refused, ID: id, Why: t.never(&s.demand)})
 			}
