Module: jobs of a backend's earlier process do not widen its kind

Seen on reading the change again: a backend that comes back kept the count of jobs that its earlier process had started, and those may stay out for long where a machine went silent. Started jobs of the new process were counted on top, and the most that ever ran at once is kept for the whole kind: twice the slots, and with them twice the budget of a cold one, from then on. At fault: seat (state.go) carried running over. It begins at 0 now, and an ending of an earlier process's job takes nothing below that, which errs to the small side.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -446,7 +446,7 @@
 	}
 	w := &d.workers[a.worker]
 	if a.started > 0 {
-		w.running -= r.Slots
+		w.running = max(0, w.running-r.Slots) // it may have started in an earlier process
 	}
 	a.out, w.own, w.out, d.busy, r.out = false, w.own-r.Slots, w.out-1, d.busy-r.Slots, r.out-1
 	a.full = o.Result == Full
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -152,7 +152,7 @@
 	}
 	w := &b.workers[i]
 	if !known || e.Started != w.Started {
-		*w = worker{own: w.own, out: w.out, running: w.running, pace: 1}
+		*w = worker{own: w.own, out: w.out, pace: 1} // what the old process ran does not run in this one
 	}
 	b.index[e.ID] = i
 	w.Worker, w.size = e, max(1, w.size, e.Weight)
--- a/internal/balance/untold_test.go
+++ b/internal/balance/untold_test.go
@@ -148,3 +148,26 @@
 	assert.Empty(t, d.held)
 	assert.Len(t, rec.only("refuse"), 1)
 }
+
+// TestRestartedWorkerIsNotWider: jobs of a process that is gone may stay out for long, where its machine says nothing. They
+// do not run beside those of the process that follows it, which would pass for a worker of twice the slots from then on.
+func TestRestartedWorkerIsNotWider(t *testing.T) {
+	d, rec := untoldSite(t, 1)
+	list := []Worker{{ID: 9, Kind: 0, State: Ready, Weight: 1}}
+	fill := func(first int) {
+		for i := first; i < first+3; i++ {
+			require.EqualValues(t, 9, sent(d, rec, 1e5, withDeadline(req(i, 0), 1e6)))
+			d.Progressed(1e5, Progress{ID: RequestID(i), Worker: 9, Started: true})
+		}
+	}
+	d.Workers(10, ListFull, list)
+	fill(0)
+	list[0].Started = 20
+	d.Workers(30, ListFull, list)
+	fill(3)
+	assert.EqualValues(t, 3, d.wide[0])
+	for i := range 6 {
+		d.Answer(2e5, Outcome{ID: RequestID(i), Worker: 9, Result: Reset, Closed: true})
+	}
+	assert.Zero(t, d.workers[d.index[9]].running)
+}
