Accord: the line of a version in force names the change that made it

At fault: lease (lessee.go) noted the version alone. The change is kept when a checked draft is adopted; a dispatcher that comes later and was never asked to check it still says 0.

--- a/internal/fleet/accord/accord_test.go
+++ b/internal/fleet/accord/accord_test.go
@@ -123,6 +123,33 @@
 	assert.EqualValues(t, 2, a.Next)
 }
 
+// TestInForceNamesItsChange: the log's line by which operators follow a change to its end names it, as all its other lines do.
+func TestInForceNamesItsChange(t *testing.T) {
+	k, l, now := pair(t, Plan{Lease: time.Second})
+	l.Notes()
+	require.NoError(t, l.Propose(ProposalBit|7, []byte("two")))
+	for range 6 {
+		exchange(t, k, l, now)
+		for _, c := range l.Checks() {
+			l.Checked(now, c, nil)
+		}
+		l.Tick(now, 0)
+		k.Tick(now)
+		if d, ok := k.Submit(); ok {
+			s := k.state
+			require.True(t, s.Apply(d))
+			k.Applied(now, s)
+		}
+	}
+	changes := map[string]uint64{}
+	for _, n := range l.Notes() {
+		changes[n.Step] = n.Change
+	}
+	require.Contains(t, changes, "in force")
+	assert.NotZero(t, changes["in force"])
+	assert.Equal(t, changes["checked"], changes["in force"])
+}
+
 // TestRefusal: one dispatcher that cannot take the draft has it withdrawn everywhere, by name.
 func TestRefusal(t *testing.T) {
 	k, l, now := pair(t, Plan{Lease: time.Second})
--- a/internal/fleet/accord/lessee.go
+++ b/internal/fleet/accord/lessee.go
@@ -55,6 +55,7 @@
 	due      Time
 
 	version uint64 // whose body is held, checked and in force here
+	change  uint64 // that made it, where it was checked here as a draft; else 0
 	body    []byte
 	gate    Gate
 	granted bool // a lease of version was had
@@ -220,6 +221,10 @@
 // adopt makes a version the one held: what is taken from the next lease on is taken by it. The old
 // one is over here, whatever lease of it was had.
 func (l *Lessee) adopt(version uint64, body []byte) {
+	l.change = 0
+	if l.draft.stance == Accepted && l.draft.next == version && bytes.Equal(l.draft.body, body) {
+		l.change = l.draft.id
+	}
 	l.version, l.body = version, body
 	l.gate = Gate{Version: version, Lapsed: Never}
 	l.granted, l.checking, l.coming, l.refused = false, 0, nil, 0
@@ -269,7 +274,7 @@
 	}
 	if !l.granted {
 		l.granted, l.enters = true, true
-		l.note(Note{Step: "in force", Version: l.version})
+		l.note(Note{Step: "in force", Change: l.change, Version: l.version})
 	}
 }
 
