Sessions read on while a req waits, and end by half-closing: gone clients are seen

Read in the code (session.await, run, refuse, admit) and confirmed by tests over loopback sockets:

- A client that had sent a byte behind its req was not watched any more: await then waited for the answer without a read.
Its req was sent on, and tried again, for a client long gone.
TestGoneIsSeen without the change: 8 of 11 cases fail ("a byte with the req", "a byte later", "a whole req with it", "a flood", ...): the session stays for the req's 5 s and answers it.
A whole req that lay behind was begun for nobody.
- A close straight after the last answer reset the connection over what the client still sent.
TestLastAnswerIsRead without the change: "connection reset by peer" after the answers to Connection: close and to a health check with more behind them, after 408, and "broken pipe" after the 503 beyond all budgets.
In the other cases (shutdown, 400, 413, 431) the client had its answer before as well; they stay as cases.
- A shutdown's answer closed the session over a whole req that had been read with the one before: TestReadIsAnswered without the change has no second attempt and no answer.
- A client that goes in the instant in which its answer is written: the reader gave the seat up, and the writer put it back (table.answered, move).
Such a seat was counted among the resting, shed in place of a real session, and then stood among those that are about to close for ever.
TestGoneWhileAnswered without the change: row 4 has 1.

Now the session reads on until the answer is out. What comes is kept for the next req up to the length of the longest req, counted in the bytes that all bodies together may hold beyond 4 KiB; what is beyond is read and dropped, with pauses after 256 KiB, counted as sessions_flooded, and the session ends with its answer. Reqs that have been read are answered before an end of the service closes the session, each with the time left from when it came. The last answer is followed by an end of our side alone; what still comes is read for at most 500 ms (150 ms in a shutdown), 1 MiB, and by an eighth of the sessions. Whoever needs the descriptor ends that at once. The reader waits for the writer.

Checked: the package's tests under -race; the new ones three times with all cores busy.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,16 +10,16 @@
 // Set holds all counters. Endings is indexed by the core's endings and HTTP2Abuse by the kinds of
 // package http2, which Each is told the names of.
 type Set struct {
-	ClientSessions, SessionsRefused, BodiesShed          atomic.Int64
-	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated           atomic.Int64
-	AnswersServed, AnswersRefused, AnswersFailed         atomic.Int64
-	Attempts, Probes, BackendConnections, BackendRetired atomic.Int64
-	DirectorCalls, Overlooked, Reloads, ReloadsBad       atomic.Int64
-	DirectorSilent                                       atomic.Int64 // calls held for silent, another made beside them
-	HTTP2Sessions, HTTP2Resets                           atomic.Int64
-	HandoverCut, HandoverLeft                            atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
-	Endings                                              [32]atomic.Int64
-	HTTP2Abuse                                           [32]atomic.Int64
+	ClientSessions, SessionsRefused, SessionsFlooded, BodiesShed atomic.Int64
+	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated                   atomic.Int64
+	AnswersServed, AnswersRefused, AnswersFailed                 atomic.Int64
+	Attempts, Probes, BackendConnections, BackendRetired         atomic.Int64
+	DirectorCalls, Overlooked, Reloads, ReloadsBad               atomic.Int64
+	DirectorSilent                                               atomic.Int64 // calls held for silent, another made beside them
+	HTTP2Sessions, HTTP2Resets                                   atomic.Int64
+	HandoverCut, HandoverLeft                                    atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
+	Endings                                                      [32]atomic.Int64
+	HTTP2Abuse                                                   [32]atomic.Int64
 }
 
 // Names are those of the counters that are kept by number.
@@ -31,7 +31,7 @@
 		name string
 		n    *atomic.Int64
 	}{
-		{"client_sessions", &s.ClientSessions}, {"sessions_refused", &s.SessionsRefused},
+		{"client_sessions", &s.ClientSessions}, {"sessions_refused", &s.SessionsRefused}, {"sessions_flooded", &s.SessionsFlooded},
 		{"bodies_shed", &s.BodiesShed}, {"reqs_taken", &s.ReqsTaken}, {"reqs_bad", &s.ReqsBad}, {"reqs_repeated", &s.ReqsRepeated},
 		{"reqs_shed", &s.ReqsShed}, {"answers_served", &s.AnswersServed}, {"answers_refused", &s.AnswersRefused},
 		{"answers_failed", &s.AnswersFailed}, {"attempts", &s.Attempts}, {"probes", &s.Probes},
--- /dev/null
+++ b/internal/network/await.go
@@ -0,0 +1,221 @@
+package network
+
+import (
+	"errors"
+	"os"
+	"sync"
+	"time"
+
+	"tinsail/internal/core"
+	"tinsail/internal/platform"
+)
+
+// What a client may send behind a req that waits for its answer, and what it may still send once it has had its last
+// one. It is read all the same: only who reads sees the end of a connection, and a close over unread bytes
+// resets it, which takes an answer that is not read yet with it.
+const (
+	aheadMost  = platform.MaxHead + platform.MaxBody // kept: one more req, as long as any may be
+	dropPiece  = 16 << 10                            // read at a time of what is not kept
+	dropFree   = 256 << 10                           // of what is not kept, before it is read with pauses
+	dropPause  = time.Millisecond                    // after each piece: a flood must not use up the processor
+	lingerMost = 1 << 20                             // bytes after the last answer
+	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
+	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
+	turnedMost = 4                                   // clients at a time that there was no descriptor for: within what Share keeps
+	turnedWait = 50 * time.Millisecond               // for such a one to read so
+)
+
+// waste is space for bytes that nobody will read.
+var waste = sync.Pool{New: func() any { return new([dropPiece]byte) }}
+
+// await waits for the answer to be written, and for the client to send its next req or to
+// go away.
+func (s *session) await(t core.Ticket, closing bool) (core.Ending, bool) {
+	gone, done := make(chan struct{}), make(chan written, 1)
+	a := &ahead{session: s}
+	go s.reply(closing, s.held > 0, a, gone, done)
+	here := a.watch()
+	if !here {
+		t.Abandon(false, nil)
+		close(gone)
+		s.conn.Close() // an answer that is just being written ends by that
+	}
+	// The writer is done with the seat before that is given up, or it would be put back into the table.
+	w := <-done
+	a.release()
+	s.done(w.free)
+	switch {
+	case !here || w.err != nil:
+		return core.ClientClosed, true
+	case w.closing || a.dropped > 0:
+		return core.SessionDone, true
+	}
+	if s.in.Ahead() > 0 {
+		s.turn = time.Now()
+		s.clients.table.begun(&s.seat)
+	} else {
+		s.looked = s.clients.table.over(&s.seat)
+	}
+	return 0, false
+}
+
+// ahead is what comes on a session behind the req that waits.
+type ahead struct {
+	*session
+	kept    int  // taken out of the bytes that all sessions together may hold
+	dropped int  // bytes that were read and not kept: nothing of the session can be read any more
+	flooded bool // under the table's lock: something was dropped
+}
+
+// watch reads on until the answer is written, and returns false if the client goes first. What comes is kept for the
+// next req, up to a bound; what is beyond is dropped, and the session ends with its answer.
+func (a *ahead) watch() (here bool) {
+	t := &a.clients.table
+	if a.in.Ahead() > 0 { // sent with the req, and nothing wakes a read for it
+		a.came = a.session.read
+		if !t.sentAhead(&a.seat) {
+			return true
+		}
+	}
+	for {
+		n, err := a.take()
+		switch {
+		case n > 0:
+			if !t.sentAhead(&a.seat) {
+				return true
+			}
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if !t.stillOwed(&a.seat) {
+				return true
+			}
+		default: // what it sent ahead is not for anybody any more
+			return false
+		}
+	}
+}
+
+// take takes in what the client sends.
+func (a *ahead) take() (int, error) {
+	if a.dropped == 0 && a.room() {
+		first := a.in.Ahead() == 0
+		n, err := a.conn.Read(a.in.Space())
+		if n > 0 && first {
+			a.came = time.Now()
+		}
+		a.in.Filled(n)
+		return n, err
+	}
+	piece := waste.Get().(*[dropPiece]byte)
+	defer waste.Put(piece)
+	n, err := a.conn.Read(piece[:])
+	if n == 0 {
+		return n, err
+	}
+	if a.dropped += n; a.dropped == n {
+		a.clients.Count.SessionsFlooded.Add(1)
+		a.clients.table.mu.Lock()
+		a.flooded = true
+		a.clients.table.mu.Unlock()
+	}
+	if a.dropped > dropFree {
+		time.Sleep(dropPause)
+	}
+	return n, err
+}
+
+// room says whether more is kept.
+func (a *ahead) room() bool {
+	n := a.in.Ahead()
+	if n >= smallBody && a.kept == 0 && a.clients.hold(aheadMost) {
+		a.kept = aheadMost
+	}
+	return n < smallBody || n < a.kept
+}
+
+func (a *ahead) release() { a.clients.held.Add(-int64(a.kept)) }
+
+// lies says whether there is something behind the req that waits, and whether it is past reading.
+func (a *ahead) lies() (some, flooded bool) {
+	t := &a.clients.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return a.seat.ahead, a.flooded
+}
+
+func (s *session) done(free bool) {
+	s.in.Done(free)
+	s.release()
+}
+
+// reply writes the answer once it is there. long says that the req's body is to be given up
+// at once; it is told, since the reading goroutine may have ended meanwhile. What the client has sent ahead
+// is answered before an end of the service closes the session: it has been read.
+func (s *session) reply(closing, long bool, behind *ahead, gone chan struct{}, done chan written) {
+	var a core.Answer
+	select {
+	case a = <-s.answer:
+	case <-gone:
+		done <- written{}
+		return
+	}
+	t := &s.clients.table
+	some, flooded := behind.lies()
+	closing = closing || flooded || !some && (s.clients.told().Close || t.isShed(&s.seat))
+	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
+	closing = t.answered(&s.seat, true, closing || err != nil, long)
+	t.trim(s.clients.usual())
+	done <- written{a.Free, closing, err}
+}
+
+// linger lets the client read its last answer: our side ends, and what the client still sends is read and not taken up,
+// for a while, up to a bound, and by few sessions at a time, which are the first to go when descriptors are short.
+func (s *session) linger() {
+	c := s.clients
+	end, ok := s.conn.(interface{ CloseWrite() error })
+	if !ok || !c.table.linger(&s.seat, c.most()/8+1) || end.CloseWrite() != nil {
+		return
+	}
+	wait := lingerWait
+	if c.told().Close {
+		wait = drainWait
+	}
+	c.table.lingerUntil(&s.seat, time.Now().Add(wait))
+	piece := waste.Get().(*[dropPiece]byte)
+	defer waste.Put(piece)
+	for left := lingerMost; left > 0; {
+		n, err := s.conn.Read(piece[:])
+		if left -= n; err != nil {
+			return
+		}
+	}
+}
+
+// turnAway tells a client that there is no descriptor for it, unread. A few are given a moment, so that the close does
+// not reset the connection over what they sent; all others are not waited for.
+func (c *Clients) turnAway(s *session) {
+	s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
+	end, ok := s.conn.(interface{ CloseWrite() error })
+	if !ok || c.turned.Add(1) > turnedMost {
+		if ok {
+			c.turned.Add(-1)
+		}
+		s.conn.Close()
+		c.table.leave(&s.seat)
+		return
+	}
+	go func() {
+		defer c.turned.Add(-1)
+		defer c.table.leave(&s.seat)
+		defer s.conn.Close()
+		end.CloseWrite()
+		s.conn.SetReadDeadline(time.Now().Add(turnedWait))
+		piece := waste.Get().(*[dropPiece]byte)
+		defer waste.Put(piece)
+		for left := lingerMost; left > 0; {
+			n, err := s.conn.Read(piece[:])
+			if left -= n; err != nil {
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/network/await_test.go
@@ -0,0 +1,332 @@
+package network
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/core"
+	"tinsail/internal/service"
+)
+
+// patient are backends that serve nothing before they are told to. They tell of each attempt that comes.
+type patient struct {
+	instant
+	sent chan *core.Attempt
+}
+
+func newPatient() patient { return patient{sent: make(chan *core.Attempt, 64)} }
+
+func (b patient) Send(a *core.Attempt) func() {
+	b.sent <- a
+	return func() {}
+}
+
+// next is the next attempt that comes.
+func (b patient) next(t *testing.T) *core.Attempt {
+	t.Helper()
+	select {
+	case a := <-b.sent:
+		return a
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "no attempt")
+		return nil
+	}
+}
+
+func serve(a *core.Attempt, result string) {
+	a.Started()
+	a.Ended(core.Served, result, nil)
+}
+
+func photo(id, more, body string) string {
+	return fmt.Sprintf("POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+// caller is a client on a real socket.
+type caller struct {
+	*net.TCPConn
+	in *bufio.Reader
+}
+
+func ring(t *testing.T, s *served) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address[0])
+	require.NoError(t, err)
+	require.NoError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
+	t.Cleanup(func() { conn.Close() })
+	return &caller{conn.(*net.TCPConn), bufio.NewReader(conn)}
+}
+
+func (c *caller) answer(t *testing.T) (status int, body string, closing bool) {
+	t.Helper()
+	a, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	b, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	return a.StatusCode, string(b), a.Close
+}
+
+// none waits until the dispatcher has no client session.
+func (s *served) none(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { return s.clients.Open() == 0 }, 20*time.Second, time.Millisecond)
+}
+
+// TestGoneIsSeen: a client that goes while its req waits is seen whatever it sent behind the req, also where that is
+// more than is kept or than the sockets hold. The backends answer nothing: without a look at the connection the session
+// would stay for the req's whole time.
+func TestGoneIsSeen(t *testing.T) {
+	flood := strings.Repeat("x", 12<<20)
+	for name, c := range map[string]struct {
+		with, after string
+		reset, half bool
+		flooded     int64
+	}{
+		"nothing":                       {},
+		"reset":                         {reset: true},
+		"only its sending":              {half: true},
+		"a byte with the req":           {with: "P"},
+		"a byte later":                  {after: "P"},
+		"a whole req with it":           {with: photo("b", "", "x")},
+		"a whole req later":             {after: photo("b", "", "x")},
+		"a body that is not whole":      {after: photo("b", "", strings.Repeat("y", 60_000))[:40_000]},
+		"a flood":                       {after: flood, flooded: 1},
+		"a flood, and a reset":          {after: flood, reset: true, flooded: 1},
+		"a flood with it, and half out": {with: "P", after: flood, half: true, flooded: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newPatient()
+			s := serveReal(t, b)
+			conn := ring(t, s)
+			_, err := io.WriteString(conn, photo("a", "", "z")+c.with)
+			require.NoError(t, err)
+			first := b.next(t)
+			_, err = io.WriteString(conn, c.after)
+			require.NoError(t, err, "what the client sends is taken in")
+			switch {
+			case c.reset:
+				conn.SetLinger(0)
+				conn.Close()
+			case c.half:
+				conn.CloseWrite()
+			default:
+				conn.Close()
+			}
+			s.none(t)
+			answered := s.count.AnswersServed.Load() + s.count.AnswersRefused.Load() + s.count.AnswersFailed.Load()
+			assert.Zero(t, answered, "the session did not stay until the req's time was up")
+			assert.EqualValues(t, 1, s.count.Endings[core.ClientClosed].Load())
+			assert.Equal(t, c.flooded, s.count.SessionsFlooded.Load())
+			assert.Zero(t, s.clients.held.Load(), "what was kept is given up")
+			assert.Empty(t, b.sent, "a req that was sent ahead is not for anybody")
+			first.Ended(core.Served, "r", nil)
+		})
+	}
+}
+
+// TestAheadIsAnswered: reqs that come while one waits are answered in turn: sent with it, one by one, in pieces, or while
+// its answer is due.
+func TestAheadIsAnswered(t *testing.T) {
+	for _, piece := range []int{1, 100, 1 << 20} {
+		for _, with := range []bool{true, false} {
+			t.Run(fmt.Sprint(piece, with), func(t *testing.T) {
+				b := newPatient()
+				s := serveReal(t, b)
+				conn := ring(t, s)
+				rest := photo("b", "", strings.Repeat("y", 3000)) + photo("c", "", "x")
+				if with {
+					_, err := io.WriteString(conn, photo("a", "", "z")+rest)
+					require.NoError(t, err)
+				} else {
+					_, err := io.WriteString(conn, photo("a", "", "z"))
+					require.NoError(t, err)
+				}
+				a := b.next(t)
+				for at := 0; at < len(rest) && !with; at += piece {
+					_, err := io.WriteString(conn, rest[at:min(at+piece, len(rest))])
+					require.NoError(t, err)
+				}
+				serve(a, "ra")
+				for _, id := range []string{"b", "c"} {
+					next := b.next(t)
+					assert.Equal(t, id, next.Job.ID)
+					serve(next, "r"+id)
+				}
+				for _, id := range []string{"a", "b", "c"} {
+					status, body, closing := conn.answer(t)
+					assert.Equal(t, 200, status)
+					assert.Equal(t, "r"+id, body)
+					assert.False(t, closing)
+				}
+			})
+		}
+	}
+}
+
+// TestReadIsAnswered: a req that was read before the answer that would close its session is answered before that is closed.
+func TestReadIsAnswered(t *testing.T) {
+	b := newPatient()
+	s := serveReal(t, b)
+	conn := ring(t, s)
+	_, err := io.WriteString(conn, photo("a", "", "z")+photo("b", "", "z"))
+	require.NoError(t, err)
+	first := b.next(t)
+	s.clients.orders.Store(&service.Orders{Accept: true, Close: true})
+	serve(first, "ra")
+	serve(b.next(t), "rb")
+	_, body, closing := conn.answer(t)
+	assert.Equal(t, "ra", body)
+	assert.False(t, closing)
+	_, body, closing = conn.answer(t)
+	assert.Equal(t, "rb", body)
+	assert.True(t, closing)
+	_, err = conn.in.ReadByte()
+	assert.Equal(t, io.EOF, err)
+}
+
+// TestLastAnswerIsRead: a client that still sends when it gets its last answer reads that and then the end, not a reset: it
+// looks only when the dispatcher has done with the connection. None of what it sent is taken up.
+func TestLastAnswerIsRead(t *testing.T) {
+	more := strings.Repeat("x", 64<<10)
+	body := strings.Repeat("z", 1000)
+	for name, c := range map[string]struct {
+		send   string
+		after  string // sent when the answer has come
+		served bool
+		orders *service.Orders
+		excess bool
+		want   int
+	}{
+		"asked for":                  {send: photo("a", "Connection: close\r\n", body), after: more, served: true, want: 200},
+		"asked for, with more":       {send: photo("a", "Connection: close\r\n", body) + more, served: true, want: 200},
+		"asked for, a req":           {send: photo("a", "Connection: close\r\n", body), after: photo("b", "", body), served: true, want: 200},
+		"shutdown":                   {send: photo("a", "", body), after: more, served: true, orders: &service.Orders{Accept: true, Close: true}, want: 200},
+		"no req":                     {send: "NONSENSE\r\n\r\n" + more, after: more, want: 400},
+		"too long a body":            {send: "POST /photo/1 HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 999999\r\n\r\n" + more, after: more, want: 413},
+		"too long a head":            {send: "POST /photo/1 HTTP/1.1\r\nX-A: " + more, after: more, want: 431},
+		"health, asked for":          {send: "GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n" + more, after: more, want: 200},
+		"half a req, and no rest":    {send: photo("a", "", body)[:200], after: more, want: 408},
+		"beyond all budgets, unread": {send: photo("a", "", body), after: more, excess: true, want: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newPatient()
+			s := serveReal(t, b, func(cl *Clients) {
+				if c.excess {
+					cl.Most = -excessMost
+				}
+			})
+			if c.orders != nil {
+				s.clients.orders.Store(c.orders)
+			}
+			conn := ring(t, s)
+			_, err := io.WriteString(conn, c.send)
+			require.NoError(t, err)
+			if c.served {
+				serve(b.next(t), "r")
+			}
+			_, err = conn.in.Peek(1)
+			require.NoError(t, err)
+			_, err = io.WriteString(conn, c.after)
+			require.NoError(t, err, "the dispatcher reads on")
+			s.none(t)
+			status, _, closing := conn.answer(t)
+			assert.Equal(t, c.want, status)
+			assert.True(t, closing)
+			_, err = conn.in.ReadByte()
+			assert.Equal(t, io.EOF, err, "an end, no reset")
+			assert.Empty(t, b.sent)
+		})
+	}
+}
+
+// TestLingeringIsBounded: sessions that have had their last answer and whose clients neither read nor go are few, and go for
+// others that need their descriptors.
+func TestLingeringIsBounded(t *testing.T) {
+	const clients = 40
+	s := serveReal(t, instant{"r"}, func(cl *Clients) { cl.Most = clients })
+	for i := range clients {
+		conn := ring(t, s)
+		_, err := io.WriteString(conn, photo(fmt.Sprint("a", i), "Connection: close\r\n", "z"))
+		require.NoError(t, err)
+		status, _, closing := conn.answer(t)
+		assert.Equal(t, 200, status)
+		assert.True(t, closing)
+		s.clients.table.mu.Lock()
+		assert.LessOrEqual(t, s.clients.table.lingers, clients/8+1)
+		s.clients.table.mu.Unlock()
+	}
+	s.none(t)
+	s.clients.table.mu.Lock()
+	assert.Zero(t, s.clients.table.lingers)
+	s.clients.table.mu.Unlock()
+}
+
+// stuck is a connection whose first write waits until it was closed, and then until the dispatcher has given the session up,
+// if it does that before the write is over.
+type stuck struct {
+	net.Conn
+	writes chan struct{} // a write has begun
+	closed chan struct{}
+	once   sync.Once
+	given  func() bool
+}
+
+func (c *stuck) Write([]byte) (int, error) {
+	close(c.writes)
+	<-c.closed
+	for range 100 {
+		if c.given() {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return 0, net.ErrClosed
+}
+
+func (c *stuck) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestGoneWhileAnswered: a client that goes in the instant in which its answer is written leaves nothing in the table. A seat
+// that came back would be taken for a session that can be shed.
+func TestGoneWhileAnswered(t *testing.T) {
+	s := serveReal(t, instant{"r"})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	held := &stuck{Conn: conn, writes: make(chan struct{}), closed: make(chan struct{}), given: func() bool { return s.clients.Open() == 0 }}
+	one := &session{seat: seat{conn: held}, clients: s.clients, answer: make(chan core.Answer, 1)}
+	s.clients.enter(&one.seat)
+	go one.run()
+	_, err = io.WriteString(client, photo("a", "", "z"))
+	require.NoError(t, err)
+	<-held.writes
+	client.Close()
+	table := &s.clients.table
+	require.Eventually(t, func() bool { // the session is over, and its writer too
+		table.mu.Lock()
+		defer table.mu.Unlock()
+		return table.count == 0 && one.job
+	}, 20*time.Second, time.Millisecond)
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	for r := range table.rows {
+		assert.Zero(t, table.rows[r].Len(), "row %d", r)
+	}
+}
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -17,14 +17,13 @@
 
 // Times of a client session.
 const (
-	firstWait  = 2500 * time.Millisecond // for the first req to be whole, from connecting
-	reqWait    = 2500 * time.Millisecond // for the rest of a later req that has begun
-	idleWait   = 3 * time.Minute         // between reqs
-	writeWait  = 5 * time.Second         // for an answer to be taken
-	lingerWait = 500 * time.Millisecond  // for a client to read why it is turned away
-	shedPause  = 500 * time.Millisecond  // advice to a client that there is no descriptor for
-	lastLook   = 5 * time.Millisecond    // for a req that came as its session was to be closed
-	roomWait   = 20 * time.Millisecond   // for a session that is being shed to be gone
+	firstWait = 2500 * time.Millisecond // for the first req to be whole, from connecting
+	reqWait   = 2500 * time.Millisecond // for the rest of a later req that has begun
+	idleWait  = 3 * time.Minute         // between reqs
+	writeWait = 5 * time.Second         // for an answer to be taken
+	shedPause = 500 * time.Millisecond  // advice to a client that there is no descriptor for
+	lastLook  = 5 * time.Millisecond    // for a req that came as its session was to be closed
+	roomWait  = 20 * time.Millisecond   // for a session that is being shed to be gone
 )
 
 // Clients takes in client sessions.
@@ -44,6 +43,7 @@
 	gate   gate
 	size   atomic.Pointer[Budget] // by Resize; nil for Most and Usual
 	held   atomic.Int64
+	turned atomic.Int32 // clients being turned away unread
 	table  table
 }
 
@@ -95,6 +95,8 @@
 	// Touched by the reading goroutine alone.
 	in     platform.Requests
 	came   time.Time // when the first byte came of what is being read
+	read   time.Time // when the last byte came
+	turn   time.Time // when what was sent ahead had its turn: the rest of it is due from then on
 	looked bool      // its time is up, and this is the last look for a req
 	held   int64     // of the body that is being read or answered
 }
@@ -140,9 +142,7 @@
 	s.in.Admit = s.hold
 	excess, room := c.enter(&s.seat)
 	if s.excess = excess; !room {
-		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
-		conn.Close()
-		c.table.leave(&s.seat)
+		c.turnAway(s)
 		return
 	}
 	go s.run()
@@ -163,6 +163,9 @@
 
 func (s *session) run() {
 	e := s.serve()
+	if e != core.ClientClosed {
+		s.linger()
+	}
 	s.conn.Close()
 	s.release()
 	s.clients.Count.Endings[e].Add(1)
@@ -234,8 +237,9 @@
 
 // filled takes in bytes. A req is there from its first byte on.
 func (s *session) filled(n int, partial bool) {
+	s.read = time.Now()
 	if !partial {
-		s.came = time.Now()
+		s.came = s.read
 	}
 	s.in.Filled(n)
 	s.looked = false
@@ -250,7 +254,11 @@
 	defer t.mu.Unlock()
 	switch {
 	case partial && s.used:
-		s.conn.SetReadDeadline(s.came.Add(reqWait))
+		from := s.came
+		if s.turn.After(from) {
+			from = s.turn
+		}
+		s.conn.SetReadDeadline(from.Add(reqWait))
 	case partial && s.shed:
 		s.conn.SetReadDeadline(time.Now())
 	case !partial && (s.shed || s.looked):
@@ -285,9 +293,7 @@
 	return e
 }
 
-// refuse tells a client what is wrong with what it sent. What it goes on sending is read for
-// a moment, so that the answer is not lost to a reset; but not without end, and by few
-// sessions at a time, which are the first to go when descriptors are short.
+// refuse tells a client what is wrong with what it sent. Nothing more of it is taken up.
 func (s *session) refuse(err error) core.Ending {
 	c := s.clients
 	bad, e := &platform.Bad{Status: 400}, core.ClientBad
@@ -301,18 +307,6 @@
 	if s.write(platform.AppendAnswer(nil, bad.Status, bad.Pause, true, err.Error()+"\n")) != nil {
 		return core.ClientClosed
 	}
-	tcp, ok := s.conn.(*net.TCPConn)
-	if ok && c.table.linger(&s.seat, c.most()/8+1) {
-		tcp.CloseWrite()
-		s.conn.SetReadDeadline(time.Now().Add(lingerWait))
-		waste := s.in.Waste()
-		for left := 4 * platform.MaxBody; left > 0; {
-			n, err := s.conn.Read(waste)
-			if left -= n; err != nil {
-				break
-			}
-		}
-	}
 	return e
 }
 
@@ -356,68 +350,6 @@
 	return left
 }
 
-// await waits for the answer to be written, and for the client to send its next req or to
-// go away.
-func (s *session) await(t core.Ticket, closing bool) (core.Ending, bool) {
-	gone, done := make(chan struct{}), make(chan written, 1)
-	go s.reply(closing, s.held > 0, gone, done)
-	var w written
-	if s.in.Partial() { // sent ahead: what is here is to be taken up next, and nothing wakes a read
-		w = <-done
-		s.came = time.Now()
-		s.done(w.free)
-		s.clients.table.begun(&s.seat)
-		return core.SessionDone, w.closing || w.err != nil
-	}
-	n, err := s.conn.Read(s.in.Space())
-	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) { // more has come, or the session is told to look
-		w = <-done
-	} else {
-		select {
-		case w = <-done:
-		default:
-			close(gone)
-			t.Abandon(false, nil)
-			return core.ClientClosed, true
-		}
-	}
-	// The bytes lie behind the req's own: they are taken in before those are given up, or the
-	// next req would be read from where the last one stood.
-	if n > 0 {
-		s.filled(n, false)
-	}
-	s.done(w.free)
-	switch {
-	case w.err != nil:
-		return core.ClientClosed, true
-	case w.closing:
-		return core.SessionDone, true
-	}
-	s.looked = n == 0 && s.clients.table.over(&s.seat)
-	return 0, false
-}
-
-func (s *session) done(free bool) {
-	s.in.Done(free)
-	s.release()
-}
-
-// reply writes the answer once it is there. long says that the req's body is to be given up
-// at once; it is told, since the reading goroutine may have ended meanwhile.
-func (s *session) reply(closing, long bool, gone chan struct{}, done chan written) {
-	var a core.Answer
-	select {
-	case a = <-s.answer:
-	case <-gone:
-		return
-	}
-	closing = closing || s.clients.told().Close
-	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
-	closing = s.clients.table.answered(&s.seat, true, closing || err != nil, long)
-	s.clients.table.trim(s.clients.usual())
-	done <- written{a.Free, closing, err}
-}
-
 // plain answers what is not a job.
 func (s *session) plain(q *platform.Request) (core.Ending, bool) {
 	c := s.clients
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -43,6 +43,10 @@
 	used  bool      // it has had an answer
 	job   bool      // ... to a job
 	shed  bool      // told to close
+	room  bool      // ... because its descriptor is needed: nothing more is waited for
+	owed  bool      // a req of it is whole and has no answer yet; of sessions that carry one at a time
+	ahead bool      // bytes have come behind that req
+	stays bool      // it lingers
 }
 
 // table holds all sessions by rank, and within a rank by since, so that the one to shed is at
@@ -51,7 +55,9 @@
 	mu    sync.Mutex
 	rows  [ranks]linked.List
 	count int
-	left  chan struct{} // a session has ended
+	// lingers is how many sessions stay for their last answer to be read, in whatever row.
+	lingers int
+	left    chan struct{} // a session has ended
 }
 
 // enter seats a new session. Beyond most, one is shed if any may be.
@@ -75,6 +81,9 @@
 	t.mu.Lock()
 	t.rows[s.rank].Remove(s.place)
 	t.count--
+	if s.stays {
+		t.lingers--
+	}
 	t.mu.Unlock()
 	select {
 	case t.left <- struct{}{}:
@@ -129,10 +138,39 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.move(s, working)
+	s.owed, s.ahead = true, false
+}
+
+// sentAhead tells that bytes came behind the req that is owed its answer, so that the answer wakes the
+// session's goroutine for them. It returns false, and nothing is to come, where the answer is out.
+func (t *table) sentAhead(s *seat) (owed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.ahead = s.ahead || s.owed
+	return s.owed
 }
 
-// answered tells that a req was answered, and returns whether the session is to close. Its
-// goroutine is woken for that, or where it is to give up a long body. What wakes it is set
+// hasAhead says whether bytes have come behind the req that is owed its answer.
+func (t *table) hasAhead(s *seat) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.ahead
+}
+
+// stillOwed says whether the req has no answer yet. Then nothing has set the session a time to read by
+// that counts, and it reads on without one.
+func (t *table) stillOwed(s *seat) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.owed {
+		s.conn.SetReadDeadline(time.Time{})
+	}
+	return s.owed
+}
+
+// answered tells that a req was answered, and returns whether the session is to close: not one that is
+// shed while more of its client's has been read, which is answered first. Its
+// goroutine is woken for that, for what was sent ahead, or where it is to give up a long body. What wakes it is set
 // under the lock: it must not undo what shut has set.
 func (t *table) answered(s *seat, job, closing, wake bool) bool {
 	t.mu.Lock()
@@ -143,25 +181,40 @@
 	} else {
 		t.move(s, asked)
 	}
-	if closing = closing || s.shed; closing || wake {
+	closing = closing || s.shed && !s.ahead
+	if closing || wake || s.ahead {
 		s.conn.SetReadDeadline(s.since)
 	} else {
 		s.conn.SetReadDeadline(s.since.Add(idleWait))
 	}
+	s.owed, s.ahead = false, false
 	return closing
 }
 
-// linger lets a refused session stay until its client has read why, if no more than most do.
+// linger lets a session that has had its last answer stay until its client has read that, if no more than most
+// do and its descriptor is not needed at once.
 func (t *table) linger(s *seat, most int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s.shed || t.rows[lingering].Len() >= most {
+	if s.room || t.lingers >= most {
 		return false
 	}
+	t.lingers++
+	s.stays = true
 	t.move(s, lingering)
 	return true
 }
 
+// lingerUntil sets how long a session that lingers goes on reading, unless it was told meanwhile that its descriptor
+// is needed.
+func (t *table) lingerUntil(s *seat, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !s.room {
+		s.conn.SetReadDeadline(at)
+	}
+}
+
 // over says whether the session is to end for want of another req.
 func (t *table) over(s *seat) bool {
 	t.mu.Lock()
@@ -188,7 +241,7 @@
 func (t *table) shedOne() bool {
 	for r := lingering; r < working; r++ {
 		if e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(0) {
-			t.shut(e.Value.(*seat))
+			t.shut(e.Value.(*seat), true)
 			return true
 		}
 	}
@@ -212,14 +265,15 @@
 		return
 	}
 	if e := t.rows[resting].Front(); e != nil && time.Since(e.Value.(*seat).since) >= restedFor {
-		t.shut(e.Value.(*seat))
+		t.shut(e.Value.(*seat), true)
 	}
 }
 
-// shut wakes a session's goroutine, which looks whether a req came after all, and closes.
-func (t *table) shut(s *seat) {
+// shut wakes a session's goroutine, which looks whether a req came after all, and closes. room says that its descriptor
+// is needed.
+func (t *table) shut(s *seat, room bool) {
 	t.move(s, leaving)
-	s.shed = true
+	s.shed, s.room = true, s.room || room
 	s.conn.SetReadDeadline(time.Now())
 }
 
@@ -230,7 +284,7 @@
 	defer t.mu.Unlock()
 	for r := lingering; r < working; r++ {
 		for e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(rest); e = t.rows[r].Front() {
-			t.shut(e.Value.(*seat))
+			t.shut(e.Value.(*seat), false)
 		}
 	}
 }
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -153,6 +153,9 @@
 // Partial says whether a request has begun and is not whole.
 func (m *Requests) Partial() bool { return m.cur != nil || m.r < m.w }
 
+// Ahead is how many bytes lie behind the last request that Next returned.
+func (m *Requests) Ahead() int { return m.w - m.r }
+
 // Waste is space for bytes that nobody will read.
 func (m *Requests) Waste() []byte {
 	if len(m.b) < room {
