Sessions: whoever had its last answer may linger, however many end at once

Lingering sessions are in the table with all others, are the first to go when a descriptor is needed and go at once then, so that their number needs no bound of its own below that of all sessions. Whoever is told 503 unread has what came with its connection read first, for 1 ms at most, so that the close is none over unread bytes.

--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -22,6 +22,7 @@
 	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
 	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
 	turnedMost = 4                                   // clients at a time that there was no descriptor for: within what Share keeps
+	turnedLook = time.Millisecond                    // for such a one's req to have come
 	turnedWait = 50 * time.Millisecond               // for such a one to read so
 )
 
@@ -168,11 +169,12 @@
 }
 
 // linger lets the client read its last answer: our side ends, and what the client still sends is read and not taken up,
-// for a while, up to a bound, and by few sessions at a time, which are the first to go when descriptors are short.
+// for a while and up to a bound. Many sessions may end at once, in a shutdown say; those that linger hold no more
+// descriptors than all sessions may, and are the first to go for others.
 func (s *session) linger() {
 	c := s.clients
 	end, ok := s.conn.(interface{ CloseWrite() error })
-	if !ok || !c.table.linger(&s.seat, c.most()/8+1) || end.CloseWrite() != nil {
+	if !ok || !c.table.linger(&s.seat, c.most()) || end.CloseWrite() != nil {
 		return
 	}
 	wait := lingerWait
@@ -193,8 +195,16 @@
 // turnAway tells a client that there is no descriptor for it, unread. A few are given a moment, so that the close does
 // not reset the connection over what they sent; all others are not waited for.
 func (c *Clients) turnAway(s *session) {
-	s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
 	end, ok := s.conn.(interface{ CloseWrite() error })
+	if ok {
+		// What has come with the connection is taken first, and not waited for but a moment: unread, it would have the
+		// close reset the connection.
+		piece := waste.Get().(*[dropPiece]byte)
+		s.conn.SetReadDeadline(time.Now().Add(turnedLook))
+		s.conn.Read(piece[:])
+		waste.Put(piece)
+	}
+	s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
 	if !ok || c.turned.Add(1) > turnedMost {
 		if ok {
 			c.turned.Add(-1)
