Core: an attempt asks once more for client, answer and repeats before its first byte

MayBegin (attempt.go) asked for the list, a ban and the deadline, and not

- whether the client had gone, or the req had its answer: Ticket.Abandon only posted an event, and with stop false it left attempts that had not begun.
Dispatch (actions.go) went on too until the core had taken that event;
- whether the window for repeats was over by then.
The module's legal() looks when it decides.
The window also has to count from an attempt that was sent later and began first;
- whether all other attempts of an unsafe req are still proven never to have run.

Change: a req has an atomic `over`, set in Abandon before it posts and wherever a req is closed; MayBegin and Dispatch read it. An attempt keeps when it was let go (begun) and whether it is proven never to have run as atomics; attempts of a req are chained, so that MayBegin walks them from any goroutine without a lock. Effect and window come from the settings' class; of the window 0.9 is used, as in the module. What is out runs on.

Also: a start is posted once and at most one event of progress waits for the core. A backend that tells of either without end filled the inbox (1000 lines each: 2000 events waited).

Ruled out: two attempts of an unsafe req out at once after one was cut as overdue while its connection was made. The cut one cannot begin, and the module sends no other (TestHarmless keeps both). Result() of each ending maps to "never ran" only for Returned, Unreached, Unsent.

Without the change: TestGoneBeforeItBegan "gone, and the core knows nothing", "gone", "answered by the other attempt"; TestHarmless "behind the window" and eleven more; TestWindowFromTheFirstThatBegan "900ns"; TestNewsWithoutEnd "should have 2 item(s), but has 2000".

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -20,11 +20,12 @@
 	if within != 0 {
 		until = min(until, now+within)
 	}
-	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, number: len(r.attempts), sent: now,
+	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, before: r.latest.Load(), number: len(r.attempts), sent: now,
 		Until: c.clock.origin.Add(time.Duration((until - c.clock.unix) * float64(time.Millisecond)))}
 	r.attempts = append(r.attempts, a)
+	r.latest.Store(a)
 	r.out++
-	if a.Backend == nil || !r.open || until <= now || // only ever to a listed backend
+	if a.Backend == nil || r.over.Load() || until <= now || // only ever to a listed backend
 		c.Versions != nil && !c.Versions.MayStart(r.version) {
 		if a.Backend == nil {
 			a.Backend = &Backend{ID: to}
--- /dev/null
+++ b/internal/core/begin_test.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/counters"
+)
+
+// mute is a policy that decides nothing.
+type mute struct{ balance.Events }
+
+func (mute) Arrive(balance.Millis, balance.Request)                     {}
+func (mute) Workers(balance.Millis, balance.ListKind, []balance.Worker) {}
+func (mute) Abandoned(balance.Millis, balance.RequestID)                {}
+func (mute) Answer(balance.Millis, balance.Outcome)                     {}
+func (mute) Progressed(balance.Millis, balance.Progress)                {}
+
+// trial is a bench on a clock that the test moves, with a req of one class whose attempts the test decides on itself.
+type trial struct {
+	*bench
+	now    time.Time
+	ticket Ticket
+}
+
+func newTrial(t *testing.T, class balance.Class) *trial {
+	w := &trial{bench: &bench{}, now: time.Unix(1e9, 0)}
+	var err error
+	w.core, err = NewWith(func() time.Time { return w.now }, func(balance.Settings, balance.Actions) (balance.Events, error) { return mute{}, nil },
+		balance.Settings{MayCancel: true, Classes: []balance.Class{class}}, w, w, &counters.Set{})
+	require.NoError(t, err)
+	w.core.guarded = true
+	w.core.Listed(balance.ListFull, []Entry{{Worker: balance.Worker{ID: 1, State: balance.Ready, Weight: 4}}})
+	w.core.step()
+	w.ticket, _ = w.core.Take(balance.Request{Slots: 1}, &Job{ID: "a"}, w.now, time.Minute, w)
+	w.core.step()
+	w.dispatch()
+	return w
+}
+
+func (w *trial) dispatch() { actions{w.core}.Dispatch(1, 1, 0) }
+
+// TestGoneBeforeItBegan: once its client has gone, or it has its answer, no attempt of a req begins, from that instant on
+// and not only once the core has heard of it. What is out runs on.
+func TestGoneBeforeItBegan(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(*trial)
+		want bool
+	}{
+		"nothing happened":                 {func(*trial) {}, true},
+		"gone, and the core knows nothing": {func(w *trial) { w.ticket.Abandon(false, nil) }, false},
+		"gone":                             {func(w *trial) { w.ticket.Abandon(false, nil); w.core.step() }, false},
+		"gone, and called off":             {func(w *trial) { w.ticket.Abandon(true, nil); w.core.step() }, false},
+		"answered by the other attempt":    {func(w *trial) { w.sent[0].Ended(Served, "r", nil); w.core.step() }, false},
+		"the other attempt failed":         {func(w *trial) { w.sent[0].Ended(Broken, "", nil); w.core.step() }, true},
+	} {
+		w := newTrial(t, balance.Class{Effect: balance.Safe})
+		require.True(t, w.sent[0].MayBegin())
+		w.dispatch()
+		c.do(w)
+		assert.Equal(t, c.want, w.sent[1].MayBegin(), name)
+		sent := len(w.sent)
+		w.dispatch()
+		assert.Equal(t, c.want, len(w.sent) > sent, "%s: a further attempt", name)
+		w.core.step()
+		for _, a := range w.sent {
+			a.Ended(Served, "r", nil)
+		}
+		w.core.step()
+		assert.Zero(t, w.core.Open(), name)
+		assert.Empty(t, w.core.reqs, name)
+	}
+}
+
+// TestHarmless: the rule on duplicated effects, just before the first byte: by the class of the settings, by when the
+// other attempts really began, and by what is proven of them.
+func TestHarmless(t *testing.T) {
+	const window = 1000
+	pass := func(w *trial, ms int) { w.now = w.now.Add(time.Duration(ms) * time.Millisecond) }
+	end := func(e Ending) func(*trial) {
+		return func(w *trial) { w.sent[0].MayBegin(); w.sent[0].Ended(e, "", nil); w.core.step() }
+	}
+	for name, c := range map[string]struct {
+		effect balance.Effect
+		first  func(*trial)
+		late   int // ms before the second attempt is about to begin
+		want   bool
+	}{
+		"safe":                              {balance.Safe, end(Broken), 5000, true},
+		"in the window":                     {balance.Deduped, end(Broken), 899, true},
+		"behind the window":                 {balance.Deduped, end(Broken), 900, false},
+		"behind it, the first still out":    {balance.Deduped, func(w *trial) { w.sent[0].MayBegin() }, 900, false},
+		"behind it, the first overdue":      {balance.Deduped, end(Overdue), 900, false},
+		"behind it, but it never ran":       {balance.Deduped, end(Unreached), 5000, true},
+		"behind it, but it was turned away": {balance.Deduped, end(Returned), 5000, true},
+		"counted from when it began": {balance.Deduped, func(w *trial) {
+			pass(w, 800)
+			w.sent[0].MayBegin()
+		}, 899, true},
+		"not yet begun":               {balance.Deduped, func(*trial) {}, 5000, true},
+		"unsafe, the first still out": {balance.Unsafe, func(w *trial) { w.sent[0].MayBegin() }, 1, false},
+		"unsafe, not yet begun":       {balance.Unsafe, func(*trial) {}, 1, false},
+		"unsafe, overdue while its connection is made": {balance.Unsafe, func(w *trial) {
+			w.core.cut(w.sent[0], Overdue)
+			assert.False(t, w.sent[0].MayBegin())
+		}, 1, false},
+		"unsafe, withdrawn": {balance.Unsafe, end(Withdrawn), 1, false},
+		"unsafe, broken":    {balance.Unsafe, end(Broken), 1, false},
+		"unsafe, garbled":   {balance.Unsafe, end(Garbled), 1, false},
+		"unsafe, lost":      {balance.Unsafe, end(Lost), 1, false},
+		"unsafe, failed":    {balance.Unsafe, end(Failed), 1, false},
+		"unsafe, unreached": {balance.Unsafe, end(Unreached), 5000, true},
+		"unsafe, returned":  {balance.Unsafe, end(Returned), 5000, true},
+		"unsafe, unsent":    {balance.Unsafe, end(Unsent), 5000, true},
+	} {
+		w := newTrial(t, balance.Class{Effect: c.effect, RepeatWindow: window})
+		c.first(w)
+		w.dispatch()
+		require.Len(t, w.sent, 2, name)
+		pass(w, c.late)
+		assert.Equal(t, c.want, w.sent[1].MayBegin(), name)
+	}
+}
+
+// TestWindowFromTheFirstThatBegan: the attempt sent first can be the one that begins last. Its time counts from the other.
+func TestWindowFromTheFirstThatBegan(t *testing.T) {
+	for late, want := range map[time.Duration]bool{899: true, 900: false} {
+		w := newTrial(t, balance.Class{Effect: balance.Deduped, RepeatWindow: 1000})
+		w.dispatch()
+		require.True(t, w.sent[1].MayBegin())
+		w.now = w.now.Add(late * time.Millisecond)
+		assert.Equal(t, want, w.sent[0].MayBegin(), late)
+	}
+}
+
+// TestBegunAgain: an attempt that was let go, wrote nothing and is asked again counts from the second time.
+func TestBegunAgain(t *testing.T) {
+	w := newTrial(t, balance.Class{Effect: balance.Deduped, RepeatWindow: 1000})
+	w.dispatch()
+	require.True(t, w.sent[0].MayBegin())
+	w.now = w.now.Add(800 * time.Millisecond)
+	require.True(t, w.sent[0].MayBegin())
+	w.now = w.now.Add(800 * time.Millisecond)
+	assert.True(t, w.sent[1].MayBegin())
+}
+
+// TestNewsWithoutEnd: a backend that tells of a job's start and progress without end fills nothing: one event of each waits.
+func TestNewsWithoutEnd(t *testing.T) {
+	w := newTrial(t, balance.Class{Effect: balance.Safe})
+	for i := range 1000 {
+		w.sent[0].Started()
+		w.sent[0].Progress(float64(i) / 1000)
+	}
+	assert.Len(t, w.core.inbox, 2)
+	w.core.step()
+	w.sent[0].Started()
+	assert.Empty(t, w.core.inbox)
+	w.sent[0].Progress(1)
+	assert.Len(t, w.core.inbox, 1)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,10 +89,14 @@
 	client   Client
 	job      *Job
 	deadline float64
-	open     bool        // a final answer is owed
-	version  uint64      // of the fleet's policy that it was taken by, 0 without Versions
-	began    atomic.Bool // at a backend, or never will; told to Versions once
+	effect   balance.Effect
+	window   balance.Millis // for repeats, where effect is Deduped
+	open     bool           // a final answer is owed
+	over     atomic.Bool    // it is not, or is not wanted any more: nothing of it may begin
+	version  uint64         // of the fleet's policy that it was taken by, 0 without Versions
+	began    atomic.Bool    // at a backend, or never will; told to Versions once
 	attempts []*Attempt
+	latest   atomic.Pointer[Attempt] // the last of attempts, for MayBegin
 	out      int
 	cut      bool // an attempt was stopped from here, and may be reading the job still
 	gone     func()
@@ -115,6 +119,8 @@
 	last     balance.RequestID
 	timers   timers
 	slack    float64
+	classes  []balance.Class
+	guarded  bool // MayBegin holds the rule on duplicated effects too
 	// mayCancel says that the settings allow to call an attempt off.
 	mayCancel bool
 	ready     atomic.Int32 // backends that may be sent to
@@ -138,14 +144,17 @@
 // NewAt makes a core whose time is what read tells. Where that is not the system's, Run is of no
 // use: whoever moves the clock calls Step when something was posted and at Next.
 func NewAt(read func() time.Time, s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
-	return NewWith(read, func(s balance.Settings, a balance.Actions) (balance.Events, error) { return balance.New(s, a) }, s, b, d, count)
+	c, err := NewWith(read, func(s balance.Settings, a balance.Actions) (balance.Events, error) { return balance.New(s, a) }, s, b, d, count)
+	c.guarded = true
+	return c, err
 }
 
 // NewWith makes a core whose decisions another policy makes than the module: the laboratory compares
-// them. A program that serves has no use for it.
+// them, and judges what they would send: MayBegin does not keep such a policy from sending twice what must not be. A
+// program that serves has no use for it.
 func NewWith(read func() time.Time, policy func(balance.Settings, balance.Actions) (balance.Events, error),
 	s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
-	c := &Core{clock: newClock(read), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack, mayCancel: s.MayCancel,
+	c := &Core{clock: newClock(read), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack, classes: s.Classes, mayCancel: s.MayCancel,
 		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
 		posted: make(chan struct{}, 1)}
 	var err error
@@ -279,6 +288,9 @@
 // nothing is owed, if its id is that of another: backends would take one for the other.
 func (c *Core) Take(q balance.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
 	r := &req{client: client, job: job, open: true}
+	if q.Class >= 0 && q.Class < len(c.classes) { // the module fails others
+		r.effect, r.window = c.classes[q.Class].Effect, c.classes[q.Class].RepeatWindow
+	}
 	if c.Versions != nil && !c.admit(r) {
 		return Ticket{c, r}, true
 	}
@@ -310,11 +322,12 @@
 	return Ticket{c, r}, true
 }
 
-// Abandon tells that the client of a req has gone, and takes no answer any more. With stop,
-// what is out at backends is called off, where the settings allow that; else it runs on. over,
-// if not nil, is called once nothing of the req is out any more, from the core's goroutine; it
-// must not block.
+// Abandon tells that the client of a req has gone, and takes no answer any more. When it returns,
+// no attempt begins that has not. With stop, what is out at backends is called off, where the
+// settings allow that; else it runs on. over, if not nil, is called once nothing of the req is out
+// any more, from the core's goroutine; it must not block.
 func (t Ticket) Abandon(stop bool, over func()) {
+	t.r.over.Store(true)
 	t.core.post(func() {
 		c, r := t.core, t.r
 		r.gone = over
@@ -331,6 +344,7 @@
 
 func (c *Core) close(r *req) {
 	r.open = false
+	r.over.Store(true)
 	c.open.Add(-1)
 	if c.Versions != nil {
 		c.begun(r)
@@ -391,7 +405,7 @@
 		c.Log.Error().Stringer("ending", e).Msg("not an attempt's ending")
 		res = balance.Reset
 	}
-	a.never = res == balance.Full || res == balance.ConnectFailed || res == balance.NotSent
+	a.never.Store(res == balance.Full || res == balance.ConnectFailed || res == balance.NotSent)
 	switch e {
 	case Served:
 		c.answer(a.req, Answer{Verdict: ResultOf, Result: result})
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -57,7 +57,7 @@
 		return
 	}
 	for _, a := range r.attempts {
-		if !a.never { // sending it again may run it twice
+		if !a.never.Load() { // sending it again may run it twice
 			c.answer(r, Answer{Verdict: Failure})
 			return
 		}
