Links: what a backend sends unasked is never taken for the next req's answer

Read line by line and forced over loopback sockets; a callback in whose midst the backend writes, or a held dial, gives the order. Faults found, lines of the former link.go:

- read/parts/send: bytes that the reader had taken, but not yet judged, when the next req was written were that req's answer.
A surplus "503, X-Unprocessed: 1" ended it as "returned", which reads as proof that it never ran.
The same behind a reply's end in one segment: finish() made the connection claimable before the rest was looked at.
- send: an end or a reset that was here before the first byte cost the req its attempt ("broken": may have run).
- finish: while the request was still being written each verdict replaced the one before, so that a second reply took the place of the first.
A verdict ended whatever exchange was out, not the one it was of.
- send: a write that broke off under a whole early reply put a connection with half a request on it among the idle ones; and such a reply waited for the write's deadline.
- send: a new connection that the backend ended at once was followed by another without end.
- rest: a connection that was claimed and not written to began its idle time anew, past the time after which the backend closes it (12 s instead of 7 in the test).
One whose reader had ended meanwhile stayed in the list for good.
- parts: a line behind the last one made a served answer garbled where it came in the same read, and passed unseen where it came later; the connection was used again.
- nothing bounded the bytes of an answer: interim heads, trailers, progress, empty lines and the body of a 500 went on without end.
- reply.go: two X-Unprocessed with different values read as the first.

Change: a link knows whether a reply is owed. What is read while none is makes it dead in the same step, under the lock, in which it is taken from the kernel (RawConn.Read with a read that does not wait); and just before the first byte the writer looks at the socket (MSG_PEEK, MSG_DONTWAIT; a kernel that cannot is passed over). Such a connection is closed and the req goes elsewhere; on a connection made for it, the attempt ends as unreached. A verdict names its exchange, and the first one counts. A reply that is final while its request is still being written stops the write. Idle time runs from the last reply. A reply has at most 4 * MaxLine bytes, framing included.

Ruled out, tests kept: a claim before the deadline of the rest is set (TestNotYetClaimed), a retirement that crosses a claim (TestRetiredAtTheClaim), bytes at rest that the reader has judged (TestUnaskedAtRest), what broken-off heads and bodies prove (TestWhatProves).

Not to be had on this protocol: a surplus head that arrives after the next req's first byte names no req, and reads as its answer.

Failed without the change, on the former code: TestUnaskedAtTheClaim "the req ended on the old connection: returned", TestEndedAtTheClaim "broken", "unreached", TestUnaskedBehindAnEnd, TestSurplusLine, TestAnswerWhileWriting "the exchange never ended", TestTwoAnswersWhileWriting (returned instead of served), TestHungUpAtOnce, TestGreeting, TestIdleTimeGoesOn (12s, want 7s), TestEndedOnTheWayToRest, TestEndlessAnswers (67 MB taken), TestWhatProves (two rows), TestGoneWhileConnecting, TestWindowWhileConnecting. TestVerdictOfAnother and TestClaimedTooLate fail where their one condition is taken out.

--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -106,7 +106,7 @@
 
 func (p *Pool) run(x *exchange) {
 	if l := p.take(x.backend); l != nil {
-		l.send(x)
+		l.send(x, false)
 		return
 	}
 	if !p.reserve() {
@@ -128,9 +128,9 @@
 		return
 	}
 	p.Count.BackendConnections.Add(1)
-	l := &link{pool: p, conn: conn, backend: x.backend, in: platform.NewReplies(false, platform.MaxLine), state: taken}
+	l := newLink(p, conn, x.backend)
 	go l.read()
-	l.send(x)
+	l.send(x, true)
 }
 
 func (x *exchange) end(v verdict) {
@@ -153,11 +153,10 @@
 		l := list[len(list)-1]
 		p.idle[b.ID] = list[:len(list)-1]
 		p.mu.Unlock()
-		if l.backend != b { // to an address that the backend had before
-			l.conn.Close()
-		} else if l.claim() {
+		if l.backend == b && l.claim() {
 			return l
 		}
+		l.conn.Close() // it leads to an address that the backend had before, or its time is up
 	}
 }
 
--- /dev/null
+++ b/internal/network/begin_crossing_test.go
@@ -0,0 +1,149 @@
+package network
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+)
+
+// desk is a core over a pool, on a clock that the test moves; its backends are raw, and dials to them are held.
+type desk struct {
+	*rig
+	core    *core.Core
+	all     []*rawBackend
+	ahead   atomic.Int64 // of the clock
+	dials   chan chan struct{}
+	answers chan core.Answer
+}
+
+func (d *desk) Answer(a core.Answer) { d.answers <- a }
+func (d *desk) Subscribe()           {}
+
+func newDesk(t *testing.T, class balance.Class, also ...*rawBackend) *desk {
+	d := &desk{rig: newRig(t), dials: make(chan chan struct{}, 16), answers: make(chan core.Answer, 16)}
+	dial := d.pool.Dial
+	d.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		let := make(chan struct{})
+		d.dials <- let
+		<-let
+		return dial(context.WithoutCancel(ctx), address)
+	}
+	class.Worth, class.Aim, class.Deadline, class.Kind = 1, 4000, 5000, -1
+	began := time.Now()
+	var err error
+	d.core, err = core.NewAt(func() time.Time { return began.Add(time.Duration(d.ahead.Load())) },
+		balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 3, TellsStart: true, ConnectTimeout: 120, Tick: 2,
+			Rules: balance.Rules{AnswerSlack: 8}, Classes: []balance.Class{class}}, d.pool, d, d.pool.Count)
+	require.NoError(t, err)
+	var entries []core.Entry
+	d.all = append(also, d.rawBackend)
+	for i, b := range d.all {
+		entries = append(entries, core.Entry{Name: fmt.Sprint(i), Address: b.address(),
+			Worker: balance.Worker{ID: balance.WorkerID(i + 1), State: balance.Ready, Weight: 4}})
+	}
+	d.core.Listed(balance.ListFull, entries)
+	d.core.Step()
+	return d
+}
+
+// first is the next connection that came to any backend.
+func (d *desk) first() *rawConn {
+	for {
+		for _, b := range d.all {
+			select {
+			case c := <-b.conns:
+				return c
+			default:
+			}
+		}
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
+func (d *desk) take(id string) core.Ticket {
+	job := &core.Job{Method: "POST", Target: "/ingest", ID: id, IdempotencyKey: "k" + id}
+	t, fresh := d.core.Take(balance.Request{Slots: 1}, job, time.Now(), 5*time.Second, d)
+	require.True(d.t, fresh)
+	d.core.Step()
+	return t
+}
+
+// steps lets the core work until something holds.
+func (d *desk) steps(until func() bool) {
+	for end := time.Now().Add(hang); !until(); time.Sleep(50 * time.Microsecond) {
+		d.core.Step()
+		if !time.Now().Before(end) {
+			d.pool.Count.Print(os.Stderr, counters.Names{Endings: core.Endings()})
+			require.Fail(d.t, "never came")
+		}
+	}
+}
+
+func (d *desk) ended(e core.Ending) func() bool {
+	return func() bool { return d.pool.Count.Endings[e].Load() > 0 }
+}
+
+// TestGoneWhileConnecting: a connection comes up after its req's client has gone. It rests, and the first that it carries
+// is another's req. The core need not have heard of the client yet.
+func TestGoneWhileConnecting(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		d := newDesk(t, balance.Class{Effect: balance.Safe})
+		ticket := d.take("a")
+		let := <-d.dials
+		ticket.Abandon(false, nil)
+		if heard {
+			d.core.Step()
+		}
+		close(let)
+		c := d.accept()
+		d.steps(d.ended(core.Unsent))
+		d.take("b")
+		got, err := c.req()
+		require.NoError(t, err)
+		assert.Equal(t, "b", got, "heard %v", heard)
+	}
+}
+
+// TestWindowWhileConnecting: a repeat is decided within the window, and its connection comes up after it.
+func TestWindowWhileConnecting(t *testing.T) {
+	const window = 1000 // ms
+	for _, c := range []struct {
+		late   time.Duration
+		begins bool
+	}{{899 * time.Millisecond, true}, {900 * time.Millisecond, false}, {1500 * time.Millisecond, false}} {
+		d := newDesk(t, balance.Class{Effect: balance.Deduped, RepeatWindow: window}, newRaw(t))
+		d.take("a")
+		close(<-d.dials)
+		first := d.first()
+		_, err := first.req()
+		require.NoError(t, err)
+		first.Close() // it may have run
+		d.steps(func() bool { return len(d.dials) > 0 })
+		let := <-d.dials
+		d.ahead.Store(int64(c.late))
+		close(let)
+		second := d.first()
+		if c.begins {
+			got, err := second.req()
+			require.NoError(t, err)
+			assert.Equal(t, "a", got)
+			continue
+		}
+		d.steps(d.ended(core.Unsent))
+		assert.Equal(t, core.Failure, (<-d.answers).Verdict)
+		d.pool.HangUpOn(1)
+		d.pool.HangUpOn(2)
+		second.closed()
+	}
+}
--- /dev/null
+++ b/internal/network/link_crossing_test.go
@@ -0,0 +1,419 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
+)
+
+// unasked is what a backend may write, or do, on a connection that rests.
+var unasked = map[string]func(c *rawConn){
+	"half a line":                      func(c *rawConn) { c.say("HTTP/1.1 503 B") },
+	"half a line of a reply's body":    func(c *rawConn) { c.say(`{"id":"b","sta`) },
+	"a whole surplus line":             func(c *rawConn) { c.say(done("b")) },
+	"a reply that another never asked": func(c *rawConn) { c.say(never) },
+	"a second answer":                  func(c *rawConn) { c.say(ok200 + done("a") + end0) },
+	"one byte":                         func(c *rawConn) { c.say("\n") },
+}
+
+// TestUnaskedAtRest: bytes that come while a connection rests are no answer to the next req, which goes elsewhere.
+func TestUnaskedAtRest(t *testing.T) {
+	for name, write := range unasked {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			c := r.serve("a")
+			write(c)
+			c.closed()
+			y := r.try("b", nil)
+			r.pool.begin(y.exchange)
+			r.elsewhere(nil, y)
+		})
+	}
+}
+
+// TestUnaskedAtTheClaim: what is here in the instant in which a req is about to be written was not asked for by it. The
+// connection was claimed; its reader has not run, or holds the bytes and has not looked at them.
+func TestUnaskedAtTheClaim(t *testing.T) {
+	for name, write := range unasked {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			c := r.serve("a")
+			y := r.try("b", nil)
+			y.may = sync.OnceValue(func() bool { write(c); c.arrived(); return true })
+			r.pool.begin(y.exchange)
+			r.elsewhere(c, y)
+		})
+	}
+}
+
+// TestEndedAtTheClaim: an end or a reset that is here before the first byte goes out costs the req nothing.
+func TestEndedAtTheClaim(t *testing.T) {
+	for name, end := range map[string]func(c *rawConn){
+		"ended": func(c *rawConn) { assert.NoError(c.t, c.CloseWrite()) },
+		"reset": func(c *rawConn) { assert.NoError(c.t, c.SetLinger(0)); assert.NoError(c.t, c.Close()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			c := r.serve("a")
+			y := r.try("b", nil)
+			y.may = sync.OnceValue(func() bool { end(c); shut(t, r.ours[0]); return true })
+			r.pool.begin(y.exchange)
+			r.elsewhere(c, y)
+		})
+	}
+}
+
+// TestUnaskedBehindAnEnd: a reply's end and bytes of no reply come in one segment. The next req begins before the
+// reading goroutine has looked beyond the end.
+func TestUnaskedBehindAnEnd(t *testing.T) {
+	for name, surplus := range map[string]string{"half a head": never[:40], "a whole reply": never, "a line": done("b")} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a, b := r.try("a", nil), r.try("b", nil)
+			came := make(chan struct{}, 2) // b was written, on any connection
+			b.head = func(left time.Duration) []byte {
+				came <- struct{}{}
+				return platform.AppendJob(nil, &core.Job{Method: "POST", Target: "/ingest", ID: "b"}, "s", left, nil)
+			}
+			a.ended = func(e core.Ending, result string, _ []float32) { // called by the reading goroutine
+				r.pool.begin(b.exchange)
+				<-came
+				a.ends <- told{e, result}
+			}
+			r.pool.begin(a.exchange)
+			c := r.accept()
+			_, err := c.req()
+			require.NoError(t, err)
+			c.say(ok200 + done("a") + end0 + surplus)
+			assert.Equal(t, told{core.Served, "of a"}, a.wait(t))
+			r.elsewhere(c, b)
+		})
+	}
+}
+
+// TestSurplusLine: a line behind the last one takes nothing from the answer, and its connection carries no other req.
+func TestSurplusLine(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		t.Run(fmt.Sprint("together ", together), func(t *testing.T) {
+			r := newRig(t)
+			a := r.try("a", nil)
+			r.pool.begin(a.exchange)
+			c := r.accept()
+			_, err := c.req()
+			require.NoError(t, err)
+			if together {
+				c.say(ok200 + done("a") + done("b") + end0)
+				assert.Equal(t, told{core.Served, "of a"}, a.wait(t))
+			} else {
+				c.say(ok200 + done("a"))
+				assert.Equal(t, told{core.Served, "of a"}, a.wait(t))
+				c.say(done("b") + end0)
+			}
+			c.closed()
+		})
+	}
+}
+
+// TestAnswerWhileWriting: a reply is whole while the request is still being written, and the backend reads no more of it.
+// The reply counts at once, and a connection with half a request on it carries no other.
+func TestAnswerWhileWriting(t *testing.T) {
+	r := newRig(t)
+	a := r.try("a", make([]byte, 32<<20)) // more than the buffers of both sides
+	r.pool.begin(a.exchange)
+	c := r.accept()
+	_, err := http.ReadRequest(c.r)
+	require.NoError(t, err)
+	c.say(never)
+	assert.Equal(t, told{core.Returned, ""}, a.wait(t))
+	b := r.try("b", nil)
+	r.pool.begin(b.exchange)
+	r.elsewhere(nil, b)
+}
+
+// TestTwoAnswersWhileWriting: a reply and a second one are here before the writer has come back from the request's last
+// byte. The first counts.
+func TestTwoAnswersWhileWriting(t *testing.T) {
+	r := newRig(t)
+	dial, judged := r.pool.Dial, make(chan struct{})
+	r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		ours, err := dial(ctx, address)
+		reads, once := 0, sync.OnceFunc(func() { close(judged) })
+		return &hooked{Conn: ours, before: func(time.Time) {}, written: func() { <-judged }, over: once, reading: func() {
+			if reads++; reads > 1 { // what the first read brought has been judged
+				once()
+			}
+		}}, err
+	}
+	a := r.try("a", nil)
+	r.pool.begin(a.exchange)
+	c := r.accept()
+	_, err := c.req()
+	require.NoError(t, err)
+	c.say(ok200 + done("a") + end0 + never)
+	assert.Equal(t, told{core.Served, "of a"}, a.wait(t))
+	c.closed()
+}
+
+// TestVerdictOfAnother: what is found out of an exchange that has ended ends no other on its connection.
+func TestVerdictOfAnother(t *testing.T) {
+	r := newRig(t)
+	c := r.serve("first")
+	l := r.pool.idle[r.backend.ID][0]
+	a, b := r.try("a", nil), r.try("b", nil)
+	r.pool.begin(b.exchange)
+	_, err := c.req()
+	require.NoError(t, err)
+	l.finish(a.exchange, verdict{ending: core.Served, result: "of a"})
+	c.say(ok200 + done("b") + end0)
+	assert.Equal(t, told{core.Served, "of b"}, b.wait(t))
+	assert.Empty(t, a.ends)
+}
+
+// TestHungUpAtOnce: a backend that takes connections and ends them is dialled once for an attempt, not without end.
+func TestHungUpAtOnce(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		r := newRig(t)
+		dial := r.pool.Dial
+		r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			ours, err := dial(ctx, address)
+			if err == nil {
+				if c := r.accept(); reset {
+					c.SetLinger(0)
+					c.Close()
+				} else {
+					c.CloseWrite()
+				}
+				shut(t, ours)
+			}
+			return ours, err
+		}
+		a := r.try("a", nil)
+		r.pool.begin(a.exchange)
+		assert.Equal(t, told{core.Unreached, ""}, a.wait(t))
+		assert.Equal(t, int32(1), r.made.Load())
+	}
+}
+
+// TestGreeting: bytes before the first request are no answer to it.
+func TestGreeting(t *testing.T) {
+	r := newRig(t)
+	dial := r.pool.Dial
+	r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		ours, err := dial(ctx, address)
+		c := r.accept()
+		c.say(never)
+		c.arrived()
+		return ours, err
+	}
+	a := r.try("a", nil)
+	r.pool.begin(a.exchange)
+	assert.Equal(t, told{core.Unreached, ""}, a.wait(t)) // proven never to have run, and not by what it said
+	assert.Equal(t, int32(1), r.made.Load())
+}
+
+// TestIdleTimeGoesOn: a connection that was claimed and not written to has rested on, as its backend sees it.
+func TestIdleTimeGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		p := &Pool{Names: &platform.Names{}, Count: &counters.Set{}, Connect: time.Second, Idle: 7 * time.Second, Most: 1}
+		p.Dial = func(context.Context, string) (net.Conn, error) { return near, nil }
+		x := &exchange{backend: &core.Backend{}, until: time.Now().Add(time.Hour), may: func() bool { return false }, ended: func(core.Ending, string, []float32) {}}
+		began := time.Now()
+		p.begin(x)
+		time.Sleep(5 * time.Second)
+		again := *x
+		p.begin(&again)
+		_, err := far.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, p.Idle, time.Since(began))
+		synctest.Wait()
+		assert.Zero(t, p.Open())
+	})
+}
+
+// TestClaimedTooLate: a connection whose time is up carries no req, though its reader has not woken yet.
+func TestClaimedTooLate(t *testing.T) {
+	r := newRig(t)
+	c := r.serve("a")
+	l := r.pool.idle[r.backend.ID][0]
+	l.mu.Lock()
+	l.used = l.used.Add(-r.pool.Idle)
+	l.mu.Unlock()
+	y := r.try("b", nil)
+	r.pool.begin(y.exchange)
+	r.elsewhere(c, y)
+}
+
+// hooked is a connection with callbacks, such as one before a read deadline is set. It hides what it wraps from system calls.
+type hooked struct {
+	net.Conn
+	before func(time.Time)
+	read   func(error) // after a read; it and what follows may be nil
+	// reading is called before a read, written after a write, over before the connection is closed.
+	reading, written, over func()
+}
+
+func (h *hooked) Write(p []byte) (int, error) {
+	n, err := h.Conn.Write(p)
+	if h.written != nil {
+		h.written()
+	}
+	return n, err
+}
+
+func (h *hooked) Close() error {
+	if h.over != nil {
+		h.over()
+	}
+	return h.Conn.Close()
+}
+
+func (h *hooked) Read(p []byte) (int, error) {
+	if h.reading != nil {
+		h.reading()
+	}
+	n, err := h.Conn.Read(p)
+	if h.read != nil {
+		h.read(err)
+	}
+	return n, err
+}
+
+func (h *hooked) SetReadDeadline(t time.Time) error {
+	h.before(t)
+	return h.Conn.SetReadDeadline(t)
+}
+
+// TestEndedOnTheWayToRest: a connection that ends while it is put among the idle ones is not kept there.
+func TestEndedOnTheWayToRest(t *testing.T) {
+	r := newRig(t)
+	dial := r.pool.Dial
+	r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		ours, err := dial(ctx, address)
+		c := r.accept()
+		return &hooked{Conn: ours, before: func(at time.Time) {
+			if !at.IsZero() {
+				c.Close()
+				for r.pool.Open() > 0 { // until its reader has ended
+					time.Sleep(50 * time.Microsecond)
+				}
+			}
+		}}, err
+	}
+	a := r.try("a", nil)
+	a.may = func() bool { return false }
+	r.pool.begin(a.exchange)
+	assert.Equal(t, core.Unsent, a.wait(t).ending)
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	assert.Empty(t, r.pool.idle[r.backend.ID])
+}
+
+// TestNotYetClaimed: a connection is claimed only once the deadline of its rest is set: no req that follows loses its own
+// to it.
+func TestNotYetClaimed(t *testing.T) {
+	r := newRig(t)
+	y := r.try("b", nil)
+	dial, first := r.pool.Dial, true
+	r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		ours, err := dial(ctx, address)
+		if !first {
+			return ours, err
+		}
+		first = false
+		return &hooked{Conn: ours, before: func(at time.Time) {
+			if !at.IsZero() && y.begun.CompareAndSwap(false, true) {
+				r.pool.begin(y.exchange)
+				r.elsewhere(nil, y)
+			}
+		}}, err
+	}
+	r.serve("a")
+	assert.Equal(t, int32(2), r.made.Load())
+}
+
+// TestRetiredAtTheClaim: the time of a resting connection is up in the instant in which a req has claimed it. The req is
+// served on it, and not cut off by the deadline of the rest.
+func TestRetiredAtTheClaim(t *testing.T) {
+	r := newRig(t)
+	dial, woken := r.pool.Dial, make(chan struct{}, 1000)
+	var reading atomic.Bool
+	r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		ours, err := dial(ctx, address)
+		return &hooked{Conn: ours, before: func(time.Time) {}, reading: func() { reading.Store(true) }, read: func(err error) {
+			reading.Store(false)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				select {
+				case woken <- struct{}{}:
+				default:
+				}
+			}
+		}}, err
+	}
+	c := r.serve("a")
+	for !reading.Load() { // its reader has done with the reply, and rests too
+		time.Sleep(50 * time.Microsecond)
+	}
+	y := r.try("b", nil)
+	y.may = func() bool {
+		r.ours[0].SetReadDeadline(time.Unix(1, 0))
+		<-woken // its reader has, and is about to retire the connection
+		return true
+	}
+	r.pool.begin(y.exchange)
+	got, err := c.req()
+	require.NoError(t, err)
+	assert.Equal(t, "b", got)
+	c.say(ok200 + done("b") + end0)
+	assert.Equal(t, told{core.Served, "of b"}, y.wait(t))
+	assert.Zero(t, r.pool.Count.BackendRetired.Load())
+}
+
+// TestWhatProves: of what breaks off, only a whole head that says so proves that a req never ran, and each attempt has one
+// ending.
+func TestWhatProves(t *testing.T) {
+	for text, want := range map[string]core.Ending{
+		"HTTP/1.1 503 B\r\nX-Unprocessed: 1\r\nContent-Length: 5\r\n\r\nab": core.Returned,
+		"HTTP/1.1 504 B\r\nX-Unprocessed: 1\r\nContent-Length: 5\r\n\r\n":   core.Returned,
+		"HTTP/1.1 503 B\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n":       core.Broken,
+		"HTTP/1.1 503 B\r\nX-Unprocessed: 1\r\nX-Unprocessed: 0\r\n\r\n":    core.Failed,
+		"HTTP/1.1 503 B\r\nContent-Length: 5\r\n\r\nab":                     core.Failed,
+		"HTTP/1.1 500 B\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n":   core.Failed,
+		"HTTP/1.1 5":                                  core.Broken,
+		ok200 + "5\r\n{":                              core.Broken,
+		ok200 + ok200:                                 core.Garbled,
+		ok200 + lineOf("b", "returned", ""):           core.Garbled,
+		ok200 + lineOf("a", "returned", ""):           core.Returned,
+		ok200 + lineOf("a", "returned", "")[:20]:      core.Broken,
+		ok200 + lineOf("a", "lost", ""):               core.Lost,
+		ok200 + done("a") + lineOf("a", "failed", ""): core.Served,
+	} {
+		r := newRig(t)
+		a := r.try("a", nil)
+		r.pool.begin(a.exchange)
+		c := r.accept()
+		_, err := c.req()
+		require.NoError(t, err)
+		c.say(text)
+		assert.NoError(t, c.CloseWrite())
+		assert.Equal(t, want, a.wait(t).ending, "%q", text)
+		c.closed()
+		assert.Empty(t, a.ends, "%q: a second ending", text)
+	}
+}
--- /dev/null
+++ b/internal/network/link_flood_test.go
@@ -0,0 +1,57 @@
+package network
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/core"
+)
+
+// floods are answers without end: how they begin, what comes again and again, and how the attempt ends.
+var floods = map[string]struct {
+	head, more string
+	want       core.Ending
+}{
+	"progress":            {ok200, lineOf("a", "running", `,"share":0.5`), core.Garbled},
+	"starts":              {ok200, lineOf("a", "started", ""), core.Garbled},
+	"a line":              {ok200, chunk(strings.Repeat("x", 999)), core.Garbled},
+	"empty lines":         {ok200, chunk(strings.Repeat("\n", 999)), core.Garbled},
+	"a head":              {"HTTP/1.1 200 OK\r\n", "X: y\r\n", core.Garbled},
+	"interim heads":       {"", "HTTP/1.1 100 Go\r\n\r\n", core.Garbled},
+	"a chunk's size":      {ok200, "0", core.Garbled},
+	"a trailer":           {ok200 + "0\r\n", "X: y\r\n", core.Garbled},
+	"a trailer behind it": {ok200 + done("a") + "0\r\n", "X: y\r\n", core.Served},
+	"an error's body":     {"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(strings.Repeat("x\n", 99)), core.Failed},
+	"answers":             {"", ok200 + done("a") + end0, core.Served},
+}
+
+// TestEndlessAnswers: an answer without end is given up after so many bytes, with one ending.
+func TestEndlessAnswers(t *testing.T) {
+	const buffers = 16 << 20 // of both kernels, at most
+	for name, f := range floods {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := r.try("a", nil)
+			r.pool.begin(a.exchange)
+			c := r.accept()
+			_, err := c.req()
+			require.NoError(t, err)
+			c.say(f.head)
+			more := []byte(strings.Repeat(f.more, 1+8192/len(f.more)))
+			total := 0
+			for err == nil && total < 4*buffers {
+				var n int
+				n, err = c.Write(more)
+				total += n
+			}
+			assert.Error(t, err, "the connection is still open")
+			assert.Equal(t, f.want, a.wait(t).ending)
+			assert.Less(t, total, buffers)
+			c.closed()
+			assert.Empty(t, a.ends, "a second ending")
+		})
+	}
+}
--- /dev/null
+++ b/internal/network/link_rig_test.go
@@ -0,0 +1,231 @@
+package network
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
+)
+
+// These tests cross two events on a connection to a backend, over loopback sockets. Each order is forced: by a callback
+// in whose midst the backend writes, or by a dial that is held. hang is no verdict: it ends a test that would never end.
+const hang = 20 * time.Second
+
+// rawBackend is a listener whose connections a test reads and writes byte by byte.
+type rawBackend struct {
+	t     *testing.T
+	l     net.Listener
+	conns chan *rawConn
+	made  atomic.Int32
+}
+
+type rawConn struct {
+	t *testing.T
+	*net.TCPConn
+	r *bufio.Reader
+}
+
+func newRaw(t *testing.T) *rawBackend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &rawBackend{t: t, l: l, conns: make(chan *rawConn, 64)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.made.Add(1)
+			c.SetDeadline(time.Now().Add(hang))
+			t.Cleanup(func() { c.Close() })
+			select {
+			case b.conns <- &rawConn{t, c.(*net.TCPConn), bufio.NewReader(c)}:
+			default:
+				c.Close()
+			}
+		}
+	}()
+	return b
+}
+
+func (b *rawBackend) address() string { return b.l.Addr().String() }
+
+func (b *rawBackend) accept() *rawConn {
+	select {
+	case c := <-b.conns:
+		return c
+	case <-time.After(hang):
+		require.Fail(b.t, "no connection came")
+		return nil
+	}
+}
+
+// req reads one whole request and returns its id; io.EOF where the connection ends before its first byte.
+func (c *rawConn) req() (string, error) {
+	q, err := http.ReadRequest(c.r)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, q.Body)
+	return q.Header.Get("X-Correlation-Id"), err
+}
+
+func (c *rawConn) say(text string) {
+	_, err := io.WriteString(c, text)
+	assert.NoError(c.t, err)
+}
+
+// arrived waits until the far kernel has all that was written here.
+func (c *rawConn) arrived() {
+	raw, err := c.SyscallConn()
+	require.NoError(c.t, err)
+	for left := int32(1); left > 0; time.Sleep(50 * time.Microsecond) {
+		require.NoError(c.t, raw.Control(func(fd uintptr) {
+			_, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&left)))
+			require.Zero(c.t, errno)
+		}))
+	}
+}
+
+// shut waits until the kernel has the far side's end, or its reset, on a connection of ours.
+func shut(t *testing.T, c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	const established = 1
+	for state := established; state == established; time.Sleep(50 * time.Microsecond) {
+		if raw.Control(func(fd uintptr) {
+			state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+			state &= 0xff
+		}) != nil || err != nil { // closed here already
+			return
+		}
+	}
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const (
+	ok200 = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	end0  = "0\r\n\r\n"
+	never = "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+func lineOf(id, state, rest string) string {
+	return chunk(fmt.Sprintf(`{"id":"%s","from":"s","state":"%s"%s}`+"\n", id, state, rest))
+}
+
+func done(id string) string { return lineOf(id, "done", `,"result":"of `+id+`"`) }
+
+// told is how an exchange ended.
+type told struct {
+	ending core.Ending
+	result string
+}
+
+// try is an exchange of a test.
+type try struct {
+	*exchange
+	ends  chan told
+	begun atomic.Bool
+}
+
+func (y *try) wait(t *testing.T) told {
+	select {
+	case e := <-y.ends:
+		return e
+	case <-time.After(hang):
+		require.Fail(t, "the exchange never ended")
+		return told{}
+	}
+}
+
+// rig is a pool with one raw backend.
+type rig struct {
+	*rawBackend
+	pool    *Pool
+	backend *core.Backend
+	mu      sync.Mutex
+	ours    []net.Conn // as dialled
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{rawBackend: newRaw(t)}
+	r.backend = &core.Backend{ID: 1, Name: "s", Address: r.address()}
+	r.pool = &Pool{Names: &platform.Names{}, Count: &counters.Set{}, Connect: hang, Idle: time.Hour, Most: 8}
+	r.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := TCP(ctx, address)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.ours = append(r.ours, c)
+		return c, err
+	}
+	return r
+}
+
+func (r *rig) try(id string, body []byte) *try {
+	job := &core.Job{Method: "POST", Target: "/ingest", ID: id, Body: body}
+	y := &try{ends: make(chan told, 4)}
+	y.exchange = &exchange{backend: r.backend, body: body, until: time.Now().Add(time.Hour), id: id, may: func() bool { return true },
+		started: func() {}, share: func(float64) {}}
+	y.head = func(left time.Duration) []byte { return platform.AppendJob(nil, job, "s", left, nil) }
+	y.ended = func(e core.Ending, result string, _ []float32) { y.ends <- told{e, result} }
+	return y
+}
+
+// serve has one req served on a connection, which rests from then on.
+func (r *rig) serve(id string) *rawConn {
+	y := r.try(id, nil)
+	r.pool.begin(y.exchange)
+	c := r.accept()
+	got, err := c.req()
+	require.NoError(r.t, err)
+	require.Equal(r.t, id, got)
+	c.say(ok200 + done(id) + end0)
+	require.Equal(r.t, told{core.Served, "of " + id}, y.wait(r.t))
+	return c
+}
+
+// closed checks that we end a connection, and write nothing more to it.
+func (c *rawConn) closed() {
+	n, err := c.r.Read(make([]byte, 1))
+	assert.Zero(c.t, n, "the old connection carries the req")
+	assert.Error(c.t, err)
+	assert.NotErrorIs(c.t, err, os.ErrDeadlineExceeded, "the connection is still open")
+}
+
+// elsewhere checks that a req came on a new connection, is served there, and that the old one carried nothing of it.
+func (r *rig) elsewhere(old *rawConn, y *try) {
+	var c *rawConn
+	select {
+	case c = <-r.conns:
+	case e := <-y.ends:
+		require.Fail(r.t, "the req ended on the old connection", "%v %q", e.ending, e.result)
+	case <-time.After(hang):
+		require.Fail(r.t, "the req came on no new connection")
+	}
+	got, err := c.req()
+	require.NoError(r.t, err)
+	assert.Equal(r.t, y.id, got)
+	c.say(ok200 + done(y.id) + end0)
+	assert.Equal(r.t, told{core.Served, "of " + y.id}, y.wait(r.t))
+	if old != nil {
+		old.closed()
+	}
+}
--- a/internal/platform/reply.go
+++ b/internal/platform/reply.go
@@ -237,8 +237,8 @@
 	if status < 200 {
 		return nil
 	}
-	unprocessed, _ := h.one("X-Unprocessed")
-	m.Unprocessed = unprocessed == "1"
+	unprocessed, once := h.one("X-Unprocessed")
+	m.Unprocessed = once && unprocessed == "1" // two of them prove nothing
 	m.Load, _ = h.one("X-Backend-Load")
 	m.Keep = !h.has("Connection", "close") && version != "HTTP/1.0"
 	m.chunked = h.has("Transfer-Encoding", "chunked")
