HTTP/2: a field block that ends after its stream's 408 opens nothing

Read: Conn.Expire answers a stream with 408 while its field block is still coming in (HEADERS without END_HEADERS, then silence for BodyWait) and forgets it; block.stream goes on pointing to it. A CONTINUATION that ends the block later had Conn.headed (head.go) tell Opened and Whole for a stream that is in no map: the driver handed its req to the core, a backend got a req that had been answered, nobody took the answer, and what Admit had given for the list was never released.

headed now decodes such a block for the table alone and counts it as a frame that crossed. The same for a block of a stream whose answer still waits to be framed.

TestLateBlock failed without it in four of its six cases, read whole, byte by byte and in threes: expected "opened 3 POST /photo/1 x-correlation-id=r3", actual "opened 1 POST /photo/2"; the malformed one got a second RST_STREAM. Trailers and a list that is too long were right before.

--- a/internal/http2/head.go
+++ b/internal/http2/head.go
@@ -180,6 +180,12 @@
 func (c *Conn) headed() {
 	b := &c.block
 	s := b.stream
+	// A block can take longer to come than its stream may: the stream has had its answer, and may be gone.
+	if s != nil && (s.answered || c.streams[s.ID] != s) {
+		s.ended = s.ended || b.ends
+		c.useless(Crossing, b.bytes)
+		return
+	}
 	switch {
 	case s == nil:
 		switch b.refuse {
