--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -24,7 +24,7 @@
 // have changed while a connection was being made: nothing new may reach a backend that is
 // known to drain, or that operators have banned.
 func (a *Attempt) MayBegin() bool {
-	return a.Backend.ready.Load() && !a.Backend.Withheld() && !a.stopped.Load() && a.core.clock.read().Before(a.Until) &&
+	return a.Backend.ready.Load() && !a.Backend.Withheld() && !a.stopped.Load() && !a.req.left.Load() && a.core.clock.read().Before(a.Until) &&
 		(a.core.Versions == nil || a.core.mayStart(a.req))
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,6 +90,7 @@
 	job      *Job
 	deadline float64
 	open     bool        // a final answer is owed
+	left     atomic.Bool // its client has gone: no attempt may begin
 	version  uint64      // of the fleet's policy that it was taken by, 0 without Versions
 	began    atomic.Bool // at a backend, or never will; told to Versions once
 	attempts []*Attempt
@@ -315,6 +316,7 @@
 // if not nil, is called once nothing of the req is out any more, from the core's goroutine; it
 // must not block.
 func (t Ticket) Abandon(stop bool, over func()) {
+	t.r.left.Store(true)
 	t.core.post(func() {
 		c, r := t.core, t.r
 		r.gone = over
