HTTP/2: the end of a connection calls its reqs off at once and loses no answer

Seen by reading, each shown by a test over loopback sockets: - Over with reqs out (an error or a flood of the client's): streams.run abandoned them only after linger, so after the writer's last write, up to Stall later with a client that reads nothing, and up to lingerWait more. All that time attempts could begin and the client's own close went unseen. - streams.write closed flushed and then set the read deadline to now, while linger set it to the time that the client has: the later one won. The reader then closed over unread bytes, and the kernel's reset took the answers with it. - In a shutdown shutIdle finds a session that lingers in the row resting or lingering and sets its read deadline to now: the same loss. - linger waited for the last write without reading: a client that writes before it reads, and a writer that waits for it, held each other up until Stall, and each further write had a whole Stall again.

TestHTTP2Gone failed without it in "a frame that ends the connection/writer waits" and "a flood that is too much/writer waits": "Should be zero, but was 1: answered, not abandoned". TestHTTP2Linger failed in three of its four cases: "expected: 716800 actual: 0 bytes of the answer", expected "end" actual "reset"; the drain outside of a shutdown was right before. Refuted, and kept as tests: RST_STREAM, FIN, RST, GOAWAY and a close, each also behind a flood, are seen at once although the writer waits; a client that only says GOAWAY is served.

--- a/internal/http2/ending.go
+++ b/internal/http2/ending.go
@@ -72,6 +72,17 @@
 	c.fail(code, reason)
 }
 
+// Lost returns the streams that were Opened and not answered nor told as Gone. Once the connection is
+// over, none of them can have an answer any more.
+func (c *Conn) Lost() (lost []*Stream) {
+	for _, s := range c.streams {
+		if s.opened && !s.gone && !s.answered {
+			lost = append(lost, s)
+		}
+	}
+	return lost
+}
+
 // Close lets go of all that is held for streams, when the connection is gone. It returns the
 // streams that were Opened, not answered in full and not told as Gone.
 func (c *Conn) Close() (left []*Stream) {
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -59,6 +59,7 @@
 	busy   bool // the table knows that there are streams
 	over   bool
 	ending core.Ending // once over
+	out    bool        // the last byte is written, and the sending side closed
 	armed  time.Time   // that the writer wakes by itself; zero if it does not
 
 	mail struct {
@@ -140,7 +141,10 @@
 func (s *streams) run() {
 	c := s.front.Clients
 	go s.write()
-	e := s.read()
+	e, over := s.read()
+	if over {
+		s.linger()
+	}
 	s.mu.Lock()
 	if s.over {
 		e = s.ending
@@ -160,7 +164,8 @@
 	c.table.leave(&s.seat)
 }
 
-func (s *streams) read() core.Ending {
+// read feeds the machine until the connection is over, or ends otherwise.
+func (s *streams) read() (e core.Ending, over bool) {
 	for {
 		s.mu.Lock()
 		space, over, begun := s.m.Space(), s.over, s.m.Begun()
@@ -169,15 +174,15 @@
 		}
 		s.mu.Unlock()
 		if over {
-			return s.linger()
+			return 0, true
 		}
 		n, err := s.conn.Read(space)
 		if n == 0 && err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				return core.ClientClosed
+				return core.ClientClosed, false
 			}
 			if e, ends := s.late(); ends {
-				return e
+				return e, false
 			}
 			continue
 		}
@@ -247,43 +252,12 @@
 	return 0, false
 }
 
-// shedLinger is how long a session that is shed stays for its client to read what it was sent
-// last: streams that cross the GOAWAY would turn a close at once into a reset.
-const shedLinger = 100 * time.Millisecond
-
-// linger waits until the last bytes are written, and lets the client read them: a close with
-// unread bytes would destroy them on their way.
-func (s *streams) linger() core.Ending {
-	<-s.flushed
-	c := s.front.Clients
-	stay := lingerWait
-	switch s.ending {
-	case core.SessionShed: // its descriptor is wanted
-		stay = shedLinger
-	case core.ClientBad:
-		if !c.table.linger(&s.seat, c.most()/8+1) {
-			stay = 0
-		}
-	}
-	if tcp, ok := s.conn.(*net.TCPConn); ok && stay > 0 {
-		tcp.CloseWrite()
-		s.conn.SetReadDeadline(time.Now().Add(stay))
-		waste := make([]byte, 4<<10)
-		for left := 4 * platform.MaxBody; left > 0; {
-			n, err := s.conn.Read(waste)
-			if left -= n; err != nil {
-				break
-			}
-		}
-	}
-	return s.ending
-}
-
 // write writes what the machine has, whenever there is something, and minds the machine's times.
 func (s *streams) write() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var spare []byte
+	var last time.Time // for the rest, once the connection is over
 	for {
 		select {
 		case <-s.wake:
@@ -312,7 +286,13 @@
 			}
 			s.mu.Unlock()
 			if len(b) > 0 {
-				s.conn.SetWriteDeadline(time.Now().Add(s.limits.Stall))
+				until := time.Now().Add(s.limits.Stall)
+				if over && last.IsZero() {
+					last = until
+				} else if over {
+					until = last
+				}
+				s.conn.SetWriteDeadline(until)
 				if _, err := s.conn.Write(b); err != nil {
 					s.conn.Close()   // the reader sees that,
 					close(s.flushed) // or waits for it already
@@ -326,8 +306,7 @@
 				continue
 			}
 			if over {
-				close(s.flushed)
-				s.conn.SetReadDeadline(time.Now())
+				s.finish()
 				return
 			}
 			break
--- /dev/null
+++ b/internal/network/http2_crossing_test.go
@@ -0,0 +1,252 @@
+package network
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+
+	"tinsail/internal/core"
+)
+
+// ends are ways in which a client takes its reqs back.
+var ends = map[string]func(*caller){
+	"RST_STREAM": func(c *caller) { c.fr.WriteRSTStream(1, http2.ErrCodeCancel); c.send() },
+	"FIN":        func(c *caller) { c.conn.CloseWrite() },
+	"RST":        func(c *caller) { c.conn.SetLinger(0); c.conn.Close() },
+	"GOAWAY, and gone": func(c *caller) {
+		c.fr.WriteGoAway(0, http2.ErrCodeNo, nil)
+		c.send()
+		c.conn.CloseWrite()
+	},
+	"a frame that ends the connection": func(c *caller) { c.bad(); c.send() },
+	"FIN behind a flood": func(c *caller) {
+		for range 1500 {
+			c.fr.WriteWindowUpdate(0, 1)
+		}
+		c.send()
+		c.conn.CloseWrite()
+	},
+	"RST_STREAM behind a flood": func(c *caller) {
+		for range 1500 {
+			c.fr.WritePriority(1, http2.PriorityParam{StreamDep: 7})
+		}
+		c.fr.WriteRSTStream(1, http2.ErrCodeCancel)
+		c.send()
+	},
+	"a flood that is too much": func(c *caller) {
+		for range 3000 {
+			c.fr.WriteWindowUpdate(0, 1)
+		}
+		c.send()
+	},
+}
+
+// TestHTTP2Gone: however a client takes its req back, the core hears of it at once, whether the front's
+// writer is free or waits for that client.
+func TestHTTP2Gone(t *testing.T) {
+	for name, end := range ends {
+		t.Run(name+"/writer free", func(t *testing.T) {
+			h := newHolding()
+			s := serveLong(t, h)
+			c := phoneUp(t, s.address[1], 0)
+			c.post(1)
+			c.send()
+			came(t, "an attempt", h.out)
+			s.owes(t, 1)
+			end(c)
+			s.gone(t)
+			c.conn.Close()
+			s.empty(t)
+		})
+		t.Run(name+"/writer waits", func(t *testing.T) {
+			h := newHolding()
+			s := serveFull(t, h)
+			c, _ := s.full(t, h.out)
+			s.owes(t, 1)
+			end(c)
+			s.gone(t)
+			c.conn.Close() // with bytes unread, which resets it
+			s.empty(t)
+		})
+	}
+}
+
+// TestHTTP2GoneWhileDialing: nothing is begun for a client that took its req back while the connection
+// to the backend was being made.
+func TestHTTP2GoneWhileDialing(t *testing.T) {
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			d := newDialing(t)
+			s := serveLong(t, d.pool)
+			c := phoneUp(t, s.address[1], 0)
+			c.post(1)
+			c.send()
+			came(t, "a connection to a backend", d.asked)
+			s.owes(t, 1)
+			end(c)
+			s.gone(t)
+			close(d.goOn)
+			soon(t, "the attempt's end", func() bool { return d.bytes() > 0 || s.count.Endings[core.Unsent].Load() == 1 })
+			assert.Zero(t, d.bytes(), "a req was begun whose client had gone")
+			c.conn.Close()
+			s.empty(t)
+		})
+	}
+}
+
+// TestHTTP2ClientGoAway: a client that only says that it opens no more streams has not gone, and nor has
+// one that says so while its connection to a backend is being made.
+func TestHTTP2ClientGoAway(t *testing.T) {
+	d := newDialing(t)
+	s := serveLong(t, d.pool)
+	c := phoneUp(t, s.address[1], 0)
+	c.post(1)
+	c.send()
+	came(t, "a connection to a backend", d.asked)
+	c.fr.WriteGoAway(0, http2.ErrCodeNo, nil)
+	c.fr.WritePing(false, [8]byte{1})
+	c.send()
+	c.until("ping") // the GOAWAY has been read
+	assert.Equal(t, 1, s.clients.Core.Open())
+	close(d.goOn)
+	soon(t, "the req's bytes", func() bool { return d.bytes() > 0 })
+}
+
+// lastConn is the front's end of a connection that ends with an answer which its client has not read.
+type lastConn struct {
+	*net.TCPConn
+	out     func() bool   // the front has written its last byte
+	stays   chan struct{} // it has set how long its client may read
+	woken   chan struct{} // ... and its writer has woken its reader for the end
+	reads   chan struct{} // it is to read what its client goes on sending, which waits for goOn
+	goOn    chan struct{}
+	again   chan struct{} // it reads once more after bytes that crossed the end
+	crossed chan struct{} // these were sent; no close comes before
+	closed  chan struct{}
+	onces   [4]sync.Once
+	count   int
+	waits   atomic.Bool // in a Read that began before the end, for which the wake-up is
+}
+
+// big is more than a client with a small receive buffer takes by itself: the rest stays with the front.
+var big = strings.Repeat("b", 700<<10)
+
+func (l *lastConn) once(i int, c chan struct{}) { l.onces[i].Do(func() { close(c) }) }
+
+func (l *lastConn) SetReadDeadline(until time.Time) error {
+	wakes := !until.IsZero() && !until.After(time.Now())
+	out := l.out()
+	if wakes && out && !l.waits.Load() {
+		<-l.stays
+	}
+	err := l.TCPConn.SetReadDeadline(until)
+	if wakes {
+		l.once(0, l.woken)
+	} else if out {
+		l.once(1, l.stays)
+	}
+	return err
+}
+
+func (l *lastConn) Read(b []byte) (int, error) {
+	if l.out() {
+		<-l.woken
+		if l.count++; l.count == 1 {
+			close(l.reads)
+			<-l.goOn
+		} else {
+			l.once(2, l.again)
+		}
+		return l.TCPConn.Read(b)
+	}
+	l.waits.Store(true)
+	defer l.waits.Store(false)
+	return l.TCPConn.Read(b)
+}
+
+func (l *lastConn) Close() error {
+	if l.out() {
+		<-l.crossed
+	}
+	err := l.TCPConn.Close()
+	l.once(3, l.closed)
+	return err
+}
+
+// TestHTTP2Linger: a client reads an answer that was written before its connection ended, although it
+// goes on sending: the writer's wake-up at the end does not undo the time that it has for that, and nor
+// does the table when it ends all sessions in a shutdown.
+func TestHTTP2Linger(t *testing.T) {
+	for name, end := range map[string]func(s *served, c *caller, a *core.Attempt){
+		"an error of the client's": func(_ *served, c *caller, a *core.Attempt) {
+			a.Ended(core.Served, big, nil)
+			c.until("head 1 200")
+			c.bad()
+			c.send()
+		},
+		"a drain": func(s *served, c *caller, a *core.Attempt) {
+			s.http2.hint()
+			c.until("ping")
+			c.fr.WritePing(true, [8]byte{0x74, 0x61, 0x69, 0x6c})
+			c.send()
+			c.until("goaway 1 NO_ERROR")
+			a.Ended(core.Served, big, nil)
+		},
+	} {
+		for _, shutdown := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: "/in a shutdown"}[shutdown], func(t *testing.T) {
+				h := newHolding()
+				s := serveLong(t, h, func(c *Clients) { c.Longest = -100 * time.Millisecond }) // a shutdown closes at once
+				made := make(chan *lastConn, 1)
+				address := s.listen(t, func(conn *net.TCPConn) net.Conn {
+					conn.SetWriteBuffer(1 << 20)
+					l := &lastConn{TCPConn: conn, stays: make(chan struct{}), woken: make(chan struct{}), reads: make(chan struct{}),
+						goOn: make(chan struct{}), again: make(chan struct{}), crossed: make(chan struct{}), closed: make(chan struct{})}
+					l.out = func() bool {
+						for _, f := range s.streamsNow() {
+							select {
+							case <-f.flushed:
+								return true
+							default:
+							}
+						}
+						return false
+					}
+					made <- l
+					return l
+				})
+				c := phoneUp(t, address, 64<<10)
+				l := came(t, "the connection", made)
+				c.post(1)
+				c.send()
+				end(s, c, came(t, "an attempt", h.out))
+				came(t, "the reading after the end", l.reads)
+				if shutdown {
+					NewService(s.clients, s.http2).Term()
+				}
+				c.fr.WriteData(3, false, []byte(big[:1000])) // crosses the end
+				c.send()
+				close(l.crossed)
+				close(l.goOn)
+				select {
+				case <-l.again:
+				case <-l.closed:
+				case <-time.After(patience):
+					require.Fail(t, "neither read on nor closed")
+				}
+				whole, last := c.answers()
+				assert.Equal(t, len(big), whole[1], "bytes of the answer")
+				assert.Equal(t, "end", last)
+				c.conn.Close()
+				s.empty(t)
+			})
+		}
+	}
+}
--- a/internal/network/http2_reqs.go
+++ b/internal/network/http2_reqs.go
@@ -34,6 +34,7 @@
 			c.Count.ReqsBad.Add(1)
 		case http2.Over:
 			s.over = true
+			s.giveUp()
 			switch {
 			case e.Reason != "":
 				s.ending = core.ClientBad
