HTTP/2: answers for a client that reads nothing are held within the bounds and survive its error

Also: a connection that shutdown meets before its first bytes is served; ends that were lost or miscounted.

Seen by reading http2.go, each with a test over loopback sockets that failed without its hunk: - streams.post: answers that wait in the mail while the writer waits for the client (up to Stall) were counted nowhere: streams times answers of 128 KiB for each connection, beyond what may be held. They are held like other bytes for clients now, at most a quarter of the allowance for a connection (as of answers that wait for its windows), what there is no room for becomes the reset that it would become in the machine, and all is given back with the connection (http2_mail.go). TestHTTP2UnreadAnswers, TestHTTP2UnreadThenGone: "Condition never satisfied: the answers are held"; without giving back "Should be zero, but was 102400: bytes are held for nobody". - streams.read: an answer decided and in the mail when a client's error was read was dropped, since the machine takes none after its end. The mail is sorted before bytes are taken in. TestHTTP2DecidedThenBad: "expected: 7 actual: 0 bytes of the answer". - HTTP2.hint closed connections whose preface had not been read, without a word, although their req may have been sent; one that connects a moment later is told by GOAWAY and served. They are left to their reader now, which tells them. TestHTTP2TurnedAway: expected "end", actual "reset". - streams.write: a client that took no byte for Stall was counted as one that closed (client_closed). It is client_bad and http2_abuse_stalled now, as where its window stays shut. TestHTTP2Stalled: "expected: 1 actual: 0", client_closed "Should be zero, but was 1".

--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -21,6 +21,7 @@
 	limits  atomic.Pointer[HTTP2Limits]
 	open    sync.Map // *streams of this front, for hint
 	ends    atomic.Pointer[net.Listener]
+	away    atomic.Int32 // connections that were turned away unread, and still linger
 }
 
 // HTTP2Limits are what a new connection is told, and what becomes of reqs that are reset.
@@ -65,20 +66,14 @@
 	mail struct {
 		sync.Mutex
 		list, spare []letter
+		held        int  // bytes of answers that Clients holds for them
+		closed      bool // nobody reads it any more
 	}
 	wake    chan struct{} // to the writer
 	flushed chan struct{} // closed by the writer, after the last byte
 	quit    chan struct{} // closed by the reader, when the connection is gone
 }
 
-// letter is news of a stream from the core: its final answer, or that nothing of it is out any
-// more after it was abandoned.
-type letter struct {
-	id     uint32
-	free   bool
-	answer core.Answer
-}
-
 // streamReq is a stream that carries a req, and the req's Client.
 type streamReq struct {
 	s      *streams
@@ -99,13 +94,6 @@
 	}
 }
 
-func (s *streams) post(l letter) {
-	s.mail.Lock()
-	s.mail.list = append(s.mail.list, l)
-	s.mail.Unlock()
-	s.nudge()
-}
-
 func (s *streams) nudge() {
 	select {
 	case s.wake <- struct{}{}:
@@ -129,8 +117,8 @@
 		s.m.End(http2.EnhanceYou, "too many clients")
 		s.conn.SetWriteDeadline(time.Now().Add(l.Stall))
 		s.conn.Write(s.m.Take(nil))
-		conn.Close()
 		c.table.leave(&s.seat)
+		s.turnAway()
 		return
 	}
 	f.open.Store(s, nil)
@@ -151,6 +139,7 @@
 	}
 	s.over = true
 	left := s.m.Close()
+	s.shutMail()
 	s.mu.Unlock()
 	close(s.quit)
 	s.conn.Close()
@@ -187,6 +176,7 @@
 			continue
 		}
 		s.mu.Lock()
+		s.sort() // what was decided before these bytes were read is not lost by what they say
 		s.m.Filled(n, time.Now())
 		if !begun { // bytes that make no preface are no reason to be kept longer than silence
 			s.front.Clients.table.begun(&s.seat)
@@ -213,7 +203,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case s.shed:
+	case s.shed && s.ending == 0: // else it has had its last look, and serves what it has
 		s.conn.SetReadDeadline(time.Now().Add(lastLook))
 	case !begun:
 		s.conn.SetReadDeadline(s.since.Add(firstWait))
@@ -294,6 +284,7 @@
 				}
 				s.conn.SetWriteDeadline(until)
 				if _, err := s.conn.Write(b); err != nil {
+					s.stalled(err)
 					s.conn.Close()   // the reader sees that,
 					close(s.flushed) // or waits for it already
 					return
@@ -317,35 +308,6 @@
 // keepMost is the largest buffer that an idle connection keeps for output.
 const keepMost = 16 << 10
 
-// sort takes what is in the mail to the machine. s.mu is held.
-func (s *streams) sort() {
-	s.mail.Lock()
-	list := s.mail.list
-	s.mail.list = s.mail.spare[:0]
-	s.mail.Unlock()
-	now := time.Now()
-	for i := range list {
-		l := &list[i]
-		if l.free {
-			s.m.Free(l.id)
-			continue
-		}
-		switch l.answer.Verdict {
-		case core.ResultOf:
-			s.m.Answer(l.id, 200, 0, l.answer.Result, now)
-		case core.Refusal:
-			s.m.Answer(l.id, 503, l.answer.Pause, "", now)
-		default:
-			s.m.Answer(l.id, 502, 0, "", now)
-		}
-	}
-	clear(list)
-	if s.mail.spare = list; cap(list) > 1024 {
-		s.mail.spare = nil
-	}
-	s.settle()
-}
-
 // settle tells the table when the last stream has ended. s.mu is held.
 func (s *streams) settle() {
 	if !s.busy || s.m.Live() > 0 || s.over {
@@ -370,10 +332,12 @@
 	f.open.Range(func(key, _ any) bool {
 		s := key.(*streams)
 		s.mu.Lock()
-		s.m.Drain(time.Now())
-		s.events()
-		s.mu.Unlock()
-		s.nudge()
+		defer s.mu.Unlock()
+		if s.m.Begun() { // one whose first bytes are on their way is told by its reader
+			s.m.Drain(time.Now())
+			s.events()
+			s.nudge()
+		}
 		return true
 	})
 }
--- a/internal/network/http2_caller_test.go
+++ b/internal/network/http2_caller_test.go
@@ -305,15 +305,51 @@
 	return c, a
 }
 
+// lateWriter is the front's end of a connection whose first long write waits until goOn is closed.
+type lateWriter struct {
+	*net.TCPConn
+	once    sync.Once
+	writing chan struct{}
+	goOn    chan struct{}
+}
+
+func (l *lateWriter) Write(b []byte) (int, error) {
+	if len(b) > 32<<10 {
+		l.once.Do(func() {
+			close(l.writing)
+			<-l.goOn
+		})
+	}
+	return l.TCPConn.Write(b)
+}
+
+// late is full, for a client that reads after all once goOn is closed.
+func (s *served) late(t *testing.T, out chan *core.Attempt) (*caller, *core.Attempt, *lateWriter) {
+	l := &lateWriter{writing: make(chan struct{}), goOn: make(chan struct{})}
+	c := phoneUp(t, s.listen(t, func(conn *net.TCPConn) net.Conn {
+		l.TCPConn = conn
+		return l
+	}), 0)
+	c.post(1)
+	c.send()
+	a := came(t, "an attempt", out)
+	c.get(3, "/counters")
+	c.send()
+	came(t, "a long write", l.writing)
+	return c, a, l
+}
+
 // serveLong is a dispatcher whose reqs have an hour: what ends one here is not its deadline.
 func serveLong(t *testing.T, b core.Backends, change ...func(*Clients)) *served {
 	long := func(c *Clients) { c.Names.Limits, c.Longest = []time.Duration{time.Hour}, time.Hour }
 	return serveReal(t, b, append([]func(*Clients){long}, change...)...)
 }
 
-func serveFull(t *testing.T, b core.Backends) *served {
-	s := serveLong(t, b, func(c *Clients) { c.Stats = func() string { return strings.Repeat("s", 1<<20) } })
-	s.limits(func(l *HTTP2Limits) { l.Stall = time.Hour })
+func serveFull(t *testing.T, b core.Backends, stall time.Duration) *served {
+	s := serveLong(t, b, func(c *Clients) {
+		c.Held, c.Stats = 4<<20, func() string { return strings.Repeat("s", 1<<20) }
+	})
+	s.limits(func(l *HTTP2Limits) { l.Stall = stall })
 	return s
 }
 
--- a/internal/network/http2_crossing_test.go
+++ b/internal/network/http2_crossing_test.go
@@ -67,7 +67,7 @@
 		})
 		t.Run(name+"/writer waits", func(t *testing.T) {
 			h := newHolding()
-			s := serveFull(t, h)
+			s := serveFull(t, h, time.Hour)
 			c, _ := s.full(t, h.out)
 			s.owes(t, 1)
 			end(c)
--- a/internal/network/http2_end.go
+++ b/internal/network/http2_end.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tinsail/internal/core"
+	"tinsail/internal/http2"
 	"tinsail/internal/platform"
 )
 
@@ -102,3 +103,38 @@
 	}
 	return stay
 }
+
+// stalled ends a connection whose client took no byte for the whole time that a write may last.
+func (s *streams) stalled(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	s.front.Clients.Count.HTTP2Abuse[http2.Stalled].Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.over, s.ending = true, core.ClientBad
+	}
+}
+
+// awayMost is how many connections that were turned away linger at a time: they are beyond every budget, and
+// their descriptors among the few that Budget keeps back.
+const awayMost = 4
+
+// turnAway ends a connection that there was no room for, which has been told so. It is not waited for
+// here, has no seat any more, and lingers for its client only while few do.
+func (s *streams) turnAway() {
+	s.over, s.ending = true, core.SessionShed
+	s.front.Clients.Count.Endings[s.ending].Add(1)
+	s.finish()
+	if s.front.away.Add(1) > awayMost {
+		s.front.away.Add(-1)
+		s.conn.Close()
+		return
+	}
+	go func() {
+		s.linger()
+		s.conn.Close()
+		s.front.away.Add(-1)
+	}()
+}
--- /dev/null
+++ b/internal/network/http2_slow_test.go
@@ -0,0 +1,167 @@
+package network
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"golang.org/x/net/http2"
+
+	"tinsail/internal/core"
+	ours "tinsail/internal/http2"
+)
+
+// TestHTTP2DecidedThenBad: an answer that was decided before a client's error is read goes out with what
+// was written before, although the writer waited for that client.
+func TestHTTP2DecidedThenBad(t *testing.T) {
+	h := newHolding()
+	s := serveFull(t, h, time.Hour)
+	c, a, l := s.late(t, h.out)
+	a.Ended(core.Served, "decided", nil)
+	f := s.streamsNow()[0]
+	soon(t, "the answer in the mail", func() bool {
+		f.mail.Lock()
+		defer f.mail.Unlock()
+		return len(f.mail.list) == 1
+	})
+	c.bad()
+	c.send()
+	soon(t, "the error is read", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.over
+	})
+	close(l.goOn)
+	whole, last := c.answers()
+	assert.Equal(t, len("decided"), whole[1], "bytes of the answer")
+	assert.Equal(t, "end", last)
+	c.conn.Close()
+	s.empty(t)
+	assert.Equal(t, int64(1), s.count.Endings[core.ClientBad].Load())
+}
+
+// TestHTTP2UnreadAnswers: answers for a client that reads nothing are counted among the bytes that are
+// held for all clients, from the core on, and bounded for one connection.
+func TestHTTP2UnreadAnswers(t *testing.T) {
+	h := newHolding()
+	s := serveFull(t, h, time.Hour)
+	c, a, l := s.late(t, h.out)
+	a.Ended(core.Served, "", nil)
+	s.owes(t, 0)
+	const reqs, size = 20, 100 << 10
+	var out []*core.Attempt
+	for i := range uint32(reqs) {
+		c.post(5 + 2*i)
+	}
+	c.send()
+	for range reqs {
+		out = append(out, came(t, "an attempt", h.out))
+	}
+	s.owes(t, reqs)
+	for _, a := range out {
+		a.Ended(core.Served, strings.Repeat("r", size), nil)
+	}
+	s.owes(t, 0)
+	fit := s.clients.Held / 4 / size
+	soon(t, "the answers are held", func() bool { return s.clients.held.Load() == 1<<20+fit*size })
+	close(l.goOn)
+	whole, reset := map[uint32]bool{}, 0
+	for len(whole)+reset < reqs+2 {
+		switch word, f := c.next(); f := f.(type) {
+		case *http2.DataFrame:
+			if f.StreamEnded() {
+				whole[f.StreamID] = true
+			}
+		case *http2.HeadersFrame:
+			if f.StreamEnded() {
+				whole[f.StreamID] = true
+			}
+		case *http2.RSTStreamFrame:
+			assert.Equal(t, http2.ErrCodeEnhanceYourCalm, f.ErrCode)
+			reset++
+		case nil:
+			t.Fatal(word)
+		}
+	}
+	assert.GreaterOrEqual(t, reset, reqs-int(fit))
+	assert.Equal(t, int64(reset), s.count.HTTP2Abuse[ours.Unread].Load())
+	c.conn.Close()
+	s.empty(t)
+}
+
+// TestHTTP2UnreadThenGone: nothing is held for a client that went while its answers waited.
+func TestHTTP2UnreadThenGone(t *testing.T) {
+	h := newHolding()
+	s := serveFull(t, h, time.Hour)
+	c, a := s.full(t, h.out)
+	a.Ended(core.Served, strings.Repeat("r", 100<<10), nil)
+	soon(t, "the answer is held", func() bool { return s.clients.held.Load() == 1<<20+100<<10 })
+	c.conn.Close()
+	s.empty(t)
+}
+
+// TestHTTP2Stalled: a client that takes no byte is the one that ends its connection for what it does, and is
+// not counted as one that closed it.
+func TestHTTP2Stalled(t *testing.T) {
+	h := newHolding()
+	s := serveFull(t, h, 50*time.Millisecond)
+	c := phoneUp(t, s.listen(t, narrow), 64<<10)
+	c.post(1)
+	c.send()
+	came(t, "an attempt", h.out)
+	c.get(3, "/counters")
+	c.send()
+	s.gone(t)
+	s.empty(t)
+	assert.Equal(t, int64(1), s.count.Endings[core.ClientBad].Load())
+	assert.Zero(t, s.count.Endings[core.ClientClosed].Load())
+	assert.Equal(t, int64(1), s.count.HTTP2Abuse[ours.Stalled].Load())
+}
+
+// TestHTTP2BesideOthers: while one client reads nothing, another is served.
+func TestHTTP2BesideOthers(t *testing.T) {
+	h := newHolding()
+	s := serveFull(t, h, time.Hour)
+	s.full(t, h.out)
+	c := phoneUp(t, s.address[1], 0)
+	for i := range uint32(50) {
+		c.post(1 + 2*i)
+		c.send()
+		came(t, "an attempt", h.out).Ended(core.Served, "r", nil)
+		for word := ""; word != "data "+fmt.Sprint(1+2*i); word, _ = c.next() {
+			assert.NotContains(t, []string{"end", "reset"}, word)
+		}
+	}
+}
+
+// TestHTTP2TurnedAway: a client that there is no room for reads why, although what it sent is not read.
+func TestHTTP2TurnedAway(t *testing.T) {
+	s := serveLong(t, newHolding(), func(c *Clients) { c.Most = 1 })
+	for range s.clients.Most + excessMost { // sessions that are owed an answer
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		busy := &seat{conn: near}
+		s.clients.table.enter(busy, s.clients.Most+excessMost)
+		s.clients.table.taken(busy)
+	}
+	sent := make(chan struct{})
+	c := connect(t, s.listen(t, func(conn *net.TCPConn) net.Conn {
+		<-sent
+		return conn
+	}), 0)
+	c.hello()
+	c.post(1)
+	c.send()
+	close(sent)
+	c.until("goaway 0 ENHANCE_YOUR_CALM")
+	word, _ := c.next()
+	assert.Equal(t, "end", word)
+	c.conn.Close()
+	soon(t, "it is gone", func() bool { return s.http2.away.Load() == 0 })
+	assert.Equal(t, int64(1), s.count.Endings[core.SessionShed].Load())
+	assert.Equal(t, s.clients.Most+excessMost, s.clients.Open())
+	assert.Zero(t, s.count.ReqsTaken.Load())
+}
