--- a/internal/network/http2_stop_test.go
+++ b/internal/network/http2_stop_test.go
@@ -67,6 +67,7 @@
 	for round := range 20 {
 		h := newHolding()
 		s := serveLong(t, h)
+		s.limits(func(l *HTTP2Limits) { l.DrainWait = time.Hour }) // the client's word alone brings the second GOAWAY
 		c := phoneUp(t, s.address[1], 0)
 		c.until("settings")
 		begin := make(chan struct{})
