--- a/internal/network/http2_crossing_test.go
+++ b/internal/network/http2_crossing_test.go
@@ -137,7 +137,7 @@
 }
 
 // big is more than a client with a small receive buffer takes by itself: the rest stays with the front.
-var big = strings.Repeat("b", 300<<10)
+var big = strings.Repeat("b", 700<<10)
 
 func (l *lastConn) once(i int, c chan struct{}) { l.onces[i].Do(func() { close(c) }) }
 
@@ -219,7 +219,7 @@
 				s := serveLong(t, h, func(c *Clients) { c.Longest = -100 * time.Millisecond }) // a shutdown closes at once
 				made := make(chan *lastConn, 1)
 				address := s.listen(t, func(conn *net.TCPConn) net.Conn {
-					conn.SetWriteBuffer(1 << 20)
+					conn.SetWriteBuffer(2 << 20)
 					l := &lastConn{TCPConn: conn, stays: make(chan struct{}), woken: make(chan struct{}), reads: make(chan struct{}),
 						goOn: make(chan struct{}), again: make(chan struct{}), crossed: make(chan struct{}), closed: make(chan struct{})}
 					l.out = func() bool {
