--- a/internal/network/await_test.go
+++ b/internal/network/await_test.go
@@ -52,22 +52,22 @@
 	return fmt.Sprintf("POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
 }
 
-// caller is a client on a real socket.
-type caller struct {
+// visitor is a client on a real socket.
+type visitor struct {
 	*net.TCPConn
 	in *bufio.Reader
 }
 
-func ring(t *testing.T, s *served) *caller {
+func ring(t *testing.T, s *served) *visitor {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.address[0])
 	require.NoError(t, err)
 	require.NoError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
 	t.Cleanup(func() { conn.Close() })
-	return &caller{conn.(*net.TCPConn), bufio.NewReader(conn)}
+	return &visitor{conn.(*net.TCPConn), bufio.NewReader(conn)}
 }
 
-func (c *caller) answer(t *testing.T) (status int, body string, closing bool) {
+func (c *visitor) answer(t *testing.T) (status int, body string, closing bool) {
 	t.Helper()
 	a, err := http.ReadResponse(c.in, nil)
 	require.NoError(t, err)
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -21,6 +21,7 @@
 	limits  atomic.Pointer[HTTP2Limits]
 	open    sync.Map // *streams of this front, for hint
 	ends    atomic.Pointer[net.Listener]
+	away    atomic.Int32 // connections that were turned away unread, and still linger
 }
 
 // HTTP2Limits are what a new connection is told, and what becomes of reqs that are reset.
@@ -59,25 +60,20 @@
 	busy   bool // the table knows that there are streams
 	over   bool
 	ending core.Ending // once over
+	out    bool        // the last byte is written, and the sending side closed
 	armed  time.Time   // that the writer wakes by itself; zero if it does not
 
 	mail struct {
 		sync.Mutex
 		list, spare []letter
+		held        int  // bytes of answers that Clients holds for them
+		closed      bool // nobody reads it any more
 	}
 	wake    chan struct{} // to the writer
 	flushed chan struct{} // closed by the writer, after the last byte
 	quit    chan struct{} // closed by the reader, when the connection is gone
 }
 
-// letter is news of a stream from the core: its final answer, or that nothing of it is out any
-// more after it was abandoned.
-type letter struct {
-	id     uint32
-	free   bool
-	answer core.Answer
-}
-
 // streamReq is a stream that carries a req, and the req's Client.
 type streamReq struct {
 	s      *streams
@@ -98,13 +94,6 @@
 	}
 }
 
-func (s *streams) post(l letter) {
-	s.mail.Lock()
-	s.mail.list = append(s.mail.list, l)
-	s.mail.Unlock()
-	s.nudge()
-}
-
 func (s *streams) nudge() {
 	select {
 	case s.wake <- struct{}{}:
@@ -128,8 +117,8 @@
 		s.m.End(http2.EnhanceYou, "too many clients")
 		s.conn.SetWriteDeadline(time.Now().Add(l.Stall))
 		s.conn.Write(s.m.Take(nil))
-		conn.Close()
 		c.table.leave(&s.seat)
+		s.turnAway()
 		return
 	}
 	f.open.Store(s, nil)
@@ -140,13 +129,17 @@
 func (s *streams) run() {
 	c := s.front.Clients
 	go s.write()
-	e := s.read()
+	e, over := s.read()
+	if over {
+		s.linger()
+	}
 	s.mu.Lock()
 	if s.over {
 		e = s.ending
 	}
 	s.over = true
 	left := s.m.Close()
+	s.shutMail()
 	s.mu.Unlock()
 	close(s.quit)
 	s.conn.Close()
@@ -160,7 +153,8 @@
 	c.table.leave(&s.seat)
 }
 
-func (s *streams) read() core.Ending {
+// read feeds the machine until the connection is over, or ends otherwise.
+func (s *streams) read() (e core.Ending, over bool) {
 	for {
 		s.mu.Lock()
 		space, over, begun := s.m.Space(), s.over, s.m.Begun()
@@ -169,19 +163,20 @@
 		}
 		s.mu.Unlock()
 		if over {
-			return s.linger()
+			return 0, true
 		}
 		n, err := s.conn.Read(space)
 		if n == 0 && err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				return core.ClientClosed
+				return core.ClientClosed, false
 			}
 			if e, ends := s.late(); ends {
-				return e
+				return e, false
 			}
 			continue
 		}
 		s.mu.Lock()
+		s.sort() // what was decided before these bytes were read is not lost by what they say
 		s.m.Filled(n, time.Now())
 		if !begun { // bytes that make no preface are no reason to be kept longer than silence
 			s.front.Clients.table.begun(&s.seat)
@@ -208,7 +203,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case s.shed:
+	case s.shed && s.ending == 0: // else it has had its last look, and serves what it has
 		s.conn.SetReadDeadline(time.Now().Add(lastLook))
 	case !begun:
 		s.conn.SetReadDeadline(s.since.Add(firstWait))
@@ -247,43 +242,12 @@
 	return 0, false
 }
 
-// shedLinger is how long a session that is shed stays for its client to read what it was sent
-// last: streams that cross the GOAWAY would turn a close at once into a reset.
-const shedLinger = 100 * time.Millisecond
-
-// linger waits until the last bytes are written, and lets the client read them: a close with
-// unread bytes would destroy them on their way.
-func (s *streams) linger() core.Ending {
-	<-s.flushed
-	c := s.front.Clients
-	stay := lingerWait
-	switch s.ending {
-	case core.SessionShed: // its descriptor is wanted
-		stay = shedLinger
-	case core.ClientBad:
-		if !c.table.linger(&s.seat, c.most()/8+1) {
-			stay = 0
-		}
-	}
-	if tcp, ok := s.conn.(*net.TCPConn); ok && stay > 0 {
-		tcp.CloseWrite()
-		s.conn.SetReadDeadline(time.Now().Add(stay))
-		waste := make([]byte, 4<<10)
-		for left := 4 * platform.MaxBody; left > 0; {
-			n, err := s.conn.Read(waste)
-			if left -= n; err != nil {
-				break
-			}
-		}
-	}
-	return s.ending
-}
-
 // write writes what the machine has, whenever there is something, and minds the machine's times.
 func (s *streams) write() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var spare []byte
+	var last time.Time // for the rest, once the connection is over
 	for {
 		select {
 		case <-s.wake:
@@ -312,8 +276,15 @@
 			}
 			s.mu.Unlock()
 			if len(b) > 0 {
-				s.conn.SetWriteDeadline(time.Now().Add(s.limits.Stall))
+				until := time.Now().Add(s.limits.Stall)
+				if over && last.IsZero() {
+					last = until
+				} else if over {
+					until = last
+				}
+				s.conn.SetWriteDeadline(until)
 				if _, err := s.conn.Write(b); err != nil {
+					s.stalled(err)
 					s.conn.Close()   // the reader sees that,
 					close(s.flushed) // or waits for it already
 					return
@@ -326,8 +297,7 @@
 				continue
 			}
 			if over {
-				close(s.flushed)
-				s.conn.SetReadDeadline(time.Now())
+				s.finish()
 				return
 			}
 			break
@@ -338,35 +308,6 @@
 // keepMost is the largest buffer that an idle connection keeps for output.
 const keepMost = 16 << 10
 
-// sort takes what is in the mail to the machine. s.mu is held.
-func (s *streams) sort() {
-	s.mail.Lock()
-	list := s.mail.list
-	s.mail.list = s.mail.spare[:0]
-	s.mail.Unlock()
-	now := time.Now()
-	for i := range list {
-		l := &list[i]
-		if l.free {
-			s.m.Free(l.id)
-			continue
-		}
-		switch l.answer.Verdict {
-		case core.ResultOf:
-			s.m.Answer(l.id, 200, 0, l.answer.Result, now)
-		case core.Refusal:
-			s.m.Answer(l.id, 503, l.answer.Pause, "", now)
-		default:
-			s.m.Answer(l.id, 502, 0, "", now)
-		}
-	}
-	clear(list)
-	if s.mail.spare = list; cap(list) > 1024 {
-		s.mail.spare = nil
-	}
-	s.settle()
-}
-
 // settle tells the table when the last stream has ended. s.mu is held.
 func (s *streams) settle() {
 	if !s.busy || s.m.Live() > 0 || s.over {
@@ -391,10 +332,12 @@
 	f.open.Range(func(key, _ any) bool {
 		s := key.(*streams)
 		s.mu.Lock()
-		s.m.Drain(time.Now())
-		s.events()
-		s.mu.Unlock()
-		s.nudge()
+		defer s.mu.Unlock()
+		if s.m.Begun() { // one whose first bytes are on their way is told by its reader
+			s.m.Drain(time.Now())
+			s.events()
+			s.nudge()
+		}
 		return true
 	})
 }
