Tests on two other sites' configurations: each figure counts, deadlines, windows, effects

Read from a configuration in the platform's form, wired as the program does, on the fake clock: four classes of 0.6 to 0.9 s with tenants, three zones, pushed lists, an unsafe class, no copies, no cancelling; and two classes of 12 and 40 s, lists asked for. TestEachFigureCounts changes every value of the settings and wants what is read to change; what nothing goes by is listed with its reason. Found by it: Parties.Name, so that a req's tenant is not known. The other crossings that were tried hold on these sites, and the tests stay. Seen to fail with the window taken as 7.5 s ("sent again 301ms after the first send"), with an attempt ended 5 s after its send (TestOtherSitesDeadlines), with legal and barred taking an unsafe class for a safe one ("3" is not less than or equal to "1"), with FallMs taken as 2000 ("Obligations.FallMs: nothing goes by it").

--- /dev/null
+++ b/internal/config/variants_test.go
@@ -0,0 +1,159 @@
+package config
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/platform"
+)
+
+// variants are two made-up sites that share no figure with the usual ones, in the platform's own form.
+var variants = []string{"testdata/short.json", "testdata/long.json"}
+
+func variant(t *testing.T, file string) (*Config, []byte) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	c, err := Parse(text, none)
+	require.NoError(t, err)
+	return c, text
+}
+
+// TestVariants: what the two sites' settings tell is what the program goes by.
+func TestVariants(t *testing.T) {
+	c, _ := variant(t, "testdata/short.json")
+	assert.Equal(t, 900*time.Millisecond, c.Longest())
+	assert.Equal(t, 2*time.Second, c.ConnIdle)
+	assert.Equal(t, []bool{false, true, false, true}, c.Names.Keyed)
+	assert.Equal(t, balance.Class{Worth: 2, Aim: 100, Stretch: 2, Deadline: 600, Effect: balance.Deduped, Scope: balance.ScopeZone,
+		RepeatWindow: 1500, Kind: -1, Priority: 1}, c.Settings.Classes[1])
+	assert.Equal(t, balance.Unsafe, c.Settings.Classes[2].Effect)
+	assert.Equal(t, balance.ScopeAll, c.Settings.Classes[3].Scope)
+	assert.False(t, c.Settings.Subscribe || c.Settings.MayCancel || c.Settings.MayDuplicate || c.Settings.MayProbe)
+	assert.Equal(t, balance.Rules{AnswerSlack: 12, FallMultiple: 5, FallWindow: 1200, StartCapacity: 0.35, WarmAfter: 6000, DrainGrace: 900}, c.Settings.Rules)
+	assert.Len(t, c.Settings.Tenants, 2)
+
+	c, _ = variant(t, "testdata/long.json")
+	assert.Equal(t, 40*time.Second, c.Longest())
+	assert.Equal(t, 20*time.Second, c.ConnIdle)
+	assert.Equal(t, []bool{true, false}, c.Names.Keyed)
+	assert.Equal(t, balance.Millis(20_000), c.Settings.Classes[0].RepeatWindow)
+	assert.True(t, c.Settings.Subscribe && c.Settings.MayCancel && c.Settings.MayDuplicate && c.Settings.WorthByWork)
+	assert.Zero(t, c.Settings.MaxPause, "clients are not told a pause here")
+}
+
+// unread are the keys that nothing goes by, each with why.
+var unread = map[string]string{
+	"Allowed.CpuUsPerRequest": "a limit of the simulator's, 0 at all sites",
+	"Allowed.CpuUsPerS":       "open: nothing is shed for it",
+	"Allowed.MaxStreams":      "a connection carries one req, which any number allows",
+	"Allowed.MostHeld":        "the platform keeps to it before we see a req",
+	"Allowed.PeerMessages":    "the platform's messages have none for peers",
+	"Classes.Stream":          "no answer is streamed to clients",
+	"Clients.MarksRetry":      "a mark is read where it stands",
+	"Layer":                   "one tier",
+	"Parties.Name":            "open: the tenant that a req names is not read",
+	"ServiceType":             "jobs",
+	"Tiers":                   "one tier",
+}
+
+// other is another value of a word that the settings may hold.
+var other = map[string]string{"pushed": "on_request", "on_request": "pushed", "none": "nominal", "live": "none", "request": "work",
+	"work": "request", "probe": "answers", "backfill": "priority", "fifo": "priority"}
+
+// leaves visits each single value under v. set puts another in its place.
+func leaves(v any, key string, set func(any), visit func(key string, v any, set func(any))) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			leaves(x, strings.TrimPrefix(key+"."+k, "."), func(y any) { v[k] = y }, visit)
+		}
+	case []any:
+		for i, x := range v {
+			leaves(x, key, func(y any) { v[i] = y }, visit)
+		}
+	default:
+		visit(key, v, set)
+	}
+}
+
+// TestEachFigureCounts changes each value of the settings, one at a time: what is read changes with it, or is refused,
+// unless the key is known as one that nothing goes by. A figure that is taken for granted is found by this.
+func TestEachFigureCounts(t *testing.T) {
+	counted := map[string]bool{}
+	for _, file := range variants {
+		plain, text := variant(t, file)
+		var top map[string]any
+		require.NoError(t, json.Unmarshal(text, &top))
+		leaves(top["settings"], "", nil, func(key string, v any, set func(any)) {
+			switch was := v.(type) {
+			case bool:
+				set(!was)
+			case float64:
+				set(was + 1)
+			case string:
+				if to, ok := other[was]; ok && key != "Report.How" {
+					set(to)
+				} else if key == "Report.How" {
+					set("answers")
+				} else {
+					set(was + "x")
+				}
+			}
+			changed, err := json.Marshal(top)
+			set(v)
+			require.NoError(t, err)
+			got, err := Parse(changed, none)
+			counted[key] = counted[key] || err != nil || !reflect.DeepEqual(plain.Settings, got.Settings) ||
+				!reflect.DeepEqual(plain.Names, got.Names) || plain.ConnIdle != got.ConnIdle
+		})
+	}
+	require.Greater(t, len(counted), 50)
+	for key, counts := range counted {
+		_, known := unread[key]
+		assert.NotEqual(t, known, counts, "%s: nothing goes by it: %v", key, known)
+	}
+	for key := range unread {
+		assert.Contains(t, counted, key, "stands in no site's settings")
+	}
+}
+
+// TestClassesBySettingsAlone: which reqs are taken follows from the settings: each class by its name, with a key where its
+// effect wants one, without where not, and with its own time where the client names none.
+func TestClassesBySettingsAlone(t *testing.T) {
+	for _, file := range variants {
+		c, _ := variant(t, file)
+		for i, name := range c.Names.Classes {
+			for _, key := range []string{"", "k1"} {
+				q := &platform.Request{Method: "POST", Target: "/" + name}
+				q.Fields.Add(platform.CorrelationID, "r1")
+				q.Fields.Add(platform.ServiceClass, name)
+				if key != "" {
+					q.Fields.Add(platform.IdempotencyKey, key)
+				}
+				w, err := c.Names.Read(q)
+				if key == "" && c.Settings.Classes[i].Effect == balance.Deduped {
+					assert.ErrorContains(t, err, "400: no Idempotency-Key", name)
+					continue
+				}
+				require.NoError(t, err, name)
+				assert.Equal(t, i, w.Ask.Class)
+				assert.Equal(t, key, w.IdempotencyKey)
+				assert.Equal(t, millis(c.Settings.Classes[i].Deadline), w.Left, name)
+			}
+		}
+		for _, name := range []string{"photo-ingest", "ingest", "render"} {
+			q := &platform.Request{Method: "POST", Target: "/" + name}
+			q.Fields.Add(platform.CorrelationID, "r1")
+			_, err := c.Names.Read(q)
+			assert.ErrorContains(t, err, "404", "no class of another site is known")
+		}
+	}
+}
--- /dev/null
+++ b/internal/network/site_variants_test.go
@@ -0,0 +1,254 @@
+package network
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/config"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/faultnet"
+	"tinsail/internal/standin/history"
+	standin "tinsail/internal/standin/platform"
+)
+
+// elsewhere is a dispatcher that is made of a configuration alone, as the program makes it, on the fake clock
+// between stand-ins: two backends in each zone, each zone's in one group.
+type elsewhere struct {
+	cfg      *config.Config
+	clients  *Clients
+	backends []*standin.Backend
+	zones    []string // of the backends
+}
+
+// at plays on the site whose configuration stands in package config's test data. change is made to its text first.
+func at(t *testing.T, file string, change *strings.Replacer, play func(s *elsewhere)) {
+	t.Helper()
+	text, err := os.ReadFile("../config/testdata/" + file)
+	require.NoError(t, err)
+	if change != nil {
+		changed := change.Replace(string(text))
+		require.NotEqual(t, string(text), changed)
+		text = []byte(changed)
+	}
+	cfg, err := config.Parse(text, func(string) string { return "" })
+	require.NoError(t, err)
+	synctest.Test(t, func(t *testing.T) {
+		s := &elsewhere{cfg: cfg}
+		ports := map[string]*faultnet.Pipes{cfg.Discovery: faultnet.ListenPipes(cfg.Discovery)}
+		d := standin.NewDirector(faultnet.ListenPipes("unused"))
+		d.Seat(ports[cfg.Discovery], !cfg.Settings.Subscribe)
+		for i := range 2 * len(cfg.Names.Zones) {
+			name, zone := fmt.Sprint("b", i), cfg.Names.Zones[i/2]
+			ports[name] = faultnet.ListenPipes(name)
+			b := standin.NewBackend(ports[name], name, 8, func(string) time.Duration { return 10 * time.Millisecond })
+			s.backends, s.zones = append(s.backends, b), append(s.zones, zone)
+			d.Set(b.Entry(cfg.Names.Kinds[0], zone, 1+i/2, "Ready"))
+		}
+		dial := func(ctx context.Context, address string) (net.Conn, error) { return ports[address].Dial(ctx, address) }
+		count, stop := &counters.Set{}, make(chan struct{})
+		pool := &Pool{Names: &cfg.Names, Count: count, Connect: millis(cfg.Settings.ConnectTimeout), Idle: cfg.ConnIdle * 7 / 10, Most: 64, Dial: dial}
+		dir := &Director{Names: &cfg.Names, Count: count, Address: cfg.Discovery, Pace: Pushed(), Dial: dial, Stop: stop}
+		if cfg.Settings.Subscribe {
+			dir.Pace = Asked(millis(cfg.Settings.Rules.AskEvery))
+		}
+		c, err := core.New(cfg.Settings, pool, dir, count)
+		require.NoError(t, err)
+		dir.Told = c.Listed
+		go c.Run(stop)
+		dir.Subscribe()
+		s.clients = &Clients{Names: &cfg.Names, Count: count, Core: c, Most: 64, Usual: 64, Held: 1 << 20, Longest: cfg.Longest(), Stats: func() string { return "" }}
+		synctest.Wait()
+		require.Equal(t, len(s.backends), c.Ready())
+		play(s)
+		for _, b := range s.backends {
+			b.Close()
+		}
+		close(stop)
+		d.Close()
+		time.Sleep(time.Minute) // what waits for something gives up
+	})
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// ask hands in a req of a class as that class's clients do: with a key where its effect wants one, and
+// with all the time that the settings give. It returns the status, 0 for no answer, and how long that took.
+func (s *elsewhere) ask(class int, id, body string) (status int, took time.Duration) {
+	c, name := s.cfg.Settings.Classes[class], s.cfg.Names.Classes[class]
+	near, far := net.Pipe()
+	defer far.Close()
+	go s.clients.admit(near)
+	began, key := time.Now(), ""
+	if c.Effect == balance.Deduped {
+		key = "Idempotency-Key: k" + id + "\r\n"
+	}
+	if _, err := fmt.Fprintf(far, "POST /%s HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\n%sX-Time-Left-Ms: %.0f\r\nContent-Length: %d\r\n\r\n%s",
+		name, id, name, key, c.Deadline, len(body), body); err != nil {
+		return 0, time.Since(began)
+	}
+	a, err := http.ReadResponse(bufio.NewReader(far), nil)
+	if err != nil {
+		return 0, time.Since(began)
+	}
+	defer a.Body.Close()
+	if _, err := io.ReadAll(a.Body); err != nil {
+		return 0, time.Since(began)
+	}
+	return a.StatusCode, time.Since(began)
+}
+
+// set has all backends fail in these ways.
+func (s *elsewhere) set(f standin.Faults) {
+	for _, b := range s.backends {
+		b.Set(f)
+	}
+}
+
+// whole are the attempts whose last byte a backend has had, by backend.
+func (s *elsewhere) whole() map[int][]history.Attempt {
+	all := map[int][]history.Attempt{}
+	for i, b := range s.backends {
+		for _, a := range b.Attempts() {
+			if !a.Last.IsZero() {
+				all[i] = append(all[i], a)
+			}
+		}
+	}
+	return all
+}
+
+// TestOtherSitesServe: each class of either site is served, by the settings and the list alone.
+func TestOtherSitesServe(t *testing.T) {
+	for _, file := range []string{"short.json", "long.json"} {
+		at(t, file, nil, func(s *elsewhere) {
+			for i, name := range s.cfg.Names.Classes {
+				status, took := s.ask(i, "r"+name, "photo")
+				assert.Equal(t, 200, status, name)
+				assert.Less(t, took, millis(s.cfg.Settings.Classes[i].Aim), name)
+			}
+		})
+	}
+}
+
+// TestOtherSitesDeadlines: where all backends hang, each req has its final answer by its own class's time, be that 0.6
+// or 40 s, and not long before: its client would have waited.
+func TestOtherSitesDeadlines(t *testing.T) {
+	for _, file := range []string{"short.json", "long.json"} {
+		for class := range 4 {
+			at(t, file, nil, func(s *elsewhere) {
+				if class >= len(s.cfg.Names.Classes) {
+					return
+				}
+				s.set(standin.Faults{Hold: true})
+				c, name := s.cfg.Settings.Classes[class], s.cfg.Names.Classes[class]
+				status, took := s.ask(class, "h"+name, "photo")
+				assert.NotContains(t, []int{0, 200}, status, name)
+				if c.Effect == balance.Unsafe || c.Effect == balance.Deduped && c.Scope != balance.ScopeAll {
+					assert.NotContains(t, []int{429, 503}, status, "%s: it may have run, and not every backend drops its repeat", name)
+				}
+				assert.GreaterOrEqual(t, took, millis(c.Deadline-4*s.cfg.Settings.Tick), name)
+				assert.LessOrEqual(t, took, millis(c.Deadline+s.cfg.Settings.Rules.AnswerSlack), name)
+			})
+		}
+	}
+}
+
+// TestOtherSitesUnsafe: a class that must not run twice, with no key, whose connection is reset. Before the last byte it
+// goes elsewhere, after it nowhere, and its client hears at once; the site allows no copies and no cancelling.
+func TestOtherSitesUnsafe(t *testing.T) {
+	body := strings.Repeat("z", 60_000)
+	for point, status := range map[standin.Point]int{standin.BeforeLast: 200, standin.BeforeStart: 502, standin.AfterStart: 502} {
+		for round := range 6 {
+			at(t, "short.json", nil, func(s *elsewhere) {
+				require.Equal(t, balance.Unsafe, s.cfg.Settings.Classes[2].Effect)
+				for i, b := range s.backends {
+					if point != standin.BeforeLast || i != round { // the one that is well is found, or the tries are used up
+						b.Set(standin.Faults{Reset: point})
+					}
+				}
+				got, took := s.ask(2, fmt.Sprint("u", round), body)
+				if point != standin.BeforeLast {
+					assert.Equal(t, status, got, "point %d", point)
+					assert.LessOrEqual(t, took, 200*time.Millisecond)
+				} else if got != status {
+					assert.Equal(t, 503, got, "it never ran: trying again is harmless")
+				}
+				time.Sleep(5 * time.Second) // nothing follows
+				runs := 0
+				for _, list := range s.whole() {
+					runs += len(list)
+				}
+				assert.LessOrEqual(t, runs, 1, "point %d", point)
+			})
+		}
+	}
+}
+
+// TestOtherSitesWindow: a window for repeats far below the usual ones, and shorter than the deadline. The attempt of a keyed
+// class breaks off some time after its send: inside the window it is repeated, within its zone and before the window's end; after it
+// never. Its client is not told that trying again is harmless, which only a group of all backends makes it.
+func TestOtherSitesWindow(t *testing.T) {
+	const window = 300 * time.Millisecond
+	for after, repeated := range map[time.Duration]bool{150 * time.Millisecond: true, 250 * time.Millisecond: true, 301 * time.Millisecond: false, 450 * time.Millisecond: false} {
+		change := strings.NewReplacer(`"RepeatWindowMs":1500.0`, `"RepeatWindowMs":300.0`)
+		at(t, "short.json", change, func(s *elsewhere) {
+			require.Equal(t, balance.Millis(300), s.cfg.Settings.Classes[1].RepeatWindow)
+			s.set(standin.Faults{Hold: true})
+			type end struct {
+				status int
+				took   time.Duration
+			}
+			ended := make(chan end, 1)
+			go func() {
+				status, took := s.ask(1, "w", "photo")
+				ended <- end{status, took}
+			}()
+			synctest.Wait()
+			first := s.whole()
+			require.Len(t, first, 1)
+			time.Sleep(after)
+			for i := range s.backends {
+				if _, hit := first[i]; !hit {
+					s.backends[i].Set(standin.Faults{})
+				}
+			}
+			for i := range first {
+				s.backends[i].Close() // its connections break
+			}
+			e := <-ended
+			time.Sleep(5 * time.Second)
+			for i, list := range first {
+				sent := list[0].Last
+				for j, more := range s.whole() {
+					if j == i {
+						assert.Len(t, more, 1)
+						continue
+					}
+					assert.True(t, repeated, "sent again %v after the first send", more[0].First.Sub(sent))
+					assert.Equal(t, s.zones[i], s.zones[j], "only its zone knows the key")
+					assert.Less(t, more[0].First.Sub(sent), window)
+				}
+			}
+			if repeated {
+				assert.Equal(t, 200, e.status, "%v", after)
+			} else {
+				assert.Equal(t, 502, e.status, "%v", after)
+			}
+			assert.LessOrEqual(t, e.took, millis(s.cfg.Settings.Classes[1].Deadline+s.cfg.Settings.Rules.AnswerSlack))
+		})
+	}
+}
