A req's tenant is read from X-Account and counts in its own share

An absent or unknown name counts in nobody's share (index beyond the list, which balance.rates.add knows). Without tenants nothing changes. TestTenants fails with the tenant left 0 (expected 1, actual 0). TestEachFigureCounts no longer lists Parties.Name.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,7 +123,7 @@
 	if c.Settings.ConnectTimeout <= 0 {
 		r.fault("settings.Allowed.ConnectTimeoutMs", "is %v, want more than 0", c.Settings.ConnectTimeout)
 	}
-	c.Names = platform.Names{Classes: names.Classes, Zones: names.Zones, Kinds: names.Models, Columns: names.Columns}
+	c.Names = platform.Names{Classes: names.Classes, Tenants: names.Tenants, Zones: names.Zones, Kinds: names.Models, Columns: names.Columns}
 	for i, name := range names.Classes {
 		at := fmt.Sprintf("settings.Classes[%d].", i)
 		if name == "" {
--- a/internal/config/variants_test.go
+++ b/internal/config/variants_test.go
@@ -59,7 +59,6 @@
 	"Classes.Stream":          "no answer is streamed to clients",
 	"Clients.MarksRetry":      "a mark is read where it stands",
 	"Layer":                   "one tier",
-	"Parties.Name":            "open: the tenant that a req names is not read",
 	"ServiceType":             "jobs",
 	"Tiers":                   "one tier",
 }
@@ -157,3 +156,29 @@
 		}
 	}
 }
+
+// TestTenants: a req counts in the share of the tenant that it names; one that names none, or none that the settings
+// know, in nobody's. Where there are no tenants the field says nothing.
+func TestTenants(t *testing.T) {
+	short, _ := variant(t, "testdata/short.json")
+	long, _ := variant(t, "testdata/long.json")
+	for _, c := range []struct {
+		cfg    *Config
+		fields []string
+		want   int
+	}{
+		{short, []string{"harbour"}, 0}, {short, []string{"market"}, 1}, {short, []string{"Market"}, 2}, {short, nil, 2},
+		{long, []string{"market"}, 0}, {long, nil, 0},
+	} {
+		name := c.cfg.Names.Classes[0]
+		q := &platform.Request{Method: "POST", Target: "/" + name}
+		q.Fields.Add(platform.CorrelationID, "r1")
+		q.Fields.Add(platform.IdempotencyKey, "k1")
+		for _, f := range c.fields {
+			q.Fields.Add(platform.Account, f)
+		}
+		w, err := c.cfg.Names.Read(q)
+		require.NoError(t, err)
+		assert.Equal(t, c.want, w.Ask.Tenant, "%v among %v", c.fields, c.cfg.Names.Tenants)
+	}
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -42,6 +43,7 @@
 	Repeat
 	Facts
 	WeightHint
+	Account
 	fieldCount
 )
 
@@ -50,7 +52,7 @@
 
 // FieldNames are the fields' names, as HTTP/1.1 writes them; in HTTP/2 they are in lower case.
 var FieldNames = [fieldCount]string{"X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms", "Idempotency-Key", "X-Repeat", "X-Facts",
-	"X-Weight-Hint"}
+	"X-Weight-Hint", "X-Account"}
 
 // Value is what stands in a field: its first text, and how often it stands there.
 type Value struct {
@@ -232,6 +234,7 @@
 	Classes []string
 	Keyed   []bool          // a class's reqs carry an Idempotency-Key
 	Limits  []time.Duration // how long a client of each class waits in all
+	Tenants []string
 	Zones   []string
 	Kinds   []string
 	Columns []string // of a load report
@@ -300,6 +303,10 @@
 		}
 		w.Ask.Work = us / 1000
 	}
+	w.Ask.Tenant = slices.Index(n.Tenants, q.Fields[Account].Text)
+	if w.Ask.Tenant < 0 { // absent, or none that the settings name: in no tenant's share
+		w.Ask.Tenant = len(n.Tenants)
+	}
 	w.Ask.Retry = q.Fields[Repeat].Text == "1"
 	w.Ask.Key = key(rest)
 	for fact := range strings.SplitSeq(q.Fields[Facts].Text, ",") {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -36,10 +36,13 @@
 		StopSendingWithinMs, WarmAfterMs                               float64
 	}
 	OverShareWorth float64
-	Parties        []struct{ QuotaPerS, Share float64 }
-	Prices         balance.Prices
-	RegistryMode   string
-	Report         struct {
+	Parties        []struct {
+		Name             string
+		QuotaPerS, Share float64
+	}
+	Prices       balance.Prices
+	RegistryMode string
+	Report       struct {
 		Columns []string
 		How     string
 	}
@@ -81,8 +84,8 @@
 // Names is what the settings hold for those who speak with names, on sockets, and the module
 // does not need.
 type Names struct {
-	Classes, Zones, Models, Columns []string
-	ConnIdleMs                      *float64 // nil if not told
+	Classes, Tenants, Zones, Models, Columns []string
+	ConnIdleMs                               *float64 // nil if not told
 }
 
 // Fault is a value that no settings may have; Key is its path within them.
@@ -136,6 +139,7 @@
 		s.Metrics = append(s.Metrics, metrics[c])
 	}
 	for _, t := range j.Parties {
+		names.Tenants = append(names.Tenants, t.Name)
 		s.Tenants = append(s.Tenants, balance.Tenant{Share: t.Share, QuotaPerS: t.QuotaPerS})
 	}
 	var faults Faults
