Client sessions: an answer is not given up before its req's client has gone by its own time

writeWait, 5 s, stood for every write. Where a class has 40 s, a client that begins to read 6 s after its answer was there found it cut (clients.go, session.write), which is a req lost; answers that fit the system's buffer are not touched by it. The deadline of a write is now no shorter than the time of the session's last req, which a shutdown cuts to its own end (patience). TestOtherSitesSlowReader fails without it: unexpected EOF.

--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -97,6 +97,7 @@
 	came   time.Time // when the first byte came of what is being read
 	looked bool      // its time is up, and this is the last look for a req
 	held   int64     // of the body that is being read or answered
+	until  time.Time // the client of the req that is answered waits so long
 }
 
 // written tells the reading goroutine that the answer has gone out.
@@ -317,7 +318,12 @@
 }
 
 func (s *session) write(b []byte) error {
-	s.conn.SetWriteDeadline(time.Now().Add(writeWait))
+	// No shorter than the client of a req waits: an answer that it has begun to read must not be cut before.
+	by := time.Now().Add(writeWait)
+	if s.until.After(by) {
+		by = s.until
+	}
+	s.conn.SetWriteDeadline(by)
 	_, err := s.conn.Write(b)
 	return err
 }
@@ -336,6 +342,7 @@
 		return s.refuse(&platform.Bad{Status: 503, Reason: "too many clients", Pause: shedPause}), true
 	}
 	left := c.patience(w.Left, s.came)
+	s.until = s.came.Add(left)
 	c.table.taken(&s.seat)
 	c.table.trim(c.usual()) // as soon as more are busy: the next client may find no connection left
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
