Descriptors are shared out by the process's own limit where it is below the configuration's

Seen by a new test with the real program: limits.sockets is 1024 (its default too) and the process may hold 128. While discovery is down idle clients took all 128: "accept4: too many open files" over and over, and discovery, backends and the door had none left. Share (budget.go) was given the configured figure as it stands (assemble, resize in serve.go).

Allowed takes the lower one of that and RLIMIT_NOFILE.

Checked and ruled out: the division itself. With 64 sockets and 128 with the door, under the same limit of the system, clients that say nothing, half a head, or rest fill it while discovery is down; on its return the list is read, a backend of the new list reached and a req served.

TestIdleClientsWhileDiscoveryIsDown without the change: Should not be: "accept failed" (1024 sockets, 128 allowed).

--- /dev/null
+++ b/cmd/tinsail/descriptors_test.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/door"
+	"tinsail/internal/standin/platform"
+)
+
+// dead is an address of 127.0.0.1 that is kept from others while nobody listens there: connections are refused.
+type dead struct {
+	address string
+	socket  int
+}
+
+func newDead(t *testing.T) *dead {
+	s, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Bind(s, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	at, err := syscall.Getsockname(s)
+	require.NoError(t, err)
+	d := &dead{fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port), s}
+	t.Cleanup(func() { syscall.Close(d.socket) })
+	return d
+}
+
+// revive listens there.
+func (d *dead) revive(t *testing.T) net.Listener {
+	require.NoError(t, syscall.Listen(d.socket, 64))
+	s, err := syscall.Dup(d.socket)
+	require.NoError(t, err)
+	f := os.NewFile(uintptr(s), "listener")
+	defer f.Close()
+	l, err := net.FileListener(f)
+	require.NoError(t, err)
+	return l
+}
+
+// flood has idle clients fill whatever descriptors there are, until its test ends: who is turned away or closed comes again.
+// Some say nothing, some half a head, and some rest after an answer.
+func flood(t *testing.T, address string, clients int) {
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() {
+			for {
+				c, err := net.Dial("tcp", address)
+				if err == nil {
+					closed := make(chan struct{})
+					go func() {
+						select {
+						case <-stop:
+						case <-closed:
+						}
+						c.Close()
+					}()
+					_, _ = io.WriteString(c, []string{"", "POST /photo/1 HT", "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n"}[i%3])
+					_, _ = io.Copy(io.Discard, c)
+					close(closed)
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond): // not to take the machine for itself
+				}
+			}
+		})
+	}
+	t.Cleanup(func() { close(stop); all.Wait() })
+}
+
+// TestIdleClientsWhileDiscoveryIsDown: idle clients fill all descriptors that they can get while discovery is down. When it is
+// back its list is read, new backends are reached and reqs served, the operators' door answers throughout, and the process
+// never holds more than its limit: that of the configuration, or that of the process where it is lower.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	for _, c := range []struct {
+		sockets, allowed int
+		door             bool
+	}{{64, 0, false}, {128, 0, true}, {64, 64, false}, {128, 128, true}, {1024, 128, false}, {1024, 128, true}} {
+		t.Run(fmt.Sprintf("%d sockets, %d allowed, door %v", c.sockets, c.allowed, c.door), func(t *testing.T) {
+			at, limit := newDead(t), c.sockets
+			if c.allowed > 0 {
+				limit = min(limit, c.allowed)
+			}
+			p := startLimited(t, at.address, c.sockets, c.allowed, c.door)
+			own := p.descriptors(t)
+			var most atomic.Int64
+			watched := make(chan struct{})
+			stop := make(chan struct{})
+			go func() {
+				defer close(watched)
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Millisecond):
+						most.Store(max(most.Load(), int64(p.descriptors(t))))
+					}
+				}
+			}()
+			flood(t, p.address, limit+100)
+			p.until(t, "idle clients fill it", func() bool { return p.refused(t) })
+			if c.door {
+				assert.True(t, p.ask(), "the door answers while clients fill it")
+			}
+			d := platform.NewDirector(at.revive(t))
+			defer d.Close()
+			for i := range 3 {
+				b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 8, func(string) time.Duration { return 0 })
+				require.NoError(t, err)
+				defer b.Close()
+				d.Set(b.Entry("fast", "here", i, "Ready"))
+			}
+			n := 0
+			p.until(t, "a req is served by a backend of the new list", func() bool { n++; return p.served(n) })
+			close(stop)
+			<-watched
+			t.Logf("own descriptors %d, most %d of %d, served at try %d", own, most.Load(), limit, n)
+			assert.LessOrEqual(t, most.Load(), int64(limit))
+			_ = p.cmd.Process.Kill()
+			for line := range p.lines {
+				require.NotEqual(t, "accept failed", line["event"], line["error"])
+			}
+		})
+	}
+}
+
+// limited is the real program under a limit of descriptors.
+type limited struct {
+	cmd            *exec.Cmd
+	address, admin string
+	lines          chan map[string]any
+}
+
+func startLimited(t *testing.T, discovery string, sockets, allowed int, door bool) *limited {
+	text := strings.NewReplacer(`"127.0.0.1:1"`, `"`+discovery+`"`, `"sockets": 1024`, fmt.Sprintf(`"sockets": %d`, sockets)).Replace(string(demoConfig))
+	conf := filepath.Join(t.TempDir(), "c.json")
+	require.NoError(t, os.WriteFile(conf, []byte(text), 0o600))
+	limit := ""
+	if allowed > 0 {
+		limit = fmt.Sprintf("ulimit -n %d && ", allowed)
+	}
+	p := &limited{cmd: exec.Command("/bin/sh", "-c", limit+`exec "$0" serve --log-format json`, os.Args[0]), lines: make(chan map[string]any, 10_000)}
+	p.cmd.Env = append(os.Environ(), "TINSAIL_TEST_PROGRAM=1", "ROUTER_CONFIG="+conf, "TMPDIR="+t.TempDir())
+	if door {
+		p.cmd.Env = append(p.cmd.Env, "ROUTER_ADMIN=127.0.0.1:0")
+	}
+	errs, err := p.cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.cmd.Start())
+	t.Cleanup(func() { _ = p.cmd.Process.Kill(); _ = p.cmd.Wait() })
+	r := bufio.NewScanner(errs)
+	for p.address == "" && r.Scan() {
+		var line map[string]any
+		if json.Unmarshal(r.Bytes(), &line) == nil && line["event"] == "serving" {
+			p.address, _ = line["listen"].(string)
+			p.admin, _ = line["admin"].(string)
+		}
+	}
+	require.NotEmpty(t, p.address)
+	go func() {
+		defer close(p.lines)
+		for r.Scan() {
+			var line map[string]any
+			if json.Unmarshal(r.Bytes(), &line) == nil {
+				p.lines <- line
+			}
+		}
+	}()
+	return p
+}
+
+// descriptors is how many the process holds now.
+func (p *limited) descriptors(t *testing.T) int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	assert.NoError(t, err)
+	return len(list)
+}
+
+// until waits for something in rounds, at most 4,000 of 5 ms.
+func (p *limited) until(t *testing.T, what string, is func() bool) {
+	for range 4000 {
+		if is() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Fail(t, "never", what)
+}
+
+// refused says whether the process has turned sessions away: there was no room for them.
+func (p *limited) refused(t *testing.T) bool {
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGUSR1))
+	for line := range p.lines {
+		if line["event"] == "counters" {
+			n, _ := line["sessions_refused"].(float64)
+			return n > 0
+		}
+		require.NotEqual(t, "accept failed", line["event"], line["error"])
+	}
+	require.Fail(t, "the program ended")
+	return false
+}
+
+// ask asks the door for metrics, which it always has.
+func (p *limited) ask() bool {
+	yes, _, err := call(p.admin, door.Call{Op: door.Metrics})
+	return err == nil && yes
+}
+
+// served says whether a req on a connection of its own is answered by a backend. Who is turned away may come again.
+func (p *limited) served(n int) bool {
+	c, err := net.DialTimeout("tcp", p.address, 5*time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	id := fmt.Sprint("d-", n)
+	_, _ = fmt.Fprintf(c, "POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nIdempotency-Key: %s\r\nContent-Length: 1\r\n\r\nb", id, id)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	body, _ := io.ReadAll(a.Body)
+	return a.StatusCode == 200 && string(body) == "small "+id
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -119,7 +119,7 @@
 // from is what another process of this dispatcher hands over; its zero value is nothing.
 func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger, from handed) (*dispatcher, error) {
 	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}}
-	share := network.Share(cfg.Sockets - doorSockets(cfg))
+	share := network.Share(network.Allowed(cfg.Sockets) - doorSockets(cfg))
 	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
 	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: network.TCP}
@@ -225,7 +225,7 @@
 // resize sets how many descriptors and how much memory (bytes) this process may hold: all that the
 // dispatcher has, or its part while there are two processes.
 func (d *dispatcher) resize(sockets int, memory int64) {
-	share, all := network.Share(sockets-doorSockets(d.cfg)), network.Share(d.cfg.Sockets-doorSockets(d.cfg))
+	share, all := network.Share(network.Allowed(sockets)-doorSockets(d.cfg)), network.Share(network.Allowed(d.cfg.Sockets)-doorSockets(d.cfg))
 	share.Usual = min(all.Usual, share.Clients)
 	d.clients.Resize(share)
 	d.pool.Resize(share.Backends)
--- a/internal/network/budget.go
+++ b/internal/network/budget.go
@@ -2,6 +2,8 @@
 // client sessions, the pool of connections to backends, and the director's watch.
 package network
 
+import "syscall"
+
 // Budget shares out the file descriptors that the process may hold.
 type Budget struct {
 	Clients  int // client sessions
@@ -13,6 +15,16 @@
 // log, a dozen or so in all, and for the clients beyond the budget that are told to come back.
 const kept = 16 + excessMost
 
+// Allowed is how many descriptors the process may hold: what the configuration says, or the system's own limit where that is
+// lower. Past it no connection to discovery, to a backend or from an operator could be made.
+func Allowed(configured int) int {
+	var system syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system); err != nil {
+		return configured
+	}
+	return int(min(uint64(configured), system.Cur))
+}
+
 // Share divides a limit. A req takes one descriptor on each side, a second copy one more at
 // the backends, and idle connections there save handshakes: backends get the larger part.
 // Usual clients hold a third of the limit at most, idle sessions among them: one that is at
