Tests over loopback sockets: answers of discovery that break off or never end, a list of 1 MiB

Suspicions that these refute, with no change of the program: an answer that breaks off after any byte of its head, framing or list, by a close or a reset, is told in no part; an indented list that just fits into 1 MiB is read, also after one that broke off in its middle; an answer that goes on byte by byte, from nothing, in its head or in a chunk, has another call made beside it, whose answer is told and which closes it; a connection that hangs is given up after Connect, and at once where SIGHUP names another address. Each step waits for the one before it; nothing is judged by time.

--- /dev/null
+++ b/internal/network/director_loopback_test.go
@@ -0,0 +1,208 @@
+package network
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httputil"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	"tinsail/internal/platform"
+)
+
+// loopback is a director on 127.0.0.1 that a test plays by hand, and a watch of it. Its times are long enough for any machine
+// and short enough to be waited for; nothing is judged by them.
+type loopback struct {
+	t    *testing.T
+	l    *net.TCPListener
+	dir  *Director
+	told chan []core.Entry
+}
+
+func newLoopback(t *testing.T, pace Pace) *loopback {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	b := &loopback{t: t, l: l, told: make(chan []core.Entry, 100)}
+	stop := make(chan struct{})
+	b.dir = &Director{Names: &platform.Names{}, Count: &counters.Set{}, Address: l.Addr().String(), Dial: TCP, Stop: stop, Pace: pace,
+		Told: func(kind balance.ListKind, list []core.Entry) {
+			if kind != balance.ListFailed {
+				b.told <- list
+			}
+		}}
+	t.Cleanup(func() { close(stop); l.Close() })
+	return b
+}
+
+// shortly is a pace whose calls are held for silent soon, and are not cut before the test is over.
+var shortly = Pace{Wait: 50 * time.Millisecond, Slack: 50 * time.Millisecond, Grace: time.Minute, Connect: time.Minute, Pause: 20 * time.Millisecond}
+
+// call is the next call, its connection and its head.
+func (b *loopback) call() (*net.TCPConn, string) {
+	c, err := b.l.AcceptTCP()
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { c.Close() })
+	return c, b.head(c)
+}
+
+func (b *loopback) head(c net.Conn) string {
+	var head []byte
+	for one := make([]byte, 1); !bytes.HasSuffix(head, []byte("\r\n\r\n")); head = append(head, one[0]) {
+		_, err := io.ReadFull(c, one)
+		require.NoError(b.t, err)
+	}
+	return string(head)
+}
+
+// chunked is a whole answer with that list, in chunks.
+func chunked(list string) string {
+	var out bytes.Buffer
+	w := httputil.NewChunkedWriter(&out)
+	for at := 0; at < len(list); at += 1000 {
+		_, _ = io.WriteString(w, list[at:min(at+1000, len(list))])
+	}
+	w.Close()
+	return listHead + out.String() + "\r\n"
+}
+
+// indented is a list of one version with so many backends, spread over many lines.
+func indented(index, n int, status string) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "{\n  \"index\": %d,\n  \"snapshot\": true,\n  \"endpoints\": [", index)
+	for i := range n {
+		if i > 0 {
+			out.WriteString(",")
+		}
+		fmt.Fprintf(&out, "\n    {\n      \"name\": \"b%d\",\n      \"address\": \"10.0.0.1:%d\",\n      \"zone\": \"a\",\n      \"type\": \"m\",\n      \"group\": 1,\n"+
+			"      \"status\": %q,\n      \"weight\": 1.0,\n      \"since_ms\": 0\n    }", i, i+1, status)
+	}
+	return out.String() + "\n  ]\n}\n"
+}
+
+// TestAnswersThatBreakOff: an answer breaks off after any byte of its head, its framing and its list, by a close and by a reset.
+// None of it is told, and the next call gets it whole.
+func TestAnswersThatBreakOff(t *testing.T) {
+	whole := chunked(indented(7, 3, "Terminating"))
+	var cuts []int
+	for cut := 0; cut < len(whole); cut += 37 {
+		cuts = append(cuts, cut)
+	}
+	for cut := len(whole) - 12; cut < len(whole); cut++ { // the last chunks, byte by byte
+		cuts = append(cuts, cut)
+	}
+	for i, cut := range cuts {
+		pace := shortly
+		pace.Slack = time.Minute
+		b := newLoopback(t, pace)
+		b.dir.Subscribe()
+		c, _ := b.call()
+		_, _ = io.WriteString(c, whole[:cut])
+		if i%2 == 1 {
+			require.NoError(t, c.SetLinger(0))
+		}
+		c.Close()
+		c, head := b.call()
+		assert.Contains(t, head, "since=0&", "cut at %d: nothing was taken", cut)
+		assert.Empty(t, b.told, "cut at %d", cut)
+		_, _ = io.WriteString(c, whole)
+		assert.Len(t, <-b.told, 3, "cut at %d", cut)
+	}
+}
+
+// TestListOfAMiB: an indented list that just fits is read, in one go and after an answer that broke off in its middle.
+func TestListOfAMiB(t *testing.T) {
+	n := 4000
+	for step := 256; step > 0; step /= 4 {
+		for len(indented(7, n+step, "Ready")) <= platform.MaxList {
+			n += step
+		}
+	}
+	whole := chunked(indented(7, n, "Ready"))
+	pace := shortly
+	pace.Slack = time.Minute
+	b := newLoopback(t, pace)
+	b.dir.Subscribe()
+	c, _ := b.call()
+	_, _ = io.WriteString(c, whole[:len(whole)/2])
+	require.NoError(t, c.SetLinger(0))
+	c.Close()
+	c, _ = b.call()
+	_, _ = io.WriteString(c, whole)
+	assert.Len(t, <-b.told, n)
+	assert.Contains(t, b.head(c), "since=7&", "the watch goes on, on the same connection")
+}
+
+// TestAnswerWithoutEnd: an answer goes on byte by byte and never ends, and another that began is silent. A call is made beside
+// them, told what they were not, and they are closed.
+func TestAnswerWithoutEnd(t *testing.T) {
+	for name, begins := range map[string]string{"nothing": "", "half a head": "HTTP/1.1 20", "a chunk": listHead + "100000\r\n{"} {
+		t.Run(name, func(t *testing.T) {
+			b := newLoopback(t, shortly)
+			b.dir.Subscribe()
+			first, _ := b.call()
+			_, _ = io.WriteString(first, begins)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				for {
+					if begins != "" {
+						if _, err := io.WriteString(first, " "); err != nil {
+							return
+						}
+					} else if _, err := first.Read(make([]byte, 1)); err != nil {
+						return
+					}
+				}
+			}()
+			second, head := b.call()
+			assert.Contains(t, head, "since=0&")
+			_, _ = io.WriteString(second, chunked(indented(7, 1, "Terminating")))
+			assert.Len(t, <-b.told, 1)
+			<-ended
+			assert.Contains(t, b.head(second), "since=7&")
+		})
+	}
+}
+
+// TestConnectingThatHangs: a connection that is being made hangs. It is given up after the connect time, and the call is made
+// again; where the address moves meanwhile, at once.
+func TestConnectingThatHangs(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		pace := shortly
+		pace.Slack = time.Minute
+		if pace.Connect = 20 * time.Millisecond; moved {
+			pace.Connect = time.Minute
+		}
+		b := newLoopback(t, pace)
+		hung, let := make(chan struct{}, 1), false
+		at := b.dir.Address
+		b.dir.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if !let { // one call at a time: the first is over before the second
+				let = true
+				hung <- struct{}{}
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return TCP(ctx, at)
+		}
+		b.dir.Subscribe()
+		<-hung
+		if moved {
+			b.dir.Redirect("elsewhere")
+		}
+		c, head := b.call()
+		assert.Equal(t, moved, !strings.Contains(head, "since="), "the whole list of a new address")
+		_, _ = io.WriteString(c, chunked(indented(7, 1, "Ready")))
+		assert.Len(t, <-b.told, 1)
+	}
+}
