Turned-away clients of both fronts share one bound, which the reserve of descriptors covers

Each front let four of them linger beyond all sessions. The worst case counted for the reserve is 30 of 32 descriptors: both fronts together now have two at a time (Clients.turned, turnedMost).

--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -21,7 +21,7 @@
 	lingerMost = 1 << 20                             // bytes after the last answer
 	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
 	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
-	turnedMost = 4                                   // clients at a time that there was no descriptor for: within what Share keeps
+	turnedMost = 2                                   // clients at a time, of both fronts, that there was no descriptor for: within what Share keeps
 	turnedLook = time.Millisecond                    // for such a one's req to have come
 	turnedWait = 50 * time.Millisecond               // for such a one to read so
 )
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -43,7 +43,7 @@
 	gate   gate
 	size   atomic.Pointer[Budget] // by Resize; nil for Most and Usual
 	held   atomic.Int64
-	turned atomic.Int32 // clients being turned away unread
+	turned atomic.Int32 // clients of both fronts that were turned away unread, and still linger
 	table  table
 }
 
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -21,7 +21,6 @@
 	limits  atomic.Pointer[HTTP2Limits]
 	open    sync.Map // *streams of this front, for hint
 	ends    atomic.Pointer[net.Listener]
-	away    atomic.Int32 // connections that were turned away unread, and still linger
 }
 
 // HTTP2Limits are what a new connection is told, and what becomes of reqs that are reset.
--- a/internal/network/http2_end.go
+++ b/internal/network/http2_end.go
@@ -121,24 +121,21 @@
 	}
 }
 
-// awayMost is how many connections that were turned away linger at a time: they are beyond every budget, and
-// their descriptors among the few that Budget keeps back.
-const awayMost = 4
-
 // turnAway ends a connection that there was no room for, which has been told so. It is not waited for
 // here, has no seat any more, and lingers for its client only while few do.
 func (s *streams) turnAway() {
 	s.over, s.ending = true, core.SessionShed
-	s.front.Clients.Count.Endings[s.ending].Add(1)
+	c := s.front.Clients
+	c.Count.Endings[s.ending].Add(1)
 	s.finish()
-	if s.front.away.Add(1) > awayMost {
-		s.front.away.Add(-1)
+	if c.turned.Add(1) > turnedMost { // their descriptors are among the few that Share keeps back
+		c.turned.Add(-1)
 		s.conn.Close()
 		return
 	}
 	go func() {
 		s.linger()
 		s.conn.Close()
-		s.front.away.Add(-1)
+		c.turned.Add(-1)
 	}()
 }
--- a/internal/network/http2_slow_test.go
+++ b/internal/network/http2_slow_test.go
@@ -161,7 +161,7 @@
 	word, _ := c.next()
 	assert.Equal(t, "end", word)
 	c.conn.Close()
-	soon(t, "it is gone", func() bool { return s.http2.away.Load() == 0 })
+	soon(t, "it is gone", func() bool { return s.clients.turned.Load() == 0 })
 	assert.Equal(t, int64(1), s.count.Endings[core.SessionShed].Load())
 	assert.Equal(t, s.clients.Most+excessMost, s.clients.Open())
 	assert.Zero(t, s.count.ReqsTaken.Load())
