Shutdown: the process's own end cuts no req that it owes, whatever the longest deadline is

Read line by line: Machine.end (internal/service/service.go) ended at the longest deadline + 500 ms "whatever is open". A req that came up to 600 ms after SIGTERM has its whole time, so that it may be due 600 ms after that deadline; one that came later is due 200 ms before the kill, which is deadline + 500 ms where that is under 3 s: the very instant of the end. Both were cut by the process itself, and what a dispatcher that ends had taken and not answered is lost. Where the longest deadline is under 0.4 s, the process was also gone, with nobody there, before the front had stopped sending (closeAt + 100 ms < 600 ms). And at the quiet end a req that was read between the last look and the exit was taken and sent on.

Now: no end before the front is gone, counted from the drain where that came first; the hard end waits for what is owed until its last answer is due and half a second more, when it is lost anyhow; what comes within a look of the end is refused, and never sent on.

Ruled out: the other times of a drain with short deadlines. closeAt is 0.1 s at the least, never negative; what comes before 600 ms keeps its whole time, and what comes later all of it up to 200 ms before the kill, over 50 ms to 20 s.

TestStrangers asked for an end at 5.5 s with reqs still owed; its case is replaced by three: owed until 5.6 s, the end is there and not before; owed for good, at 6.1 s.

With it: -race -count=50 passes.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,7 +13,7 @@
 	killFloor  = 3 * time.Second        // the kill comes ownReqs after this, or after the longest deadline if that is less
 	killMargin = 200 * time.Millisecond // answers are out so long before the kill
 	lastReqs   = 400 * time.Millisecond // for the last reqs to be answered in: most take half of it
-	endSlack   = 500 * time.Millisecond // beyond the longest deadline, the end comes whatever is open
+	endSlack   = 500 * time.Millisecond // an answer that is later than its time by more is lost anyhow
 	quietLooks = 5                      // without a session, before the end
 )
 
@@ -53,8 +53,8 @@
 	Hint   bool          // connections that can say so ahead (HTTP/2) tell their clients to go
 	Close  bool          // an answer ends its session
 	Rest   time.Duration // sessions idle for so long are closed; only if Close
-	Until  time.Time     // what comes now is answered by then; zero for no end
-	End    bool          // the process is to end
+	Until  time.Time     // what comes now is answered by then; zero for no end. Past: it is refused, and never sent on
+	End    bool          // the process is to end, and takes nothing any more
 }
 
 // Machine is the state of one process. The zero value is in service; Longest must be set first.
@@ -118,7 +118,7 @@
 type Load struct {
 	Sessions int // of any kind
 	Early    int // of those, connected before FrontStops
-	Owed     int // reqs owed an answer
+	Owed     int // reqs owed an answer, or the rest of one
 }
 
 // FrontStops is when the front sends no more new connections after a SIGTERM, at the latest; zero
@@ -170,18 +170,43 @@
 	return o
 }
 
+// frontGone is when a front that looks at the dispatcher's health sends it nothing new any more: neither
+// since it was taken out of service nor since SIGTERM, whichever came first.
+func (m *Machine) frontGone() time.Time {
+	if !m.out.IsZero() && m.out.Before(m.term) {
+		return m.out.Add(lateFront)
+	}
+	return m.FrontStops()
+}
+
+// lastDue is when, from SIGTERM on, the last answer is due: of a req that came just before the front had
+// stopped, or of one that came later and is to be answered before the kill.
+func (m *Machine) lastDue() time.Duration { return max(m.Longest+lateFront, m.kill()) }
+
 // end says whether all is answered and nobody is left for a moment: a client whose req crossed the closing
-// of its session comes back at once.
+// of its session comes back at once. What comes within one look of the end is refused, so that no req is read
+// by a process that has decided to end, sent on, and cut.
 func (m *Machine) end(now time.Time, l Load, o *Orders) {
 	if m.term.IsZero() && m.handed.IsZero() || !o.Close {
 		return
 	}
-	left := l.Sessions
-	if !m.term.IsZero() && now.After(m.FrontStops()) {
-		left = l.Early
+	left, over := l.Sessions, false
+	if !m.term.IsZero() {
+		if now.After(m.FrontStops()) {
+			left = l.Early
+		}
+		age := now.Sub(m.term)
+		over = age >= max(m.Longest+endSlack, lateFront+LookEvery) && l.Owed == 0 || age >= m.lastDue()+endSlack
+		if m.handed.IsZero() && now.Before(m.frontGone()) { // who is sent here still would find nobody
+			m.quiet = 0
+			return
+		}
 	}
 	if m.quiet++; left > 0 || l.Owed > 0 {
 		m.quiet = 0
 	}
-	o.End = m.quiet > quietLooks || !m.term.IsZero() && now.Sub(m.term) >= m.Longest+endSlack
+	o.End = m.quiet > quietLooks || over
+	if (o.End || m.quiet == quietLooks) && (o.Until.IsZero() || now.Before(o.Until)) {
+		o.Until = now
+	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -15,7 +15,8 @@
 func busy(int) Load { return Load{Sessions: 9, Early: 9, Owed: 9} }
 
 // TestStrangers: a shutdown does not wait for those who connect when the front has stopped, but for all that
-// were there before, and for each req that is owed an answer.
+// were there before, and for each req that is owed an answer: one that came just before the front had
+// stopped is due at 5.6 s, and lost half a second later.
 func TestStrangers(t *testing.T) {
 	for name, c := range map[string]struct {
 		load func(ms int) Load
@@ -23,7 +24,9 @@
 	}{
 		"strangers go on coming":     {func(ms int) Load { return Load{50, max(0, 3200-ms), 0} }, 3300},
 		"a req of theirs is taken":   {func(ms int) Load { return Load{50, 0, max(0, 4000-ms)} }, 4100},
-		"clients use their sessions": {func(ms int) Load { return Load{50, 50, 3} }, 5500},
+		"clients use their sessions": {func(ms int) Load { return Load{50, 50, max(0, 5600-ms)} }, 5600},
+		"they read no answer":        {func(ms int) Load { return Load{50, 50, 3} }, 6100},
+		"a stranger reads none":      {func(ms int) Load { return Load{50, 0, 3} }, 6100},
 		"nobody was there":           {func(ms int) Load { return Load{} }, 3200},
 	} {
 		m := Machine{Longest: 5 * time.Second}
