Shutdown: wait for answers that are decided and not yet written, and take nothing after the end

The core counts a req as owed until its answer is decided (Core.close); the session writes it after that. Service.do counted only sessions that had connected before the front stopped, and at the hard end none, so that a client that read slowly lost the rest of its answer to the exit: a stranger's 120 ms after the last look at which something was owed, an earlier client's at the longest deadline + 500 ms. Sessions at work (rank working) now count as owed.

Between the decision to end and the exit (consul, accord and logs take their time) listeners went on accepting, and sessions reading and sending on. The gate is shut with the decision, so that who waits in a listener that another process has too is left to that one, and the orders of the end have what is still read refused unsent.

--- a/internal/network/service.go
+++ b/internal/network/service.go
@@ -60,6 +60,14 @@
 	}
 }
 
+// answering is how many sessions have a req that is read or answered now. The core counts a req no more once its answer is
+// decided; the session that writes it is here until its last byte is out.
+func (t *table) answering() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[working].Len()
+}
+
 // Service has the fronts follow what package service decides. Its methods may be called from any
 // goroutine; what they say holds when they return.
 type Service struct {
@@ -128,11 +136,12 @@
 	f(now)
 	c := s.Clients
 	all, early := c.table.open(s.m.FrontStops())
-	o := s.m.Look(now, service.Load{Sessions: all, Early: early, Owed: c.Core.Open()})
+	owed := c.Core.Open() // first: an answer that is decided from now on has its session among those counted next
+	o := s.m.Look(now, service.Load{Sessions: all, Early: early, Owed: max(owed, c.table.answering())})
 	old := s.last
 	s.last = o
 	c.orders.Store(&o)
-	c.gate.set(o.Accept)
+	c.gate.set(o.Accept && !o.End) // who waits in a listener that another process has too is left to that one
 	if s.HTTP2 != nil {
 		if o.Hint && !old.Hint {
 			s.HTTP2.hint()
--- /dev/null
+++ b/internal/network/shutdown_test.go
@@ -0,0 +1,100 @@
+package network
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+)
+
+func (s *Service) hasEnded() bool {
+	select {
+	case <-s.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
+// TestSlowReader: an answer of which a client has taken a byte when all else is over is written to its last byte before the
+// process ends, whenever the client connected. The pipe holds nothing: a write is done when it is read.
+func TestSlowReader(t *testing.T) {
+	for name, c := range map[string]struct {
+		connects, answered, reads time.Duration
+		left                      string
+	}{
+		"who came before the front had stopped": {500 * time.Millisecond, 2400 * time.Millisecond, 5800 * time.Millisecond, "2000"},
+		"a stranger":                            {700 * time.Millisecond, 700 * time.Millisecond, 3700 * time.Millisecond, "2000"},
+		"in the last moment":                    {3050 * time.Millisecond, 3050 * time.Millisecond, 3700 * time.Millisecond, "450"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+				begun := time.Now()
+				till := func(at time.Duration) { time.Sleep(at - time.Since(begun)); synctest.Wait() }
+				w.service.Term()
+				till(c.connects)
+				near, far := net.Pipe()
+				defer far.Close()
+				go w.clients.admit(near)
+				_, err := io.WriteString(far, expand("{req 9a x}"))
+				require.NoError(t, err)
+				till(c.answered)
+				w.play("s1/1 expect POST /ingest?v=1 9a k9a " + c.left + " x\ns1/1 send {started 9a}{done 9a r}")
+				one := make([]byte, 1)
+				_, err = io.ReadFull(far, one)
+				require.NoError(t, err)
+				assert.Zero(t, w.core.Open(), "its answer is decided")
+				till(c.reads)
+				assert.False(t, w.service.hasEnded(), "ended with half an answer written")
+				a, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(one), far)), nil)
+				require.NoError(t, err)
+				body, err := io.ReadAll(a.Body)
+				require.NoError(t, err)
+				assert.Equal(t, "r", string(body))
+				time.Sleep(250 * time.Millisecond)
+				synctest.Wait()
+				assert.True(t, w.service.hasEnded(), "nothing is left")
+			})
+		})
+	}
+}
+
+// TestReadAtTheEnd: what is read when the process has decided to end is refused, and never sent on; who connects then is left in
+// the listener.
+func TestReadAtTheEnd(t *testing.T) {
+	l := &timed{}
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+		w.clients.gate.add(l)
+		w.service.Term()
+	}, `
+		wait 3050ms
+		c1 send POST /ingest HTTP/1.1\r\nX-Correlation-Id: 9a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n
+		wait 170ms`, // a stranger with half a req: nobody waits for it
+		func(w *world) {
+			require.True(t, w.service.hasEnded())
+			assert.False(t, l.until.IsZero(), "the listener is shut")
+			assert.NotNil(t, w.clients.gate.shut)
+		}, `
+		c1 send x
+		c1 expect 503 after 0.120 close
+		c2 send {req 9b x}
+		c2 expect 503 after 0.120 close
+		s1/1 expect no connection`)
+}
+
+// timed is a listener that notes until when it waits.
+type timed struct {
+	net.Listener
+	until time.Time
+}
+
+func (l *timed) SetDeadline(t time.Time) error { l.until = t; return nil }
