Shutdown: a process that was held up does not end over what it reads as it wakes

Orders hold until the next look. A process that a busy machine holds up past the time of a look goes on taking reqs with the orders of before, their whole time before them, and the late look then found the hard end passed: it ended at once, over what had been read and not been counted yet, or before that was due. Seen with the real program stopped by SIGSTOP from 0.1 s to 3 s after SIGTERM, with reqs on 40 resting connections: 3 of them were sent on, none was answered.

The hard end now counts from when the orders last gave reqs their whole time, and no look ends the process but one that follows a look after which everything was refused.

Without the change: TestHeldUp "1500: what is read now is not counted yet", "1500: cut at 2200".

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -65,6 +65,8 @@
 	out, term, handed time.Time // since when; zero if not
 	moved             bool      // clients were sent to other dispatchers
 	quiet             int
+	whole             time.Time // until then, after SIGTERM, the orders gave reqs their whole time
+	called            bool      // the orders have what comes refused
 }
 
 // Out takes the dispatcher out of service. Repeated calls change nothing.
@@ -179,14 +181,18 @@
 	return m.FrontStops()
 }
 
-// lastDue is when, from SIGTERM on, the last answer is due: of a req that came just before the front had
-// stopped, or of one that came later and is to be answered before the kill.
-func (m *Machine) lastDue() time.Duration { return max(m.Longest+lateFront, m.kill()) }
+// lastDue is when, from SIGTERM on, the last answer is due: of a req that was taken just before orders cut the time
+// of those to come, or of one that came later and is to be answered before the kill. Orders hold until the next
+// look, which a process that is held up (a busy machine) makes late.
+func (m *Machine) lastDue() time.Duration { return max(m.Longest+m.whole.Sub(m.term), m.kill()) }
 
 // end says whether all is answered and nobody is left for a moment: a client whose req crossed the closing
 // of its session comes back at once. What comes within one look of the end is refused, so that no req is read
 // by a process that has decided to end, sent on, and cut.
 func (m *Machine) end(now time.Time, l Load, o *Orders) {
+	if !m.term.IsZero() && (m.whole.IsZero() || m.whole.Before(m.FrontStops())) {
+		m.whole = now
+	}
 	if m.term.IsZero() && m.handed.IsZero() || !o.Close {
 		return
 	}
@@ -196,7 +202,7 @@
 			left = l.Early
 		}
 		age := now.Sub(m.term)
-		over = age >= max(m.Longest+endSlack, lateFront+LookEvery) && l.Owed == 0 || age >= m.lastDue()+endSlack
+		over = age >= m.Longest+endSlack && l.Owed == 0 || age >= m.lastDue()+endSlack
 		if m.handed.IsZero() && now.Before(m.frontGone()) { // who is sent here still would find nobody
 			m.quiet = 0
 			return
@@ -205,8 +211,9 @@
 	if m.quiet++; left > 0 || l.Owed > 0 {
 		m.quiet = 0
 	}
-	o.End = m.quiet > quietLooks || over
-	if (o.End || m.quiet == quietLooks) && (o.Until.IsZero() || now.Before(o.Until)) {
+	o.End = m.called && (m.quiet > quietLooks || over)
+	if (over || m.quiet >= quietLooks) && (o.Until.IsZero() || now.Before(o.Until)) {
 		o.Until = now
 	}
+	m.called = !o.Until.IsZero() && !now.Before(o.Until)
 }
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -119,6 +119,25 @@
 	assert.Equal(t, at(3500), o.Until, "who comes now is taken again")
 }
 
+// TestHeldUp: a process that does nothing for a while wakes with orders that give what it reads its whole time, before
+// its next look: that look does not end it, nor does one before the last of those reqs is due.
+func TestHeldUp(t *testing.T) {
+	for _, wakes := range []int{300, 900, 1500, 3000, 60_000} {
+		m := Machine{Longest: time.Second}
+		m.Term(at(0))
+		assert.True(t, m.Look(at(20), busy(20)).Until.IsZero())
+		assert.False(t, m.Look(at(wakes), Load{Sessions: 9, Early: 9}).End, "%d: what is read now is not counted yet", wakes)
+		for ms := wakes + 20; ms < wakes+1050; ms += 20 {
+			assert.False(t, m.Look(at(ms), busy(ms)).End, "%d: cut at %d", wakes, ms)
+		}
+		ends := max(wakes+1060, 1500)
+		for !m.Look(at(ends), Load{Sessions: 9, Early: 9}).End {
+			ends += 20
+		}
+		assert.LessOrEqual(t, ends, max(wakes+1060, 1520), wakes)
+	}
+}
+
 // TestFrontGone: a process that was taken out of service has nobody sent to it since; one that was taken out a moment before
 // SIGTERM waits until the front has noticed that.
 func TestFrontGone(t *testing.T) {
