A restarted process that knows of nobody to send to asks for the whole list at once

Where the list is asked for, the module asks after a while drawn by chance, up to a quarter of AskEveryMs, once it has a first list; start() (cmd/tinsail/serve.go) asked at once only where the list that the process was given was empty. With a catalogue beside the director, a process without any list never asked the director at all: a list of members tells nothing before something changes. And a watch from a version that belongs to another time of the director waited 2.5 s for news first.

Now a process whose list names no backend to send to asks at once, and for the whole list. Such a list does not size the module either. The time to ready and its cause are counted (ready_after_ms, ready_from_known, _director, _handover, _sources) and logged ("ready": after_ms, from, director_calls, director_failed).

Checked and well: a list that names a ready backend makes the process ready at once, also with the director down.

Without the change: TestReadyAfterStart "all that are known drain" never ready, "an empty list of a later version" 2 calls in place of 1; TestReadyFromDirectorBesideCatalogue never ready.

--- a/cmd/tinsail/metrics.go
+++ b/cmd/tinsail/metrics.go
@@ -13,7 +13,7 @@
 var gauges = map[string]bool{
 	"budget_connections_share": true, "budget_connections_fleet": true, "budget_connections_lent": true,
 	"banned": true, "service_state": true, "door_slowest_us": true, "handover_ready_ms": true,
-	"handover_stage": true,
+	"handover_stage": true, "ready_after_ms": true,
 	"accord_version": true, "accord_ready": true, "accord_leads": true, "accord_leases": true, "accord_decided_ms": true,
 }
 
--- /dev/null
+++ b/cmd/tinsail/ready.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"sync/atomic"
+	"time"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+	"tinsail/internal/service"
+)
+
+// readiness is how a process came to be ready: it knows of a backend that may be sent to, and of the policy that holds.
+type readiness struct {
+	begun time.Time // the process's start
+	heard atomic.Bool
+}
+
+// namesReady says whether a list names a backend that may be sent to.
+func namesReady(list []core.Entry) bool {
+	for i := range list {
+		if list[i].State == balance.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// tellCore passes a list on to the core. The first one that names a backend that may be sent to is noted as what made the
+// process ready.
+func (d *dispatcher) tellCore(kind balance.ListKind, list []core.Entry) {
+	d.core.Listed(kind, list)
+	if !namesReady(list) || !d.ready.heard.CompareAndSwap(false, true) {
+		return
+	}
+	from, count := "director", &d.count.ReadyFromDirector
+	switch {
+	case d.sources != nil:
+		from, count = "sources", &d.count.ReadyFromSources
+	case kind == balance.ListCached && d.handover != nil && d.handover.from.link != nil:
+		from, count = "hand-over", &d.count.ReadyFromHandover
+	case kind == balance.ListCached:
+		from, count = "known", &d.count.ReadyFromKnown
+	}
+	calls, failed := d.count.DirectorCalls.Load(), d.directorFailed()
+	go func() { // the core takes the list a moment later, and the fleet's policy may come later still
+		for d.core.Ready() == 0 || !d.core.Serves() {
+			time.Sleep(service.LookEvery)
+		}
+		after := time.Since(d.ready.begun)
+		d.count.ReadyMS.Store(max(after.Milliseconds(), 1))
+		count.Add(1)
+		d.log.Info().Int64("after_ms", after.Milliseconds()).Str("from", from).Int64("director_calls", calls).Int64("director_failed", failed).Msg("ready")
+	}()
+}
+
+// directorFailed is how many calls to the director have come to nothing so far.
+func (d *dispatcher) directorFailed() (n int64) {
+	for _, e := range []core.Ending{core.ListUnanswered, core.ListRefused, core.ListUnread} {
+		n += d.count.Endings[e].Load()
+	}
+	return n
+}
--- /dev/null
+++ b/cmd/tinsail/ready_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"syscall"
+
+	standin "tinsail/internal/standin/consul"
+	"tinsail/internal/standin/platform"
+)
+
+// rarely is a time for asking of ten hours: what the module draws from it, no test lives to see.
+const rarely = `"AskEveryMs": 36000000`
+
+// known writes a list into the house's configuration, as an earlier process last held it.
+func (h *house) known(index int, entries ...platform.Entry) {
+	list, err := json.Marshal(map[string]any{"index": index, "snapshot": true, "endpoints": append([]platform.Entry{}, entries...)})
+	require.NoError(h.t, err)
+	text, err := os.ReadFile(h.conf)
+	require.NoError(h.t, err)
+	edited := strings.Replace(strings.Replace(string(text), `"AskEveryMs": 10000`, rarely, 1), `"seed"`, `"known": `+string(list)+`, "seed"`, 1)
+	require.Contains(h.t, edited, rarely)
+	require.NoError(h.t, os.WriteFile(h.conf, []byte(edited), 0o600))
+}
+
+// startReady starts one more process, and waits until it is ready: much longer than it may take.
+func (h *house) startReady(t *testing.T) (p *process, ready map[string]any) {
+	p = h.spawn()
+	limit := time.After(20 * time.Second)
+	for serving := false; ready == nil || !serving; {
+		select {
+		case line, open := <-p.lines:
+			require.True(t, open, "it ended")
+			switch line["event"] {
+			case "ready":
+				ready = line
+			case "serving":
+				serving = true
+				p.admin, _ = line["admin"].(string)
+				h.clients, _ = line["listen"].(string)
+			}
+		case <-limit:
+			require.Fail(t, "never ready")
+		}
+	}
+	return p, ready
+}
+
+// TestReadyAfterStart: a process is ready as soon as it knows of a backend to send to, says from where, and asks at once if what
+// it was given names none, whatever the settings' time for asking. A version of another time is no reason to wait for news.
+func TestReadyAfterStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		index  int
+		status string // of the backends in the list that is known; none if empty
+		down   bool
+		from   string
+		calls  float64
+	}{
+		"known":                              {41, "Ready", false, "known", 0},
+		"known, and the director is down":    {41, "Ready", true, "known", 0},
+		"nobody known":                       {0, "", false, "director", 1},
+		"an empty list of a later version":   {9000, "", false, "director", 1},
+		"all that are known drain":           {2, "Terminating", false, "director", 1},
+		"all drain, in a version of another": {9000, "Terminating", false, "director", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			var entries []platform.Entry
+			for i, b := range h.backends {
+				if c.status != "" {
+					entries = append(entries, b.Entry("fast", "here", i, c.status))
+				}
+			}
+			h.known(c.index, entries...)
+			h.director.Down(c.down)
+			p, line := h.startReady(t)
+			assert.Equal(t, []any{c.from, c.calls}, []any{line["from"], line["director_calls"]})
+			assert.True(t, h.healthy())
+			calls := h.director.Main().Calls()
+			if c.calls > 0 {
+				require.NotEmpty(t, calls)
+				assert.False(t, calls[0].Watch, "the first call asks for the whole list")
+			} else {
+				assert.Empty(t, calls, "a list that was given is asked for again later")
+			}
+			for h.job() != 200 {
+				time.Sleep(time.Millisecond)
+			}
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGUSR1))
+			count := p.event(t, "counters")
+			assert.Positive(t, count["ready_after_ms"])
+			assert.EqualValues(t, 1, count["ready_from_"+c.from])
+		})
+	}
+}
+
+// TestReadyFromDirectorBesideCatalogue: the director is asked at once where a catalogue stands beside it that says nothing.
+func TestReadyFromDirectorBesideCatalogue(t *testing.T) {
+	agent, err := standin.Start()
+	require.NoError(t, err)
+	t.Cleanup(agent.Close)
+	agent.Set(standin.Faults{Silent: true})
+	h := newHouse(t, "127.0.0.1:0")
+	h.known(0)
+	h.script = filepath.Join(t.TempDir(), "s.star")
+	require.NoError(t, os.WriteFile(h.script, []byte(`consul(address = [`+strconv.Quote(agent.Address)+`], service = "photo")
+backends(director = True)`), 0o600))
+	_, line := h.startReady(t)
+	assert.Equal(t, "sources", line["from"])
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -29,6 +29,7 @@
 )
 
 func serve(o options, errs io.Writer) error {
+	begun := time.Now()
 	sig := listen() // first of all: what is not listened for ends the program
 	log, err := logs.New(errs, o.level, o.format)
 	if err != nil {
@@ -50,6 +51,7 @@
 		from.close()
 		return err
 	}
+	d.ready.begun = begun
 	from.closeFiles() // what was taken has descriptors of its own, and what was not must not hold a listener open
 	d.start()
 	e := log.Info().Stringer("listen", d.listener.Addr()).Str("discovery", cfg.Discovery)
@@ -102,6 +104,7 @@
 	door     *admin.Server // nil where it is off
 	doorAt   net.Listener
 	handover *takeover // nil where there is no door
+	ready    readiness
 
 	sources   *sources       // nil where the director alone is asked
 	budgets   *fleetBudgets  // nil where the settings declare none
@@ -119,6 +122,7 @@
 // from is what another process of this dispatcher hands over; its zero value is nothing.
 func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger, from handed) (*dispatcher, error) {
 	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}}
+	d.ready.begun = time.Now()
 	share := network.Share(cfg.Sockets - doorSockets(cfg))
 	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
@@ -131,8 +135,8 @@
 		return nil, err
 	}
 	d.core.Log = log
-	if d.listed = d.core.Listed; cfg.Admin != "" || set.Accord != nil {
-		d.desk = &maintain.Desk{Told: d.core.Listed, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
+	if d.listed = d.tellCore; cfg.Admin != "" || set.Accord != nil {
+		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
 		if cfg.Admin != "" {
 			d.desk.Path = keptPath(cfg, "bans")
 		}
@@ -193,15 +197,20 @@
 	} else {
 		d.director.Start(d.cfg.Known.Index)
 	}
-	// The module sizes itself by its first list: one that names nobody would leave it with room for a
+	// The module sizes itself by its first list: one that names nobody to send to would leave it with room for a
 	// few jobs until they have shown that there is more.
-	if d.sources == nil && len(known) > 0 {
+	useful := namesReady(known)
+	if inherited := d.handover != nil && d.handover.from.link != nil; d.sources == nil && (useful || inherited && len(known) > 0) {
 		d.listed(balance.ListCached, known)
 	}
 	go d.core.Run(nil)
 	d.startSources(d.set)
-	// Elsewhere the module asks when it has its first list, after a while drawn by chance.
-	if !d.cfg.Settings.Subscribe || d.sources == nil && len(known) == 0 {
+	// Elsewhere the module asks when it has its first list, after a while drawn by chance. Who knows nobody to send to
+	// must not wait for that, nor for news of a version that may be of another time: it asks for the whole list at once.
+	if !useful {
+		d.director.Afresh()
+	}
+	if !d.cfg.Settings.Subscribe || !useful {
 		d.director.Subscribe()
 	}
 	if d.door != nil {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -18,6 +18,9 @@
 	DirectorSilent                                       atomic.Int64 // calls held for silent, another made beside them
 	HTTP2Sessions, HTTP2Resets                           atomic.Int64
 	HandoverCut, HandoverLeft                            atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
+	ReadyMS                                              atomic.Int64 // from the process's start until it could serve, at least 1; 0: not yet
+	ReadyFromKnown, ReadyFromDirector                    atomic.Int64 // 1 for where the first backend to be sent to came from
+	ReadyFromHandover, ReadyFromSources                  atomic.Int64
 	Endings                                              [32]atomic.Int64
 	HTTP2Abuse                                           [32]atomic.Int64
 }
@@ -38,6 +41,8 @@
 		{"backend_connections", &s.BackendConnections}, {"backend_retired", &s.BackendRetired},
 		{"director_calls", &s.DirectorCalls}, {"director_silent", &s.DirectorSilent}, {"overlooked", &s.Overlooked},
 		{"reloads", &s.Reloads}, {"reloads_bad", &s.ReloadsBad},
+		{"ready_after_ms", &s.ReadyMS}, {"ready_from_known", &s.ReadyFromKnown}, {"ready_from_director", &s.ReadyFromDirector},
+		{"ready_from_handover", &s.ReadyFromHandover}, {"ready_from_sources", &s.ReadyFromSources},
 		{"http2_sessions", &s.HTTP2Sessions}, {"http2_resets", &s.HTTP2Resets},
 		{"handover_reqs_cut", &s.HandoverCut}, {"handover_sessions_left", &s.HandoverLeft},
 	} {
