SIGTERM turns the checks of health at once, and a new process that is to end takes nothing over

drain() told the catalogue's agent first, for up to a second where that is silent: /health/ready went on saying 200, and the kill's clock of package service ran a second late, which is more than its margin. It begins the shutdown first now.

A new process that got SIGTERM between the old one's state and its first list (takeover.begin, cmd/tinsail/handover.go) still had the old one stop accepting, and drained the clients itself until its end. It leaves them to the old one now, unless that goes.

Tests with the real program, forced by SIGSTOP and by peers that hold a byte: SIGTERM twice, SIGINT and SIGHUP in one instant with a connection in the listener's queue, half a head, half a body, the rest in that instant, soon after, late or never; backends that hang; a req that waits for a backend and one whose attempt comes back; an answer half taken; 40 resting clients who all send as their connections close, as the process ends, and when it should be gone.

Without the change: TestTermBeforeCatalogue "the shutdown waited for the agent to be given up"; TestTermBeforeTakeover "the old one was told to stop accepting". Refuted, and kept: TestTermRetryDue, TestTermSlowReader, and the first two of TestTermRestingClients.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -160,7 +160,9 @@
 		t.oldGone(err)
 	}()
 	go func() {
-		for !d.core.Known() || !d.core.Serves() { // nor before it knows which policy of the fleet holds
+		// Nor before it knows which policy of the fleet holds. One that is to end already leaves the clients to the
+		// old one, which would be drained in its favour, as long as that is there.
+		for !d.core.Known() || !d.core.Serves() || d.service.State() == service.ShuttingDown && t.at() == handover.Connected {
 			time.Sleep(service.LookEvery)
 		}
 		d.accept()
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -243,10 +243,10 @@
 
 // drain begins the shutdown; d.service says when it is over.
 func (d *dispatcher) drain() {
-	if d.sources != nil && d.sources.self != nil { // before any session is closed
+	d.service.Term() // at once: checks of health turn, and the kill's clock runs, whatever the catalogue's agent takes
+	if d.sources != nil && d.sources.self != nil {
 		d.sources.self.Drain()
 	}
-	d.service.Term()
 }
 
 // end is done last of all.
--- /dev/null
+++ b/cmd/tinsail/shutdown_crossing_test.go
@@ -0,0 +1,473 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"tinsail/internal/handover"
+	"tinsail/internal/network/handoff"
+	standin "tinsail/internal/standin/consul"
+	"tinsail/internal/standin/platform"
+)
+
+// deadline has the house's class wait so long, in ms.
+func (h *house) deadline(ms int) {
+	text, err := os.ReadFile(h.conf)
+	require.NoError(h.t, err)
+	edited := strings.Replace(string(text), `"HardLimitMs": 5000`, fmt.Sprintf(`"HardLimitMs": %d`, ms), 1)
+	require.NotEqual(h.t, string(text), edited)
+	require.NoError(h.t, os.WriteFile(h.conf, []byte(edited), 0o600))
+}
+
+// only has the director list these backends and no others.
+func (h *house) only(entries ...platform.Entry) {
+	for i, b := range h.backends {
+		h.director.Set(b.Entry("fast", "here", i, "Gone"))
+	}
+	for _, e := range entries {
+		h.director.Set(e)
+	}
+}
+
+// scripted starts a backend whose answers a test gives by hand.
+func scripted(t *testing.T, name string, group int, job func(w http.ResponseWriter, line func(rest string))) platform.Entry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || r.Method != "POST" {
+			http.NotFound(w, r)
+			return
+		}
+		job(w, func(rest string) {
+			fmt.Fprintf(w, `{"id":%q,"from":%q,%s}`+"\n", r.Header.Get("X-Correlation-Id"), name, rest)
+			_ = http.NewResponseController(w).Flush()
+		})
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return platform.Entry{Name: name, Address: l.Addr().String(), Zone: "here", Type: "fast", Group: group, Status: "Ready", Weight: 8}
+}
+
+func (p *process) signal(t *testing.T, all ...syscall.Signal) {
+	for _, s := range all {
+		require.NoError(t, p.cmd.Process.Signal(s))
+	}
+}
+
+// stopped waits until the process has been stopped: it does nothing from then on, and the kernel takes in what comes.
+func (p *process) stopped(t *testing.T) {
+	p.signal(t, syscall.SIGSTOP)
+	for {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		require.NoError(t, err)
+		if _, state, _ := strings.Cut(string(stat), ") "); state[0] == 'T' {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// terminating waits until the shutdown has begun.
+func (p *process) terminating(t *testing.T) {
+	for p.event(t, "service")["to"] != "shutting down" {
+	}
+}
+
+func (h *house) connect() *conn {
+	c, err := h.dial()
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (c *conn) write(t *testing.T, text string) {
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+}
+
+func head(id string, length int, further string) string {
+	return fmt.Sprintf("POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n%s\r\n", id, id, length, further)
+}
+
+// halfBody sends a req but for its last byte. The head has been read when it returns.
+func (c *conn) halfBody(t *testing.T, id string) {
+	c.write(t, head(id, 2, "Expect: 100-continue\r\n"))
+	a, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	require.Equal(t, 100, a.StatusCode)
+	c.write(t, "b")
+}
+
+// halfHead has a req answered, and half the head of a next one read with it.
+func (c *conn) halfHead(t *testing.T, by time.Time, id string) (rest string) {
+	next := head(id, 1, "") + "b"
+	c.write(t, head(id+"-before", 1, "")+"b"+next[:len(next)/2])
+	c.expect(t, by, 200, "small "+id+"-before")
+	return next[len(next)/2:]
+}
+
+// expect reads a whole answer, and returns whether it is the connection's last. Its status is judged up to a time by which no
+// wait of the program for bytes, and no deadline, can be over: a machine that stands still is no fault of it.
+func (c *conn) expect(t *testing.T, by time.Time, status int, body string) (closing bool) {
+	t.Helper()
+	got, text, closing, err := c.answer()
+	require.NoError(t, err)
+	if got != 200 && time.Now().After(by) {
+		return closing
+	}
+	assert.Equal(t, status, got)
+	if status == 200 {
+		assert.Equal(t, body, text)
+	}
+	return closing
+}
+
+// TestTermCrossings: SIGTERM, once more, SIGINT and SIGHUP come in one instant, with a connection that has not been accepted, with
+// the rest of a req, and while others are half read or at a backend. Each whole req has its answer, who never sends the rest is
+// told so, and the process ends by itself.
+func TestTermCrossings(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	h.deadline(2000)
+	p, _ := h.startReady(t)
+	by := time.Now().Add(1800 * time.Millisecond)
+	soon, later, instant, silent := h.connect(), h.connect(), h.connect(), h.connect()
+	soon.halfBody(t, "soon")
+	later.halfBody(t, "later")
+	instant.halfBody(t, "instant")
+	silent.halfBody(t, "silent")
+	half, halfSilent := h.connect(), h.connect()
+	rest := half.halfHead(t, by, "half")
+	halfSilent.halfHead(t, by, "half-silent")
+	idle := h.connect()
+	idle.write(t, head("idle-before", 1, "")+"b")
+	idle.expect(t, by, 200, "small idle-before")
+	for _, b := range h.backends {
+		b.Set(platform.Faults{Hold: true})
+	}
+	held, hung, before := h.connect(), h.connect(), h.jobs()
+	held.write(t, head("held", 1, "")+"b")
+	hung.write(t, head("hung", 1, "")+"b")
+	for h.jobs() < before+2 {
+		time.Sleep(time.Millisecond)
+	}
+
+	p.stopped(t)
+	queued := h.connect()
+	queued.write(t, head("queued", 1, "")+"b")
+	instant.write(t, "b")
+	idle.write(t, head("idle", 1, "")+"b")
+	p.signal(t, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT, syscall.SIGCONT)
+	p.terminating(t)
+	assert.False(t, h.healthy())
+	p.signal(t, syscall.SIGTERM, syscall.SIGINT)
+	soon.write(t, "b")
+	half.write(t, rest)
+	for _, b := range h.backends {
+		b.Set(platform.Faults{})
+	}
+	held.expect(t, by, 200, "small held")
+	hung.expect(t, by, 200, "small hung")
+	soon.expect(t, by, 200, "small soon")
+	half.expect(t, by, 200, "small half")
+	queued.expect(t, by, 200, "small queued")
+	instant.expect(t, by, 200, "small instant")
+	idle.expect(t, by, 200, "small idle")
+	time.Sleep(700 * time.Millisecond) // the front has stopped by now: what comes has its time cut
+	later.write(t, "b")
+	later.expect(t, by, 200, "small later")
+	assert.True(t, silent.expect(t, time.Time{}, 503, ""))
+	assert.True(t, halfSilent.expect(t, time.Time{}, 408, ""))
+	for range p.lines {
+	}
+	assert.NoError(t, p.cmd.Wait(), "it ends by itself, once")
+	ran := 0
+	for _, b := range h.backends {
+		for key, n := range b.Ran() {
+			assert.Equal(t, 1, n, key)
+			ran++
+		}
+	}
+	if time.Now().Before(by.Add(2 * time.Second)) {
+		assert.Equal(t, 11, ran, "all but those that were never whole")
+	}
+}
+
+// TestTermHangs: a backend that hangs when SIGTERM comes: each req of before has its one answer at its deadline, and one
+// that comes late, before the kill.
+func TestTermHangs(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	h.deadline(1000)
+	p, _ := h.startReady(t)
+	for _, b := range h.backends {
+		b.Set(platform.Faults{Hold: true})
+	}
+	const reqs = 20
+	var all sync.WaitGroup
+	send := func(id string) {
+		c := h.connect()
+		c.write(t, head(id, 1, "")+"b")
+		all.Go(func() {
+			status, _, _, err := c.answer()
+			assert.NoError(t, err, id)
+			assert.NotEqual(t, 200, status, id)
+		})
+	}
+	for i := range reqs {
+		send(fmt.Sprint("before-", i))
+	}
+	for h.jobs() < reqs {
+		time.Sleep(time.Millisecond)
+	}
+	p.signal(t, syscall.SIGTERM)
+	p.terminating(t)
+	for i := range 10 { // up to 0.9 s after SIGTERM
+		send(fmt.Sprint("after-", i))
+		time.Sleep(90 * time.Millisecond)
+	}
+	all.Wait()
+	for range p.lines {
+	}
+	assert.NoError(t, p.cmd.Wait())
+}
+
+// TestTermRetryDue: a req waits for a backend to send it to when SIGTERM comes, and its first attempt comes back unstarted after that:
+// it is sent once more, and answered.
+func TestTermRetryDue(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	first, refuse := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	job := func(w http.ResponseWriter, line func(string)) {
+		mine := false
+		if once.Do(func() { mine = true }); mine {
+			close(first)
+			<-refuse
+			w.Header().Set("X-Unprocessed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		line(`"state":"started"`)
+		line(`"state":"done","result":"second try"`)
+	}
+	entries := []platform.Entry{scripted(t, "s0", 0, job), scripted(t, "s1", 1, job)}
+	list := func(status string) {
+		for _, e := range entries {
+			e.Status = status
+			h.director.Set(e)
+		}
+	}
+	h.only(entries...)
+	p, _ := h.startReady(t)
+	list("Gone")
+	for h.healthy() {
+		time.Sleep(time.Millisecond)
+	}
+	by := time.Now().Add(4 * time.Second)
+	held := h.connect()
+	held.write(t, head("held", 1, "")+"b")
+	for h.counter("reqs_taken") == 0 {
+	}
+	p.signal(t, syscall.SIGTERM)
+	p.terminating(t)
+	list("Ready")
+	<-first
+	close(refuse)
+	held.expect(t, by, 200, "second try")
+	held.Close()
+	p.end(t)
+}
+
+// counter asks for one of the process's counters.
+func (h *house) counter(name string) (n int) {
+	a, err := http.Get("http://" + h.clients + "/counters")
+	require.NoError(h.t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	require.NoError(h.t, err)
+	_, rest, _ := strings.Cut(string(text), "counter "+name+" ")
+	_, err = fmt.Sscan(rest, &n)
+	require.NoError(h.t, err)
+	return n
+}
+
+// TestTermSlowReader: an answer is half written to a client that takes it byte by byte when SIGTERM comes: it gets all of it.
+func TestTermSlowReader(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	result := strings.Repeat("r", 60_000)
+	h.only(scripted(t, "s0", 0, func(_ http.ResponseWriter, line func(string)) {
+		line(`"state":"started"`)
+		line(`"state":"done","result":"` + result + `"`)
+	}))
+	p, _ := h.startReady(t)
+	// Small segments and a small window: the kernels at both ends hold less than the answer.
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		control := raw.Control(func(fd uintptr) {
+			if err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 500); err == nil {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2048)
+			}
+		})
+		if err == nil {
+			err = control
+		}
+		return err
+	}}
+	slow, err := d.Dial("tcp", h.clients)
+	require.NoError(t, err)
+	defer slow.Close()
+	_, err = io.WriteString(slow, head("slow", 1, "")+"b")
+	require.NoError(t, err)
+	one := make([]byte, 1)
+	_, err = io.ReadFull(slow, one)
+	require.NoError(t, err)
+	p.signal(t, syscall.SIGTERM)
+	p.terminating(t)
+	require.NoError(t, slow.(*net.TCPConn).SetReadBuffer(1<<20))
+	text, err := io.ReadAll(slow) // to the end that the process makes
+	require.NoError(t, err)
+	assert.True(t, strings.HasPrefix(string(one)+string(text), "HTTP/1.1 200 OK\r\n"))
+	assert.True(t, strings.HasSuffix(string(text), "\r\n\r\n"+result), "the answer broke off after %d bytes", len(text))
+	p.end(t)
+}
+
+// TestTermRestingClients: clients rest, and each sends on in one instant: that in which its connection is closed, or that in which the
+// process ends. Each req is answered whole, or was never sent on.
+func TestTermRestingClients(t *testing.T) {
+	for name, wakes := range map[string]time.Duration{ // from SIGTERM on; the deadline is 1 s, the kill comes at 1.7 s
+		"as sessions close":      1150 * time.Millisecond,
+		"as the process ends":    1300 * time.Millisecond,
+		"when it should be gone": 3000 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			h.deadline(1000)
+			p, _ := h.startReady(t)
+			var resting []*conn
+			for i := range 40 {
+				c := h.connect()
+				c.write(t, head(fmt.Sprint("before-", i), 1, "")+"b")
+				_, _, _, err := c.answer()
+				require.NoError(t, err)
+				resting = append(resting, c)
+			}
+			p.signal(t, syscall.SIGTERM)
+			begun := time.Now()
+			p.terminating(t)
+			p.stopped(t) // before any is closed, that is within a second
+			for i, c := range resting {
+				_ = c.send(fmt.Sprint("then-", i)) // a machine that was too slow has closed it
+			}
+			time.Sleep(wakes - time.Since(begun))
+			p.signal(t, syscall.SIGCONT)
+			answered := map[string]bool{}
+			for i, c := range resting {
+				if _, _, _, err := c.answer(); err == nil {
+					answered[fmt.Sprint("then-", i)] = true
+				}
+			}
+			for range p.lines {
+			}
+			assert.NoError(t, p.cmd.Wait())
+			for _, b := range h.backends {
+				for _, a := range b.Attempts() {
+					assert.True(t, answered[a.ID] || strings.HasPrefix(a.ID, "before-"), "%s was sent on and not answered", a.ID)
+				}
+			}
+			t.Logf("%d of 40 answered", len(answered))
+		})
+	}
+}
+
+// TestTermBeforeCatalogue: checks of health turn with SIGTERM, although the catalogue's agent, which is told too, never answers.
+func TestTermBeforeCatalogue(t *testing.T) {
+	agent, err := standin.Start()
+	require.NoError(t, err)
+	t.Cleanup(agent.Close)
+	h := newHouse(t, "127.0.0.1:0")
+	h.script = filepath.Join(t.TempDir(), "s.star")
+	require.NoError(t, os.WriteFile(h.script, []byte(`consul(address = [`+strconv.Quote(agent.Address)+`], service = "photo", register = "origin")
+backends(director = True)`), 0o600))
+	p, _ := h.startReady(t)
+	for len(agent.Services()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	agent.Set(standin.Faults{Silent: true})
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	for { // whichever comes first
+		line := <-p.lines
+		if line["event"] == "consul registration not changed" {
+			require.Fail(t, "the shutdown waited for the agent to be given up")
+		}
+		if line["event"] == "service" {
+			assert.Equal(t, "shutting down", line["to"])
+			break
+		}
+	}
+	assert.False(t, h.healthy())
+	agent.Set(standin.Faults{})
+	p.end(t)
+}
+
+// TestTermBeforeTakeover: a new process that is told to end before it serves does not have the old one stop accepting. If
+// the old one goes meanwhile it accepts after all, so that nobody is left in the listener's queue.
+func TestTermBeforeTakeover(t *testing.T) {
+	for _, oldGoes := range []bool{false, true} {
+		t.Run(fmt.Sprint("the old one goes: ", oldGoes), func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			h.director.Down(true)
+			clients, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer clients.Close()
+			joined, handed := make(chan *handoff.Link, 1), make(chan struct{})
+			old := &handoff.Server{Path: h.socket(), Me: h.hello(), Log: zerolog.Nop(), Joined: func(l *handoff.Link) { joined <- l },
+				Hand: func() { close(handed) }, News: func(handover.News) {}, Gone: func(bool) {},
+				Give: func() (handover.State, []syscall.Conn) {
+					return handover.State{Sockets: 300, Memory: 64 << 20, Listeners: []string{"http1"}}, []syscall.Conn{clients.(*net.TCPListener)}
+				}}
+			require.NoError(t, old.Listen())
+			t.Cleanup(old.Close)
+			next := h.start()
+			link := <-joined
+			require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
+			for next.event(t, "service")["to"] != "shutting down" {
+			}
+			h.director.Down(false) // now it has a list
+			next.event(t, "ready")
+			c, err := h.dial()
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = fmt.Fprint(c, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+			require.NoError(t, err)
+			if oldGoes {
+				link.Close()
+				status, _, _, err := c.answer()
+				require.NoError(t, err)
+				assert.Equal(t, 503, status)
+			}
+			next.end(t)
+			select {
+			case <-handed:
+				require.Fail(t, "the old one was told to stop accepting")
+			default:
+			}
+			if !oldGoes {
+				require.NoError(t, clients.(*net.TCPListener).SetDeadline(time.Now().Add(20*time.Second)))
+				_, err = clients.Accept()
+				require.NoError(t, err, "who comes is the old one's")
+			}
+		})
+	}
+}
