Tests: SIGTERM with no list yet, and in the instant of a hand-over

Both refuted as faults, with the real program: a req that waits for a first list, and one in the listener's queue, have their answers and the process ends; an old process that hears of a new one, of SIGTERM and of SIGHUP at once answers what it has taken, and the new one serves. Package service also forgets, at the look that does not get there, that an earlier look had what comes refused.

Without that last change: TestTakenBackBeforeTerm "no look before it had what comes refused".

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -190,6 +190,8 @@
 // of its session comes back at once. What comes within one look of the end is refused, so that no req is read
 // by a process that has decided to end, sent on, and cut.
 func (m *Machine) end(now time.Time, l Load, o *Orders) {
+	called := m.called
+	m.called = false
 	if !m.term.IsZero() && (m.whole.IsZero() || m.whole.Before(m.FrontStops())) {
 		m.whole = now
 	}
@@ -211,7 +213,7 @@
 	if m.quiet++; left > 0 || l.Owed > 0 {
 		m.quiet = 0
 	}
-	o.End = m.called && (m.quiet > quietLooks || over)
+	o.End = called && (m.quiet > quietLooks || over)
 	if (over || m.quiet >= quietLooks) && (o.Until.IsZero() || now.Before(o.Until)) {
 		o.Until = now
 	}
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -138,6 +138,20 @@
 	}
 }
 
+// TestTakenBackBeforeTerm: what a hand-over that came to nothing was about to end is forgotten.
+func TestTakenBackBeforeTerm(t *testing.T) {
+	m := Machine{Longest: 50 * time.Millisecond}
+	m.HandOver(at(-1000))
+	ms := -1000
+	for ; m.Look(at(ms), Load{}).Until.IsZero(); ms += 20 {
+	}
+	m.TakeBack()
+	m.Term(at(0))
+	assert.False(t, m.Look(at(0), Load{}).End)
+	o := m.Look(at(700), Load{Sessions: 1, Early: 1})
+	assert.False(t, o.End, "no look before it had what comes refused")
+}
+
 // TestFrontGone: a process that was taken out of service has nobody sent to it since; one that was taken out a moment before
 // SIGTERM waits until the front has noticed that.
 func TestFrontGone(t *testing.T) {
