--- a/cmd/tinsail/shutdown_crossing_test.go
+++ b/cmd/tinsail/shutdown_crossing_test.go
@@ -396,6 +396,8 @@
 			for i, c := range resting {
 				if _, _, _, err := c.answer(); err == nil {
 					answered[fmt.Sprint("then-", i)] = true
+				} else {
+					t.Logf("then-%d: %v", i, err)
 				}
 			}
 			for range p.lines {
--- a/internal/network/shutdown_test.go
+++ b/internal/network/shutdown_test.go
@@ -68,6 +68,43 @@
 	}
 }
 
+// TestCrossedClose: a req that crosses the closing of its session, 1 ms after that was told to go, is taken; the process does not end
+// before its answer is written, however slowly that is read.
+func TestCrossedClose(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+		near, far := net.Pipe()
+		defer far.Close()
+		in := bufio.NewReaderSize(far, 16) // takes less than an answer at a time
+		answer := func() string {
+			a, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(a.Body)
+			require.NoError(t, err)
+			return string(body)
+		}
+		go w.clients.admit(near)
+		_, err := io.WriteString(far, expand("{req 9a x}"))
+		require.NoError(t, err)
+		synctest.Wait()
+		w.play("s1/1 expect POST /ingest?v=1 9a k9a 2000 x\ns1/1 send {started 9a}{done 9a r}")
+		require.Equal(t, "r", answer())
+		begun := time.Now()
+		w.service.Term()
+		time.Sleep(3101 * time.Millisecond) // the look at 3.1 s has told it to go
+		_, err = io.WriteString(far, expand("{req 9b x}"))
+		require.NoError(t, err)
+		synctest.Wait()
+		w.play("s1/1 expect POST /ingest?v=1 9b k9b 399 x\ns1/1 send {started 9b}{done 9b last}")
+		_, err = in.Peek(1)
+		require.NoError(t, err)
+		time.Sleep(5800*time.Millisecond - time.Since(begun))
+		synctest.Wait()
+		assert.Zero(t, w.core.Open(), "its answer is decided")
+		assert.False(t, w.service.hasEnded(), "ended with half an answer written")
+		assert.Equal(t, "last", answer())
+	})
+}
+
 // TestReadAtTheEnd: what is read when the process has decided to end is refused, and never sent on; who connects then is left in
 // the listener.
 func TestReadAtTheEnd(t *testing.T) {
