Tests: the retry at a shutdown waits until both backends are known

One that was refused before the second backend's line had come was refused to its client, rightly: seen twice in 50 plays under -race. The test waits for the director's next call, which follows the list; 52 of 52 plays after that.

--- a/cmd/tinsail/shutdown_crossing_test.go
+++ b/cmd/tinsail/shutdown_crossing_test.go
@@ -261,11 +261,12 @@
 		line(`"state":"done","result":"second try"`)
 	}
 	entries := []platform.Entry{scripted(t, "s0", 0, job), scripted(t, "s1", 1, job)}
-	list := func(status string) {
+	list := func(status string) (last platform.Change) {
 		for _, e := range entries {
 			e.Status = status
-			h.director.Set(e)
+			last = h.director.Set(e)
 		}
+		return last
 	}
 	h.only(entries...)
 	p, _ := h.startReady(t)
@@ -280,8 +281,14 @@
 	}
 	p.signal(t, syscall.SIGTERM)
 	p.terminating(t)
-	list("Ready")
+	change := list("Ready")
 	<-first
+	for calls := h.director.Main().Calls(); ; calls = h.director.Main().Calls() { // it asks for what is newer: it knows both
+		if n := len(calls); n > 1 && calls[n-1].Done.IsZero() && calls[n-2].Index >= change.Index {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
 	close(refuse)
 	held.expect(t, by, 200, "second try")
 	held.Close()
