Shutdown: whoever is told to close has the time of an answer before the hard end

TestTermHangs, one play of 50 under -race at a load of 120: five strangers, whose reqs were read late and so in the last look of a session that was told to close, lost the answers that were decided at the longest deadline + 500 ms: the process ended with that. The count of those who leave was of earlier clients alone. At that end all who leave count now, as Load.Closing; the quiet end still waits for no stranger who leaves, or a crowd would keep it.

Without the change: TestClosingAtTheEnd "1520: Should be false"; TestCrossedClose "ended with half an answer written".

--- a/internal/network/service.go
+++ b/internal/network/service.go
@@ -61,18 +61,12 @@
 }
 
 // answering is how many sessions have a req that is read or answered now. The core counts a req no more once its answer is
-// decided; the session that writes it is here until its last byte is out. One that is told to close takes a req that
-// crossed that, and is not told apart from those about to go: of these, all that connected before a time count.
-func (t *table) answering(before time.Time) int {
+// decided; the session that writes it is here until its last byte is out. closing is how many are told to close: one that takes a
+// req that crossed that stays among them while it answers.
+func (t *table) answering() (answering, closing int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := t.rows[working].Len()
-	for e := t.rows[leaving].Front(); e != nil; e = e.Next() {
-		if e.Value.(*seat).born.Before(before) {
-			n++
-		}
-	}
-	return n
+	return t.rows[working].Len(), t.rows[leaving].Len()
 }
 
 // Service has the fronts follow what package service decides. Its methods may be called from any
@@ -144,7 +138,8 @@
 	c := s.Clients
 	all, early := c.table.open(s.m.FrontStops())
 	owed := c.Core.Open() // first: an answer that is decided from now on has its session among those counted next
-	o := s.m.Look(now, service.Load{Sessions: all, Early: early, Owed: max(owed, c.table.answering(s.m.FrontStops()))})
+	answering, closing := c.table.answering()
+	o := s.m.Look(now, service.Load{Sessions: all, Early: early, Owed: max(owed, answering), Closing: closing})
 	old := s.last
 	s.last = o
 	c.orders.Store(&o)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -121,6 +121,7 @@
 	Sessions int // of any kind
 	Early    int // of those, connected before FrontStops
 	Owed     int // reqs owed an answer, or the rest of one
+	Closing  int // sessions told to close; one may have taken a req that crossed that, and be writing its answer
 }
 
 // FrontStops is when the front sends no more new connections after a SIGTERM, at the latest; zero
@@ -204,7 +205,7 @@
 			left = l.Early
 		}
 		age := now.Sub(m.term)
-		over = age >= m.Longest+endSlack && l.Owed == 0 || age >= m.lastDue()+endSlack
+		over = age >= m.Longest+endSlack && l.Owed == 0 && l.Closing == 0 || age >= m.lastDue()+endSlack
 		if m.handed.IsZero() && now.Before(m.frontGone()) { // who is sent here still would find nobody
 			m.quiet = 0
 			return
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -22,11 +22,11 @@
 		load func(ms int) Load
 		ends int
 	}{
-		"strangers go on coming":     {func(ms int) Load { return Load{50, max(0, 3200-ms), 0} }, 3300},
-		"a req of theirs is taken":   {func(ms int) Load { return Load{50, 0, max(0, 4000-ms)} }, 4100},
-		"clients use their sessions": {func(ms int) Load { return Load{50, 50, max(0, 5600-ms)} }, 5600},
-		"they read no answer":        {func(ms int) Load { return Load{50, 50, 3} }, 6100},
-		"a stranger reads none":      {func(ms int) Load { return Load{50, 0, 3} }, 6100},
+		"strangers go on coming":     {func(ms int) Load { return Load{Sessions: 50, Early: max(0, 3200-ms)} }, 3300},
+		"a req of theirs is taken":   {func(ms int) Load { return Load{Sessions: 50, Owed: max(0, 4000-ms)} }, 4100},
+		"clients use their sessions": {func(ms int) Load { return Load{Sessions: 50, Early: 50, Owed: max(0, 5600-ms)} }, 5600},
+		"they read no answer":        {func(ms int) Load { return Load{Sessions: 50, Early: 50, Owed: 3} }, 6100},
+		"a stranger reads none":      {func(ms int) Load { return Load{Sessions: 50, Owed: 3} }, 6100},
 		"nobody was there":           {func(ms int) Load { return Load{} }, 3200},
 	} {
 		m := Machine{Longest: 5 * time.Second}
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -138,6 +138,23 @@
 	}
 }
 
+// TestClosingAtTheEnd: a session that is told to close may write an answer still when the longest deadline is over: it has the time that
+// an answer has. A crowd of strangers who are told to go keeps no shutdown that has nobody else.
+func TestClosingAtTheEnd(t *testing.T) {
+	m := Machine{Longest: time.Second}
+	m.Term(at(0))
+	for ms := 0; ms < 2200; ms += 20 {
+		assert.False(t, m.Look(at(ms), Load{Sessions: 9, Early: 1, Closing: 1}).End, ms)
+	}
+	assert.True(t, m.Look(at(2200), Load{Sessions: 9, Early: 1, Closing: 1}).End)
+	m = Machine{Longest: time.Second}
+	m.Term(at(0))
+	ends := 0
+	for ; !m.Look(at(ends), Load{Sessions: 9, Closing: 9}).End; ends += 20 {
+	}
+	assert.Equal(t, 1200, ends)
+}
+
 // TestTakenBackBeforeTerm: what a hand-over that came to nothing was about to end is forgotten.
 func TestTakenBackBeforeTerm(t *testing.T) {
 	m := Machine{Longest: 50 * time.Millisecond}
