--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,7 +13,7 @@
 	killFloor  = 3 * time.Second        // the kill comes ownReqs after this, or after the longest deadline if that is less
 	killMargin = 200 * time.Millisecond // answers are out so long before the kill
 	lastReqs   = 400 * time.Millisecond // for the last reqs to be answered in: most take half of it
-	endSlack   = 500 * time.Millisecond // beyond the longest deadline, the end comes whatever is open
+	endSlack   = 500 * time.Millisecond // an answer that is later than its time by more is lost anyhow
 	quietLooks = 5                      // without a session, before the end
 )
 
@@ -53,8 +53,8 @@
 	Hint   bool          // connections that can say so ahead (HTTP/2) tell their clients to go
 	Close  bool          // an answer ends its session
 	Rest   time.Duration // sessions idle for so long are closed; only if Close
-	Until  time.Time     // what comes now is answered by then; zero for no end
-	End    bool          // the process is to end
+	Until  time.Time     // what comes now is answered by then; zero for no end. Past: it is refused, and never sent on
+	End    bool          // the process is to end, and takes nothing any more
 }
 
 // Machine is the state of one process. The zero value is in service; Longest must be set first.
@@ -65,6 +65,8 @@
 	out, term, handed time.Time // since when; zero if not
 	moved             bool      // clients were sent to other dispatchers
 	quiet             int
+	whole             time.Time // until then, after SIGTERM, the orders gave reqs their whole time
+	called            bool      // the orders have what comes refused
 }
 
 // Out takes the dispatcher out of service. Repeated calls change nothing.
@@ -118,7 +120,8 @@
 type Load struct {
 	Sessions int // of any kind
 	Early    int // of those, connected before FrontStops
-	Owed     int // reqs owed an answer
+	Owed     int // reqs owed an answer, or the rest of one
+	Closing  int // sessions told to close; one may have taken a req that crossed that, and be writing its answer
 }
 
 // FrontStops is when the front sends no more new connections after a SIGTERM, at the latest; zero
@@ -170,18 +173,50 @@
 	return o
 }
 
+// frontGone is when a front that looks at the dispatcher's health sends it nothing new any more: neither
+// since it was taken out of service nor since SIGTERM, whichever came first.
+func (m *Machine) frontGone() time.Time {
+	if !m.out.IsZero() && m.out.Before(m.term) {
+		return m.out.Add(lateFront)
+	}
+	return m.FrontStops()
+}
+
+// lastDue is when, from SIGTERM on, the last answer is due: of a req that was taken just before orders cut the time
+// of those to come, or of one that came later and is to be answered before the kill. Orders hold until the next
+// look, which a process that is held up (a busy machine) makes late.
+func (m *Machine) lastDue() time.Duration { return max(m.Longest+m.whole.Sub(m.term), m.kill()) }
+
 // end says whether all is answered and nobody is left for a moment: a client whose req crossed the closing
-// of its session comes back at once.
+// of its session comes back at once. What comes within one look of the end is refused, so that no req is read
+// by a process that has decided to end, sent on, and cut.
 func (m *Machine) end(now time.Time, l Load, o *Orders) {
+	called := m.called
+	m.called = false
+	if !m.term.IsZero() && (m.whole.IsZero() || m.whole.Before(m.FrontStops())) {
+		m.whole = now
+	}
 	if m.term.IsZero() && m.handed.IsZero() || !o.Close {
 		return
 	}
-	left := l.Sessions
-	if !m.term.IsZero() && now.After(m.FrontStops()) {
-		left = l.Early
+	left, over := l.Sessions, false
+	if !m.term.IsZero() {
+		if now.After(m.FrontStops()) {
+			left = l.Early
+		}
+		age := now.Sub(m.term)
+		over = age >= m.Longest+endSlack && l.Owed == 0 && l.Closing == 0 || age >= m.lastDue()+endSlack
+		if m.handed.IsZero() && now.Before(m.frontGone()) { // who is sent here still would find nobody
+			m.quiet = 0
+			return
+		}
 	}
 	if m.quiet++; left > 0 || l.Owed > 0 {
 		m.quiet = 0
 	}
-	o.End = m.quiet > quietLooks || !m.term.IsZero() && now.Sub(m.term) >= m.Longest+endSlack
+	o.End = called && (m.quiet > quietLooks || over)
+	if (over || m.quiet >= quietLooks) && (o.Until.IsZero() || now.Before(o.Until)) {
+		o.Until = now
+	}
+	m.called = !o.Until.IsZero() && !now.Before(o.Until)
 }
