Module: small cold backends no longer get a job a window from every dispatcher

Seen: a property test plays fleets of 1 to 300 dispatchers (real module, one virtual time) that begin to use cold backends: uneven shares of the load (lognormal, some several times the mean), lists up to 6 s late, one cold backend up to a release of six in ten, 1 or 2 zones, sizes of 1 to 16 slots, FallMultiple 2 to 4, two classes and their works, failing and full backends (retries), restarts of a tenth to seven tenths of the dispatchers, dispatchers that are down. Cause: newWindow gave each cold worker at least one ticket from each dispatcher (max(1, ...)), whatever its size, under one budget for the zone. The first job goes by size, but shortest counts own jobs: with one job out at each large worker the rest of the zone's budget went to the small ones, a job from each of 300 dispatchers. Change: a worker whose part is smaller than its zone's largest has its least ticket in fewer windows, in proportion, and weighs the more in the draw in these, so that its share of the draw is by its speed in the mean. Where all are alike nothing changes, nor between two processes of one node. A comment that stood twice in shortest stands once.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -35,6 +35,7 @@
 	copies      float64    // work that may still be sent as second copies
 	turn        int64      // the window in which cold workers are counted ...
 	cold        []float64  // ... and the jobs that may still be sent to those of a zone in it
+	top         []float64  // largest part of a cold worker, by zone
 	rise        float64    // of the limit by a job that met no crowd
 	shared      bool       // another process of this node serves beside it: the cold budget is shared
 	failed      int        // calls for the list that failed in a row
@@ -72,7 +73,7 @@
 		runs: make([]float64, n), seen: make([]float64, n), work: make([]float64, n),
 		worth: make([]float64, n), kinds: slices.Repeat([]float64{1}, s.Kinds),
 		wide:  make([]float64, s.Kinds),
-		zones: make([]float64, s.Zones), cold: make([]float64, s.Zones),
+		zones: make([]float64, s.Zones), cold: make([]float64, s.Zones), top: make([]float64, s.Zones),
 		lost: make([]float64, s.Zones*s.Kinds), rates: rates{last: make([]float64, len(s.Tenants)+1)}}
 	if d.rise = gain; s.Weight == WeightNone { // slots not told: up fast to the first crowd
 		d.rise = 1
@@ -168,10 +169,6 @@
 // worker for the same few others at once, a herd that grows with their number. Equals are drawn
 // by speed. Unlinked workers and other zones count as some slots more, drawn anew each time so
 // that a crowd spills over by degrees.
-// slots is left out: it reaches many dispatchers alike, and were it counted, all would leave one
-// worker for the same few others at once, a herd that grows with their number. Equals are drawn
-// by speed. Unlinked workers and other zones count as some slots more, drawn anew each time so
-// that a crowd spills over by degrees.
 func (d *Dispatcher) shortest(now Millis, r *request, keyed float64, doubt bool) int32 {
 	d.newWindow(now)
 	choice, best, total, luck := int32(-1), math.Inf(1), 0.0, d.rng.Float64()
@@ -199,7 +196,7 @@
 		if count < best {
 			best, total = count, 0
 		}
-		speed := d.speed(now, w)
+		speed := d.speed(now, w) * max(1, w.lift)
 		if total += speed; d.rng.Float64()*total < speed {
 			choice = i
 		}
@@ -333,26 +330,36 @@
 // newWindow shares out what cold workers can take in a window: each dispatcher keeps to its
 // part. The multiple is the margin for heaps by chance, at least half of it, since windows
 // meet at their edges. Parts of less than a job are put together by zone and drawn: a few
-// dispatchers then may send a job to any cold worker of the zone, one to each.
+// dispatchers then may send a job to any cold worker of the zone, one to each. A worker with a smaller
+// part than the largest has its job in fewer windows, and is drawn the more often in these: one in each
+// window, from each of many dispatchers that have filled the large, would be far more than it can take.
 func (d *Dispatcher) newWindow(now Millis) {
 	rules, n, last := &d.set.Rules, float64(d.set.Instances), d.turn
 	if d.turn = d.turnAt(now); d.turn == last {
 		return
 	}
+	share := min(1, rules.FallMultiple/2)
+	if d.shared { // two processes of one node: each half of FallMultiple/2, which is one process's
+		// margin below FallMultiple; no least ticket, which both would have
+		share = min(1, rules.FallMultiple/4)
+	}
 	clear(d.cold)
+	clear(d.top)
 	for _, i := range d.ready {
 		w := &d.workers[i]
-		w.tickets = 0
-		if warm := d.warmth(now, w); warm < 1 {
-			part := min(1, rules.FallMultiple/2) * warm * d.slots(w) * rules.FallWindow / d.run / n
-			if d.shared { // two processes of one node: each half of FallMultiple/2, which is one process's
-				// margin below FallMultiple; no least ticket, which both would have
-				part = min(1, rules.FallMultiple/4) * warm * d.slots(w) * rules.FallWindow / d.run / n
-				w.tickets = math.Floor(part + d.rng.Float64())
-			} else {
-				w.tickets = max(1, math.Floor(part+d.rng.Float64()))
+		if w.tickets, w.lift = 0, 1; d.warmth(now, w) < 1 {
+			w.tickets = share * d.warmth(now, w) * d.slots(w) * rules.FallWindow / d.run / n
+			d.cold[w.Zone] += w.tickets
+			d.top[w.Zone] = max(d.top[w.Zone], w.tickets)
+		}
+	}
+	for _, i := range d.ready {
+		if w := &d.workers[i]; w.tickets > 0 {
+			if !d.shared {
+				w.tickets /= min(1, d.top[w.Zone])
+				w.lift = 1 / min(1, w.tickets)
 			}
-			d.cold[w.Zone] += part
+			w.tickets = math.Floor(w.tickets + d.rng.Float64())
 		}
 	}
 	for z := range d.cold {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -33,7 +33,8 @@
 	out      int     // attempts in flight
 	strikes  int     // bad endings in a row
 	until    Millis  // not to be used before
-	tickets  float64 // while it is cold: jobs that may still be sent in this window
+	tickets  float64 // while it is cold: jobs that may still be sent in this window ...
+	lift     float64 // ... and how many times its speed it is drawn by, for the windows in which it has none
 }
 
 // rates are moving rates of requests a second, by tenant; the last is of all.
