Module: a small backend does not pass for as wide as a large one of its kind

Cause: slots takes the most that ever ran at once at any worker of the kind, also where the list tells sizes; newWindow multiplies the cold budget by it, and a worker of 2 slots had the budget of one of 16. Change: the most that ran for each of its listed size is kept too, and bounds what a worker of that size is taken for. Where sizes are not told, or all of a kind are of one size, nothing changes.

--- a/internal/balance/dispatcher.go
+++ b/internal/balance/dispatcher.go
@@ -26,7 +26,8 @@
 	run         Millis     // mean running time of all jobs ...
 	ran         float64    // ... and the jobs it rests on
 	kinds       []float64  // running time on a kind, relative to the class's mean
-	wide        []float64  // most slots seen running at once at a worker of a kind
+	wide        []float64  // most slots seen running at once at a worker of a kind ...
+	dense       []float64  // ... and most for each of its listed size
 	zones       []float64  // mean of others' slots met at a worker, by zone
 	lost        []float64  // part of the connections that failed of late, by zone and kind
 	rates       rates      // requests a second here, by tenant; the last is all of them
@@ -72,7 +73,7 @@
 		book: book{index: map[WorkerID]int32{}, reqs: map[RequestID]*request{}, keys: map[uint64]int{}},
 		runs: make([]float64, n), seen: make([]float64, n), work: make([]float64, n),
 		worth: make([]float64, n), kinds: slices.Repeat([]float64{1}, s.Kinds),
-		wide:  make([]float64, s.Kinds),
+		wide: make([]float64, s.Kinds), dense: make([]float64, s.Kinds),
 		zones: make([]float64, s.Zones), cold: make([]float64, s.Zones), top: make([]float64, s.Zones),
 		lost: make([]float64, s.Zones*s.Kinds), rates: rates{last: make([]float64, len(s.Tenants)+1)}}
 	if d.rise = gain; s.Weight == WeightNone { // slots not told: up fast to the first crowd
@@ -250,8 +251,15 @@
 // worker has: one that ends frees a slot soon. Where there are many, another worker is the better guess.
 func (d *Dispatcher) few() bool { return float64(d.set.Instances) <= untold }
 
-// slots is how many a worker has, as far as is known.
-func (d *Dispatcher) slots(w *worker) float64 { return max(w.size, d.wide[w.Kind]) }
+// slots is how many a worker has, as far as is known. Where sizes are told, a small one does not pass for as
+// wide as a large one of its kind: a cold one would get the large one's budget.
+func (d *Dispatcher) slots(w *worker) float64 {
+	wide := d.wide[w.Kind]
+	if d.set.Weight != WeightNone {
+		wide = min(wide, w.size*d.dense[w.Kind])
+	}
+	return max(w.size, wide)
+}
 
 // crowd is what others have at a worker, in slots. News fades towards the mean of its
 // zone in about the time of a job.
@@ -512,6 +520,7 @@
 		w := &d.workers[a.worker]
 		w.running += r.Slots
 		d.wide[w.Kind] = max(d.wide[w.Kind], w.running)
+		d.dense[w.Kind] = max(d.dense[w.Kind], w.running/w.size)
 		if d.set.ProgressEvery > 0 { // where no progress is told, silence after a start says nothing
 			d.watch(r, p.Attempt, 2.5*d.set.ProgressEvery)
 		}
