--- /dev/null
+++ b/cmd/tinsail/pages_crowds_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/standin/history"
+)
+
+// use reads what a process holds: descriptors, and resident memory in bytes.
+func use(t *testing.T, pid int) (descriptors, memory int) {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	require.NoError(t, err)
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	require.NoError(t, err)
+	var size int
+	_, err = fmt.Sscan(string(text), &size, &memory)
+	require.NoError(t, err)
+	return len(list), memory * os.Getpagesize()
+}
+
+// TestCrowds: clients that say nothing, send one byte at a time, leave a req half sent, read none of their answers or flood:
+// honest ones beside them are served, and the process stays within its descriptors.
+func TestCrowds(t *testing.T) {
+	const sockets, crowd = 256, 600
+	for name, act := range map[string]func(k net.Conn, i int, stop chan struct{}){
+		"say nothing": func(net.Conn, int, chan struct{}) {},
+		"half a req": func(k net.Conn, i int, _ chan struct{}) {
+			_, _ = io.WriteString(k, strings.TrimSuffix(req(fmt.Sprint("half-", i)), "b"))
+		},
+		"byte by byte": func(k net.Conn, i int, stop chan struct{}) {
+			for _, b := range []byte(req(fmt.Sprint("slow-", i)))[:64] {
+				if _, err := k.Write([]byte{b}); err != nil {
+					return
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		},
+		"read nothing": func(k net.Conn, i int, stop chan struct{}) {
+			_ = k.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			for n := range 200 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := io.WriteString(k, req(fmt.Sprint("deaf-", i, "-", n))); err != nil {
+					return
+				}
+			}
+		},
+		"flood and go": func(k net.Conn, i int, _ chan struct{}) {
+			_ = k.SetWriteDeadline(time.Now().Add(time.Second))
+			_, _ = io.WriteString(k, req(fmt.Sprint("flood-", i))+strings.Repeat("x", 1<<20))
+			k.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			h.edit(`"sockets": 1024`, fmt.Sprintf(`"sockets": %d`, sockets))
+			p := h.start()
+			p.serves()
+			before, _ := use(t, p.cmd.Process.Pid)
+			var all sync.WaitGroup
+			stop, most, memory := make(chan struct{}), 0, 0
+			for i := range crowd {
+				k, err := net.DialTimeout("tcp", h.clients, patience)
+				if err != nil {
+					continue // not taken in
+				}
+				defer k.Close()
+				all.Go(func() { act(k, i, stop) })
+				if i%20 == 0 {
+					d, m := use(t, p.cmd.Process.Pid)
+					most, memory = max(most, d), max(memory, m)
+				}
+			}
+			refused := 0
+			for n := 0; n < 50; n++ {
+				for status, body := 0, ""; status != 200; {
+					k, err := h.dial()
+					require.NoError(t, err)
+					_ = k.SetDeadline(time.Now().Add(patience))
+					if err = k.send(fmt.Sprint("honest-", n, "-", refused)); err == nil {
+						status, body, _, err = k.answer()
+					}
+					k.Close()
+					require.NoError(t, err, "honest %d", n)
+					if status == 503 { // told to come back
+						refused++
+						time.Sleep(20 * time.Millisecond)
+						require.Less(t, refused, 3000, "honest %d", n)
+					} else {
+						require.Equal(t, 200, status, "%s, %d attempts failed of %d", body, h.count("answers_failed"), h.count("attempts"))
+					}
+				}
+				d, m := use(t, p.cmd.Process.Pid)
+				most, memory = max(most, d), max(memory, m)
+			}
+			t.Logf("descriptors %d at the start, %d at most of %d; resident %d MiB at most; honest ones told %d times to come back", before, most, sockets, memory>>20, refused)
+			assert.LessOrEqual(t, most, sockets)
+			limit := 192 << 20 // memory_mb
+			if b, _ := debug.ReadBuildInfo(); slices.Contains(b.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) {
+				limit *= 5 // the race detector's own
+			}
+			assert.LessOrEqual(t, memory, limit)
+			close(stop)
+			all.Wait()
+			p.end(t)
+		})
+	}
+}
+
+// TestSendsIntoTheEnd: clients rest on their connections through a shutdown and send a req the moment that they read the end,
+// or an answer that says so. A req has its one answer, or the connection's end and never reached a backend.
+func TestSendsIntoTheEnd(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	p := h.start()
+	p.serves()
+	var all, rest sync.WaitGroup
+	seen := &history.History{}
+	for c := range 60 {
+		k, err := h.dial()
+		require.NoError(t, err)
+		defer k.Close()
+		ask := func(id string) (closing, ended bool) {
+			if k.send(id) != nil {
+				return true, true
+			}
+			seen.Asked(history.Req{Node: "demo", ID: id, Taken: time.Now(), Until: time.Now().Add(5 * time.Second)})
+			_ = k.SetReadDeadline(time.Now().Add(patience))
+			status, body, closing, err := k.answer()
+			if err != nil {
+				seen.Reset(id, err.Error())
+				return true, true
+			}
+			seen.Answered(history.Answer{ID: id, At: time.Now(), Status: status, Body: body})
+			return closing, false
+		}
+		rest.Add(1)
+		all.Go(func() {
+			_, ended := ask(fmt.Sprint("rest-", c))
+			rest.Done()
+			switch {
+			case ended:
+			case c%2 == 0: // rests until the end is here
+				_ = k.SetReadDeadline(time.Now().Add(patience))
+				_, _ = k.in.Peek(1)
+				ask(fmt.Sprint("end-", c))
+			default: // sends on and on, and once more behind the answer that ends it
+				for i, closing := 0, false; !closing; i++ {
+					closing, _ = ask(fmt.Sprint("on-", c, "-", i))
+				}
+				ask(fmt.Sprint("end-", c))
+			}
+		})
+	}
+	rest.Wait()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	all.Wait()
+	for range p.lines {
+	}
+	assert.NoError(t, p.cmd.Wait())
+	reached := map[string]bool{}
+	for _, b := range h.backends {
+		for _, a := range b.Attempts() {
+			seen.Attempted(a)
+			reached[a.ID] = true
+		}
+	}
+	for _, b := range seen.Judge(history.Published(500 * time.Millisecond)) {
+		if b.Rule == "reset" && !reached[b.ID] { // the close crossed a req that was never read, which the client sends anew
+			continue
+		}
+		assert.Fail(t, b.String())
+	}
+}
