--- a/cmd/tinsail/pages_crowds_test.go
+++ b/cmd/tinsail/pages_crowds_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tinsail/internal/standin/history"
+	"tinsail/internal/standin/platform"
 )
 
 // use reads what a process holds: descriptors, and resident memory in bytes.
@@ -191,3 +193,50 @@
 		assert.Fail(t, b.String())
 	}
 }
+
+// TestRefusedOverUnread: clients beyond what the descriptors allow are told to come back, and read that whole though 64 KiB of
+// theirs lie unread at that moment.
+func TestRefusedOverUnread(t *testing.T) {
+	const sockets, crowd = 128, 300
+	h := newHouse(t, "127.0.0.1:0")
+	h.edit(`"sockets": 1024`, fmt.Sprintf(`"sockets": %d`, sockets))
+	for _, b := range h.backends {
+		b.Set(platform.Faults{Hold: true})
+	}
+	p := h.start()
+	p.serves()
+	var all sync.WaitGroup
+	var answered, resets, broken, refused atomic.Int64
+	stop := make(chan struct{})
+	for i := range crowd {
+		k, err := h.dial()
+		require.NoError(t, err)
+		all.Go(func() {
+			defer k.Close()
+			k.write(req(fmt.Sprint("crowd-", i))+strings.Repeat("x", 64<<10), patience)
+			for state, unread := uint8(established), 0; state == established && unread == 0; state, _, unread = k.kernel(t) {
+				select {
+				case <-stop:
+					return // taken, and held
+				case <-time.After(5 * time.Millisecond):
+				}
+			}
+			if k.ended(t) {
+				resets.Add(1)
+			}
+			if status, _, err := k.whole(); status == 503 {
+				refused.Add(1)
+			} else if broken.Add(1) == 1 {
+				t.Logf("status %d, %v", status, err)
+			}
+			answered.Add(1)
+		})
+	}
+	until(t, "those that can't be held are answered", func() bool { return answered.Load() >= crowd-sockets })
+	close(stop)
+	all.Wait()
+	t.Logf("of %d: %d told to come back, %d without a whole answer or with another", crowd, refused.Load(), broken.Load())
+	assert.Zero(t, resets.Load(), "reset before the client could read")
+	assert.Zero(t, broken.Load())
+	p.end(t)
+}
--- a/cmd/tinsail/pages_hostile_test.go
+++ b/cmd/tinsail/pages_hostile_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,132 @@
 	"tinsail/internal/standin/platform"
 )
 
+// TestSpoiltAnswers: a backend sends half a line, a whole second answer or a surplus line, with the answer, while the
+// connection rests, or in the moment in which the next req arrives. No req has another's result, each has an answer, and a
+// connection on which surplus bytes lay when a req was handed in carries no further one.
+func TestSpoiltAnswers(t *testing.T) {
+	other := func(b *platform.Raw) string { return b.Served("other") }
+	for name, c := range map[string]struct {
+		with    func(b *platform.Raw, q platform.RawReq) string // instead of the first answer
+		resting func(b *platform.Raw) string                    // once the client has the first answer
+		moment  func(b *platform.Raw) string                    // once the second req has arrived, before its answer
+		ends    bool                                            // the backend ends its sending then
+		first   int                                             // status of the first answer
+	}{
+		"half a line, then nothing": {with: func(b *platform.Raw, q platform.RawReq) string {
+			return platform.Head + "40\r\n" + b.Line(q.ID, `"done"`)[:20]
+		}},
+		"half a line, then the end": {ends: true, with: func(b *platform.Raw, q platform.RawReq) string {
+			return platform.Head + "40\r\n" + b.Line(q.ID, `"done"`)[:20]
+		}},
+		"half a status line, then the end": {ends: true, with: func(*platform.Raw, platform.RawReq) string { return "HTTP/1.1 20" }},
+		"started, then the end": {ends: true, with: func(b *platform.Raw, q platform.RawReq) string {
+			return platform.Head + platform.Chunk(b.Line(q.ID, `"started"`))
+		}},
+		"a result for another": {with: func(b *platform.Raw, _ platform.RawReq) string { return b.Served("other") }},
+		"no last chunk, then the end": {first: 200, ends: true, with: func(b *platform.Raw, q platform.RawReq) string {
+			return strings.TrimSuffix(b.Served(q.ID), "0\r\n\r\n")
+		}},
+		"a second answer in the same piece": {first: 200, with: func(b *platform.Raw, q platform.RawReq) string { return b.Served(q.ID) + b.Served("other") }},
+		"a second line in the same piece": {first: 200, with: func(b *platform.Raw, q platform.RawReq) string {
+			return strings.TrimSuffix(b.Served(q.ID), "0\r\n\r\n") + platform.Chunk(b.Line("other", `"done","result":"small other"`)) + "0\r\n\r\n"
+		}},
+		"half an answer in the same piece": {first: 200, with: func(b *platform.Raw, q platform.RawReq) string { return b.Served(q.ID) + "HTTP/1.1 2" }},
+		"a second answer at rest":          {first: 200, resting: other},
+		"a byte at rest":                   {first: 200, resting: func(*platform.Raw) string { return "H" }},
+		"half a line at rest":              {first: 200, resting: func(b *platform.Raw) string { return b.Line("other", `"done"`)[:20] }},
+		"a line at rest":                   {first: 200, resting: func(b *platform.Raw) string { return b.Line("other", `"done","result":"small other"`) }},
+		"a 503 at rest": {first: 200, resting: func(*platform.Raw) string {
+			return "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+		}},
+		"half an answer at rest, then the end": {first: 200, ends: true, resting: func(*platform.Raw) string { return "HTTP/1.1 20" }},
+		"an answer in the moment":              {first: 200, moment: other},
+		"half a line in the moment":            {first: 200, moment: func(b *platform.Raw) string { return b.Line("other", `"done"`)[:20] }},
+		"half an answer in the moment":         {first: 200, moment: func(*platform.Raw) string { return "HTTP/1.1 20" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var first atomic.Value // the first job of the round that goes on
+			var b *platform.Raw
+			b, err := platform.StartRaw("b", func(q platform.RawReq) {
+				old, _ := first.Load().(platform.RawReq)
+				switch {
+				case strings.HasPrefix(q.ID, "first-") && q.ID != old.ID: // its first attempt
+					first.Store(q)
+					if c.with == nil {
+						q.Write(b.Served(q.ID))
+						return
+					}
+					q.Write(c.with(b, q))
+					if c.ends {
+						_ = q.C.CloseWrite()
+					}
+				case c.moment != nil && strings.HasPrefix(q.ID, "second-") && q.Conn == old.Conn:
+					q.Write(c.moment(b))
+					q.Write(b.Served(q.ID))
+				default:
+					q.Write(b.Served(q.ID))
+				}
+			})
+			require.NoError(t, err)
+			h := page(t, []string{`"HardLimitMs": 5000`, `"HardLimitMs": 2000`}, b)
+			p := h.start()
+			p.serves()
+			k, err := h.dial()
+			require.NoError(t, err)
+			defer func() { k.Close() }()
+			wrong := map[string]int{} // by what was wrong
+			ask := func(id string, want int) {
+				require.NoError(t, k.send(id))
+				require.NoError(t, k.SetReadDeadline(time.Now().Add(patience)))
+				status, body, closing, err := k.answer()
+				require.NoError(t, err, "%s has no answer", id)
+				if status == 200 {
+					assert.Equal(t, "small "+id, body)
+				}
+				if which := strings.SplitN(id, "-", 2)[0]; want != 0 && status != want && status != 503 { // a refusal is harmless, though priced
+					wrong[fmt.Sprint(which, " has ", status)]++
+				}
+				if closing {
+					k.Close()
+					k, err = h.dial()
+					require.NoError(t, err)
+				}
+			}
+			rounds := 1
+			if c.first == 200 && c.moment == nil { // a claim and the surplus bytes race in a dispatcher that doesn't look
+				rounds = 20
+			}
+			spoilt := map[int]int{} // by connection: the turn at which it was
+			for i := range rounds {
+				ask(fmt.Sprint("first-", i), c.first)
+				bad := first.Load().(platform.RawReq)
+				if spoilt[bad.Conn] = bad.Turn; c.moment != nil {
+					spoilt[bad.Conn] = bad.Turn + 1
+				}
+				if c.resting != nil {
+					bad.Write(c.resting(b))
+					if c.ends {
+						_ = bad.C.CloseWrite()
+					}
+				}
+				for _, which := range []string{"second", "third"} {
+					want := 200
+					if c.moment != nil {
+						want = 0
+					}
+					ask(fmt.Sprint(which, "-", i), want)
+				}
+			}
+			for _, q := range b.Seen() {
+				if turn, bad := spoilt[q.Conn]; bad && q.Turn > turn && !strings.HasPrefix(q.ID, "first-") {
+					wrong["carried by a spoilt connection"]++
+				}
+			}
+			assert.Empty(t, wrong, "in %d rounds", rounds)
+		})
+	}
+}
+
 // tally counts attempts for an id: begun, and whole.
 func tally(id string, raws ...*platform.Raw) (begun, whole int) {
 	for _, r := range raws {
@@ -171,3 +298,42 @@
 		}
 	}
 }
+
+// TestWindowPastWhileConnecting: a repeat is decided within the window, but its connection comes up only after it.
+func TestWindowPastWhileConnecting(t *testing.T) {
+	const window = 3 * time.Second
+	late, err := platform.StartHeld("late", nil)
+	require.NoError(t, err)
+	var h *house
+	var swapped sync.Once
+	var b *platform.Raw
+	b, err = platform.StartRaw("b", func(q platform.RawReq) {
+		swapped.Do(func() {
+			h.director.Set(b.Entry(0, "Terminating"))
+			h.director.Set(late.Entry(0, "Ready"))
+		})
+		time.Sleep(time.Until(q.First.Add(window / 4))) // for the list to arrive; well within the window
+		q.Reset()
+	})
+	require.NoError(t, err)
+	h = page(t, []string{`"RepeatWindowMs": 7500`, `"RepeatWindowMs": 3000`, `"HardLimitMs": 5000`, `"HardLimitMs": 60000`,
+		`"ConnectTimeoutMs": 120`, `"ConnectTimeoutMs": 20000`}, b)
+	t.Cleanup(late.Close)
+	p := h.start()
+	p.serves()
+	k, err := h.dial()
+	require.NoError(t, err)
+	defer k.Close()
+	require.NoError(t, k.send("window"))
+	until(t, "a connection in the making", func() bool { return dialing(t, late.Address) > 0 })
+	time.Sleep(time.Until(b.Seen()[0].First.Add(window + 500*time.Millisecond)))
+	require.NoError(t, late.Release())
+	until(t, "no connection in the making", func() bool { return dialing(t, late.Address) == 0 })
+	_ = k.SetReadDeadline(time.Now().Add(patience))
+	status, _, _, err := k.answer()
+	assert.NoError(t, err)
+	assert.NotContains(t, []int{200, 429, 503}, status)
+	assert.Equal(t, 200, h.job())
+	p.end(t)
+	judgeWindow(t, window, b, late)
+}
--- a/cmd/tinsail/pages_test.go
+++ b/cmd/tinsail/pages_test.go
@@ -1,17 +1,23 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"tinsail/internal/standin/platform"
 )
@@ -70,11 +76,341 @@
 	}
 }
 
+// dialing says how many connections to an address of 127.0.0.1 are being made.
+func dialing(t testing.TB, address string) (n int) {
+	text, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(t, err)
+	var port int
+	_, err = fmt.Sscanf(address, "127.0.0.1:%d", &port)
+	require.NoError(t, err)
+	for _, line := range strings.Split(string(text), "\n")[1:] {
+		if f := strings.Fields(line); len(f) > 4 && f[2] == fmt.Sprintf("0100007F:%04X", port) && f[3] == "02" { // SYN_SENT
+			n++
+		}
+	}
+	return n
+}
+
+// Of TCP_INFO.
+const established, closed = 1, 7
+
+// kernel is the system's view of the client's side: the connection's state (closed: by a reset), bytes that the other side has
+// not acknowledged, and bytes that the client has not read.
+func (c *conn) kernel(t testing.TB) (state uint8, unacked, unread int) {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if assert.NoError(t, err) {
+			state = info.State
+		}
+		unacked, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+		unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	}))
+	return state, unacked, unread
+}
+
 // req is a whole req; more are further header lines.
 func req(id string, more ...string) string {
 	return fmt.Sprintf("POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nIdempotency-Key: %s\r\n%sContent-Length: 1\r\n\r\nb", id, id, strings.Join(more, ""))
 }
 
+// write writes as much as the other side takes in a time: a flood may not be read.
+func (c *conn) write(text string, within time.Duration) {
+	_ = c.SetWriteDeadline(time.Now().Add(within))
+	_, _ = io.WriteString(c, text)
+}
+
+// leavers are ways in which a client leaves while its req waits: what it sends with the req, later, and how it goes.
+var leavers = map[string]struct {
+	ahead, later string
+	go_          func(*conn)
+}{
+	"close":             {},
+	"reset":             {go_: func(c *conn) { _ = c.Conn.(*net.TCPConn).SetLinger(0); c.Close() }},
+	"half-close":        {go_: func(c *conn) { _ = c.Conn.(*net.TCPConn).CloseWrite() }},
+	"byte-ahead":        {ahead: "P"},
+	"req-ahead":         {ahead: req("req-behind")},
+	"byte-later":        {later: "P"},
+	"4KiB-later":        {later: strings.Repeat("x", 4<<10)},
+	"4KiB-ahead":        {ahead: strings.Repeat("x", 4<<10)},
+	"64KiB-later":       {later: strings.Repeat("x", 64<<10)},
+	"1MiB-later":        {later: strings.Repeat("x", 1<<20)},
+	"byte-later-reset":  {later: "P", go_: func(c *conn) { _ = c.Conn.(*net.TCPConn).SetLinger(0); c.Close() }},
+	"byte-ahead-halves": {ahead: "P", go_: func(c *conn) { _ = c.Conn.(*net.TCPConn).CloseWrite() }},
+}
+
+// leave has a client of each kind hand in its req, which has to wait, and go; waits says when all wait.
+func leave(t *testing.T, h *house, waits func(n int)) (gone time.Time) {
+	conns := map[string]*conn{}
+	for name, l := range leavers {
+		c, err := h.dial()
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		conns[name] = c
+		_, err = io.WriteString(c, req(name)+l.ahead)
+		require.NoError(t, err)
+	}
+	waits(len(leavers))
+	for name, l := range leavers {
+		if l.later != "" {
+			conns[name].write(l.later, 500*time.Millisecond)
+		}
+	}
+	for name, l := range leavers {
+		if l.go_ != nil {
+			l.go_(conns[name])
+		} else {
+			conns[name].Close()
+		}
+	}
+	gone = time.Now()
+	time.Sleep(time.Second) // the pages' term is 0.1 s: what begins from here on is a break
+	return gone
+}
+
+// TestGoneWhileConnecting: clients leave while the connection for their reqs is being made. It comes up a second later, and
+// carries none of them.
+func TestGoneWhileConnecting(t *testing.T) {
+	held, err := platform.StartHeld("held", nil)
+	require.NoError(t, err)
+	h := page(t, []string{`"ConnectTimeoutMs": 120`, `"ConnectTimeoutMs": 20000`, `"HardLimitMs": 5000`, `"HardLimitMs": 60000`}, held)
+	p := h.start()
+	p.serves()
+	gone := leave(t, h, func(n int) {
+		until(t, "all taken", func() bool { return h.count("reqs_taken") >= n })
+		until(t, "a connection in the making", func() bool { return dialing(t, held.Address) > 0 })
+	})
+	require.Empty(t, held.Seen(), "held")
+	require.NoError(t, held.Release())
+	until(t, "no connection in the making", func() bool { return dialing(t, held.Address) == 0 })
+	assert.Equal(t, 200, h.job())
+	p.end(t)
+	for _, q := range held.Seen() {
+		assert.Contains(t, q.ID, "one-", "began %v after its client had gone", q.First.Sub(gone))
+	}
+}
+
+// TestGoneBetweenAttempts: clients leave while no backend is there, or while their reqs are out. Then there is one, or those
+// attempts end in a way that calls for another: none begins.
+func TestGoneBetweenAttempts(t *testing.T) {
+	for name, ends := range map[string]func(b *platform.Raw, q platform.RawReq){
+		"no backend": nil,
+		"turned away": func(_ *platform.Raw, q platform.RawReq) {
+			q.Write("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+		},
+		"reset": func(_ *platform.Raw, q platform.RawReq) { q.Reset() },
+		"returned": func(b *platform.Raw, q platform.RawReq) {
+			q.Write(platform.Head + platform.Chunk(b.Line(q.ID, `"returned"`)) + "0\r\n\r\n")
+		},
+		"500":     func(_ *platform.Raw, q platform.RawReq) { q.Write("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n") },
+		"nothing": func(*platform.Raw, platform.RawReq) {}, // a hedge may be due
+	} {
+		t.Run(name, func(t *testing.T) {
+			left := make(chan struct{})
+			var raws []*platform.Raw
+			for i := range 2 {
+				var b *platform.Raw
+				b, err := platform.StartRaw(fmt.Sprint("raw", i), func(q platform.RawReq) {
+					if _, leaves := leavers[q.ID]; !leaves || ends == nil {
+						q.Write(b.Served(q.ID))
+						return
+					}
+					<-left
+					ends(b, q)
+				})
+				require.NoError(t, err)
+				raws = append(raws, b)
+			}
+			h := page(t, []string{`"HardLimitMs": 5000`, `"HardLimitMs": 10000`}, raws...)
+			for _, b := range raws {
+				if ends == nil {
+					h.director.Set(b.Entry(0, "Gone"))
+				}
+			}
+			p := h.start()
+			if ends != nil {
+				p.serves()
+			}
+			gone := leave(t, h, func(n int) {
+				until(t, "all taken", func() bool { return h.count("reqs_taken") >= n })
+				until(t, "all out", func() bool { return ends == nil || len(raws[0].Seen())+len(raws[1].Seen()) >= n })
+			})
+			close(left)
+			for _, b := range raws {
+				h.director.Set(b.Entry(0, "Ready"))
+			}
+			until(t, "served", func() bool { return h.job() == 200 })
+			p.end(t)
+			for _, b := range raws {
+				for _, q := range b.Seen() {
+					if _, leaves := leavers[q.ID]; leaves {
+						assert.Less(t, q.First.Sub(gone), 100*time.Millisecond, "%s began after its client had gone", q.ID)
+					}
+				}
+			}
+		})
+	}
+}
+
+// crossed waits until bytes of an answer lie at the client, who doesn't read, has 4 KiB more cross the close, and returns
+// once the far side has them or has reset the connection.
+func crossed(t testing.TB, c *conn) (reset bool) {
+	until(t, "an answer, or the end", func() bool { state, _, unread := c.kernel(t); return state != established || unread > 0 })
+	c.write(strings.Repeat("y", 4<<10), patience)
+	return c.ended(t)
+}
+
+// ended waits for the far side's end of its sending, or its reset, with the client not reading.
+func (c *conn) ended(t testing.TB) (reset bool) {
+	until(t, "the last bytes have come", func() bool {
+		state, unacked, _ := c.kernel(t)
+		return state == closed || unacked == 0 && state != established
+	})
+	state, _, _ := c.kernel(t)
+	return state == closed
+}
+
+// whole reads an answer and then the connection's end; status is 0 where the answer did not come whole.
+func (c *conn) whole() (status int, body string, err error) {
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	if status, body, _, err = c.answer(); err != nil {
+		return 0, body, err
+	}
+	_, err = io.Copy(io.Discard, c.in)
+	return status, body, err
+}
+
+// TestCloseOverUnread: an answer that ends its connection comes whole, and no reset before it, though bytes of the client lie
+// unread at that moment and more cross the close.
+func TestCloseOverUnread(t *testing.T) {
+	h := newHouse(t, "127.0.0.1:0")
+	p := h.start()
+	p.serves()
+	flood := strings.Repeat("x", 64<<10)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"asked for":      {req("close-ID", "Connection: close\r\n") + flood, 200},
+		"asked for, few": {req("close-ID", "Connection: close\r\n") + "P", 200},
+		"400":            {"nonsense\r\n\r\n" + flood, 400},
+		"400 no key":     {"POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: c-ID\r\nContent-Length: 1\r\n\r\nb" + flood, 400},
+		"413":            {strings.Replace(req("long-ID"), "Content-Length: 1\r\n", "Content-Length: 70000\r\n", 1) + flood, 413},
+		"431":            {strings.Replace(req("head-ID"), "Host: x\r\n", "Host: x\r\nX: "+strings.Repeat("h", 20<<10)+"\r\n", 1) + flood, 431},
+		"408":            {strings.TrimSuffix(req("half-ID"), "\r\n\r\nb"), 408},
+		"408 body":       {strings.Replace(req("part-ID"), "Content-Length: 1\r\n", "Content-Length: 60000\r\n", 1), 408},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, clients := range []int{1, 100} {
+				var all sync.WaitGroup
+				var resets, broken atomic.Int64
+				begin := make(chan struct{})
+				for range clients {
+					k, err := h.dial()
+					require.NoError(t, err)
+					defer k.Close() // only when all are through: the closes pile up
+					all.Go(func() {
+						<-begin
+						k.write(strings.ReplaceAll(c.text, "ID", fmt.Sprint(h.ids.Add(1))), patience)
+						if crossed(t, k) {
+							resets.Add(1)
+						}
+						if status, _, err := k.whole(); status == 0 {
+							broken.Add(1)
+							t.Logf("no whole answer: %v", err)
+						} else {
+							assert.Equal(t, c.status, status)
+						}
+					})
+				}
+				close(begin)
+				all.Wait()
+				assert.Zero(t, resets.Load(), "of %d reset before the client could read", clients)
+				assert.Zero(t, broken.Load(), "of %d had no whole answer", clients)
+			}
+		})
+	}
+	p.end(t)
+}
+
+// TestCloseOverUnreadInShutdown: the same for the last answers of a shutdown. An idle connection that ends tells that the
+// program has come to that.
+func TestCloseOverUnreadInShutdown(t *testing.T) {
+	for _, behind := range []string{"P", req("behind"), strings.Repeat("x", 64<<10)} {
+		t.Run(fmt.Sprint(len(behind)), func(t *testing.T) {
+			h := newHouse(t, "127.0.0.1:0")
+			for _, b := range h.backends {
+				b.Set(platform.Faults{Hold: true})
+			}
+			p := h.start()
+			p.serves()
+			var conns []*conn
+			for i := range 20 {
+				c, err := h.dial()
+				require.NoError(t, err)
+				defer c.Close()
+				require.NoError(t, c.send(fmt.Sprint("held-", i)))
+				conns = append(conns, c)
+			}
+			until(t, "all run", func() bool { return h.jobs() >= len(conns) })
+			for _, c := range conns {
+				c.write(behind, patience)
+			}
+			idle, err := h.dial()
+			require.NoError(t, err)
+			defer idle.Close()
+			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+			_, _ = io.Copy(io.Discard, idle) // to its end: a 408, a close
+			for _, b := range h.backends {
+				b.Set(platform.Faults{})
+			}
+			resets := 0
+			for i, c := range conns {
+				if crossed(t, c) {
+					resets++
+				}
+				status, body, err := c.whole()
+				if assert.Equal(t, 200, status, "%v", err) {
+					assert.Equal(t, fmt.Sprint("small held-", i), body)
+				}
+			}
+			assert.Zero(t, resets, "of %d reset before the client could read", len(conns))
+			p.end(t)
+		})
+	}
+}
+
+// TestLongAnswerOverUnread: a client with a small window reads an answer of 60 KiB, most of which lies at the program when it
+// closes over unread bytes.
+func TestLongAnswerOverUnread(t *testing.T) {
+	result := strings.Repeat("r", 60<<10)
+	var b *platform.Raw
+	b, err := platform.StartRaw("b", func(q platform.RawReq) {
+		q.Write(platform.Head + platform.Chunk(b.Line(q.ID, `"done","result":"`+result+`"`)) + "0\r\n\r\n")
+	})
+	require.NoError(t, err)
+	h := page(t, nil, b)
+	p := h.start()
+	p.serves()
+	small := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+	}}
+	for i := range 10 {
+		c, err := small.Dial("tcp", h.clients)
+		require.NoError(t, err)
+		k := &conn{c, bufio.NewReader(c)}
+		k.write(req(fmt.Sprint("long-", i), "Connection: close\r\n")+strings.Repeat("x", 64<<10), patience)
+		until(t, "an answer, or the end", func() bool { state, _, unread := k.kernel(t); return state != established || unread > 0 })
+		status, body, err := k.whole()
+		if assert.Equal(t, 200, status, "the answer broke off after %d bytes: %v", len(body), err) {
+			assert.Equal(t, len(result), len(body))
+		}
+		c.Close()
+	}
+	p.end(t)
+}
+
 // TestPipelined: reqs written in one piece are answered in their order; half a req behind them has a 408 or a close.
 func TestPipelined(t *testing.T) {
 	h := newHouse(t, "127.0.0.1:0")
