Shutdown: owed answers are counted by session, also of those told to close

The count of sessions that answer went by the row of the busy ones; a session that is told to close and took a req that crossed that stays among the leaving (table.move). One that connected after the front had stopped is not among the early ones either, so that the quiet end could cut its answer while that was written to a slow reader (read in the code; found by the reading of the shutdown). The table now counts from the whole req to the last byte of its answer, whatever the row. TestOwedUntilWritten fails without it: 0 where 1 is owed.

--- a/cmd/tinsail/pages_crowds_test.go
+++ b/cmd/tinsail/pages_crowds_test.go
@@ -214,7 +214,7 @@
 		require.NoError(t, err)
 		all.Go(func() {
 			defer k.Close()
-			k.write(req(fmt.Sprint("crowd-", i))+strings.Repeat("x", 64<<10), patience)
+			k.pour(req(fmt.Sprint("crowd-", i))+strings.Repeat("x", 64<<10), patience)
 			for state, unread := uint8(established), 0; state == established && unread == 0; state, _, unread = k.kernel(t) {
 				select {
 				case <-stop:
--- a/cmd/tinsail/pages_test.go
+++ b/cmd/tinsail/pages_test.go
@@ -120,8 +120,8 @@
 	return fmt.Sprintf("POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nIdempotency-Key: %s\r\n%sContent-Length: 1\r\n\r\nb", id, id, strings.Join(more, ""))
 }
 
-// write writes as much as the other side takes in a time: a flood may not be read.
-func (c *conn) write(text string, within time.Duration) {
+// pour writes as much as the other side takes in a time: a flood may not be read.
+func (c *conn) pour(text string, within time.Duration) {
 	_ = c.SetWriteDeadline(time.Now().Add(within))
 	_, _ = io.WriteString(c, text)
 }
@@ -159,7 +159,7 @@
 	waits(len(leavers))
 	for name, l := range leavers {
 		if l.later != "" {
-			conns[name].write(l.later, 500*time.Millisecond)
+			conns[name].pour(l.later, 500*time.Millisecond)
 		}
 	}
 	for name, l := range leavers {
@@ -262,7 +262,7 @@
 // once the far side has them or has reset the connection.
 func crossed(t testing.TB, c *conn) (reset bool) {
 	until(t, "an answer, or the end", func() bool { state, _, unread := c.kernel(t); return state != established || unread > 0 })
-	c.write(strings.Repeat("y", 4<<10), patience)
+	c.pour(strings.Repeat("y", 4<<10), patience)
 	return c.ended(t)
 }
 
@@ -317,7 +317,7 @@
 					defer k.Close() // only when all are through: the closes pile up
 					all.Go(func() {
 						<-begin
-						k.write(strings.ReplaceAll(c.text, "ID", fmt.Sprint(h.ids.Add(1))), patience)
+						k.pour(strings.ReplaceAll(c.text, "ID", fmt.Sprint(h.ids.Add(1))), patience)
 						if crossed(t, k) {
 							resets.Add(1)
 						}
@@ -360,7 +360,7 @@
 			}
 			until(t, "all run", func() bool { return h.jobs() >= len(conns) })
 			for _, c := range conns {
-				c.write(behind, patience)
+				c.pour(behind, patience)
 			}
 			idle, err := h.dial()
 			require.NoError(t, err)
@@ -405,7 +405,7 @@
 		c, err := small.Dial("tcp", h.clients)
 		require.NoError(t, err)
 		k := &conn{c, bufio.NewReader(c)}
-		k.write(req(fmt.Sprint("long-", i), "Connection: close\r\n")+strings.Repeat("x", 64<<10), patience)
+		k.pour(req(fmt.Sprint("long-", i), "Connection: close\r\n")+strings.Repeat("x", 64<<10), patience)
 		until(t, "an answer, or the end", func() bool { state, _, unread := k.kernel(t); return state != established || unread > 0 })
 		status, body, err := k.whole()
 		if assert.Equal(t, 200, status, "the answer broke off after %d bytes: %v", len(body), err) {
--- a/internal/network/await_test.go
+++ b/internal/network/await_test.go
@@ -330,3 +330,28 @@
 		assert.Zero(t, table.rows[r].Len(), "row %d", r)
 	}
 }
+
+// TestOwedUntilWritten: an answer that is decided and not yet written counts as owed in a shutdown, in whatever row its session
+// is: one that was told to close took a req that crossed that.
+func TestOwedUntilWritten(t *testing.T) {
+	for name, end := range map[string]func(*table, *seat){
+		"answered": func(t *table, s *seat) { t.answered(s, true, false, false) },
+		"gone":     func(t *table, s *seat) { t.leave(s) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var list table
+			near, far := net.Pipe()
+			defer near.Close()
+			defer far.Close()
+			one := &seat{conn: near}
+			list.enter(one, 9)
+			list.shut(one, false)
+			list.taken(one)
+			answering, closing := list.answering()
+			assert.Equal(t, []int{1, 1}, []int{answering, closing})
+			end(&list, one)
+			answering, _ = list.answering()
+			assert.Zero(t, answering)
+		})
+	}
+}
--- a/internal/network/service.go
+++ b/internal/network/service.go
@@ -61,12 +61,12 @@
 }
 
 // answering is how many sessions have a req that is read or answered now. The core counts a req no more once its answer is
-// decided; the session that writes it is here until its last byte is out. closing is how many are told to close: one that takes a
-// req that crossed that stays among them while it answers.
+// decided; the session that writes it is here until its last byte is out, also one that is told to close and took a req that
+// crossed that. closing is how many are told to close.
 func (t *table) answering() (answering, closing int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.rows[working].Len(), t.rows[leaving].Len()
+	return max(t.rows[working].Len(), t.owed), t.rows[leaving].Len()
 }
 
 // Service has the fronts follow what package service decides. Its methods may be called from any
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -44,7 +44,7 @@
 	job   bool      // ... to a job
 	shed  bool      // told to close
 	room  bool      // ... because its descriptor is needed: nothing more is waited for
-	owed  bool      // a req of it is whole and has no answer yet; of sessions that carry one at a time
+	owed  bool      // reqs of it are whole, and the last answer to them is not written yet
 	ahead bool      // bytes have come behind that req
 	stays bool      // it lingers
 }
@@ -57,7 +57,9 @@
 	count int
 	// lingers is how many sessions stay for their last answer to be read, in whatever row.
 	lingers int
-	left    chan struct{} // a session has ended
+	// owed is how many sessions have an answer to come, or one that is decided and not written yet, in whatever row.
+	owed int
+	left chan struct{} // a session has ended
 }
 
 // enter seats a new session. Beyond most, one is shed if any may be.
@@ -84,6 +86,7 @@
 	if s.stays {
 		t.lingers--
 	}
+	t.paid(s)
 	t.mu.Unlock()
 	select {
 	case t.left <- struct{}{}:
@@ -138,9 +141,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.move(s, working)
+	if !s.owed {
+		t.owed++
+	}
 	s.owed, s.ahead = true, false
 }
 
+// paid tells that nothing is owed on a session any more. t.mu is held.
+func (t *table) paid(s *seat) {
+	if s.owed {
+		t.owed--
+	}
+	s.owed = false
+}
+
 // sentAhead tells that bytes came behind the req that is owed its answer, so that the answer wakes the
 // session's goroutine for them. It returns false, and nothing is to come, where the answer is out.
 func (t *table) sentAhead(s *seat) (owed bool) {
@@ -150,13 +164,6 @@
 	return s.owed
 }
 
-// hasAhead says whether bytes have come behind the req that is owed its answer.
-func (t *table) hasAhead(s *seat) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return s.ahead
-}
-
 // stillOwed says whether the req has no answer yet. Then nothing has set the session a time to read by
 // that counts, and it reads on without one.
 func (t *table) stillOwed(s *seat) bool {
@@ -187,7 +194,8 @@
 	} else {
 		s.conn.SetReadDeadline(s.since.Add(idleWait))
 	}
-	s.owed, s.ahead = false, false
+	t.paid(s)
+	s.ahead = false
 	return closing
 }
 
