Clients told to go keep their descriptor while their bytes come, and as long as there is room

Now a session with more of its client's behind its answer goes on as working; one that lingers is shed only when 8 of the 16 seats beyond the budget are used, not with the first; and one whose descriptor is wanted is read for up to 15 ms (ebbMost, below the 20 ms for which a newcomer waits) if its client has sent on behind its last req, else for 0.2 ms as before. Descriptors stay bounded by most + excessMost, bytes by lingerMost. A newcomer no longer takes a place of the budget because a lingering one went for it: with all sessions owed an answer it is told to come back, as the 16 seats are meant. Tests in virtual time, forced by order: LingeringIsWanted, WantedAsItSends, AnsweredWithMoreBehind, LingeringMakesNoRoom; all four fail on the code of before.

--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -22,6 +22,7 @@
 	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
 	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
 	hereLook   = 200 * time.Microsecond              // for what has come already to be read, where a descriptor is waited for
+	ebbMost    = 15 * time.Millisecond               // for a client that sends on to end, where its descriptor is waited for: within roomWait
 	turnedMost = 2                                   // clients at a time, of both fronts, that there was no descriptor for: within what Share keeps
 	turnedLook = 2 * time.Millisecond                // for what such a one sends to have come
 	turnedWait = 50 * time.Millisecond               // for such a one to read so
@@ -175,18 +176,37 @@
 func (s *session) linger() {
 	c := s.clients
 	end, ok := s.conn.(interface{ CloseWrite() error })
-	if !ok || !c.table.linger(&s.seat, c.most()) || end.CloseWrite() != nil {
+	if !ok || end.CloseWrite() != nil {
 		return
 	}
-	wait := lingerWait
-	if c.told().Close {
-		wait = drainWait
+	left := lingerMost
+	if c.table.linger(&s.seat, c.most()) {
+		wait := lingerWait
+		if c.told().Close {
+			wait = drainWait
+		}
+		c.table.lingerUntil(&s.seat, time.Now().Add(wait))
+		var over bool
+		if left, over = s.dropUntil(left); over || !c.table.isShed(&s.seat) {
+			return
+		}
 	}
-	c.table.lingerUntil(&s.seat, time.Now().Add(wait))
-	s.dropUntil()
-	if c.table.isShed(&s.seat) { // woken before its time: what has come by now is taken in, at least
-		s.drop(hereLook)
+	s.ebb(left)
+}
+
+// ebb reads on where the descriptor of a session that has had its last answer is wanted, before the close: what has come by
+// now, and what comes of a client that has sent on behind its last req, until that has read the answer and ends too. A
+// close while its bytes come would reset the connection, and the answer with it.
+func (s *session) ebb(left int) {
+	if left == lingerMost && s.in.Ahead() == 0 {
+		s.conn.SetReadDeadline(time.Now().Add(hereLook))
+		var over bool
+		if left, over = s.dropUntil(left); over || left == lingerMost {
+			return
+		}
 	}
+	s.conn.SetReadDeadline(time.Now().Add(ebbMost))
+	s.dropUntil(left)
 }
 
 // turnAway tells a client that there is no descriptor for it, unread. The close must not reset the connection over what it
@@ -222,17 +242,19 @@
 // drop reads and drops what comes, for a time and up to a bound, until the client's end.
 func (s *session) drop(wait time.Duration) {
 	s.conn.SetReadDeadline(time.Now().Add(wait))
-	s.dropUntil()
+	s.dropUntil(lingerMost)
 }
 
-// dropUntil is drop until the deadline that is set.
-func (s *session) dropUntil() {
+// dropUntil reads and drops up to so many bytes, until the deadline that is set. left is how many it did not read, over whether
+// no more is to be read: the connection has ended, or nothing is left.
+func (s *session) dropUntil(most int) (left int, over bool) {
 	piece := waste.Get().(*[dropPiece]byte)
 	defer waste.Put(piece)
-	for left := lingerMost; left > 0; {
+	for left = most; left > 0; {
 		n, err := s.conn.Read(piece[:])
 		if left -= n; err != nil {
-			return
+			return left, !errors.Is(err, os.ErrDeadlineExceeded)
 		}
 	}
+	return 0, true
 }
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -111,6 +111,10 @@
 // excessMost is how many sessions beyond the budget are taken on to be told so.
 const excessMost = 16
 
+// lingerRoom is how many sessions beyond the budget there may be before those that linger go for whoever comes: the rest of
+// excessMost is for newcomers while they go, so that a crowd that never goes by itself keeps nobody waiting.
+const lingerRoom = excessMost / 2
+
 // Serve accepts eagerly until the listener is closed: a req counts as taken as soon as the
 // kernel has it.
 func (c *Clients) Serve(l net.Listener) { c.accept(l, c.admit) }
@@ -154,8 +158,8 @@
 func (c *Clients) enter(s *seat) (excess, room bool) {
 	c.Count.ClientSessions.Add(1)
 	most := c.most()
-	n, shed := c.table.enter(s, most)
-	if n > most+excessMost && !c.table.waitBelow(most+excessMost, roomWait) {
+	n, all, shed := c.table.enter(s, most)
+	if all > most+excessMost && !c.table.waitBelow(most+excessMost, roomWait) {
 		c.Count.SessionsRefused.Add(1)
 		return true, false
 	}
--- /dev/null
+++ b/internal/network/linger_crossing_test.go
@@ -0,0 +1,175 @@
+package network
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+)
+
+// halved is a pipe of which a side may end its sending; the far side is not told.
+type halved struct{ net.Conn }
+
+func (halved) CloseWrite() error { return nil }
+
+// come has a client connect that can be lingered for, and returns its end.
+func (w *world) come(name string) net.Conn {
+	go w.clients.admit(halved{w.pipe(name)})
+	synctest.Wait()
+	return w.peers[name].conn
+}
+
+// says has a client send what must be read.
+func (w *world) says(c net.Conn, text string) {
+	require.NoError(w.t, c.SetWriteDeadline(time.Now().Add(time.Minute)))
+	_, err := io.WriteString(c, text)
+	assert.NoError(w.t, err, "reset while its bytes come")
+	synctest.Wait()
+}
+
+// lives says whether a client's connection is still read.
+func (w *world) lives(name string) bool {
+	p := w.peers[name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.over
+}
+
+// crowd has so many clients connect that say nothing.
+func (w *world) crowd(from, to int) {
+	for i := from; i < to; i++ {
+		w.play(fmt.Sprintf("cx%d send", i))
+		synctest.Wait()
+	}
+}
+
+// TestLingeringIsWanted: the descriptor of a client that has had its last answer is wanted for another's. As long as there is
+// room beyond the budget it stays. Then a client whose bytes still come is read until it goes, for a bounded time; one
+// that sent nothing more goes at once.
+func TestLingeringIsWanted(t *testing.T) {
+	piece := strings.Repeat("x", 8<<10)
+	for name, c := range map[string]struct {
+		behind string                     // its req
+		then   func(w *world, c net.Conn) // once its descriptor is wanted
+		least  time.Duration              // that it stays from then on
+		most   time.Duration
+	}{
+		"sent nothing more": {then: func(*world, net.Conn) {}, most: hereLook},
+		"its bytes come, and it goes": {behind: "x", then: func(w *world, c net.Conn) {
+			for range 8 {
+				time.Sleep(time.Millisecond)
+				w.says(c, piece)
+			}
+			c.Close()
+		}, least: 8 * time.Millisecond, most: 9 * time.Millisecond},
+		"its bytes come from now on": {then: func(w *world, c net.Conn) {
+			time.Sleep(hereLook / 2)
+			for range 8 {
+				w.says(c, piece)
+				time.Sleep(time.Millisecond)
+			}
+			c.Close()
+		}, least: 8 * time.Millisecond, most: 9 * time.Millisecond},
+		"it never goes": {behind: "x", then: func(w *world, c net.Conn) {
+			for w.lives("c1") {
+				c.Write([]byte("x"))
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+			}
+		}, least: ebbMost, most: roomWait - time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, list(balance.Ready, "s1"), 1, func(w *world) {
+				one := w.come("c1")
+				w.says(one, "NONSENSE\r\n\r\n"+c.behind)
+				w.crowd(0, lingerRoom)
+				assert.True(t, w.lives("c1"), "nobody needs its descriptor")
+				w.says(one, c.behind)
+				w.play(fmt.Sprintf("cx%d send", lingerRoom))
+				from := time.Now()
+				c.then(w, one)
+				for w.lives("c1") {
+					time.Sleep(hereLook / 2)
+					synctest.Wait()
+				}
+				stayed := time.Since(from)
+				assert.GreaterOrEqual(t, stayed, c.least)
+				assert.LessOrEqual(t, stayed, c.most)
+				w.clients.table.mu.Lock()
+				defer w.clients.table.mu.Unlock()
+				assert.Zero(t, w.clients.table.lingers)
+				assert.Equal(t, lingerRoom+1, w.clients.table.count)
+			})
+		})
+	}
+}
+
+// TestWantedAsItSends: a session is told that its descriptor is wanted in the instant in which its client sends on, and what it
+// sends has to be refused: the client is read until it goes.
+func TestWantedAsItSends(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 1, func(w *world) {
+		one := w.come("c1")
+		w.says(one, "GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n")
+		time.Sleep(time.Millisecond)
+		w.crowd(0, 1)
+		assert.Equal(t, 1, w.clients.table.rows[leaving].Len(), "it is told to go")
+		for _, text := range []string{"NONSENSE\r\n\r\n", "x", "x", "x", "x"} {
+			w.says(one, text)
+			time.Sleep(2 * time.Millisecond)
+		}
+		one.Close()
+		synctest.Wait()
+		assert.Equal(t, 1, w.clients.Open())
+	}, `
+		c1 expect 200
+		c1 expect 400 close 400: a bad request line`)
+}
+
+// TestAnsweredWithMoreBehind: a session that is answered while more of its client's has come is not idle for an instant: whoever
+// connects just then does not get its descriptor.
+func TestAnsweredWithMoreBehind(t *testing.T) {
+	for _, ahead := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var all table
+			seats := [2]seat{}
+			for i := range seats {
+				near, far := net.Pipe()
+				defer near.Close()
+				defer far.Close()
+				seats[i].conn = near
+			}
+			one := &seats[0]
+			all.enter(one, 1)
+			all.begun(one)
+			all.taken(one)
+			if ahead {
+				all.sentAhead(one)
+			}
+			assert.False(t, all.answered(one, true, false, false))
+			time.Sleep(time.Millisecond)
+			_, _, shed := all.enter(&seats[1], 1)
+			assert.Equal(t, !ahead, shed)
+			assert.Equal(t, !ahead, all.isShed(one))
+		})
+	}
+}
+
+// TestLingeringMakesNoRoom: where all sessions are owed an answer, a client that is let go makes no room for another's req beyond
+// the budget.
+func TestLingeringMakesNoRoom(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 1, "c1 send {req 9a x}", func(w *world) {
+		w.says(w.come("c2"), "NONSENSE\r\n\r\n")
+	}, `
+		c3 send {req 9b x}
+		c3 expect 503 after 0.500 close 503: too many clients
+		s1/1 send {started 9a}{done 9a r}
+		c1 expect 200 r`)
+}
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -62,21 +62,27 @@
 	left chan struct{} // a session has ended
 }
 
-// enter seats a new session. Beyond most, one is shed if any may be.
-func (t *table) enter(s *seat, most int) (n int, shed bool) {
+// enter seats a new session. Beyond most, one is shed if any may be: those that linger are not counted, as long as there is
+// room for them beyond most. They are the first to go for the new one's descriptor, and only then: their clients' bytes
+// may still be on their way.
+func (t *table) enter(s *seat, most int) (n, all int, shed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.left == nil {
 		t.left = make(chan struct{}, 1)
 	}
-	if t.count++; t.count > most {
-		shed = t.shedOne()
+	t.count++
+	if n = t.count - t.lingers; n > most {
+		shed = t.shedOne(asked)
+	}
+	if e := t.rows[lingering].Front(); e != nil && t.count > most+lingerRoom {
+		t.shut(e.Value.(*seat), true)
 	}
 	s.born = time.Now()
 	s.since = s.born
 	s.rank = silent
 	s.place = t.rows[silent].PushBack(s)
-	return t.count, shed
+	return n, t.count, shed
 }
 
 func (t *table) leave(s *seat) {
@@ -183,12 +189,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s.used, s.job, s.since = true, s.job || job, time.Now()
-	if s.job {
+	closing = closing || s.shed && !s.ahead
+	switch {
+	case s.ahead && !closing: // it is not idle for an instant: who connects then would have its descriptor
+		t.move(s, working)
+	case s.job:
 		t.move(s, resting)
-	} else {
+	default:
 		t.move(s, asked)
 	}
-	closing = closing || s.shed && !s.ahead
 	if closing || wake || s.ahead {
 		s.conn.SetReadDeadline(s.since)
 	} else {
@@ -200,11 +209,11 @@
 }
 
 // linger lets a session that has had its last answer stay until its client has read that, if no more than most
-// do and its descriptor is not needed at once.
+// do. One whose descriptor is needed already stays among those that leave.
 func (t *table) linger(s *seat, most int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s.room || t.lingers >= most {
+	if t.lingers >= most {
 		return false
 	}
 	t.lingers++
@@ -245,9 +254,9 @@
 	return time.Since(from) < max(sparedFor[s.rank], rest)
 }
 
-// shedOne tells the first session that may go to close. t.mu is held.
-func (t *table) shedOne() bool {
-	for r := lingering; r < working; r++ {
+// shedOne tells the first session that may go, of a rank or later ones, to close. t.mu is held.
+func (t *table) shedOne(from rank) bool {
+	for r := from; r < working; r++ {
 		if e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(0) {
 			t.shut(e.Value.(*seat), true)
 			return true
@@ -260,7 +269,7 @@
 func (t *table) shrink(most int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for over := t.count - t.rows[leaving].Len() - most; over > 0 && t.shedOne(); over-- {
+	for over := t.count - t.rows[leaving].Len() - most; over > 0 && t.shedOne(lingering); over-- {
 	}
 }
 
