Framing of the dispatchers' messages moves from accord's wire to fleet/frames

A second kind of message between dispatchers (quotas) needs the same head, sum, strict reading and length. accord/wire keeps its messages, bounds and names; ErrMessage is now frames.Err. Nothing of the bytes changes: go test ./internal/fleet/accord/wire passes with its fuzz seeds.

--- a/internal/fleet/accord/wire/lend.go
+++ b/internal/fleet/accord/wire/lend.go
@@ -5,6 +5,7 @@
 
 	"tinsail/internal/budget"
 	"tinsail/internal/fleet/accord"
+	"tinsail/internal/fleet/frames"
 )
 
 // MaxUnits is the most that is wanted or lent: no budget is larger.
@@ -45,17 +46,17 @@
 
 // WriteWant is the bytes of an ask for a share.
 func WriteWant(w Want) []byte {
-	return encode(&want{Format, kindWant, w.Budget, w.Ask.Peer, w.Ask.Epoch, w.Ask.Seq, uint64(max(w.Ask.Want, 0))})
+	return frames.Encode(&want{Format, kindWant, w.Budget, w.Ask.Peer, w.Ask.Epoch, w.Ask.Seq, uint64(max(w.Ask.Want, 0))})
 }
 
 // WriteLent is the bytes of its answer.
 func WriteLent(l Lent) []byte {
-	return encode(&lent{Format, kindLent, l.Budget, l.Grant.Peer, l.Grant.Epoch, l.Grant.Seq, uint64(max(l.Grant.Units, 0)), uint64(max(l.Grant.Of, 0))})
+	return frames.Encode(&lent{Format, kindLent, l.Budget, l.Grant.Peer, l.Grant.Epoch, l.Grant.Seq, uint64(max(l.Grant.Units, 0)), uint64(max(l.Grant.Of, 0))})
 }
 
 func readWant(p []byte) (*Want, error) {
 	var w want
-	if err := decode(p, &w); err != nil {
+	if err := frames.Decode(p, &w); err != nil {
 		return nil, err
 	}
 	if w.Units > MaxUnits || badName(w.Budget) || badName(w.Peer) {
@@ -66,7 +67,7 @@
 
 func readLent(p []byte) (*Lent, error) {
 	var l lent
-	if err := decode(p, &l); err != nil {
+	if err := frames.Decode(p, &l); err != nil {
 		return nil, err
 	}
 	if l.Units > MaxUnits || l.Of > MaxUnits || badName(l.Budget) || badName(l.Peer) {
--- a/internal/fleet/accord/wire/wire.go
+++ b/internal/fleet/accord/wire/wire.go
@@ -2,26 +2,16 @@
 // majority log: msgpack maps, each with a format number and a kind (docs/design/accord.md lists the
 // fields). It knows no socket and no clock.
 //
-// Reading is strict: what is read must be, byte by byte, what writing it again gives. That refuses
-// an unknown, a missing or a repeated key, another format, a value written in another width and
-// bytes after the end, all of which are a peer of another version or a damaged message.
-//
-// After the map stand four bytes, big endian: the CRC-32C of all before them. msgpack has no sum of its own, and
-// one changed byte of a body, a version or an outcome reads as well as before: two dispatchers then hold two bodies
-// under one number. TCP's own sum is 16 bits, and a voter's disk has none.
+// Package frames writes and reads them, strictly and with a sum: with one changed byte of a body, a version or an
+// outcome two dispatchers would hold two bodies under one number.
 package wire
 
 import (
-	"bytes"
-	"encoding/binary"
-	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"tinsail/internal/fleet/accord"
+	"tinsail/internal/fleet/frames"
 )
 
 // Format is the number that every message carries.
@@ -34,7 +24,7 @@
 const MaxFrame = 2*accord.MaxBody + 8<<10
 
 // ErrMessage is wrapped by every fault of a message.
-var ErrMessage = errors.New("bad accord message")
+var ErrMessage = frames.Err
 
 // Message is one message: the one of its parts that is there.
 type Message struct {
@@ -45,11 +35,6 @@
 	Lent   *Lent
 }
 
-type head struct {
-	F    uint8  `msgpack:"f"`
-	Kind string `msgpack:"kind"`
-}
-
 type ask struct {
 	F       uint8  `msgpack:"f"`
 	Kind    string `msgpack:"kind"`
@@ -131,59 +116,19 @@
 	kindLent   = "lent"
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
-// seal puts the sum behind a map.
-func seal(p []byte) []byte {
-	return binary.BigEndian.AppendUint32(p, crc32.Checksum(p, castagnoli))
-}
-
-// unseal takes it off, and refuses one that is not right.
-func unseal(p []byte) ([]byte, error) {
-	if n := len(p) - 4; n >= 0 && binary.BigEndian.Uint32(p[n:]) == crc32.Checksum(p[:n], castagnoli) {
-		return p[:n], nil
-	}
-	return nil, fmt.Errorf("%w: its sum is not right", ErrMessage)
-}
-
-func encode(v any) []byte { return seal(encodeMap(v)) }
-
-func encodeMap(v any) []byte {
-	var b bytes.Buffer
-	e := msgpack.NewEncoder(&b)
-	e.UseCompactInts(true)
-	if err := e.Encode(v); err != nil { // plain fields into memory: nothing can fail
-		panic(err)
-	}
-	return b.Bytes()
-}
-
-// decode reads the map p into v, and refuses what encodeMap would not have written.
-func decode(p []byte, v any) error {
-	d := msgpack.NewDecoder(bytes.NewReader(p))
-	d.DisallowUnknownFields(true)
-	if err := d.Decode(v); err != nil {
-		return fmt.Errorf("%w: %w", ErrMessage, err)
-	}
-	if !bytes.Equal(encodeMap(v), p) {
-		return fmt.Errorf("%w: a field is missing, repeated or written otherwise", ErrMessage)
-	}
-	return nil
-}
-
 // WriteAsk is the bytes of an ask.
 func WriteAsk(a accord.Ask) []byte {
-	return encode(&ask{Format, kindAsk, a.Peer, a.Epoch, a.Seq, a.Version, a.Change, uint8(a.Stance), a.Why, a.Propose, a.Base, a.Body})
+	return frames.Encode(&ask{Format, kindAsk, a.Peer, a.Epoch, a.Seq, a.Version, a.Change, uint8(a.Stance), a.Why, a.Propose, a.Base, a.Body})
 }
 
 // WriteAnswer is the bytes of an answer.
 func WriteAnswer(a accord.Answer) []byte {
-	return encode(&answer{Format, kindAnswer, a.Peer, a.Epoch, a.Seq, a.Leads, a.Leader, a.Term, a.Version, a.Lent, a.Body,
+	return frames.Encode(&answer{Format, kindAnswer, a.Peer, a.Epoch, a.Seq, a.Leads, a.Leader, a.Term, a.Version, a.Lent, a.Body,
 		a.Change, uint8(a.Stage), a.Next, a.By, a.Draft, fromOutcome(a.Ended), fromOutcome(a.Proposal)})
 }
 
 // WriteNudge is the bytes of a nudge.
-func WriteNudge() []byte { return encode(&head{Format, kindNudge}) }
+func WriteNudge() []byte { return frames.Encode(&frames.Head{F: Format, Kind: kindNudge}) }
 
 func fromOutcome(o accord.Outcome) outcome { return outcome{o.ID, uint8(o.End), o.Who, o.Why} }
 
@@ -199,10 +144,10 @@
 	if len(p) > MaxFrame {
 		return m, fmt.Errorf("%w: %d bytes, at most %d", ErrMessage, len(p), MaxFrame)
 	}
-	if p, err = unseal(p); err != nil {
+	if p, err = frames.Unseal(p); err != nil {
 		return m, err
 	}
-	switch kind, err := kindOf(p, Format); {
+	switch kind, err := frames.Kind(p, Format); {
 	case err != nil:
 		return m, err
 	case kind == kindAsk:
@@ -219,38 +164,15 @@
 		return m, err
 	case kind == kindNudge:
 		m.Nudge = true
-		return m, decode(p, &head{})
+		return m, frames.Decode(p, &frames.Head{})
 	default:
 		return m, fmt.Errorf("%w: kind %q", ErrMessage, kind)
 	}
 }
 
-// kindOf reads the first two fields, which all messages have in common.
-func kindOf(p []byte, format uint64) (string, error) {
-	d := msgpack.NewDecoder(bytes.NewReader(p))
-	bad := func(what string) (string, error) { return "", fmt.Errorf("%w: %s", ErrMessage, what) }
-	if n, err := d.DecodeMapLen(); err != nil || n < 2 {
-		return bad("no map of fields")
-	}
-	if key, err := d.DecodeString(); err != nil || key != "f" {
-		return bad("no format")
-	}
-	if f, err := d.DecodeUint64(); err != nil || f != format {
-		return bad(fmt.Sprintf("format %d, want %d", f, format))
-	}
-	if key, err := d.DecodeString(); err != nil || key != "kind" {
-		return bad("no kind")
-	}
-	kind, err := d.DecodeString()
-	if err != nil {
-		return bad("no kind")
-	}
-	return kind, nil
-}
-
 func readAsk(p []byte) (*accord.Ask, error) {
 	var a ask
-	if err := decode(p, &a); err != nil {
+	if err := frames.Decode(p, &a); err != nil {
 		return nil, err
 	}
 	switch {
@@ -267,7 +189,7 @@
 
 func readAnswer(p []byte) (*accord.Answer, error) {
 	var a answer
-	if err := decode(p, &a); err != nil {
+	if err := frames.Decode(p, &a); err != nil {
 		return nil, err
 	}
 	if a.Stage > uint8(accord.Deciding) || len(a.Body) > accord.MaxBody || len(a.Draft) > accord.MaxBody ||
@@ -289,16 +211,16 @@
 
 // WriteDecide is the bytes of an entry of the log, ReadDecide their reading.
 func WriteDecide(d accord.Decide) []byte {
-	return encode(&decide{Format, kindDecide, d.Change, d.Proposal, d.Version, d.By, d.Body})
+	return frames.Encode(&decide{Format, kindDecide, d.Change, d.Proposal, d.Version, d.By, d.Body})
 }
 
 // stored is the map of an entry or a snapshot of a voter's disk, which may be of the format before the sum.
 func stored(p []byte, want string) ([]byte, error) {
 	format := uint64(unsummed)
-	if m, err := unseal(p); err == nil {
+	if m, err := frames.Unseal(p); err == nil {
 		p, format = m, Format
 	}
-	if kind, err := kindOf(p, format); err != nil || kind != want {
+	if kind, err := frames.Kind(p, format); err != nil || kind != want {
 		return nil, fmt.Errorf("%w: damaged, or no %s that this binary reads", ErrMessage, want)
 	}
 	return p, nil
@@ -309,7 +231,7 @@
 	var d decide
 	p, err := stored(p, kindDecide)
 	if err == nil {
-		err = decode(p, &d)
+		err = frames.Decode(p, &d)
 	}
 	if err != nil {
 		return accord.Decide{}, err
@@ -323,7 +245,7 @@
 	for _, d := range s.Done {
 		out.Done = append(out.Done, done(d))
 	}
-	return encode(&out)
+	return frames.Encode(&out)
 }
 
 // ReadState reads a snapshot. Its error wraps ErrMessage.
@@ -331,7 +253,7 @@
 	var s state
 	p, err := stored(p, kindState)
 	if err == nil {
-		err = decode(p, &s)
+		err = frames.Decode(p, &s)
 	}
 	if err != nil {
 		return accord.State{}, err
@@ -344,23 +266,13 @@
 }
 
 // Frame puts a message's length before it.
-func Frame(p []byte) []byte {
-	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(p)), uint32(len(p))), p...)
-}
+func Frame(p []byte) []byte { return frames.Frame(p) }
 
 // Next reads one framed message from a link. A longer one than MaxFrame is not read.
 func Next(r io.Reader) (Message, error) {
-	var size [4]byte
-	if _, err := io.ReadFull(r, size[:]); err != nil {
-		return Message{}, err
-	}
-	n := binary.BigEndian.Uint32(size[:])
-	if n > MaxFrame {
-		return Message{}, fmt.Errorf("%w: a frame of %d bytes, at most %d", ErrMessage, n, MaxFrame)
-	}
-	var b bytes.Buffer // grows with what comes: a length alone takes no memory
-	if _, err := io.CopyN(&b, r, int64(n)); err != nil {
+	p, err := frames.Next(r, MaxFrame)
+	if err != nil {
 		return Message{}, err
 	}
-	return Read(b.Bytes())
+	return Read(p)
 }
--- a/internal/fleet/accord/wire/wire_test.go
+++ b/internal/fleet/accord/wire/wire_test.go
@@ -11,6 +11,7 @@
 
 	"tinsail/internal/budget"
 	"tinsail/internal/fleet/accord"
+	"tinsail/internal/fleet/frames"
 )
 
 var (
@@ -86,7 +87,7 @@
 		"too many units": mapOf(WriteLent(Lent{"c", budget.Grant{Peer: "n1", Units: MaxUnits + 1}})), "an entry on a link": mapOf(WriteDecide(accord.Decide{})),
 		"a sum in its place": WriteAsk(anAsk),
 	} {
-		_, err := Read(seal(p)) // the sum is right: it is the map that is refused
+		_, err := Read(frames.Seal(p)) // the sum is right: it is the map that is refused
 		assert.ErrorIs(t, err, ErrMessage, what)
 		assert.NotContains(t, err.Error(), "sum", what)
 	}
@@ -152,7 +153,7 @@
 	f.Add(mapOf(WriteLent(Lent{"connections", budget.Grant{Peer: "n3", Epoch: 7, Seq: 2, Units: 48, Of: 600}})))
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff, 0xa1, 'f', 2})
 	f.Fuzz(func(t *testing.T, p []byte) {
-		p = seal(p) // else nothing but a message of ours is looked into
+		p = frames.Seal(p) // else nothing but a message of ours is looked into
 		m, err := Read(p)
 		if err != nil {
 			return
