Messages of lent quotas, and the accord's port hands their links over

quota/wire: ask, answer, nudge, away, on fleet/frames. The first fuzz seed that claims a list of 2^32 lines made msgpack allocate 160 GB (growSliceValue: the length is believed): lists are read by a bound of their own. accord: first byte Q goes to Accord.Quotas; Leading, Leader, Confirm and Decided tell other parts who leads.

--- /dev/null
+++ b/internal/fleet/quota/wire/wire_test.go
@@ -0,0 +1,161 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"tinsail/internal/fleet/frames"
+	"tinsail/internal/fleet/quota"
+)
+
+var (
+	anAsk = Ask{"east", quota.Ask{Child: "n3", Epoch: 7 << 60, Seq: 2, Lender: 9, Fresh: true,
+		Lines: []quota.Line{{Account: "", Held: 1, Used: 2, Want: 3}, {Account: "team1", Held: 300, Used: 70_000, Want: MaxUnits}}}}
+	anAnswer = Answer{"", quota.Answer{Child: "east", Epoch: 7, Seq: 2, Lender: 3, Again: true,
+		Shares: []quota.Share{{Account: "team1", Units: 5}, {Account: "team2", Units: 0}}}}
+	aNudge  = "east"
+	anAway  = Away{"", "v2"}
+	written = map[string][]byte{"ask": WriteAsk(anAsk), "answer": WriteAnswer(anAnswer), "nudge": WriteNudge(aNudge), "away": WriteAway(anAway),
+		"an ask with no lines": WriteAsk(Ask{"east", quota.Ask{Child: "n3", Epoch: 1, Seq: 1}})}
+)
+
+// write is the bytes of what was read.
+func write(m Message) []byte {
+	switch {
+	case m.Ask != nil:
+		return WriteAsk(*m.Ask)
+	case m.Answer != nil:
+		return WriteAnswer(*m.Answer)
+	case m.Nudge != nil:
+		return WriteNudge(*m.Nudge)
+	default:
+		return WriteAway(*m.Away)
+	}
+}
+
+func TestRoundTrips(t *testing.T) {
+	for what, m := range map[string]Message{"ask": {Ask: &anAsk}, "answer": {Answer: &anAnswer}, "nudge": {Nudge: &aNudge}, "away": {Away: &anAway}} {
+		got, err := Next(bytes.NewReader(frames.Frame(written[what])))
+		require.NoError(t, err, what)
+		assert.Equal(t, m, got, what)
+	}
+	for what, p := range written {
+		m, err := Read(p)
+		require.NoError(t, err, what)
+		assert.Equal(t, p, write(m), what)
+	}
+	back := anAsk
+	back.Lines = []quota.Line{anAsk.Lines[1], anAsk.Lines[0]}
+	assert.Equal(t, WriteAsk(anAsk), WriteAsk(back), "lines are written in the order of accounts")
+}
+
+// TestLargest: the largest message that the bounds allow fits the frame, and one line more is refused.
+func TestLargest(t *testing.T) {
+	largest := func(n int) Ask {
+		a := Ask{strings.Repeat("r", MaxName), quota.Ask{Child: strings.Repeat("c", MaxName), Epoch: 1<<64 - 1, Seq: 1<<64 - 1, Lender: 1<<64 - 1}}
+		for i := range n {
+			a.Lines = append(a.Lines, quota.Line{Account: fmt.Sprintf("%0*d", MaxAccount, i), Held: MaxUnits, Used: MaxUnits, Want: MaxUnits})
+		}
+		return a
+	}
+	p := WriteAsk(largest(MaxLines))
+	assert.LessOrEqual(t, len(p), MaxFrame)
+	_, err := Read(p)
+	assert.NoError(t, err)
+	_, err = Read(WriteAsk(largest(MaxLines + 1)))
+	assert.ErrorIs(t, err, ErrMessage)
+}
+
+// TestStrict: each way in which a message may be another's, or damaged, is refused.
+func TestStrict(t *testing.T) {
+	whole := mapOf(written["ask"])
+	again := func(change func(map[string]any)) []byte {
+		m := map[string]any{}
+		require.NoError(t, msgpack.Unmarshal(whole, &m))
+		change(m)
+		b, err := msgpack.Marshal(m)
+		require.NoError(t, err)
+		return b
+	}
+	ask := func(change func(*Ask)) []byte {
+		a := anAsk
+		a.Lines = append([]quota.Line(nil), anAsk.Lines...)
+		change(&a)
+		return mapOf(WriteAsk(a))
+	}
+	swapped, tooMany := anAnswer, anAnswer
+	swapped.Shares = []quota.Share{{Account: "team1"}, {Account: "team1"}}
+	tooMany.From = strings.Repeat("x", MaxName+1)
+	for what, p := range map[string][]byte{
+		"empty": {}, "cut short": whole[:len(whole)-1], "bytes after the end": append(bytes.Clone(whole), 0),
+		"another format":          bytes.Replace(whole, []byte("\xa1f\x01"), []byte("\xa1f\x02"), 1),
+		"another kind":            bytes.Replace(whole, []byte("\xa3ask"), []byte("\xa3asx"), 1),
+		"an unknown key":          bytes.Replace(whole, []byte("\xa3seq"), []byte("\xa3sex"), 1),
+		"a repeated key":          bytes.Replace(whole, []byte("\xa5child"), []byte("\xa5epoch"), 1),
+		"a line's unknown key":    bytes.Replace(whole, []byte("\xa1h"), []byte("\xa1x"), 1),
+		"a number too wide":       bytes.Replace(whole, []byte("\xa1h\x01"), []byte("\xa1h\xcc\x01"), 1),
+		"a key more":              again(func(m map[string]any) { m["more"] = 1 }),
+		"a key less":              again(func(m map[string]any) { delete(m, "lender") }),
+		"lines that are nil":      again(func(m map[string]any) { m["lines"] = nil }),
+		"no child":                ask(func(a *Ask) { a.Child = "" }),
+		"a child too long":        ask(func(a *Ask) { a.Child = strings.Repeat("x", MaxName+1) }),
+		"a lender too long":       ask(func(a *Ask) { a.To = strings.Repeat("x", MaxName+1) }),
+		"an account too long":     ask(func(a *Ask) { a.Lines[1].Account = strings.Repeat("x", MaxAccount+1) }),
+		"an account twice":        ask(func(a *Ask) { a.Lines[1].Account = "" }),
+		"a share twice":           mapOf(WriteAnswer(swapped)),
+		"an answer's name":        mapOf(WriteAnswer(tooMany)),
+		"too many units":          bytes.Replace(whole, []byte("\xa1w\xce\x00\x0f\x42\x40"), []byte("\xa1w\xce\x00\x0f\x42\x41"), 1),
+		"a nudge's name too long": mapOf(WriteNudge(strings.Repeat("x", MaxName+1))),
+		"a leader too long":       mapOf(WriteAway(Away{"", strings.Repeat("x", MaxName+1)})),
+		"too long":                make([]byte, MaxFrame+1), "a sum in its place": written["ask"],
+	} {
+		assert.NotEqual(t, whole, p, "%s: nothing was changed", what)
+		_, err := Read(frames.Seal(p)) // the sum is right: it is the map that is refused
+		assert.ErrorIs(t, err, ErrMessage, what)
+		if err != nil {
+			assert.NotContains(t, err.Error(), "sum", what)
+		}
+	}
+	_, err := Next(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
+	assert.ErrorIs(t, err, ErrMessage)
+}
+
+// mapOf is a message without its sum.
+func mapOf(p []byte) []byte { return p[:len(p)-4] }
+
+// TestSum: no message with one byte changed, or cut short, is read.
+func TestSum(t *testing.T) {
+	for what, p := range written {
+		for i := range p {
+			_, err := Read(p[:i])
+			require.ErrorIs(t, err, ErrMessage, what)
+			for _, x := range []byte{1, 2, 4, 8, 16, 32, 64, 128, 0x55, 0xff} {
+				q := bytes.Clone(p)
+				q[i] ^= x
+				_, err := Read(q)
+				require.ErrorIs(t, err, ErrMessage, "byte %d of %s", i, what)
+			}
+		}
+	}
+}
+
+// FuzzRead: nothing that a peer sends panics the reader, and what it reads is written back the same.
+func FuzzRead(f *testing.F) {
+	for _, p := range written {
+		f.Add(mapOf(p))
+	}
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff, 0xa1, 'f', 1})
+	f.Add(bytes.Replace(mapOf(written["ask"]), []byte("\xa5lines\x92"), []byte("\xa5lines\xdd\xff\xff\xff\xff"), 1))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		p = frames.Seal(p) // else nothing but a message of ours is looked into
+		if m, err := Read(p); err == nil {
+			assert.Equal(t, p, write(m))
+		}
+	})
+}
--- a/internal/network/fleet/accord/streams.go
+++ b/internal/network/fleet/accord/streams.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -13,6 +14,8 @@
 const (
 	raftMark = 'R' // a stream of the log's library
 	linkMark = 'A' // a member's link
+	// QuotaMark is a link of the quotas, which Accord.Quotas takes over.
+	QuotaMark = 'Q'
 )
 
 // Bounds on what a listen address takes in.
@@ -27,6 +30,7 @@
 	at       raft.ServerAddress // as the others know it
 	streams  chan net.Conn
 	link     func(net.Conn) // takes a link over; it closes it
+	quotas   atomic.Pointer[func(net.Conn)]
 	seats    chan struct{}
 	stop     chan struct{}
 	once     sync.Once
@@ -81,6 +85,12 @@
 	case linkMark:
 		p.link(conn)
 		<-p.seats
+	case QuotaMark:
+		if f := p.quotas.Load(); f != nil {
+			(*f)(conn)
+		}
+		conn.Close()
+		<-p.seats
 	default:
 		conn.Close()
 		<-p.seats
--- /dev/null
+++ b/internal/network/fleet/accord/voters.go
@@ -0,0 +1,63 @@
+package accord
+
+import (
+	"net"
+
+	"github.com/hashicorp/raft"
+)
+
+// What other parts of the fleet ask of a voter: who leads, whether that still holds, and what was decided.
+
+// Votes says whether this dispatcher is a voter.
+func (a *Accord) Votes() bool { return a.voter != nil }
+
+// Quotas has f take over the connections to a voter's address that begin with QuotaMark, which it has read;
+// f returns when it needs the connection no more. Until it is set, and after it is nil, they are closed.
+// Nothing happens where this dispatcher is no voter.
+func (a *Accord) Quotas(f func(net.Conn)) {
+	switch {
+	case a.voter == nil:
+	case f == nil:
+		a.voter.port.quotas.Store(nil)
+	default:
+		a.voter.port.quotas.Store(&f)
+	}
+}
+
+// Leading says whether this voter leads, with all that was decided before its term applied, and which term.
+func (a *Accord) Leading() (term uint64, ok bool) {
+	if a.voter == nil {
+		return 0, false
+	}
+	a.voter.mu.Lock()
+	defer a.voter.mu.Unlock()
+	return a.voter.term, a.voter.keeper != nil
+}
+
+// Leader is the name of the voter that leads as far as this voter knows; empty where it knows none.
+func (a *Accord) Leader() string {
+	if a.voter == nil {
+		return ""
+	}
+	_, id := a.voter.log.raft.LeaderWithID()
+	return string(id)
+}
+
+// Confirm asks a majority, from now on, whether this voter's term still lasts: what came before the call may
+// then be answered as the leader of that term. It waits for their word; false where it did not come.
+func (a *Accord) Confirm(term uint64) bool {
+	if a.voter == nil {
+		return false
+	}
+	r := a.voter.log.raft
+	return r.State() == raft.Leader && r.VerifyLeader().Error() == nil && r.CurrentTerm() == term
+}
+
+// Decided is the version decided last as this voter's log has it, and its policy.
+func (a *Accord) Decided() (version uint64, body []byte) {
+	if a.voter == nil {
+		return 0, nil
+	}
+	s := a.voter.log.machine.State()
+	return s.Version, s.Body
+}
