--- /dev/null
+++ b/internal/fleet/quota/holder.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Holder is the side that is lent to: a dispatcher toward its region's lender, a region toward the root. It asks, one
+// ask at a time, and may begin by what the answer to its newest ask gave it until Usable after that ask was sent.
+type Holder struct {
+	plan   Plan
+	name   string
+	epoch  uint64
+	fresh  bool
+	seq    uint64
+	lender uint64 // the life heard last
+	all    bool   // the next ask carries all lines
+	at     map[string]*held
+	stale  map[string]bool // accounts whose line the lender may not know
+
+	flying bool // the newest ask has no answer yet
+	asap   bool // something is to be said
+	nudged bool
+	sent   Time // the newest ask
+	wait   time.Duration
+	until  Time
+}
+
+// held is one account as the holder knows it.
+type held struct {
+	units, used, want int
+	told              Line // in the newest ask that had it
+}
+
+// NewHolder starts a life of a holder. epoch is higher than that of each earlier life: the start in Unix nanoseconds will
+// do. fresh: an earlier life may have lent what this one has yet to hear of (a region's lender; a dispatcher never).
+func NewHolder(p Plan, name string, epoch uint64, fresh bool) (*Holder, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	if name == "" || len(name) > MaxName || epoch == 0 {
+		return nil, errors.New("quota: a holder's name is empty or too long, or its epoch is 0")
+	}
+	return &Holder{plan: p, name: name, epoch: epoch, fresh: fresh, all: true, asap: true,
+		at: map[string]*held{}, stale: map[string]bool{}}, nil
+}
+
+// Need tells what is used of an account now, and what could be used in all. Where that is more than is held and than the
+// lender was told, an ask is due at once.
+func (h *Holder) Need(account string, used, want int) {
+	k := h.at[account]
+	if k == nil {
+		if used <= 0 && want <= 0 || len(h.at) >= MaxAccounts {
+			return
+		}
+		k = &held{told: Line{Account: account}}
+		h.at[account] = k
+	}
+	if k.used == used && k.want == want {
+		return
+	}
+	k.used, k.want = used, want
+	h.stale[account] = true
+	if want > k.units && want > k.told.Want {
+		h.asap = true
+	}
+}
+
+// Units is how many units of an account may be in use by what begins now: none once the lease is over. A holder that uses
+// as many or more begins nothing.
+func (h *Holder) Units(now Time, account string) int {
+	if k := h.at[account]; k != nil && now < h.until {
+		return k.units
+	}
+	return 0
+}
+
+// Until is the end of the right to begin, by the holder's own clock.
+func (h *Holder) Until() Time { return h.until }
+
+// Fresh says whether an earlier life may have lent what this one has yet to hear of.
+func (h *Holder) Fresh() bool { return h.fresh }
+
+// Known tells that nothing that an earlier life lent can be unheard of any more.
+func (h *Holder) Known() {
+	if h.fresh {
+		h.fresh, h.asap = false, true
+	}
+}
+
+// Nudged takes a nudge: the holder asks now, and gives back what it does not want.
+func (h *Holder) Nudged() { h.nudged, h.asap = true, true }
+
+// Each tells the units of each account, whether the lease is over or not.
+func (h *Holder) Each(tell func(account string, units int)) {
+	for account, k := range h.at {
+		tell(account, k.units)
+	}
+}
+
+// Next is when Due says yes if nothing else happens before.
+func (h *Holder) Next() Time {
+	switch {
+	case h.seq == 0 || h.asap && !h.flying:
+		return 0
+	case h.flying:
+		return h.sent.Add(h.wait)
+	}
+	return h.sent.Add(h.plan.Renew())
+}
+
+// Due says whether an ask is to be sent at now, and makes it. What it says is held is all that may be begun by until its
+// answer comes, whatever older answers come.
+func (h *Holder) Due(now Time) (Ask, bool) {
+	if h.seq > 0 && now < h.Next() {
+		return Ask{}, false
+	}
+	h.wait = h.backoff()
+	if now >= h.until || h.nudged {
+		for account, k := range h.at {
+			keep := max(k.used, k.want)
+			if now >= h.until {
+				keep = 0
+			}
+			if k.units > keep {
+				k.units = keep
+				h.stale[account] = true
+			}
+		}
+	}
+	h.seq++
+	h.sent, h.flying, h.asap, h.nudged = now, true, false, false
+	return Ask{Child: h.name, Epoch: h.epoch, Seq: h.seq, Lender: h.lender, All: h.all, Fresh: h.fresh, Lines: h.lines()}, true
+}
+
+func (h *Holder) backoff() time.Duration {
+	if !h.flying {
+		return h.plan.Retry()
+	}
+	return min(2*h.wait, max(mostRetry, h.plan.Retry()), h.plan.Renew())
+}
+
+// lines are those to be sent, by account.
+func (h *Holder) lines() (out []Line) {
+	names := h.stale
+	if h.all {
+		names = make(map[string]bool, len(h.at))
+		for account := range h.at {
+			names[account] = true
+		}
+	}
+	for _, account := range slices.Sorted(maps.Keys(names)) {
+		k := h.at[account]
+		k.told = Line{Account: account, Held: k.units, Used: k.used, Want: k.want}
+		if h.stale[account] = true; h.all && k.units == 0 && k.used == 0 && k.want == 0 {
+			continue // said by leaving it out
+		}
+		out = append(out, k.told)
+	}
+	return out
+}
+
+// Answered takes an answer at now. Only one to the newest ask is believed; of a life of the lender that was not heard
+// before it grants nothing.
+func (h *Holder) Answered(now Time, a Answer) {
+	if a.Child != h.name || a.Epoch != h.epoch || a.Seq != h.seq || !h.flying {
+		return
+	}
+	h.flying = false
+	if a.Again || a.Lender != h.lender {
+		h.lender, h.all, h.asap = a.Lender, true, true
+		return
+	}
+	h.until = h.sent.Add(h.plan.Usable())
+	h.fresh = h.fresh && a.Unsure
+	h.all = h.fresh
+	for account := range h.stale {
+		if k := h.at[account]; k.told == (Line{account, k.units, k.used, k.want}) {
+			delete(h.stale, account)
+		}
+	}
+	for _, s := range a.Shares {
+		h.lent(s)
+	}
+	for account, k := range h.at {
+		if k.units == 0 && k.used == 0 && k.want == 0 && !h.stale[account] {
+			delete(h.at, account)
+		}
+	}
+}
+
+// lent takes what an answer says of one account. Less than was told is said back at once: only then may another have it.
+func (h *Holder) lent(s Share) {
+	k := h.at[s.Account]
+	if k == nil {
+		if s.Units <= 0 || len(h.at) >= MaxAccounts {
+			return
+		}
+		k = &held{told: Line{Account: s.Account}}
+		h.at[s.Account] = k
+	}
+	if s.Units == k.units {
+		return
+	}
+	if s.Units < k.units {
+		h.asap = true
+	}
+	k.units = s.Units
+	h.stale[s.Account] = true
+}
--- /dev/null
+++ b/internal/fleet/quota/quota.go
@@ -0,0 +1,134 @@
+// Package quota decides how many reqs of each team may be in flight over the whole fleet at once: whole units, lent in
+// levels (a root to regions, a region to dispatchers), each level under a lease of its own, so that what all may hold
+// together never passes the quota and a region that is cut off lives on what it holds (docs/design/quota.md has the
+// promise and derives the bounds). It decides alone: times and messages are handed in and out, and no clock is read, no
+// socket opened, no goroutine started and no lock taken. No type is for concurrent use.
+//
+// A Lender lends, a Holder is lent to, a Region is both, a Desk says which reqs of a dispatcher begin.
+package quota
+
+import (
+	"errors"
+	"time"
+)
+
+// Time is a reading of one process's own monotonic clock, in nanoseconds from any origin. Readings of two processes are
+// never compared.
+type Time int64
+
+// Add is t moved on by d.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Never is a time that no clock reaches.
+const Never = Time(1<<63 - 1)
+
+// Urgent is the account of the urgent reserve: units of a region, which the root never lends.
+const Urgent = ""
+
+// Limits, each against a peer that sends too much.
+const (
+	MaxName     = 128     // bytes of a child's or an account's name
+	MaxAccounts = 4096    // accounts of a lender, and lines of an ask
+	MaxChildren = 4096    // children that a lender remembers; one beyond gets no answer
+	MaxUnits    = 1 << 30 // units of a line or a share
+	mostPast    = 4       // ended lives of a child that are kept apart; more are added up
+	mostNotes   = 256     // notes kept until they are fetched
+)
+
+// Plan is one level as the settings declare it: the same at its lender and all its holders.
+type Plan struct {
+	Lease time.Duration // L, by the lender's clock
+	Run   time.Duration // a req ends at most so long after it began, by its dispatcher's clock
+	Drift float64       // ρ: clocks run at rates within 1 ± ρ of real time
+}
+
+// Check names the field that is out of range.
+func (p Plan) Check() error {
+	switch {
+	case p.Lease < 100*time.Millisecond || p.Lease > 24*time.Hour:
+		return errors.New("quota: lease is not between 100 ms and 24 h")
+	case p.Run < 0 || p.Run > 7*24*time.Hour:
+		return errors.New("quota: run is not between 0 and 7 days")
+	case !(p.Drift >= 0 && p.Drift <= 0.1):
+		return errors.New("quota: drift is not between 0 and 0.1")
+	}
+	return nil
+}
+
+// Usable is D = L(1−ρ)/(1+ρ): how long after its ask a holder may begin by the lease, by its own clock.
+func (p Plan) Usable() time.Duration {
+	return time.Duration(float64(p.Lease) * (1 - p.Drift) / (1 + p.Drift))
+}
+
+// Quiet is W = L(1+ρ)/(1−ρ), rounded up: by then all that an earlier life of a lender lent has lapsed, by the new life's
+// clock.
+func (p Plan) Quiet() time.Duration {
+	return time.Duration(float64(p.Lease)*(1+p.Drift)/(1-p.Drift)) + 1
+}
+
+// Tail is T = Run(1+ρ)/(1−ρ), rounded up: by then what had begun when a lease lapsed is over, by the lender's clock.
+func (p Plan) Tail() time.Duration {
+	return time.Duration(float64(p.Run)*(1+p.Drift)/(1-p.Drift)) + 1
+}
+
+// Renew is the time between a holder's asks when nothing happens: two may be lost before the lease ends.
+func (p Plan) Renew() time.Duration { return p.Usable() / 3 }
+
+// Retry is how long a first ask waits for its answer before the next is sent. Each further one waits twice as long, up
+// to mostRetry and Renew.
+func (p Plan) Retry() time.Duration { return min(p.Renew(), time.Second) }
+
+// mostRetry bounds the wait for an answer, so that a region that was cut off asks soon after it is back.
+const mostRetry = 8 * time.Second
+
+// Line is what a holder says of one account.
+type Line struct {
+	Account string
+	Held    int // units that it may begin by, from sending the ask on until the answer
+	Used    int // in flight; of a region: all that it counts as lent
+	Want    int // units that it could use in all
+}
+
+// Share is what a lender says of one account: the units that the holder may begin by from now on.
+type Share struct {
+	Account string
+	Units   int
+}
+
+// Ask is what a holder sends: each Renew, when it is short, when it was nudged, and when it was given less. One is on its
+// way at a time.
+type Ask struct {
+	Child  string
+	Epoch  uint64 // rises with each life of the child: its start in Unix nanoseconds
+	Seq    uint64 // counts the asks of an epoch from 1
+	Lender uint64 // the life of the lender heard last, 0 for none: of another life the ask is only answered by Again
+	All    bool   // Lines are all there are; else those changed since the last ask that was answered
+	Fresh  bool   // an earlier life of this region's lender may have lent what this life has not heard of yet
+	Lines  []Line
+}
+
+// Answer is what a lender says to an ask. It is a grant unless Again is set.
+type Answer struct {
+	Child      string
+	Epoch, Seq uint64  // of the ask
+	Lender     uint64  // the lender's life
+	Again      bool    // nothing is granted: ask again, with all lines, for this life of the lender
+	Unsure     bool    // to a fresh ask: what earlier lives of the child lent is not known here, so go on saying Fresh
+	Shares     []Share // of the accounts whose units differ from the Held told
+}
+
+// Note is one step, for the log of the process that took it.
+type Note struct {
+	Step    string // as docs/design/quota.md names the events
+	Account string
+	Child   string
+	Units   int
+}
+
+// Options of a lender.
+type Options struct {
+	Spread bool     // what nobody wants is lent evenly, ahead of need (the root)
+	Middle bool     // it lends what a parent lent it: what an earlier life may have lent is told by Inherit, not by Capacity
+	Known  []string // all children there are, where they are known by name; others get no answer
+	Starts bool     // no earlier life lent: nothing is waited for
+}
