--- a/internal/network/fleet/accord/voters.go
+++ b/internal/network/fleet/accord/voters.go
@@ -61,3 +61,13 @@
 	s := a.voter.log.machine.State()
 	return s.Version, s.Body
 }
+
+// Address is where a voter of that name listens; empty where there is none.
+func (a *Accord) Address(name string) string {
+	for _, p := range a.cfg.Voters {
+		if p.Name == name {
+			return p.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/network/fleet/quota/quota.go
@@ -0,0 +1,201 @@
+// Package quota carries the units of quotas between dispatchers (docs/design/quota.md). It is a thin driver: package
+// fleet/quota decides, fleet/quota/wire frames, the accord says who leads, and this package reads the clock and the
+// sockets.
+//
+// A dispatcher's desk is at each of them, with one link to its region's lender. A region's lender is at the voter
+// named for it, with one link to the voter that leads. The root is at every voter and lends while that one leads. Links
+// come to the voters' listen addresses, which the accord's port shares out.
+package quota
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/fleet/quota"
+	"tinsail/internal/network/fleet/accord"
+)
+
+// Lender says at which voter a region's lender is, and where that voter listens.
+type Lender struct{ Region, Voter, Address string }
+
+// Config is what a dispatcher takes part with. All fields are read at the start alone.
+type Config struct {
+	Name        string // this dispatcher's, unique in the fleet
+	Epoch       uint64 // new and higher with each start of the process
+	Region      string // this dispatcher's
+	Lenders     []Lender
+	Plan        quota.Plan    // between a region's lender and its dispatchers
+	RegionLease time.Duration // between the root and the regions; the rest of the plan is the same
+	Log         zerolog.Logger
+}
+
+// up is the plan between the root and the regions.
+func (c *Config) up() quota.Plan {
+	p := c.Plan
+	p.Lease = c.RegionLease
+	return p
+}
+
+// lends says for which region this dispatcher is named as the lender; empty for none.
+func (c *Config) lends() string {
+	for _, l := range c.Lenders {
+		if l.Voter == c.Name {
+			return l.Region
+		}
+	}
+	return ""
+}
+
+// Bounds.
+const (
+	paceLeast = 2 * time.Millisecond   // between two asks of a holder, however often it is short
+	beatMost  = 100 * time.Millisecond // between two looks at the time
+	linkHeld  = 32                     // messages that wait for a link; one that does not take them is closed
+	asksMost  = 1000                   // asks a second on a link, twice what paceLeast lets a holder send; more close it
+	asksHeld  = 1024                   // asks that wait for the root's confirmation; one beyond is dropped, and asked again
+)
+
+// beat is how often the time is looked at where nothing happens.
+func (c *Config) beat() time.Duration {
+	return min(max(c.Plan.Lease/100, paceLeast), beatMost)
+}
+
+// Counts are the quotas' counters.
+type Counts struct {
+	Waited, Refused atomic.Int64 // reqs that did not begin at once; that had no room in time
+	Nudged          atomic.Int64 // nudges heard: units were called back from here
+	CalledBack      atomic.Int64 // calls of this process's lenders for units
+	Asks            atomic.Int64 // sent to lenders
+	Taken           atomic.Int64 // asks that this process's lenders took in
+	Away            atomic.Int64 // asks for a lender that is not here
+	Bad             atomic.Int64 // messages that could not be read, or were not a holder's
+	Floods          atomic.Int64 // links closed since more came than is read, or less was taken than was sent
+}
+
+// Quota is a dispatcher's part in the quotas.
+type Quota struct {
+	Count Counts
+	cfg   Config
+	start time.Time
+	desk  *desk
+	votes *votes // nil where it is no voter
+}
+
+// now is the process's own monotonic clock, from its making.
+func (q *Quota) now() quota.Time { return quota.Time(time.Since(q.start)) }
+
+// at is the time of a reading of that clock.
+func (q *Quota) at(t quota.Time) time.Time { return q.start.Add(time.Duration(t)) }
+
+// of is the reading of that clock at a time.
+func (q *Quota) of(t time.Time) quota.Time { return quota.Time(t.Sub(q.start)) }
+
+// New starts a dispatcher's part. Close ends it, before the accord is closed.
+func New(cfg Config, a *accord.Accord) (*Quota, error) {
+	if a == nil {
+		return nil, errors.New("quota: no accord")
+	}
+	if err := cfg.up().Check(); err != nil {
+		return nil, fmt.Errorf("of regions: %w", err)
+	}
+	if cfg.RegionLease < cfg.Plan.Lease {
+		return nil, errors.New("quota: a region's lease is shorter than a dispatcher's")
+	}
+	to := ""
+	for _, l := range cfg.Lenders {
+		if l.Region == cfg.Region {
+			to = l.Address
+		}
+	}
+	if to == "" {
+		return nil, fmt.Errorf("quota: no lender is named for region %q", cfg.Region)
+	}
+	if cfg.lends() != "" && !a.Votes() {
+		return nil, fmt.Errorf("quota: %s is a lender and no voter", cfg.Name)
+	}
+	q := &Quota{cfg: cfg, start: time.Now()}
+	var err error
+	if a.Votes() {
+		if q.votes, err = newVotes(q, a); err != nil {
+			return nil, err
+		}
+	}
+	if q.desk, err = newDesk(q, to); err != nil {
+		q.Close()
+		return nil, err
+	}
+	return q, nil
+}
+
+// Close ends this dispatcher's part; what waits is not told. It is called once.
+func (q *Quota) Close() {
+	if q.desk != nil {
+		q.desk.close()
+	}
+	if q.votes != nil {
+		q.votes.close()
+	}
+}
+
+// Enter puts a policy's quotas in force at this dispatcher.
+func (q *Quota) Enter(p policy.Policy) { q.desk.enter(p) }
+
+// Take asks for room for a req of an account, until a time at most. ready is called once, unless leave was called
+// first; from any goroutine, perhaps before Take returns. from is the time by which the room counts: the req is over
+// by the policy's run after it. Where there is no room by until, ok is false and pause is advice to its client. leave
+// tells that the req is over, or does not wait any more; it may be called more than once.
+func (q *Quota) Take(account string, urgent bool, until time.Time, ready func(from time.Time, pause time.Duration, ok bool)) (leave func()) {
+	return q.desk.take(account, urgent, until, ready)
+}
+
+// Each calls f for the counters and levels of the quotas.
+func (q *Quota) Each(f func(name string, n int64)) {
+	held, used, waiting := q.desk.levels()
+	f("quota_held", held)
+	f("quota_in_use", used)
+	f("quota_waiting", waiting)
+	f("quota_waited", q.Count.Waited.Load())
+	f("quota_refused", q.Count.Refused.Load())
+	f("quota_nudged", q.Count.Nudged.Load())
+	f("quota_asks", q.Count.Asks.Load())
+	f("quota_bad_messages", q.Count.Bad.Load())
+	if q.votes == nil {
+		return
+	}
+	region, root := q.votes.lent()
+	f("quota_lent", region)
+	f("quota_lent_root", root)
+	f("quota_called_back", q.Count.CalledBack.Load())
+	f("quota_asks_taken", q.Count.Taken.Load())
+	f("quota_asks_away", q.Count.Away.Load())
+	f("quota_floods", q.Count.Floods.Load())
+}
+
+// tell logs the steps of a lender, and counts those that the counters tell. level is its region, empty for the root.
+func (q *Quota) tell(level string, notes []quota.Note) {
+	for _, n := range notes {
+		if n.Step == "called back" {
+			q.Count.CalledBack.Add(1)
+		}
+		e := q.cfg.Log.Info().Str("process", q.cfg.Name).Str("lender", levelName(level))
+		if n.Account != "" {
+			e.Str("account", n.Account)
+		}
+		if n.Child != "" {
+			e.Str("child", n.Child)
+		}
+		e.Int("units", n.Units).Msg("quota: " + n.Step)
+	}
+}
+
+func levelName(level string) string {
+	if level == "" {
+		return "root"
+	}
+	return level
+}
--- /dev/null
+++ b/internal/network/fleet/quota/region.go
@@ -0,0 +1,140 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"tinsail/internal/fleet/quota"
+	"tinsail/internal/fleet/quota/wire"
+)
+
+// region is a region's lender, at the voter that is named for it.
+type region struct {
+	v    *votes
+	name string
+	link *asker // to the root
+
+	mu       sync.Mutex
+	region   *quota.Region
+	version  uint64 // of the policy whose reserve and run are in force
+	children children
+}
+
+func newRegion(v *votes, name string) (*region, error) {
+	cfg := &v.q.cfg
+	r, err := quota.NewRegion(cfg.up(), cfg.Plan, name, cfg.Epoch, v.q.now())
+	if err != nil {
+		return nil, err
+	}
+	return &region{v: v, name: name, region: r, children: children{}}, nil
+}
+
+// run lets time pass, and takes up what is decided.
+func (r *region) run() {
+	for {
+		r.mu.Lock()
+		r.follow()
+		r.region.Tick(r.v.q.now())
+		r.turn()
+		next := r.region.Next()
+		r.mu.Unlock()
+		if !r.v.sleep(next) {
+			return
+		}
+	}
+}
+
+// sleep waits until a time, at most a beat; false: the voter was closed.
+func (v *votes) sleep(until quota.Time) bool {
+	d := min(max(v.q.at(until).Sub(time.Now()), paceLeast), v.q.cfg.beat())
+	if until == quota.Never {
+		d = v.q.cfg.beat()
+	}
+	over := time.NewTimer(d)
+	defer over.Stop()
+	select {
+	case <-v.stop:
+		return false
+	case <-over.C:
+		return true
+	}
+}
+
+// follow takes up the policy that was decided last. r.mu is held.
+func (r *region) follow() {
+	if version, p, ok := r.v.decided(); ok && version != r.version {
+		r.version = version
+		r.region.Reserve(r.v.q.now(), p.UrgentReserve)
+	}
+}
+
+// turn does what the lender asks for. r.mu is held.
+func (r *region) turn() {
+	r.children.nudge(r.region.Nudges())
+	r.v.q.tell(r.name, r.region.Notes())
+	if r.link != nil && r.region.Holder().Next() <= r.v.q.now() {
+		r.link.wake()
+	}
+}
+
+// take answers a dispatcher's ask.
+func (r *region) take(l *link, a quota.Ask) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.children[l.child] = l
+	if answer, ok := r.region.Take(r.v.q.now(), a); ok {
+		l.send(wire.WriteAnswer(wire.Answer{From: r.name, Answer: answer}))
+	}
+	r.turn()
+}
+
+func (r *region) lose(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.children.lose(l)
+}
+
+func (r *region) lent() (n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return lent(r.region.Lender(), r.v.q.now())
+}
+
+func lent(l *quota.Lender, now quota.Time) (n int64) {
+	for _, account := range l.Accounts() {
+		n += int64(l.Lent(now, account))
+	}
+	return n
+}
+
+// The side of the link to the root.
+
+func (r *region) linked() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.region.Linked()
+}
+
+func (r *region) due() (quota.Ask, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.region.Due(r.v.q.now())
+}
+
+func (r *region) next() quota.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.region.Holder().Next()
+}
+
+func (r *region) heard(m wire.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.Answer != nil {
+		r.region.Answered(r.v.q.now(), m.Answer.Answer)
+	} else {
+		r.region.Nudged()
+		r.v.q.Count.Nudged.Add(1)
+	}
+	r.turn()
+}
--- /dev/null
+++ b/internal/network/fleet/quota/root.go
@@ -0,0 +1,166 @@
+package quota
+
+import (
+	"slices"
+	"sync"
+
+	"tinsail/internal/fleet/quota"
+	"tinsail/internal/fleet/quota/wire"
+)
+
+// root lends to the regions while this voter leads.
+type root struct {
+	v     *votes
+	known []string // the regions
+	asks  chan asked
+
+	mu       sync.Mutex
+	lender   *quota.Lender // of term; it outlives a pause in leading, and no other term
+	term     uint64
+	version  uint64   // of the policy whose quotas are its capacities
+	accounts []string // that have one
+	children children
+}
+
+type asked struct {
+	from *link
+	ask  quota.Ask
+}
+
+func newRoot(v *votes) *root {
+	r := &root{v: v, asks: make(chan asked, asksHeld), children: children{}}
+	for _, l := range v.q.cfg.Lenders {
+		r.known = append(r.known, l.Region)
+	}
+	return r
+}
+
+// ask queues a region's ask for the majority's word.
+func (r *root) ask(l *link, a quota.Ask) {
+	select {
+	case r.asks <- asked{l, a}:
+	default: // it asks again
+	}
+}
+
+// run makes a lender at each term that this voter leads, lets time pass, and takes up what is decided.
+func (r *root) run() {
+	for next := quota.Time(0); r.v.sleep(next); {
+		r.mu.Lock()
+		next = quota.Never
+		if r.leads() {
+			r.lender.Tick(r.v.q.now())
+			r.turn()
+			next = r.lender.Next()
+		}
+		r.mu.Unlock()
+	}
+}
+
+// leads says whether this voter leads, with a lender of its term whose capacities are those decided last. A term has one
+// leader, so that a lender of the term that is led again has missed nothing. r.mu is held.
+func (r *root) leads() bool {
+	term, ok := r.v.accord.Leading()
+	if !ok {
+		return false
+	}
+	if r.lender == nil || r.term != term {
+		l, err := quota.NewLender(r.v.q.cfg.up(), term, r.v.q.now(), quota.Options{Spread: true, Known: r.known})
+		if err != nil { // the plan was checked: a fault of ours
+			r.v.q.cfg.Log.Error().Err(err).Msg("quota: cannot lend")
+			return false
+		}
+		r.lender, r.term, r.version, r.accounts = l, term, 0, nil
+		r.v.q.tell("", []quota.Note{{Step: "lends"}})
+	}
+	if version, p, ok := r.v.decided(); ok && version != r.version {
+		now := r.v.q.now()
+		for _, account := range r.accounts {
+			if _, has := p.Quotas[account]; !has {
+				r.lender.Capacity(now, account, 0)
+			}
+		}
+		r.version, r.accounts = version, nil
+		for account, units := range p.Quotas {
+			r.accounts = append(r.accounts, account)
+			r.lender.Capacity(now, account, units)
+		}
+		slices.Sort(r.accounts)
+	}
+	return true
+}
+
+// turn does what the lender asks for. r.mu is held.
+func (r *root) turn() {
+	r.children.nudge(r.lender.Nudges())
+	r.v.q.tell("", r.lender.Notes())
+}
+
+// confirm answers asks in batches: those that are there get a majority's word together that this voter's term has not
+// ended, begun after all of them came.
+func (r *root) confirm() {
+	batch := make([]asked, 0, asksHeld)
+	for {
+		batch = batch[:0]
+		select {
+		case <-r.v.stop:
+			return
+		case a := <-r.asks:
+			batch = append(batch, a)
+		}
+		for more := true; more && len(batch) < asksHeld; {
+			select {
+			case a := <-r.asks:
+				batch = append(batch, a)
+			default:
+				more = false
+			}
+		}
+		r.mu.Lock()
+		leads, term := r.leads(), r.term
+		r.mu.Unlock()
+		if !leads || !r.v.accord.Confirm(term) {
+			for _, a := range batch {
+				a.from.away(r.v.accord.Leader())
+			}
+			continue
+		}
+		r.mu.Lock()
+		if r.lender != nil && r.term == term {
+			for _, a := range batch {
+				r.take(a)
+			}
+			r.turn()
+		}
+		r.mu.Unlock()
+	}
+}
+
+// take answers an ask. r.mu is held, and that this voter leads is confirmed.
+func (r *root) take(a asked) {
+	if !slices.Contains(r.known, a.ask.Child) {
+		r.v.q.Count.Bad.Add(1)
+		a.from.conn.Close()
+		return
+	}
+	r.children[a.ask.Child] = a.from
+	if answer, ok := r.lender.Take(r.v.q.now(), a.ask); ok {
+		a.from.send(wire.WriteAnswer(wire.Answer{Answer: answer}))
+	}
+}
+
+func (r *root) lose(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.children.lose(l)
+}
+
+func (r *root) lent() int64 {
+	_, ok := r.v.accord.Leading()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok || r.lender == nil {
+		return 0
+	}
+	return lent(r.lender, r.v.q.now())
+}
