--- a/internal/fleet/quota/desk.go
+++ b/internal/fleet/quota/desk.go
@@ -1,30 +1,244 @@
 package quota
 
-// Desk says which reqs of one dispatcher begin.
-type Desk struct{}
+import (
+	"container/heap"
+	"container/list"
+)
+
+// Desk says which reqs of one dispatcher begin: of an account first in, first out, urgent ones first. It counts what is
+// in flight of all accounts, also of those without a quota, which may gain one.
+type Desk struct {
+	quotas  map[string]bool
+	reqs    map[uint64]*req
+	tabs    map[string]*tab
+	urgent  *list.List // urgent reqs that wait, of all accounts, oldest first
+	waiting patience
+	queued  map[string]bool // accounts of which some wait
+	told    map[string]bool // accounts whose needs were told and may have to be taken back
+	changed map[string]bool
+}
+
+// tab is one account at the desk.
+type tab struct {
+	used          int
+	urgent, other *list.List // *req that wait
+}
+
+// req is one that waits or is in flight.
+type req struct {
+	id       uint64
+	account  string
+	urgent   bool
+	until    Time
+	charged  string // the account of its unit, once it began
+	begun    bool
+	at, also *list.Element // its places in tab's list and in Desk.urgent
+	heap     int           // its place in waiting
+}
 
 // NewDesk makes a desk at which no account has a quota.
-func NewDesk() *Desk { return &Desk{} }
+func NewDesk() *Desk {
+	return &Desk{quotas: map[string]bool{}, reqs: map[uint64]*req{}, tabs: map[string]*tab{}, urgent: list.New(),
+		queued: map[string]bool{}, told: map[string]bool{}, changed: map[string]bool{}}
+}
 
-// SetQuotas puts in force which accounts have a quota; Urgent among them where there is a reserve.
-func (d *Desk) SetQuotas(now Time, accounts []string) {}
+// SetQuotas puts in force which accounts have a quota; Urgent among them where there is a reserve. What is in flight of an
+// account that gains one counts as used. What waits of one that loses its quota begins at the next Turn.
+func (d *Desk) SetQuotas(now Time, accounts []string) {
+	clear(d.quotas)
+	for _, a := range accounts {
+		d.quotas[a] = true
+		d.changed[a] = true
+	}
+	for a := range d.told {
+		d.changed[a] = true
+	}
+}
 
-// Take asks room for a req: true, and it begins now; false, and it waits, until at most.
+func (d *Desk) tab(account string) *tab {
+	t := d.tabs[account]
+	if t == nil {
+		t = &tab{urgent: list.New(), other: list.New()}
+		d.tabs[account] = t
+	}
+	return t
+}
+
+// Take asks room for a req whose id no other has: true, and it begins now, since its account has no quota; false, and it
+// waits until at most the time given. The next Turn may begin it.
 func (d *Desk) Take(now Time, id uint64, account string, urgent bool, until Time) (begins bool) {
-	return true
+	if account == Urgent { // reqs that name no account have no quota: this name is the reserve's
+		return true
+	}
+	if d.reqs[id] != nil {
+		return false
+	}
+	r := &req{id: id, account: account, urgent: urgent, until: until}
+	d.reqs[id] = r
+	if !d.quotas[account] {
+		d.begin(r, account)
+		return true
+	}
+	t := d.tab(account)
+	d.queued[account] = true
+	if d.changed[account] = true; !urgent {
+		r.at = t.other.PushBack(r)
+	} else {
+		r.at, r.also = t.urgent.PushBack(r), d.urgent.PushBack(r)
+		d.changed[Urgent] = true
+	}
+	heap.Push(&d.waiting, r)
+	return false
+}
+
+func (d *Desk) begin(r *req, charged string) {
+	r.begun, r.charged = true, charged
+	d.tab(charged).used++
+	d.changed[charged] = true
+}
+
+// unqueue takes a req out of all that wait.
+func (d *Desk) unqueue(r *req) {
+	t := d.tab(r.account)
+	if d.changed[r.account] = true; r.urgent {
+		t.urgent.Remove(r.at)
+		d.urgent.Remove(r.also)
+		d.changed[Urgent] = true
+	} else {
+		t.other.Remove(r.at)
+	}
+	heap.Remove(&d.waiting, r.heap)
+	if t.urgent.Len()+t.other.Len() == 0 {
+		delete(d.queued, r.account)
+	}
 }
 
 // Leave tells that a req is over, or gone while it waited. One that is not known is no error.
-func (d *Desk) Leave(id uint64) {}
+func (d *Desk) Leave(id uint64) {
+	r := d.reqs[id]
+	if r == nil {
+		return
+	}
+	if delete(d.reqs, id); r.begun {
+		d.tab(r.charged).used--
+		d.changed[r.charged] = true
+		d.tidy(r.charged)
+		return
+	}
+	d.unqueue(r)
+	d.tidy(r.account)
+}
+
+func (d *Desk) tidy(account string) {
+	if t := d.tabs[account]; t != nil && t.used == 0 && t.urgent.Len()+t.other.Len() == 0 {
+		delete(d.tabs, account)
+	}
+}
 
 // Turn says which of those waiting begin now, by the units that units tells, and which are out of patience: those are
-// forgotten.
+// forgotten, nothing of them was begun. An urgent one takes a unit of its own account first, then one of the reserve.
 func (d *Desk) Turn(now Time, units func(account string) int) (begin, refuse []uint64) {
-	return nil, nil
+	for len(d.waiting) > 0 && d.waiting[0].until <= now {
+		r := d.waiting[0]
+		d.unqueue(r)
+		delete(d.reqs, r.id)
+		d.tidy(r.account)
+		refuse = append(refuse, r.id)
+	}
+	start := func(r *req, charged string) {
+		d.unqueue(r)
+		d.begin(r, charged)
+		begin = append(begin, r.id)
+	}
+	for _, account := range sorted(d.queued) {
+		t, room := d.tabs[account], MaxUnits
+		if d.quotas[account] {
+			room = units(account) - d.tabs[account].used
+		}
+		for ; room > 0 && t.urgent.Len()+t.other.Len() > 0; room-- {
+			first := t.urgent.Front()
+			if first == nil {
+				first = t.other.Front()
+			}
+			start(first.Value.(*req), account)
+		}
+	}
+	if d.quotas[Urgent] && d.urgent.Len() > 0 {
+		for room := units(Urgent) - d.used(Urgent); room > 0 && d.urgent.Len() > 0; room-- {
+			start(d.urgent.Front().Value.(*req), Urgent)
+		}
+	}
+	return begin, refuse
+}
+
+func (d *Desk) used(account string) int {
+	if t := d.tabs[account]; t != nil {
+		return t.used
+	}
+	return 0
 }
 
-// Needs tells what is used and wanted of each account that has a quota, and once of each that lost it.
-func (d *Desk) Needs(tell func(account string, used, want int)) {}
+// Needs tells what is used and wanted of each account with a quota of which that may have changed since it was told
+// last, and once 0 and 0 of each that lost its quota. Of the reserve one unit is wanted ahead of need.
+func (d *Desk) Needs(tell func(account string, used, want int)) {
+	for account := range d.changed {
+		delete(d.changed, account)
+		if !d.quotas[account] {
+			if d.told[account] {
+				delete(d.told, account)
+				tell(account, 0, 0)
+			}
+			continue
+		}
+		d.told[account] = true
+		used := d.used(account)
+		want := used
+		if t := d.tabs[account]; t != nil {
+			want += t.urgent.Len() + t.other.Len()
+		}
+		if account == Urgent {
+			want = used + d.urgent.Len() + 1
+		}
+		tell(account, used, want)
+	}
+}
+
+// Charged is the account whose unit a req in flight has: its own, or Urgent; false where it has none.
+func (d *Desk) Charged(id uint64) (account string, ok bool) {
+	r := d.reqs[id]
+	if r == nil || !r.begun {
+		return "", false
+	}
+	return r.charged, true
+}
 
 // Next is when the patience of a waiting req is over first; Never for none.
-func (d *Desk) Next() Time { return Never }
+func (d *Desk) Next() Time {
+	if len(d.waiting) == 0 {
+		return Never
+	}
+	return d.waiting[0].until
+}
+
+// patience is the reqs that wait, the first to be refused first.
+type patience []*req
+
+func (p patience) Len() int           { return len(p) }
+func (p patience) Less(i, j int) bool { return p[i].until < p[j].until }
+func (p patience) Swap(i, j int) {
+	p[i], p[j] = p[j], p[i]
+	p[i].heap, p[j].heap = i, j
+}
+
+// Push implements heap.Interface.
+func (p *patience) Push(x any) {
+	x.(*req).heap = len(*p)
+	*p = append(*p, x.(*req))
+}
+
+// Pop implements heap.Interface.
+func (p *patience) Pop() any {
+	last := (*p)[len(*p)-1]
+	*p = (*p)[:len(*p)-1]
+	return last
+}
--- /dev/null
+++ b/internal/fleet/quota/division.go
@@ -0,0 +1,193 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// able is what of an account may be lent now.
+func (l *Lender) able(now Time, name string, a *account) int {
+	if name != Urgent && !l.covered(now) {
+		return 0
+	}
+	return a.capacity
+}
+
+// wish is what one child could use of an account.
+type wish struct {
+	child string
+	want  int
+}
+
+// fill gives each wish its max-min share of whole units, adds it to targets and returns what is left.
+func fill(units int, wishes []wish, targets map[string]int) (left int) {
+	slices.SortFunc(wishes, func(a, b wish) int { return cmp.Or(a.want-b.want, cmp.Compare(a.child, b.child)) })
+	for i, w := range wishes {
+		u := min(w.want, units/(len(wishes)-i))
+		targets[w.child] += u
+		units -= u
+	}
+	return units
+}
+
+// targets are the units that each child should have of an account, of all that is not counted for lives that ended: by
+// max-min of what they want, and the rest evenly where the lender spreads. Of the urgent reserve each wants one ahead of
+// need; real need goes first.
+func (l *Lender) targets(now Time, name string, a *account) map[string]int {
+	if a.targets != nil {
+		return a.targets
+	}
+	units := l.able(now, name, a) - a.past - l.legacy(a)
+	ahead := 0
+	if name == Urgent {
+		ahead = 1
+	}
+	var need, more []wish
+	for child, ln := range a.lines {
+		switch c := l.children[child]; {
+		case c.lapsed:
+			units -= ln.count()
+		case c.unsure:
+			need = append(need, wish{child, min(ln.Want, max(ln.Held, ln.Used))})
+		default:
+			want := max(ln.Want, ln.floor)
+			need = append(need, wish{child, max(want-ahead, 0)})
+			more = append(more, wish{child, min(want, ahead)})
+		}
+	}
+	a.targets = make(map[string]int, len(need))
+	units = fill(max(units, 0), need, a.targets)
+	if ahead > 0 {
+		units = fill(units, more, a.targets)
+	}
+	if l.options.Spread {
+		more = more[:0]
+		for child, c := range l.children {
+			if !c.unsure && !c.lapsed {
+				more = append(more, wish{child, units})
+			}
+		}
+		fill(units, more, a.targets)
+	}
+	return a.targets
+}
+
+// lacks says whether a child has too little of an account. Of what is spread ahead of need it has too little at less than
+// half its part, so that small changes of what others want move nothing.
+func (l *Lender) lacks(a *account, child string, targets map[string]int) bool {
+	ln, t := a.lines[child], targets[child]
+	units, want := 0, 0
+	if ln != nil {
+		units, want = ln.units, ln.Want
+	}
+	if l.options.Spread {
+		return units < min(want, t) || 2*units < t
+	}
+	return units < t
+}
+
+// lacking are the children that have too little of an account, in order.
+func (l *Lender) lacking(a *account, targets map[string]int) (out []string) {
+	for child := range targets {
+		if l.lacks(a, child, targets) {
+			out = append(out, child)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// named are the accounts that an answer to a child is about, in order: those that it has, and all where the lender
+// spreads.
+func (l *Lender) named(c *child) []string {
+	names := make(map[string]bool, len(c.lines))
+	for name := range c.lines {
+		names[name] = true
+	}
+	if l.options.Spread {
+		for name, a := range l.accounts {
+			if a.capacity > 0 {
+				names[name] = true
+			}
+		}
+	}
+	return sorted(names)
+}
+
+// grant decides what a child may begin by of each account, and names what differs from what it said that it holds.
+func (l *Lender) grant(now Time, c *child, names []string, inherits bool) (out []Share) {
+	for _, name := range names {
+		var ln line
+		if old := c.lines[name]; old != nil {
+			ln = *old
+		}
+		if ln.units = max(ln.floor, ln.Held, ln.Used); !inherits {
+			ln.units = l.allowed(now, name, c, ln)
+		}
+		if l.set(c, name, ln); ln.units != ln.Held {
+			out = append(out, Share{name, ln.units})
+		}
+	}
+	return out
+}
+
+// allowed is a child's target as far as there is room beside all else that is counted. While more is counted than may be
+// lent nobody begins, whatever its target: each has room only once the others' units are over.
+func (l *Lender) allowed(now Time, name string, c *child, ln line) int {
+	a := l.account(name)
+	targets := l.targets(now, name, a)
+	t := targets[c.name]
+	if l.options.Spread && t < ln.Held && !slices.ContainsFunc(l.lacking(a, targets), func(child string) bool { return child != c.name }) {
+		t = ln.Held // nobody needs it
+	}
+	room := l.able(now, name, a) - l.legacy(a) - (a.counted - ln.count())
+	if c.unsure {
+		room = min(room, max(ln.Held, ln.Used))
+	}
+	return max(min(t, room), 0)
+}
+
+// settle nudges who should ask now: where an account is short or over its capacity, those that hold more than their
+// targets; where there is room, those that lack some.
+func (l *Lender) settle(now Time, name string) {
+	a := l.accounts[name]
+	if a == nil {
+		return
+	}
+	able := l.able(now, name, a)
+	targets := l.targets(now, name, a)
+	lacking := l.lacking(a, targets)
+	free := able - l.legacy(a) - a.counted
+	if len(lacking) == 0 && free >= 0 {
+		delete(l.short, name)
+		return
+	}
+	l.short[name] = true
+	for _, child := range slices.Sorted(maps.Keys(a.lines)) {
+		if over := a.lines[child].units - targets[child]; over > 0 && l.call(now, child) {
+			l.note("called back", name, child, over)
+		}
+	}
+	for _, child := range lacking {
+		if free <= 0 {
+			break
+		}
+		l.call(now, child)
+		free -= targets[child]
+		if ln := a.lines[child]; ln != nil {
+			free += ln.units
+		}
+	}
+}
+
+// call nudges a child, unless it has been a moment ago and has not asked since.
+func (l *Lender) call(now Time, name string) bool {
+	c := l.children[name]
+	if c == nil || c.lapsed || now < c.nudged.Add(l.plan.Retry()) {
+		return false
+	}
+	c.nudged = now
+	l.nudge[name] = true
+	return true
+}
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -44,7 +44,7 @@
 		return nil, errors.New("quota: a holder's name is empty or too long, or its epoch is 0")
 	}
 	return &Holder{plan: p, name: name, epoch: epoch, fresh: fresh, all: true, asap: true,
-		at: map[string]*held{}, stale: map[string]bool{}}, nil
+		at: map[string]*held{}, stale: map[string]bool{}, until: always}, nil
 }
 
 // Need tells what is used of an account now, and what could be used in all. Where that is more than is held and than the
@@ -63,7 +63,8 @@
 	}
 	k.used, k.want = used, want
 	h.stale[account] = true
-	if want > k.units && want > k.told.Want {
+	// Short of what the lender knows of; or fewer run of more than is held, and somebody may wait for that.
+	if want > k.units && want > k.told.Want || k.told.Used > k.told.Held && used < k.told.Used {
 		h.asap = true
 	}
 }
@@ -93,6 +94,14 @@
 // Nudged takes a nudge: the holder asks now, and gives back what it does not want.
 func (h *Holder) Nudged() { h.nudged, h.asap = true, true }
 
+// Close tells that this life ends in order and nothing is in flight: the ask that is due then gives all back.
+func (h *Holder) Close() {
+	for account := range h.at {
+		h.Need(account, 0, 0)
+	}
+	h.Nudged()
+}
+
 // Each tells the units of each account, whether the lease is over or not.
 func (h *Holder) Each(tell func(account string, units int)) {
 	for account, k := range h.at {
@@ -104,9 +113,11 @@
 func (h *Holder) Next() Time {
 	switch {
 	case h.seq == 0 || h.asap && !h.flying:
-		return 0
+		return always
 	case h.flying:
 		return h.sent.Add(h.wait)
+	case len(h.stale) > 0:
+		return h.sent.Add(h.plan.Tell())
 	}
 	return h.sent.Add(h.plan.Renew())
 }
@@ -114,7 +125,7 @@
 // Due says whether an ask is to be sent at now, and makes it. What it says is held is all that may be begun by until its
 // answer comes, whatever older answers come.
 func (h *Holder) Due(now Time) (Ask, bool) {
-	if h.seq > 0 && now < h.Next() {
+	if now < h.Next() {
 		return Ask{}, false
 	}
 	h.wait = h.backoff()
@@ -174,7 +185,9 @@
 		return
 	}
 	h.until = h.sent.Add(h.plan.Usable())
-	h.fresh = h.fresh && a.Unsure
+	if h.fresh && !a.Unsure { // the next ask is the first that may be given more than was inherited
+		h.fresh, h.asap = false, true
+	}
 	h.all = h.fresh
 	for account := range h.stale {
 		if k := h.at[account]; k.told == (Line{account, k.units, k.used, k.want}) {
@@ -201,7 +214,7 @@
 		k = &held{told: Line{Account: s.Account}}
 		h.at[s.Account] = k
 	}
-	if s.Units == k.units {
+	if s.Units = min(max(s.Units, 0), MaxUnits); s.Units == k.units {
 		return
 	}
 	if s.Units < k.units {
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -1,43 +1,216 @@
 package quota
 
-// Lender lends units to its children: the root to regions, a region to dispatchers.
-type Lender struct{}
+import (
+	"errors"
+	"maps"
+	"slices"
+)
+
+// Lender lends units to its children: the root to regions, a region to dispatchers. Of each account it counts what
+// children may begin by or have in flight, what ended lives of theirs may (past), and what earlier lives of its own may
+// have lent to children not heard of since (legacy): it lends no more than its capacity less all of that.
+type Lender struct {
+	plan     Plan
+	life     uint64
+	options  Options
+	born     Time
+	young    bool // earlier lives may have lent what is not heard of yet
+	cover    Time // Never for the root
+	lit      bool // covered, when it was looked at last
+	children map[string]*child
+	past     []pastLife
+	accounts map[string]*account
+	scan     Time            // no lease ends before
+	settled  Time            // when those short were looked at last
+	short    map[string]bool // accounts of which some lack units, or more is counted than may be lent
+	moved    map[string]bool // accounts whose counts or wants changed, for the region
+	nudge    map[string]bool
+	notes    []Note
+}
+
+// child is the newest life of one child.
+type child struct {
+	name     string
+	epoch    uint64
+	seq      uint64
+	heard    Time
+	lapsed   bool
+	reported bool           // what it said was all that earlier lives of this lender lent to it
+	unsure   bool           // fresh, and its earlier lives are not known here
+	first    map[string]int // while unsure: what it reported at most
+	nudged   Time           // at
+	lines    map[string]*line
+}
+
+// line is one account of a child. It counts as the most of what it said that it holds and uses, of what the answer to
+// its newest ask gave it, and, of a fresh life, of what the lives before were counted at.
+type line struct {
+	Line
+	units int
+	floor int
+}
+
+func (n *line) count() int { return max(n.units, n.floor, n.Held, n.Used) }
+
+// pastLife is an ended life of a child, of which something may run until a time.
+type pastLife struct {
+	child string
+	until Time
+	units map[string]int
+}
+
+// account is one team's units.
+type account struct {
+	capacity int
+	counted  int              // of lines and past lives
+	past     int              // of past lives alone
+	base     int              // what earlier lives may have lent at most, while young
+	first    int              // of it, what children reported
+	lines    map[string]*line // by child
+	targets  map[string]int   // nil: to be worked out
+}
 
 // NewLender starts a life of a lender, which knows nothing of what earlier lives lent. life is not 0 and differs from
-// that of each earlier life.
+// that of each earlier life. It counts what earlier lives may have lent as lent until children have reported it, all
+// children that are known by name have, or Quiet and Tail have passed.
 func NewLender(p Plan, life uint64, now Time, o Options) (*Lender, error) {
-	return &Lender{}, p.Check()
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	if life == 0 {
+		return nil, errors.New("quota: a lender's life is 0")
+	}
+	l := &Lender{plan: p, life: life, options: o, born: now, young: !o.Starts, cover: Never, scan: now, settled: now,
+		children: map[string]*child{}, accounts: map[string]*account{}, short: map[string]bool{}, moved: map[string]bool{}, nudge: map[string]bool{}}
+	if l.lit = !o.Middle; o.Middle {
+		l.cover = now
+	}
+	return l, nil
 }
 
-// Capacity sets what may be lent of an account.
-func (l *Lender) Capacity(now Time, account string, units int) {}
-
-// Cover sets until when this lender may itself begin, where it lends what a parent lent it; Never for the root.
-func (l *Lender) Cover(until Time) {}
+// Capacity sets what may be lent of an account. Lowered below what is counted it lends nothing until there is room.
+func (l *Lender) Capacity(now Time, name string, units int) {
+	a := l.account(name)
+	if a.capacity == units {
+		return
+	}
+	a.capacity, a.targets = units, nil
+	if !l.options.Middle {
+		l.inherit(name, units)
+	}
+	l.settle(now, name)
+}
 
 // Inherit tells what earlier lives of a middle lender may have lent.
-func (l *Lender) Inherit(now Time, shares []Share) {}
+func (l *Lender) Inherit(now Time, shares []Share) {
+	for _, s := range shares {
+		l.inherit(s.Account, s.Units)
+		l.settle(now, s.Account)
+	}
+}
 
-// Take answers an ask; false: nothing is to be sent.
-func (l *Lender) Take(now Time, a Ask) (Answer, bool) { return Answer{}, false }
+func (l *Lender) inherit(name string, units int) {
+	if a := l.account(name); l.young && units > a.base {
+		a.base, a.targets = units, nil
+		l.moved[name] = true
+	}
+}
 
-// Nudges are the children that should ask now, once each.
-func (l *Lender) Nudges() []string { return nil }
+// Cover sets until when a middle lender may itself begin: what it lends ends before. Uncovered it lends the urgent
+// reserve alone, which is its own, and nothing at all in its first Quiet, so that a cover that comes soon finds its
+// children's leases standing.
+func (l *Lender) Cover(now, until Time) {
+	l.cover = until
+	l.relight(now)
+}
 
-// Want is what the children use and want of an account, by their asks.
-func (l *Lender) Want(account string) (used, want int) { return 0, 0 }
+func (l *Lender) covered(now Time) bool { return l.cover == Never || now.Add(l.plan.Lease) <= l.cover }
 
-// Accounts are those that the lender knows, in order.
-func (l *Lender) Accounts() []string { return nil }
+func (l *Lender) relight(now Time) {
+	if l.covered(now) == l.lit {
+		return
+	}
+	l.lit = !l.lit
+	l.resettle(now)
+	if l.lit {
+		for name := range l.children {
+			l.nudge[name] = true
+		}
+	}
+}
 
-// Tick lets time pass: leases end.
-func (l *Lender) Tick(now Time) {}
+// resettle works all accounts out anew.
+func (l *Lender) resettle(now Time) {
+	for _, name := range l.Accounts() {
+		l.accounts[name].targets = nil
+		l.settle(now, name)
+	}
+}
+
+// ends is when nothing is legacy any more.
+func (l *Lender) ends() Time { return l.born.Add(l.plan.Quiet()).Add(l.plan.Tail()) }
 
-// Next is when Tick has something to do.
-func (l *Lender) Next() Time { return Never }
+// Young says whether earlier lives may have lent what is not heard of yet.
+func (l *Lender) Young() bool { return l.young }
+
+func (l *Lender) account(name string) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{lines: map[string]*line{}}
+		l.accounts[name] = a
+	}
+	return a
+}
+
+// legacy is what earlier lives may have lent of an account that no child has reported.
+func (l *Lender) legacy(a *account) int {
+	if !l.young {
+		return 0
+	}
+	return max(a.base-a.first, 0)
+}
 
 // Lent is what may be in use of an account: what children hold or use, and what ended or earlier lives may.
-func (l *Lender) Lent(now Time, account string) int { return 0 }
+func (l *Lender) Lent(now Time, account string) int {
+	l.Tick(now)
+	a := l.accounts[account]
+	if a == nil {
+		return 0
+	}
+	return a.counted + l.legacy(a)
+}
+
+// Want is what the children use and could use of an account, by their newest asks.
+func (l *Lender) Want(account string) (used, want int) {
+	if a := l.accounts[account]; a != nil {
+		for _, n := range a.lines {
+			used, want = used+n.Used, want+n.Want
+		}
+	}
+	return used, want
+}
+
+// Accounts are those that the lender knows, in order.
+func (l *Lender) Accounts() []string { return slices.Sorted(maps.Keys(l.accounts)) }
+
+// Nudges are the children that should ask now, once each.
+func (l *Lender) Nudges() []string {
+	out := slices.Sorted(maps.Keys(l.nudge))
+	clear(l.nudge)
+	return out
+}
 
 // Notes hands out what is to be logged.
-func (l *Lender) Notes() []Note { return nil }
+func (l *Lender) Notes() []Note {
+	n := l.notes
+	l.notes = nil
+	return n
+}
+
+func (l *Lender) note(step, account, child string, units int) {
+	if len(l.notes) < mostNotes {
+		l.notes = append(l.notes, Note{step, account, child, units})
+	}
+}
+
+func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -22,6 +22,9 @@
 // Never is a time that no clock reaches.
 const Never = Time(1<<63 - 1)
 
+// always is a time that every clock has reached.
+const always = Time(-1 << 63)
+
 // Urgent is the account of the urgent reserve: units of a region, which the root never lends.
 const Urgent = ""
 
@@ -81,6 +84,9 @@
 // mostRetry bounds the wait for an answer, so that a region that was cut off asks soon after it is back.
 const mostRetry = 8 * time.Second
 
+// Tell is how long after its last ask a holder tells what has changed where nothing is due at once.
+func (p Plan) Tell() time.Duration { return min(p.Renew(), 2*time.Second) }
+
 // Line is what a holder says of one account.
 type Line struct {
 	Account string
