core: a req taken back before the core heard of it no longer ends the process

Seen by a rapid test of the core (take, Abandon with stop, both before one step, settings that allow to call attempts off): nil pointer at cut (core.go). The take's event has the module dispatch; the attempt sees that the req is over and is never given to the pool, so that its stop is nil and its Unsent is posted; the Abandon's event, next in the same batch, cuts it. On the wire: an HTTP/2 client that sends a req and resets it before the core's goroutine runs, with on_reset = "stop" and MayCancel. HTTP/1.1 never asks for a stop and is not hit. cut leaves such an attempt to its own ending now.

TestGoneAtOnce panicked before the change (go test ./internal/core -run GoneAtOnce) and passes after; go test ./internal/core passes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -422,9 +422,9 @@
 	c.forget(a.req)
 }
 
-// cut stops an attempt from here.
+// cut stops an attempt from here. One that was never given to the pool ends unsent by itself.
 func (c *Core) cut(a *Attempt, e Ending) {
-	if !a.over {
+	if !a.over && a.stop != nil {
 		a.stopped.Store(true)
 		a.req.cut = true
 		a.stop()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -238,3 +238,22 @@
 		})
 	}
 }
+
+// TestGoneAtOnce: a client that takes its req back before the core has heard of it, where what is out is to be called off:
+// the attempt that the module still makes was never given to the pool, and ends by itself.
+func TestGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, balance.Ready)
+		b.core.mayCancel = true
+		ticket, _ := b.core.Take(balance.Request{Slots: 1}, &Job{}, time.Now(), 2*time.Second, b)
+		freed := 0
+		ticket.Abandon(true, func() { freed++ })
+		b.core.step()
+		b.core.step()
+		assert.Equal(t, 1, freed)
+		assert.Empty(t, b.sent)
+		assert.Zero(t, b.stopped)
+		assert.Empty(t, b.core.reqs)
+		assert.Equal(t, int64(1), b.core.count.Endings[Unsent].Load())
+	})
+}
