core: Quotas, whose room a req has before the module sees it

Core.Quotas, set before Run, is asked for room for each req (quotas.go); without it nothing changes but one nil check. The module's Arrive comes once there is room. Until then the req is owed its answer like any other: it counts as open, keeps its id, counts as waiting for its version (Versions), is refused with advice 20 ms before its deadline by who gives room, or 10 ms before it by the core; is refused when its version closes (looked at each 100 ms while any waits, and once more when it gets room); gives its place up when its client leaves. leave is called in forget, once, for each Take.

Most bounds what holds room: the deadline is cut to Most less the answer slack after the call of ready, not after the event that tells the core, since a process may be stopped between the two; attempts are cut at the deadline and a policy that forgets a req is overruled by the slack, so that forget has run by Most.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -21,7 +21,7 @@
 		until = min(until, now+within)
 	}
 	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, before: r.latest.Load(), number: len(r.attempts), sent: now,
-		Until: c.clock.origin.Add(time.Duration((until - c.clock.unix) * float64(time.Millisecond)))}
+		Until: c.clock.time(until)}
 	r.attempts = append(r.attempts, a)
 	r.latest.Store(a)
 	r.out++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,9 @@
 	out      int
 	cut      bool // an attempt was stopped from here, and may be reading the job still
 	gone     func()
+	waits    bool   // for room, and the module does not know of it
+	arrived  bool   // the module knows of it
+	leave    func() // gives its room, or its place among those that wait, back; nil without Quotas and once it was called
 }
 
 // Core is the dispatcher without its connections.
@@ -108,6 +111,8 @@
 	Log zerolog.Logger
 	// Versions, where set before Run, says by which version of the fleet's policy reqs are taken.
 	Versions Versions
+	// Quotas, where set before Run, says when there is room for a req.
+	Quotas Quotas
 
 	clock    clock
 	count    *counters.Set
@@ -117,6 +122,7 @@
 	reqs     map[balance.RequestID]*req
 	listed   map[balance.WorkerID]*Backend
 	last     balance.RequestID
+	waiting  []*req // for room, by versions; some wait no more
 	timers   timers
 	slack    float64
 	classes  []balance.Class
@@ -277,71 +283,6 @@
 	}
 }
 
-// Ticket stands for a req that was taken.
-type Ticket struct {
-	core *Core
-	r    *req
-}
-
-// Take takes a req on: one final answer is owed from now on. came is the earliest time
-// known at which it was there, left how long its client waits from then. It is not taken, and
-// nothing is owed, if its id is that of another: backends would take one for the other.
-func (c *Core) Take(q balance.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
-	r := &req{client: client, job: job, open: true}
-	if q.Class >= 0 && q.Class < len(c.classes) { // the module fails others
-		r.effect, r.window = c.classes[q.Class].Effect, c.classes[q.Class].RepeatWindow
-	}
-	if c.Versions != nil && !c.admit(r) {
-		return Ticket{c, r}, true
-	}
-	if !c.ids.take(job.ID, c.clock.read()) {
-		c.count.ReqsRepeated.Add(1)
-		if c.Versions != nil {
-			c.begun(r)
-		}
-		return Ticket{}, false
-	}
-	r.deadline = c.clock.millis(came.Add(left))
-	c.open.Add(1)
-	c.post(func() {
-		c.last++
-		r.id, q.ID, q.Deadline = c.last, c.last, r.deadline
-		c.reqs[r.id] = r
-		// The module answers for itself by the deadline. Should it not, the core fails the req
-		// rather than leave a client without an answer.
-		c.timers.set(r.deadline+c.slack, func() {
-			if r.open {
-				c.count.Overlooked.Add(1)
-				c.answer(r, Answer{Verdict: Failure})
-				c.mod.Abandoned(c.clock.now(), r.id)
-				c.forget(r)
-			}
-		})
-		c.mod.Arrive(c.clock.now(), q)
-	})
-	return Ticket{c, r}, true
-}
-
-// Abandon tells that the client of a req has gone, and takes no answer any more. When it returns,
-// no attempt begins that has not. With stop, what is out at backends is called off, where the
-// settings allow that; else it runs on. over, if not nil, is called once nothing of the req is out
-// any more, from the core's goroutine; it must not block.
-func (t Ticket) Abandon(stop bool, over func()) {
-	t.r.over.Store(true)
-	t.core.post(func() {
-		c, r := t.core, t.r
-		r.gone = over
-		if r.open {
-			c.close(r)
-			c.mod.Abandoned(c.clock.now(), r.id)
-			for i := 0; stop && c.mayCancel && i < len(r.attempts); i++ {
-				c.cut(r.attempts[i], Withdrawn)
-			}
-		}
-		c.forget(r)
-	})
-}
-
 func (c *Core) close(r *req) {
 	r.open = false
 	r.over.Store(true)
@@ -378,6 +319,10 @@
 		delete(c.reqs, r.id)
 		c.ids.drop(r.job.ID, c.clock.read())
 	}
+	if leave := r.leave; leave != nil {
+		r.leave = nil
+		leave()
+	}
 	if gone := r.gone; gone != nil {
 		r.gone = nil
 		gone()
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -24,6 +24,11 @@
 	return c.unix + float64(t.Sub(c.origin))/float64(time.Millisecond)
 }
 
+// time is millis the other way.
+func (c *clock) time(at float64) time.Time {
+	return c.origin.Add(time.Duration((at - c.unix) * float64(time.Millisecond)))
+}
+
 func (c *clock) now() float64 { return c.millis(c.read()) }
 
 // timer is something to do at a time. Timers of one time run in the order they were set.
--- /dev/null
+++ b/internal/core/quotas_test.go
@@ -0,0 +1,487 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/counters"
+)
+
+// asked is one Take of a Quotas that a test answers by hand.
+type asked struct {
+	tenant, class int
+	until         time.Time
+	ready         func(time.Duration, bool)
+	left          int // times that leave was called
+}
+
+type rooms struct {
+	asked []*asked
+	most  time.Duration
+	now   bool // ready is called before Take returns
+}
+
+func (q *rooms) Take(tenant, class int, until time.Time, ready func(time.Duration, bool)) func() {
+	a := &asked{tenant: tenant, class: class, until: until, ready: ready}
+	q.asked = append(q.asked, a)
+	if q.now {
+		ready(0, true)
+	}
+	return func() { a.left++ }
+}
+func (q *rooms) Most() time.Duration { return q.most }
+
+// hall is a core with quotas on a clock that the test moves, with two backends and the real module.
+type hall struct {
+	*bench
+	now    time.Time
+	quotas *rooms
+}
+
+func newHall(t require.TestingT, set func(*balance.Settings)) *hall {
+	h := &hall{bench: &bench{}, now: time.Unix(1e9, 0), quotas: &rooms{}}
+	s := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 2, TellsStart: true, MayDuplicate: true, MayCancel: true,
+		ConnectTimeout: 120, Tick: 2, Rules: balance.Rules{AnswerSlack: 8}, Tenants: []balance.Tenant{{Share: 1}},
+		Classes: []balance.Class{{Worth: 1, Aim: 120, Deadline: 5000, Kind: -1, Effect: balance.Safe}}}
+	if set != nil {
+		set(&s)
+	}
+	var err error
+	h.core, err = NewAt(func() time.Time { return h.now }, s, h, h, &counters.Set{})
+	require.NoError(t, err)
+	h.core.Quotas = h.quotas
+	h.core.Listed(balance.ListFull, []Entry{{Worker: balance.Worker{ID: 1, State: balance.Ready, Weight: 1e4}},
+		{Worker: balance.Worker{ID: 2, State: balance.Ready, Weight: 1e4}}})
+	h.core.Step()
+	return h
+}
+
+func (h *hall) take(id string, left time.Duration) Ticket {
+	t, _ := h.core.Take(balance.Request{Slots: 1}, &Job{ID: id}, h.now, left, h)
+	h.core.Step()
+	return t
+}
+
+// pass moves the clock, with a stop at each timer.
+func (h *hall) pass(d time.Duration) {
+	end := h.now.Add(d)
+	for next := h.core.Next(); !next.IsZero() && !next.After(end); next = h.core.Next() {
+		if next.After(h.now) {
+			h.now = next
+		}
+		h.core.Step()
+	}
+	h.now = end
+	h.core.Step()
+}
+
+func (h *hall) verdicts() []Verdict {
+	var out []Verdict
+	for _, a := range h.answers {
+		out = append(out, a.Verdict)
+	}
+	return out
+}
+
+// over asserts that nothing of any req is left and that each gave its room back once.
+func (h *hall) over(t require.TestingT, name string) {
+	assert.Zero(t, h.core.Open(), name)
+	assert.Empty(t, h.core.reqs, name)
+	for _, a := range h.quotas.asked {
+		assert.Equal(t, 1, a.left, "%s: gave its room back so often", name)
+	}
+}
+
+// TestWaitsForRoom: the module sees a req once there is room for it, whoever is told first.
+func TestWaitsForRoom(t *testing.T) {
+	h := newHall(t, nil)
+	h.take("a", 2*time.Second)
+	require.Len(t, h.quotas.asked, 1)
+	assert.Equal(t, h.now.Add(2*time.Second-roomLeft), h.quotas.asked[0].until)
+	assert.Empty(t, h.sent)
+	assert.Equal(t, 1, h.core.Open())
+	h.pass(time.Second)
+	assert.Empty(t, h.sent)
+	h.quotas.asked[0].ready(0, true)
+	h.core.Step()
+	require.Len(t, h.sent, 1)
+	assert.True(t, h.sent[0].MayBegin())
+	assert.Zero(t, h.quotas.asked[0].left)
+	h.sent[0].Ended(Served, "r", nil)
+	h.core.Step()
+	assert.Equal(t, []Verdict{ResultOf}, h.verdicts())
+	h.over(t, "")
+
+	h.quotas.now = true // before Take returns
+	h.take("b", 2*time.Second)
+	require.Len(t, h.sent, 2)
+	h.sent[1].Ended(Served, "r", nil)
+	h.core.Step()
+	assert.Equal(t, []Verdict{ResultOf, ResultOf}, h.verdicts())
+	h.over(t, "at once")
+}
+
+// TestNoRoom: a req that gets no room is refused with advice before its deadline, said or not, and leaves once.
+func TestNoRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		do    func(*hall)
+		pause time.Duration
+	}{
+		"said": {func(h *hall) { h.quotas.asked[0].ready(70*time.Millisecond, false) }, 70 * time.Millisecond},
+		"said just in time": {func(h *hall) {
+			h.pass(2*time.Second - roomLeft)
+			h.quotas.asked[0].ready(70*time.Millisecond, false)
+		}, 70 * time.Millisecond},
+		"never said":    {func(h *hall) { h.pass(2*time.Second - roomLeft/2) }, roomPause},
+		"said too late": {func(h *hall) { h.pass(2*time.Second - roomLeft/2); h.quotas.asked[0].ready(0, true) }, roomPause},
+		"said twice": {func(h *hall) {
+			h.quotas.asked[0].ready(70*time.Millisecond, false)
+			h.quotas.asked[0].ready(0, true)
+		}, 70 * time.Millisecond},
+	} {
+		h := newHall(t, nil)
+		h.take("a", 2*time.Second)
+		c.do(h)
+		h.core.Step()
+		assert.Equal(t, []Answer{{Verdict: Refusal, Pause: c.pause, Free: true}}, h.answers, name)
+		h.over(t, name)
+		h.pass(time.Minute)
+		assert.Len(t, h.answers, 1, name)
+		assert.Empty(t, h.sent, name)
+		h.over(t, name)
+	}
+}
+
+// TestGoneWhileItWaits: a client that leaves gives its place up, and nothing of its req begins, however the news cross.
+func TestGoneWhileItWaits(t *testing.T) {
+	for name, do := range map[string]func(*hall, func(*hall) Ticket){
+		"gone": func(h *hall, take func(*hall) Ticket) { take(h).Abandon(true, nil) },
+		"gone, then room": func(h *hall, take func(*hall) Ticket) {
+			ticket := take(h)
+			ticket.Abandon(false, nil)
+			h.quotas.asked[0].ready(0, true)
+		},
+		"gone and heard of, then room": func(h *hall, take func(*hall) Ticket) {
+			ticket := take(h)
+			ticket.Abandon(false, nil)
+			h.core.Step()
+			h.quotas.asked[0].ready(0, true)
+		},
+		"room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) {
+			ticket := take(h)
+			h.quotas.asked[0].ready(0, true)
+			ticket.Abandon(false, nil)
+		},
+		"no room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) {
+			ticket := take(h)
+			h.quotas.asked[0].ready(0, false)
+			ticket.Abandon(false, nil)
+		},
+		"gone before it asked": func(h *hall, _ func(*hall) Ticket) {
+			ticket, _ := h.core.Take(balance.Request{Slots: 1}, &Job{ID: "a"}, h.now, time.Second, h)
+			ticket.Abandon(false, nil)
+		},
+	} {
+		h := newHall(t, nil)
+		do(h, func(h *hall) Ticket { return h.take("a", time.Second) })
+		h.core.Step()
+		h.over(t, name)
+		h.pass(time.Minute)
+		assert.Empty(t, h.sent, name)
+		assert.LessOrEqual(t, len(h.answers), 1, name)
+		for _, a := range h.answers {
+			assert.Equal(t, Refusal, a.Verdict, name)
+		}
+		h.over(t, name)
+	}
+	h := newHall(t, nil)
+	freed := 0
+	ticket := h.take("a", time.Second)
+	ticket.Abandon(false, func() { freed++; assert.Equal(t, 1, h.quotas.asked[0].left) })
+	h.core.Step()
+	assert.Equal(t, 1, freed, "its place is told to be free")
+}
+
+// TestGoneWithRoom: what a client that has gone had out holds its room until it has ended.
+func TestGoneWithRoom(t *testing.T) {
+	h := newHall(t, nil)
+	ticket := h.take("a", time.Second)
+	h.quotas.asked[0].ready(0, true)
+	h.core.Step()
+	require.Len(t, h.sent, 1)
+	ticket.Abandon(false, nil)
+	h.core.Step()
+	assert.Zero(t, h.quotas.asked[0].left, "it is out still")
+	h.sent[0].Ended(Served, "r", nil)
+	h.core.Step()
+	assert.Empty(t, h.answers)
+	h.over(t, "")
+}
+
+// TestMostOfRoom: whatever patience a client states, whatever the backends do and whoever forgets, room is given back at
+// the latest Most after it was had, by the core's clock, and by what ran no attempt may begin any more.
+func TestMostOfRoom(t *testing.T) {
+	const most = 3 * time.Second
+	for name, c := range map[string]struct {
+		left   time.Duration
+		wait   time.Duration // before there is room
+		stall  time.Duration // from room to when the core hears of it
+		do     func(*hall, Ticket)
+		module bool // the real one; else one that never answers nor ends anything
+	}{
+		"a backend that never answers":     {24 * 24 * time.Hour, 0, 0, func(*hall, Ticket) {}, true},
+		"after a long wait":                {24 * 24 * time.Hour, time.Hour, 0, func(*hall, Ticket) {}, true},
+		"told of late":                     {24 * 24 * time.Hour, 0, 2 * time.Second, func(*hall, Ticket) {}, true},
+		"a client gone with its job out":   {24 * 24 * time.Hour, 0, 0, func(_ *hall, t Ticket) { t.Abandon(false, nil) }, true},
+		"a policy that forgets":            {24 * 24 * time.Hour, 0, 0, func(*hall, Ticket) {}, false},
+		"a policy that forgets, one out":   {24 * 24 * time.Hour, 0, 0, func(h *hall, _ Ticket) { actions{h.core}.Dispatch(1, 1, 0) }, false},
+		"its own deadline before":          {time.Second, 0, 0, func(*hall, Ticket) {}, true},
+		"broken, and the module sent more": {24 * 24 * time.Hour, 0, 0, func(h *hall, _ Ticket) { h.sent[0].Ended(Broken, "", nil) }, true},
+	} {
+		h := newHall(t, nil)
+		h.quotas.most = most
+		if !c.module {
+			h.core.mod = mute{}
+		}
+		ticket := h.take("a", c.left)
+		h.pass(c.wait)
+		got := h.now
+		h.quotas.asked[0].ready(0, true)
+		h.now = h.now.Add(c.stall)
+		h.core.Step()
+		if c.module {
+			require.Len(t, h.sent, 1, name)
+		}
+		c.do(h, ticket)
+		h.core.Step()
+		for h.quotas.asked[0].left == 0 && h.now.Before(got.Add(time.Hour)) {
+			h.pass(time.Millisecond)
+		}
+		assert.LessOrEqual(t, h.now.Sub(got), most, name)
+		if c.left > most {
+			assert.GreaterOrEqual(t, h.now.Sub(got), most-10*time.Millisecond, "%s: and not long before", name)
+		}
+		for _, a := range h.sent {
+			assert.False(t, a.Until.After(got.Add(most)), name)
+			assert.False(t, a.MayBegin(), name)
+		}
+		h.pass(time.Minute)
+		h.over(t, name)
+	}
+	h := newHall(t, nil)
+	h.take("a", time.Hour)
+	h.quotas.asked[0].ready(0, true)
+	h.pass(time.Hour - time.Second)
+	assert.Zero(t, h.quotas.asked[0].left, "no bound")
+}
+
+// TestStoppedWithRoom: a process that was stopped between its room and the core's hearing of it begins nothing when it
+// wakes after the time for which room may be held.
+func TestStoppedWithRoom(t *testing.T) {
+	h := newHall(t, nil)
+	h.quotas.most = 3 * time.Second
+	h.take("a", time.Hour)
+	h.quotas.asked[0].ready(0, true)
+	h.now = h.now.Add(10 * time.Second)
+	h.core.Step()
+	for _, a := range h.sent {
+		assert.False(t, a.MayBegin())
+	}
+	h.pass(10 * time.Millisecond)
+	assert.Len(t, h.answers, 1)
+	h.over(t, "")
+
+	h = newHall(t, nil) // and after it was heard of, before the first byte
+	h.quotas.most = 3 * time.Second
+	h.take("a", time.Hour)
+	h.quotas.asked[0].ready(0, true)
+	h.core.Step()
+	require.Len(t, h.sent, 1)
+	require.True(t, h.sent[0].MayBegin())
+	h.now = h.now.Add(10 * time.Second)
+	assert.False(t, h.sent[0].MayBegin())
+}
+
+// TestRoomAndVersions: a req that waits for room counts as waiting for its version, and does not outlive it.
+func TestRoomAndVersions(t *testing.T) {
+	h := newHall(t, nil)
+	p := &policy{version: 7, open: true, starts: 7}
+	h.core.Versions = p
+	h.take("a", 2*time.Second)
+	h.take("b", 2*time.Second)
+	assert.Equal(t, 2, p.waiting)
+	h.quotas.asked[0].ready(0, true)
+	h.core.Step()
+	require.Len(t, h.sent, 1)
+	assert.EqualValues(t, 7, h.sent[0].Version())
+	assert.True(t, h.sent[0].MayBegin())
+	assert.Equal(t, 1, p.waiting, "one began, one waits for room")
+
+	h.pass(time.Second)
+	assert.Empty(t, h.answers)
+	p.open, p.starts = false, 0 // the version is over
+	h.pass(versionLook)
+	assert.Equal(t, []Answer{{Verdict: Refusal, Pause: outlivedPause, Free: true}}, h.answers)
+	assert.Zero(t, p.waiting)
+	assert.Equal(t, 1, h.quotas.asked[1].left)
+	assert.Zero(t, h.quotas.asked[0].left, "what runs runs on")
+	h.sent[0].Ended(Served, "r", nil)
+	h.core.Step()
+	assert.Len(t, h.answers, 2)
+	h.over(t, "closed while it waits")
+
+	p.open, p.starts = true, 7
+	h.take("c", 2*time.Second)
+	p.open, p.starts = false, 0
+	h.quotas.asked[2].ready(0, true) // before the core looks at versions
+	h.core.Step()
+	assert.Len(t, h.sent, 1)
+	require.Len(t, h.answers, 3)
+	assert.Equal(t, Answer{Verdict: Refusal, Pause: outlivedPause, Free: true}, h.answers[2])
+	h.over(t, "closed, then room")
+
+	p.open, p.starts = true, 7
+	h.take("d", 2*time.Second).Abandon(false, nil)
+	h.core.Step()
+	h.take("e", 2*time.Second)
+	h.quotas.asked[4].ready(0, false)
+	h.core.Step()
+	assert.Zero(t, p.waiting)
+	h.pass(2 * versionLook)
+	assert.Empty(t, h.core.waiting, "nothing is kept of them")
+	p.open = false
+	h.take("f", time.Second)
+	assert.Len(t, h.quotas.asked, 5, "a core that is fenced asks for no room")
+	h.over(t, "")
+	assert.Equal(t, 0, p.waiting)
+}
+
+// TestRepeatedAsksForNoRoom: a req whose id is another's is not taken, and wants no room.
+func TestRepeatedAsksForNoRoom(t *testing.T) {
+	h := newHall(t, nil)
+	h.take("a", time.Second)
+	h.take("a", time.Second)
+	assert.Len(t, h.quotas.asked, 1)
+}
+
+// TestOneAnswerOneLeave: under any order of room, its lack, answers, clients that go, time and versions that close each req
+// taken has one answer or a client that has gone, leaves once, holds its room no longer than Most, and began only with room.
+func TestOneAnswerOneLeave(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 1500 * time.Millisecond
+		h := newHall(t, func(s *balance.Settings) { s.MayCancel = rapid.Bool().Draw(t, "may cancel") })
+		h.quotas.most = most
+		var p *policy
+		if rapid.Bool().Draw(t, "versions") {
+			p = &policy{version: 1, open: true, starts: 1}
+			h.core.Versions = p
+		}
+		type one struct {
+			*guest
+			ticket Ticket
+			gone   bool
+			got    time.Time
+			room   bool
+		}
+		var all []*one
+		begins, ended := map[*Attempt]bool{}, map[*Attempt]bool{}
+		begin := func() {
+			for _, a := range h.sent {
+				if !ended[a] && a.MayBegin() {
+					begins[a] = true
+				}
+			}
+		}
+		step := func() {
+			if rapid.IntRange(0, 3).Draw(t, "late") > 0 {
+				h.core.Step()
+			}
+			for i, o := range all {
+				if i < len(h.quotas.asked) && o.room && h.quotas.asked[i].left == 0 && h.now.Sub(o.got) > most {
+					t.Fatalf("req %d holds its room for %v", i, h.now.Sub(o.got))
+				}
+			}
+			begin()
+		}
+		pick := func() *one { return all[rapid.IntRange(0, len(all)-1).Draw(t, "req")] }
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch what := rapid.IntRange(0, 8).Draw(t, "what"); {
+			case what <= 1 || len(all) == 0:
+				if p != nil && !p.open {
+					continue
+				}
+				h.quotas.now = rapid.IntRange(0, 3).Draw(t, "at once") == 0
+				o := &one{guest: &guest{}, room: h.quotas.now, got: h.now}
+				left := time.Duration(rapid.IntRange(0, 4000).Draw(t, "left")) * time.Millisecond
+				o.ticket, _ = h.core.Take(balance.Request{Slots: 1}, &Job{ID: fmt.Sprint(len(all))}, h.now, left, o)
+				all = append(all, o)
+				h.core.Step() // so that it asks for room in the order of all
+			case what <= 4:
+				i := rapid.IntRange(0, len(all)-1).Draw(t, "ask")
+				ok := rapid.IntRange(0, 3).Draw(t, "ok") > 0
+				if ok && !all[i].room && h.quotas.asked[i].left == 0 {
+					all[i].room, all[i].got = true, h.now
+				}
+				h.quotas.asked[i].ready(time.Second, ok)
+			case what == 5:
+				o := pick()
+				if !o.gone {
+					o.gone = true
+					o.ticket.Abandon(rapid.Bool().Draw(t, "stop"), func() { o.over++ })
+				}
+			case what == 6 && len(h.sent) > 0:
+				a := h.sent[rapid.IntRange(0, len(h.sent)-1).Draw(t, "attempt")]
+				e := rapid.SampledFrom([]Ending{Served, Failed, Rejected, Returned, Unreached, Lost, Broken, Unsent}).Draw(t, "ending")
+				ended[a] = true
+				a.Ended(e, "r", nil)
+			case what == 7 && p != nil:
+				if p.open = !p.open; p.open {
+					p.version++
+					p.starts = p.version
+				} else {
+					p.starts = 0
+				}
+			default:
+				d := time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
+				h.core.Step()
+				h.pass(d)
+			}
+			step()
+		}
+		h.core.Step()
+		h.pass(10 * time.Second)
+		h.over(t, "at the end")
+		if p != nil && p.waiting != 0 {
+			t.Fatalf("%d wait for their version still", p.waiting)
+		}
+		for i, o := range all {
+			if len(o.answers) > 1 || len(o.answers) == 0 && !o.gone {
+				t.Fatalf("req %d has %d answers (client gone: %v)", i, len(o.answers), o.gone)
+			}
+			if o.gone && o.over != 1 {
+				t.Fatalf("req %d is told over %d times", i, o.over)
+			}
+		}
+		for a := range begins {
+			i := slices.IndexFunc(all, func(o *one) bool { return o.ticket.r == a.req })
+			if !all[i].room {
+				t.Fatalf("an attempt of req %d began without room", i)
+			}
+		}
+	})
+}
+
+// guest is a client that keeps its own answers.
+type guest struct {
+	answers []Answer
+	over    int
+}
+
+func (g *guest) Answer(a Answer) { g.answers = append(g.answers, a) }
