--- a/internal/network/fleet/accord/log.go
+++ b/internal/network/fleet/accord/log.go
@@ -25,6 +25,7 @@
 	snapshotsKept = 2
 	maxSnapshot   = 1 << 20 // bytes of one that is read back
 	lockWait      = 3 * time.Second
+	pastKept      = 64 // policies remembered after the next was decided: 240 are changed in a day
 )
 
 // machine applies the log's entries: raft.FSM.
@@ -34,6 +35,7 @@
 	mu    sync.Mutex
 	state accord.State
 	at    time.Time // when the last entry that decided was applied here
+	past  []Past    // oldest first
 }
 
 func (m *machine) State() accord.State {
@@ -50,9 +52,13 @@
 		panic(fmt.Sprintf("accord: entry %d of the log: %v", l.Index, err))
 	}
 	m.mu.Lock()
+	was := m.state
 	ok := m.state.Apply(d)
 	if ok {
 		m.at = time.Now()
+		if was.Version > 0 {
+			m.past = append(m.past[max(len(m.past)+1-pastKept, 0):], Past{was.Body, m.at})
+		}
 	}
 	m.mu.Unlock()
 	if ok {
--- a/internal/network/fleet/accord/voters.go
+++ b/internal/network/fleet/accord/voters.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"slices"
+	"time"
 
 	"github.com/hashicorp/raft"
 )
@@ -71,3 +73,20 @@
 	}
 	return ""
 }
+
+// Past is a policy after which another was decided, as this voter saw it at a time.
+type Past struct {
+	Body  []byte
+	Until time.Time
+}
+
+// Past are the last policies before the one decided last that this process applied, oldest first.
+func (a *Accord) Past() []Past {
+	if a.voter == nil {
+		return nil
+	}
+	m := a.voter.log.machine
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.past)
+}
--- a/internal/network/fleet/quota/desk.go
+++ b/internal/network/fleet/quota/desk.go
@@ -108,11 +108,12 @@
 }
 
 func (d *desk) enter(p policy.Policy) {
-	accounts := make([]string, 0, len(p.Quotas)+1)
-	for account := range p.Quotas {
+	t := termsOf(p)
+	accounts := make([]string, 0, len(t.Quotas)+1)
+	for account := range t.Quotas {
 		accounts = append(accounts, account)
 	}
-	if p.UrgentReserve > 0 {
+	if t.UrgentReserve > 0 {
 		accounts = append(accounts, quota.Urgent)
 	}
 	d.mu.Lock()
@@ -208,6 +209,18 @@
 	d.turn()
 }
 
+// last gives all back, where nothing is in flight.
+func (d *desk) last() (quota.Ask, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.used) > 0 {
+		return quota.Ask{}, false
+	}
+	d.holder.Linked() // whatever is on its way
+	d.holder.Close()
+	return d.holder.Due(d.q.now())
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/network/fleet/quota/link.go
+++ b/internal/network/fleet/quota/link.go
@@ -18,10 +18,11 @@
 
 // side is a holder as its link sees it. Its methods are called from the link's goroutines.
 type side interface {
-	linked()                // a link was made: what was asked on the one before is lost
-	due() (quota.Ask, bool) // the ask to be sent now
-	next() quota.Time       // when one may be due, if nothing happens before
-	heard(wire.Message)     // an answer or a nudge
+	linked()                 // a link was made: what was asked on the one before is lost
+	due() (quota.Ask, bool)  // the ask to be sent now
+	next() quota.Time        // when one may be due, if nothing happens before
+	heard(wire.Message)      // an answer or a nudge
+	last() (quota.Ask, bool) // the ask to end with, if the holder's life ends in order
 }
 
 // asker keeps a holder's link to its lender.
@@ -31,7 +32,7 @@
 	side   side
 	target func() string // where to ask now; empty: nowhere
 	woken  chan struct{}
-	ctx    context.Context
+	ctx    context.Context // ends with the holder's life
 	end    context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -78,7 +79,6 @@
 		return
 	}
 	defer conn.Close()
-	defer context.AfterFunc(k.ctx, func() { conn.Close() })()
 	send := func(p []byte) error {
 		conn.SetWriteDeadline(time.Now().Add(plan.Lease / 3))
 		_, err := conn.Write(p)
@@ -133,10 +133,13 @@
 		}
 		over.Stop()
 		select {
-		case <-k.ctx.Done():
-			return
 		case <-gone:
 			return
+		case <-k.ctx.Done():
+			if a, ok := k.side.last(); ok {
+				_ = send(frames.Frame(wire.WriteAsk(wire.Ask{To: k.level, Ask: a}))) // else its lease ends by itself
+			}
+			return
 		default:
 		}
 	}
--- a/internal/network/fleet/quota/region.go
+++ b/internal/network/fleet/quota/region.go
@@ -62,9 +62,9 @@
 
 // follow takes up the policy that was decided last. r.mu is held.
 func (r *region) follow() {
-	if version, p, ok := r.v.decided(); ok && version != r.version {
+	if version, t, ok := r.v.decided(); ok && version != r.version {
 		r.version = version
-		r.region.Reserve(r.v.q.now(), p.UrgentReserve)
+		r.region.Reserve(r.v.q.now(), t.UrgentReserve)
 	}
 }
 
@@ -138,3 +138,6 @@
 	}
 	r.turn()
 }
+
+// last is nothing: what is lent goes on, and the next life inherits it.
+func (r *region) last() (quota.Ask, bool) { return quota.Ask{}, false }
--- a/internal/network/fleet/quota/root.go
+++ b/internal/network/fleet/quota/root.go
@@ -3,7 +3,9 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
+	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota"
 	"tinsail/internal/fleet/quota/wire"
 )
@@ -65,23 +67,26 @@
 		return false
 	}
 	if r.lender == nil || r.term != term {
-		l, err := quota.NewLender(r.v.q.cfg.up(), term, r.v.q.now(), quota.Options{Spread: true, Known: r.known})
+		version, _ := r.v.accord.Decided()
+		l, err := quota.NewLender(r.v.q.cfg.up(), term, r.v.q.now(), quota.Options{Spread: true, Known: r.known,
+			Starts: version == 0}) // none was ever decided: there was nothing to lend
 		if err != nil { // the plan was checked: a fault of ours
 			r.v.q.cfg.Log.Error().Err(err).Msg("quota: cannot lend")
 			return false
 		}
 		r.lender, r.term, r.version, r.accounts = l, term, 0, nil
+		r.inherit()
 		r.v.q.tell("", []quota.Note{{Step: "lends"}})
 	}
-	if version, p, ok := r.v.decided(); ok && version != r.version {
+	if version, t, ok := r.v.decided(); ok && version != r.version {
 		now := r.v.q.now()
 		for _, account := range r.accounts {
-			if _, has := p.Quotas[account]; !has {
+			if _, has := t.Quotas[account]; !has {
 				r.lender.Capacity(now, account, 0)
 			}
 		}
 		r.version, r.accounts = version, nil
-		for account, units := range p.Quotas {
+		for account, units := range t.Quotas {
 			r.accounts = append(r.accounts, account)
 			r.lender.Capacity(now, account, units)
 		}
@@ -90,6 +95,22 @@
 	return true
 }
 
+// inherit tells a new lender of quotas that held until a while ago: by them, too, earlier terms may have lent what runs.
+func (r *root) inherit() {
+	plan := r.v.q.cfg.up()
+	for _, p := range r.v.accord.Past() {
+		before, err := policy.Read(p.Body)
+		if err != nil || time.Since(p.Until) > plan.Quiet()+plan.Tail() {
+			continue
+		}
+		var shares []quota.Share
+		for account, units := range termsOf(before).Quotas {
+			shares = append(shares, quota.Share{Account: account, Units: units})
+		}
+		r.lender.Inherit(r.v.q.now(), shares)
+	}
+}
+
 // turn does what the lender asks for. r.mu is held.
 func (r *root) turn() {
 	r.children.nudge(r.lender.Nudges())
--- /dev/null
+++ b/internal/network/fleet/quota/terms.go
@@ -0,0 +1,19 @@
+package quota
+
+import (
+	"encoding/json"
+
+	"tinsail/internal/fleet/policy"
+)
+
+// terms is what of a policy concerns the quotas.
+type terms struct {
+	Quotas        map[string]int `json:"quotas"`
+	UrgentReserve int            `json:"urgent_reserve"`
+	RunMS         int            `json:"run_ms"`
+}
+
+func termsOf(p policy.Policy) (t terms) {
+	_ = json.Unmarshal(p.Append(nil), &t) // written by us
+	return t
+}
--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -93,13 +93,13 @@
 func (v *votes) leader() string { return v.accord.Address(v.accord.Leader()) }
 
 // decided is the policy decided last, as this voter's log has it; false where there is none, or none that can be read.
-func (v *votes) decided() (version uint64, p policy.Policy, ok bool) {
+func (v *votes) decided() (version uint64, t terms, ok bool) {
 	version, body := v.accord.Decided()
 	if version == 0 {
-		return 0, p, false
+		return 0, t, false
 	}
 	p, err := policy.Read(body)
-	return version, p, err == nil
+	return version, termsOf(p), err == nil
 }
 
 // lent is what the region and the root, where they lend, count as lent.
