--- a/internal/network/fleet/quota/desk.go
+++ b/internal/network/fleet/quota/desk.go
@@ -21,7 +21,7 @@
 	mu      sync.Mutex
 	desk    *quota.Desk
 	holder  *quota.Holder
-	last    uint64           // id given to a req
+	given   uint64           // ids to reqs
 	waiting map[uint64]*room // reqs that wait
 	used    map[string]int   // as told to the holder last, where it is not 0
 	refused int              // since the last line of the log
@@ -83,8 +83,8 @@
 func (d *desk) take(account string, urgent bool, until time.Time, ready func(time.Time, time.Duration, bool)) func() {
 	r := &room{ready: ready}
 	d.mu.Lock()
-	d.last++
-	id := d.last
+	d.given++
+	id := d.given
 	now := d.q.now()
 	if d.desk.Take(now, id, account, urgent, d.q.of(until)) {
 		r.said.Store(true)
--- a/internal/network/fleet/quota/root.go
+++ b/internal/network/fleet/quota/root.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota"
 	"tinsail/internal/fleet/quota/wire"
 )
@@ -99,12 +98,12 @@
 func (r *root) inherit() {
 	plan := r.v.q.cfg.up()
 	for _, p := range r.v.accord.Past() {
-		before, err := policy.Read(p.Body)
+		before, err := readTerms(p.Body)
 		if err != nil || time.Since(p.Until) > plan.Quiet()+plan.Tail() {
 			continue
 		}
 		var shares []quota.Share
-		for account, units := range termsOf(before).Quotas {
+		for account, units := range before.Quotas {
 			shares = append(shares, quota.Share{Account: account, Units: units})
 		}
 		r.lender.Inherit(r.v.q.now(), shares)
--- a/internal/network/fleet/quota/terms.go
+++ b/internal/network/fleet/quota/terms.go
@@ -13,7 +13,11 @@
 	RunMS         int            `json:"run_ms"`
 }
 
-func termsOf(p policy.Policy) (t terms) {
-	_ = json.Unmarshal(p.Append(nil), &t) // written by us
+func termsOf(p policy.Policy) terms {
+	t, _ := readTerms(p.Append(nil))
 	return t
 }
+
+func readTerms(body []byte) (t terms, err error) {
+	return t, json.Unmarshal(body, &t)
+}
--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -10,7 +10,6 @@
 	"golang.org/x/time/rate"
 
 	"tinsail/internal/fleet/frames"
-	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota/wire"
 	"tinsail/internal/network/fleet/accord"
 )
@@ -98,8 +97,8 @@
 	if version == 0 {
 		return 0, t, false
 	}
-	p, err := policy.Read(body)
-	return version, termsOf(p), err == nil
+	t, err := readTerms(body)
+	return version, t, err == nil
 }
 
 // lent is what the region and the root, where they lend, count as lent.
