--- a/internal/network/fleet/quota/desk.go
+++ b/internal/network/fleet/quota/desk.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota"
 	"tinsail/internal/fleet/quota/wire"
 )
@@ -107,8 +106,7 @@
 	}
 }
 
-func (d *desk) enter(p policy.Policy) {
-	t := termsOf(p)
+func (d *desk) enter(t terms) {
 	accounts := make([]string, 0, len(t.Quotas)+1)
 	for account := range t.Quotas {
 		accounts = append(accounts, account)
