--- a/internal/core/quotas_test.go
+++ b/internal/core/quotas_test.go
@@ -147,9 +147,10 @@
 		}, 70 * time.Millisecond},
 	} {
 		h := newHall(t, nil)
-		h.take("a", 2*time.Second)
+		ticket := h.take("a", 2*time.Second)
 		c.do(h)
 		h.core.Step()
+		assert.False(t, ticket.r.arrived, "%s: the module never hears of it", name)
 		assert.Equal(t, []Answer{{Verdict: Refusal, Pause: c.pause, Free: true}}, h.answers, name)
 		h.over(t, name)
 		h.pass(time.Minute)
@@ -161,37 +162,49 @@
 
 // TestGoneWhileItWaits: a client that leaves gives its place up, and nothing of its req begins, however the news cross.
 func TestGoneWhileItWaits(t *testing.T) {
-	for name, do := range map[string]func(*hall, func(*hall) Ticket){
-		"gone": func(h *hall, take func(*hall) Ticket) { take(h).Abandon(true, nil) },
-		"gone, then room": func(h *hall, take func(*hall) Ticket) {
+	for name, do := range map[string]func(*hall, func(*hall) Ticket) Ticket{
+		"gone": func(h *hall, take func(*hall) Ticket) Ticket {
+			ticket := take(h)
+			ticket.Abandon(true, nil)
+			return ticket
+		},
+		"gone, then room": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			ticket.Abandon(false, nil)
 			h.quotas.asked[0].ready(0, true)
+			return ticket
 		},
-		"gone and heard of, then room": func(h *hall, take func(*hall) Ticket) {
+		"gone and heard of, then room": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			ticket.Abandon(false, nil)
 			h.core.Step()
 			h.quotas.asked[0].ready(0, true)
+			return ticket
 		},
-		"room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) {
+		"room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			h.quotas.asked[0].ready(0, true)
 			ticket.Abandon(false, nil)
+			return ticket
 		},
-		"no room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) {
+		"no room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			h.quotas.asked[0].ready(0, false)
 			ticket.Abandon(false, nil)
+			return ticket
 		},
-		"gone before it asked": func(h *hall, _ func(*hall) Ticket) {
+		"gone before it asked": func(h *hall, _ func(*hall) Ticket) Ticket {
 			ticket, _ := h.core.Take(balance.Request{Slots: 1}, &Job{ID: "a"}, h.now, time.Second, h)
 			ticket.Abandon(false, nil)
+			h.core.Step()
+			assert.Empty(t, h.quotas.asked, "it wants none")
+			return ticket
 		},
 	} {
 		h := newHall(t, nil)
-		do(h, func(h *hall) Ticket { return h.take("a", time.Second) })
+		ticket := do(h, func(h *hall) Ticket { return h.take("a", time.Second) })
 		h.core.Step()
+		assert.False(t, ticket.r.arrived, "%s: the module never hears of it", name)
 		h.over(t, name)
 		h.pass(time.Minute)
 		assert.Empty(t, h.sent, name)
@@ -338,13 +351,14 @@
 	h.over(t, "closed while it waits")
 
 	p.open, p.starts = true, 7
-	h.take("c", 2*time.Second)
+	c := h.take("c", 2*time.Second)
 	p.open, p.starts = false, 0
 	h.quotas.asked[2].ready(0, true) // before the core looks at versions
 	h.core.Step()
 	assert.Len(t, h.sent, 1)
 	require.Len(t, h.answers, 3)
 	assert.Equal(t, Answer{Verdict: Refusal, Pause: outlivedPause, Free: true}, h.answers[2])
+	assert.False(t, c.r.arrived)
 	h.over(t, "closed, then room")
 
 	p.open, p.starts = true, 7
