core: room counts from a time that its giver read, and a second ready is proven harmless

Quotas.Take's ready has the time from which the room counts: read before the right to give it was looked at, since a process may be stopped between that look and the core's own reading of the clock; room counted from the wake would outlast what lenders count for it.

TestWaitsForRoom says "room" twice now; with the check of waits removed it fails (two attempts), as does TestMostOfRoom with the time taken at the event.

--- a/internal/core/quotas.go
+++ b/internal/core/quotas.go
@@ -10,13 +10,14 @@
 // (docs/design/quota.md). Its methods are called from the core's goroutine and must not block.
 type Quotas interface {
 	// Take asks for room for a req of a tenant and a class, both as in balance.Request (a tenant beyond those of the
-	// settings is none). ready is called once with whether there is room, unless leave was called first; where there
-	// is none by until, pause is advice to its client. It may be called from any goroutine, also before Take returns,
-	// and does not block. leave tells that the req wants or needs its room no more: it is called once for each Take,
-	// whatever ready said, and after it ready does nothing.
-	Take(tenant, class int, until time.Time, ready func(pause time.Duration, ok bool)) (leave func())
-	// Most is the longest that room may be held, counted from ready: the core ends the req and all its attempts by
-	// then. 0: no bound.
+	// settings is none). ready is called once with whether there is room, unless leave was called first. Where ok,
+	// from is a time read before the right to give the room was looked at: a process may be stopped between that and
+	// ready. Where there is none by until, pause is advice to its client. ready may be called from any goroutine, also
+	// before Take returns, and does not block. leave tells that the req wants or needs its room no more: it is called
+	// once for each Take, whatever ready said, and after it ready does nothing.
+	Take(tenant, class int, until time.Time, ready func(from time.Time, pause time.Duration, ok bool)) (leave func())
+	// Most is the longest that room may be held, counted from ready's from: the core ends the req and all its attempts
+	// by then. 0: no bound.
 	Most() time.Duration
 }
 
@@ -38,9 +39,8 @@
 	}
 	r.waits = true
 	until := r.deadline - ms(roomLeft)
-	r.leave = c.Quotas.Take(q.Tenant, q.Class, c.clock.time(until), func(pause time.Duration, ok bool) {
-		got := c.clock.now() // not when the event is taken: a process may be stopped between the two
-		c.post(func() { c.roomed(r, q, got, pause, ok) })
+	r.leave = c.Quotas.Take(q.Tenant, q.Class, c.clock.time(until), func(from time.Time, pause time.Duration, ok bool) {
+		c.post(func() { c.roomed(r, q, from, pause, ok) })
 	})
 	c.timers.set(until+ms(roomLeft)/2, func() {
 		if r.waits {
@@ -54,8 +54,8 @@
 	}
 }
 
-// roomed takes what was said of a req's room, at the time got.
-func (c *Core) roomed(r *req, q balance.Request, got float64, pause time.Duration, ok bool) {
+// roomed takes what was said of a req's room.
+func (c *Core) roomed(r *req, q balance.Request, from time.Time, pause time.Duration, ok bool) {
 	if !r.waits { // it was answered, or its client has gone, and it has left
 		return
 	}
@@ -68,7 +68,7 @@
 		c.turnAway(r, outlivedPause)
 	default:
 		if most := c.Quotas.Most(); most > 0 { // a client may have any patience
-			r.deadline = min(r.deadline, got+ms(most)-c.slack)
+			r.deadline = min(r.deadline, c.clock.millis(from)+ms(most)-c.slack)
 		}
 		c.arrive(r, q)
 	}
--- a/internal/core/quotas_test.go
+++ b/internal/core/quotas_test.go
@@ -18,7 +18,7 @@
 type asked struct {
 	tenant, class int
 	until         time.Time
-	ready         func(time.Duration, bool)
+	ready         func(time.Time, time.Duration, bool)
 	left          int // times that leave was called
 }
 
@@ -26,13 +26,14 @@
 	asked []*asked
 	most  time.Duration
 	now   bool // ready is called before Take returns
+	clock func() time.Time
 }
 
-func (q *rooms) Take(tenant, class int, until time.Time, ready func(time.Duration, bool)) func() {
+func (q *rooms) Take(tenant, class int, until time.Time, ready func(time.Time, time.Duration, bool)) func() {
 	a := &asked{tenant: tenant, class: class, until: until, ready: ready}
 	q.asked = append(q.asked, a)
 	if q.now {
-		ready(0, true)
+		ready(q.clock(), 0, true)
 	}
 	return func() { a.left++ }
 }
@@ -47,6 +48,7 @@
 
 func newHall(t require.TestingT, set func(*balance.Settings)) *hall {
 	h := &hall{bench: &bench{}, now: time.Unix(1e9, 0), quotas: &rooms{}}
+	h.quotas.clock = func() time.Time { return h.now }
 	s := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 2, TellsStart: true, MayDuplicate: true, MayCancel: true,
 		ConnectTimeout: 120, Tick: 2, Rules: balance.Rules{AnswerSlack: 8}, Tenants: []balance.Tenant{{Share: 1}},
 		Classes: []balance.Class{{Worth: 1, Aim: 120, Deadline: 5000, Kind: -1, Effect: balance.Safe}}}
@@ -109,11 +111,14 @@
 	assert.Equal(t, 1, h.core.Open())
 	h.pass(time.Second)
 	assert.Empty(t, h.sent)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	assert.True(t, h.sent[0].MayBegin())
 	assert.Zero(t, h.quotas.asked[0].left)
+	h.quotas.asked[0].ready(h.now, 0, true)
+	h.core.Step()
+	assert.Len(t, h.sent, 1, "said twice")
 	h.sent[0].Ended(Served, "r", nil)
 	h.core.Step()
 	assert.Equal(t, []Verdict{ResultOf}, h.verdicts())
@@ -134,16 +139,16 @@
 		do    func(*hall)
 		pause time.Duration
 	}{
-		"said": {func(h *hall) { h.quotas.asked[0].ready(70*time.Millisecond, false) }, 70 * time.Millisecond},
+		"said": {func(h *hall) { h.quotas.asked[0].ready(h.now, 70*time.Millisecond, false) }, 70 * time.Millisecond},
 		"said just in time": {func(h *hall) {
 			h.pass(2*time.Second - roomLeft)
-			h.quotas.asked[0].ready(70*time.Millisecond, false)
+			h.quotas.asked[0].ready(h.now, 70*time.Millisecond, false)
 		}, 70 * time.Millisecond},
 		"never said":    {func(h *hall) { h.pass(2*time.Second - roomLeft/2) }, roomPause},
-		"said too late": {func(h *hall) { h.pass(2*time.Second - roomLeft/2); h.quotas.asked[0].ready(0, true) }, roomPause},
+		"said too late": {func(h *hall) { h.pass(2*time.Second - roomLeft/2); h.quotas.asked[0].ready(h.now, 0, true) }, roomPause},
 		"said twice": {func(h *hall) {
-			h.quotas.asked[0].ready(70*time.Millisecond, false)
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 70*time.Millisecond, false)
+			h.quotas.asked[0].ready(h.now, 0, true)
 		}, 70 * time.Millisecond},
 	} {
 		h := newHall(t, nil)
@@ -171,25 +176,25 @@
 		"gone, then room": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			ticket.Abandon(false, nil)
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 0, true)
 			return ticket
 		},
 		"gone and heard of, then room": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			ticket.Abandon(false, nil)
 			h.core.Step()
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 0, true)
 			return ticket
 		},
 		"room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 0, true)
 			ticket.Abandon(false, nil)
 			return ticket
 		},
 		"no room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
-			h.quotas.asked[0].ready(0, false)
+			h.quotas.asked[0].ready(h.now, 0, false)
 			ticket.Abandon(false, nil)
 			return ticket
 		},
@@ -226,7 +231,7 @@
 func TestGoneWithRoom(t *testing.T) {
 	h := newHall(t, nil)
 	ticket := h.take("a", time.Second)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	ticket.Abandon(false, nil)
@@ -266,7 +271,7 @@
 		ticket := h.take("a", c.left)
 		h.pass(c.wait)
 		got := h.now
-		h.quotas.asked[0].ready(0, true)
+		h.quotas.asked[0].ready(h.now, 0, true)
 		h.now = h.now.Add(c.stall)
 		h.core.Step()
 		if c.module {
@@ -290,7 +295,7 @@
 	}
 	h := newHall(t, nil)
 	h.take("a", time.Hour)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.pass(time.Hour - time.Second)
 	assert.Zero(t, h.quotas.asked[0].left, "no bound")
 }
@@ -301,7 +306,7 @@
 	h := newHall(t, nil)
 	h.quotas.most = 3 * time.Second
 	h.take("a", time.Hour)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.now = h.now.Add(10 * time.Second)
 	h.core.Step()
 	for _, a := range h.sent {
@@ -314,7 +319,7 @@
 	h = newHall(t, nil) // and after it was heard of, before the first byte
 	h.quotas.most = 3 * time.Second
 	h.take("a", time.Hour)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	require.True(t, h.sent[0].MayBegin())
@@ -330,7 +335,7 @@
 	h.take("a", 2*time.Second)
 	h.take("b", 2*time.Second)
 	assert.Equal(t, 2, p.waiting)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	assert.EqualValues(t, 7, h.sent[0].Version())
@@ -353,7 +358,7 @@
 	p.open, p.starts = true, 7
 	c := h.take("c", 2*time.Second)
 	p.open, p.starts = false, 0
-	h.quotas.asked[2].ready(0, true) // before the core looks at versions
+	h.quotas.asked[2].ready(h.now, 0, true) // before the core looks at versions
 	h.core.Step()
 	assert.Len(t, h.sent, 1)
 	require.Len(t, h.answers, 3)
@@ -365,7 +370,7 @@
 	h.take("d", 2*time.Second).Abandon(false, nil)
 	h.core.Step()
 	h.take("e", 2*time.Second)
-	h.quotas.asked[4].ready(0, false)
+	h.quotas.asked[4].ready(h.now, 0, false)
 	h.core.Step()
 	assert.Zero(t, p.waiting)
 	h.pass(2 * versionLook)
@@ -443,7 +448,7 @@
 				if ok && !all[i].room && h.quotas.asked[i].left == 0 {
 					all[i].room, all[i].got = true, h.now
 				}
-				h.quotas.asked[i].ready(time.Second, ok)
+				h.quotas.asked[i].ready(h.now, time.Second, ok)
 			case what == 5:
 				o := pick()
 				if !o.gone {
