--- a/internal/core/quotas_test.go
+++ b/internal/core/quotas_test.go
@@ -18,7 +18,7 @@
 type asked struct {
 	tenant, class int
 	until         time.Time
-	ready         func(time.Duration, bool)
+	ready         func(time.Time, time.Duration, bool)
 	left          int // times that leave was called
 }
 
@@ -26,13 +26,14 @@
 	asked []*asked
 	most  time.Duration
 	now   bool // ready is called before Take returns
+	clock func() time.Time
 }
 
-func (q *rooms) Take(tenant, class int, until time.Time, ready func(time.Duration, bool)) func() {
+func (q *rooms) Take(tenant, class int, until time.Time, ready func(time.Time, time.Duration, bool)) func() {
 	a := &asked{tenant: tenant, class: class, until: until, ready: ready}
 	q.asked = append(q.asked, a)
 	if q.now {
-		ready(0, true)
+		ready(q.clock(), 0, true)
 	}
 	return func() { a.left++ }
 }
@@ -47,6 +48,7 @@
 
 func newHall(t require.TestingT, set func(*balance.Settings)) *hall {
 	h := &hall{bench: &bench{}, now: time.Unix(1e9, 0), quotas: &rooms{}}
+	h.quotas.clock = func() time.Time { return h.now }
 	s := balance.Settings{Seed: 1, Instances: 1, Zones: 1, Kinds: 1, MaxAttempts: 2, TellsStart: true, MayDuplicate: true, MayCancel: true,
 		ConnectTimeout: 120, Tick: 2, Rules: balance.Rules{AnswerSlack: 8}, Tenants: []balance.Tenant{{Share: 1}},
 		Classes: []balance.Class{{Worth: 1, Aim: 120, Deadline: 5000, Kind: -1, Effect: balance.Safe}}}
@@ -109,11 +111,14 @@
 	assert.Equal(t, 1, h.core.Open())
 	h.pass(time.Second)
 	assert.Empty(t, h.sent)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	assert.True(t, h.sent[0].MayBegin())
 	assert.Zero(t, h.quotas.asked[0].left)
+	h.quotas.asked[0].ready(h.now, 0, true)
+	h.core.Step()
+	assert.Len(t, h.sent, 1, "said twice")
 	h.sent[0].Ended(Served, "r", nil)
 	h.core.Step()
 	assert.Equal(t, []Verdict{ResultOf}, h.verdicts())
@@ -134,22 +139,23 @@
 		do    func(*hall)
 		pause time.Duration
 	}{
-		"said": {func(h *hall) { h.quotas.asked[0].ready(70*time.Millisecond, false) }, 70 * time.Millisecond},
+		"said": {func(h *hall) { h.quotas.asked[0].ready(h.now, 70*time.Millisecond, false) }, 70 * time.Millisecond},
 		"said just in time": {func(h *hall) {
 			h.pass(2*time.Second - roomLeft)
-			h.quotas.asked[0].ready(70*time.Millisecond, false)
+			h.quotas.asked[0].ready(h.now, 70*time.Millisecond, false)
 		}, 70 * time.Millisecond},
 		"never said":    {func(h *hall) { h.pass(2*time.Second - roomLeft/2) }, roomPause},
-		"said too late": {func(h *hall) { h.pass(2*time.Second - roomLeft/2); h.quotas.asked[0].ready(0, true) }, roomPause},
+		"said too late": {func(h *hall) { h.pass(2*time.Second - roomLeft/2); h.quotas.asked[0].ready(h.now, 0, true) }, roomPause},
 		"said twice": {func(h *hall) {
-			h.quotas.asked[0].ready(70*time.Millisecond, false)
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 70*time.Millisecond, false)
+			h.quotas.asked[0].ready(h.now, 0, true)
 		}, 70 * time.Millisecond},
 	} {
 		h := newHall(t, nil)
-		h.take("a", 2*time.Second)
+		ticket := h.take("a", 2*time.Second)
 		c.do(h)
 		h.core.Step()
+		assert.False(t, ticket.r.arrived, "%s: the module never hears of it", name)
 		assert.Equal(t, []Answer{{Verdict: Refusal, Pause: c.pause, Free: true}}, h.answers, name)
 		h.over(t, name)
 		h.pass(time.Minute)
@@ -161,37 +167,49 @@
 
 // TestGoneWhileItWaits: a client that leaves gives its place up, and nothing of its req begins, however the news cross.
 func TestGoneWhileItWaits(t *testing.T) {
-	for name, do := range map[string]func(*hall, func(*hall) Ticket){
-		"gone": func(h *hall, take func(*hall) Ticket) { take(h).Abandon(true, nil) },
-		"gone, then room": func(h *hall, take func(*hall) Ticket) {
+	for name, do := range map[string]func(*hall, func(*hall) Ticket) Ticket{
+		"gone": func(h *hall, take func(*hall) Ticket) Ticket {
+			ticket := take(h)
+			ticket.Abandon(true, nil)
+			return ticket
+		},
+		"gone, then room": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			ticket.Abandon(false, nil)
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 0, true)
+			return ticket
 		},
-		"gone and heard of, then room": func(h *hall, take func(*hall) Ticket) {
+		"gone and heard of, then room": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
 			ticket.Abandon(false, nil)
 			h.core.Step()
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 0, true)
+			return ticket
 		},
-		"room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) {
+		"room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
-			h.quotas.asked[0].ready(0, true)
+			h.quotas.asked[0].ready(h.now, 0, true)
 			ticket.Abandon(false, nil)
+			return ticket
 		},
-		"no room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) {
+		"no room, then gone before the core took either": func(h *hall, take func(*hall) Ticket) Ticket {
 			ticket := take(h)
-			h.quotas.asked[0].ready(0, false)
+			h.quotas.asked[0].ready(h.now, 0, false)
 			ticket.Abandon(false, nil)
+			return ticket
 		},
-		"gone before it asked": func(h *hall, _ func(*hall) Ticket) {
+		"gone before it asked": func(h *hall, _ func(*hall) Ticket) Ticket {
 			ticket, _ := h.core.Take(balance.Request{Slots: 1}, &Job{ID: "a"}, h.now, time.Second, h)
 			ticket.Abandon(false, nil)
+			h.core.Step()
+			assert.Empty(t, h.quotas.asked, "it wants none")
+			return ticket
 		},
 	} {
 		h := newHall(t, nil)
-		do(h, func(h *hall) Ticket { return h.take("a", time.Second) })
+		ticket := do(h, func(h *hall) Ticket { return h.take("a", time.Second) })
 		h.core.Step()
+		assert.False(t, ticket.r.arrived, "%s: the module never hears of it", name)
 		h.over(t, name)
 		h.pass(time.Minute)
 		assert.Empty(t, h.sent, name)
@@ -213,7 +231,7 @@
 func TestGoneWithRoom(t *testing.T) {
 	h := newHall(t, nil)
 	ticket := h.take("a", time.Second)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	ticket.Abandon(false, nil)
@@ -253,7 +271,7 @@
 		ticket := h.take("a", c.left)
 		h.pass(c.wait)
 		got := h.now
-		h.quotas.asked[0].ready(0, true)
+		h.quotas.asked[0].ready(h.now, 0, true)
 		h.now = h.now.Add(c.stall)
 		h.core.Step()
 		if c.module {
@@ -277,7 +295,7 @@
 	}
 	h := newHall(t, nil)
 	h.take("a", time.Hour)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.pass(time.Hour - time.Second)
 	assert.Zero(t, h.quotas.asked[0].left, "no bound")
 }
@@ -288,7 +306,7 @@
 	h := newHall(t, nil)
 	h.quotas.most = 3 * time.Second
 	h.take("a", time.Hour)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.now = h.now.Add(10 * time.Second)
 	h.core.Step()
 	for _, a := range h.sent {
@@ -301,7 +319,7 @@
 	h = newHall(t, nil) // and after it was heard of, before the first byte
 	h.quotas.most = 3 * time.Second
 	h.take("a", time.Hour)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	require.True(t, h.sent[0].MayBegin())
@@ -317,7 +335,7 @@
 	h.take("a", 2*time.Second)
 	h.take("b", 2*time.Second)
 	assert.Equal(t, 2, p.waiting)
-	h.quotas.asked[0].ready(0, true)
+	h.quotas.asked[0].ready(h.now, 0, true)
 	h.core.Step()
 	require.Len(t, h.sent, 1)
 	assert.EqualValues(t, 7, h.sent[0].Version())
@@ -338,20 +356,21 @@
 	h.over(t, "closed while it waits")
 
 	p.open, p.starts = true, 7
-	h.take("c", 2*time.Second)
+	c := h.take("c", 2*time.Second)
 	p.open, p.starts = false, 0
-	h.quotas.asked[2].ready(0, true) // before the core looks at versions
+	h.quotas.asked[2].ready(h.now, 0, true) // before the core looks at versions
 	h.core.Step()
 	assert.Len(t, h.sent, 1)
 	require.Len(t, h.answers, 3)
 	assert.Equal(t, Answer{Verdict: Refusal, Pause: outlivedPause, Free: true}, h.answers[2])
+	assert.False(t, c.r.arrived)
 	h.over(t, "closed, then room")
 
 	p.open, p.starts = true, 7
 	h.take("d", 2*time.Second).Abandon(false, nil)
 	h.core.Step()
 	h.take("e", 2*time.Second)
-	h.quotas.asked[4].ready(0, false)
+	h.quotas.asked[4].ready(h.now, 0, false)
 	h.core.Step()
 	assert.Zero(t, p.waiting)
 	h.pass(2 * versionLook)
@@ -429,7 +448,7 @@
 				if ok && !all[i].room && h.quotas.asked[i].left == 0 {
 					all[i].room, all[i].got = true, h.now
 				}
-				h.quotas.asked[i].ready(time.Second, ok)
+				h.quotas.asked[i].ready(h.now, time.Second, ok)
 			case what == 5:
 				o := pick()
 				if !o.gone {
