--- a/internal/network/fleet/quota/region.go
+++ b/internal/network/fleet/quota/region.go
@@ -65,6 +65,7 @@
 	if version, t, ok := r.v.decided(); ok && version != r.version {
 		r.version = version
 		r.region.Reserve(r.v.q.now(), t.UrgentReserve)
+		r.region.Run(r.v.q.now(), t.run())
 	}
 }
 
--- a/internal/network/fleet/quota/root.go
+++ b/internal/network/fleet/quota/root.go
@@ -84,6 +84,7 @@
 				r.lender.Capacity(now, account, 0)
 			}
 		}
+		r.lender.Run(now, t.run())
 		r.version, r.accounts = version, nil
 		for account, units := range t.Quotas {
 			r.accounts = append(r.accounts, account)
@@ -107,6 +108,7 @@
 			shares = append(shares, quota.Share{Account: account, Units: units})
 		}
 		r.lender.Inherit(r.v.q.now(), shares)
+		r.lender.Run(r.v.q.now(), before.run())
 	}
 }
 
--- a/internal/network/fleet/quota/terms.go
+++ b/internal/network/fleet/quota/terms.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"tinsail/internal/fleet/policy"
 )
@@ -21,3 +22,5 @@
 func readTerms(body []byte) (t terms, err error) {
 	return t, json.Unmarshal(body, &t)
 }
+
+func (t terms) run() time.Duration { return time.Duration(t.RunMS) * time.Millisecond }
