Settings and policy take quotas of teams, checked by key and line; off without quotas(...)

At most 1024 teams, 10^6 units, run_ms 100 to a week and required with quotas; urgent_reserve needs quotas and urgent_classes.

check, serve and SIGHUP refuse: quotas without accord, policy.quotas without quotas(...), lenders that are no voters or name a region or voter twice, a region that lenders lack, region_lease_ms under three leases, teams and urgent classes that the configuration lacks, run_ms under the longest deadline of a class and the answer slack, a policy larger than the 64 KiB that the accord takes. A dispatcher that cannot keep a proposed policy's quotas refuses it, so that it takes hold nowhere. Faults of a policy name its key now (policy.run_ms), not the call alone.

--- a/cmd/tinsail/accord.go
+++ b/cmd/tinsail/accord.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"regexp"
+	"strings"
 	"time"
 
 	"tinsail/internal/budget"
@@ -44,7 +45,11 @@
 		return settings.Faults{set.Fault("accord.voters", err.Error())}
 	}
 	if err := policyOf(set).Check(); err != nil {
-		return settings.Faults{set.Fault("policy", err.Error())}
+		key, says, _ := strings.Cut(err.Error(), " ") // each begins with its key
+		return settings.Faults{set.Fault(key, says)}
+	}
+	if err := checkSize(set); err != nil {
+		return err
 	}
 	if cfg == nil {
 		return nil
@@ -103,6 +108,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.canKeepQuotas(p); err != nil {
+		return err
+	}
 	if p.Connections == 0 {
 		if d.budgets != nil && d.budgets.leader != nil {
 			return errors.New("it sets no policy.connections, and budgets.keeper is the leader")
--- a/cmd/tinsail/commands.go
+++ b/cmd/tinsail/commands.go
@@ -102,7 +102,7 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			cfg, err := config.Load(os.Getenv)
 			set, err2 := settings.Load(o.settings)
-			if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set)); err != nil {
+			if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set), checkQuotas(cfg, set)); err != nil {
 				return faulty{err}
 			}
 			fmt.Fprintln(c.OutOrStdout(), "the configuration and the settings are well")
--- /dev/null
+++ b/cmd/tinsail/quotas_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/config"
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/platform"
+	"tinsail/internal/settings"
+)
+
+// teamed is a configuration with teams and classes.
+func teamed() *config.Config {
+	return &config.Config{Name: "a", Names: platform.Names{Tenants: []string{"atelier", "press"}, Classes: []string{"photo", "express"},
+		Limits: []time.Duration{5 * time.Second, 2 * time.Second}}, Settings: balance.Settings{Rules: balance.Rules{AnswerSlack: 8}}}
+}
+
+func parsed(t *testing.T, script string) *settings.Settings {
+	set, err := settings.Parse("s.star", func(string) ([]byte, error) { return []byte(script), nil })
+	require.NoError(t, err, script)
+	return set
+}
+
+// TestCheckQuotas: what the schema cannot say is told with its key and line.
+func TestCheckQuotas(t *testing.T) {
+	const voters = "accord(voters = [\"a=127.0.0.1:1\", \"b=127.0.0.1:2\", \"c=127.0.0.1:3\"], data = \"d\")\n"
+	const call = "quotas(region = \"east\", lenders = [\"east=a\", \"west=b\"])\n"
+	for script, says := range map[string]string{
+		"policy(quotas = {\"press\": 3}, run_ms = 6000)\n" + voters + call: "",
+		"policy()\n" + voters + call:                                       "", // none yet
+		"policy()\n" + voters:                                              "",
+		call:                                                               "s.star:1:7: quotas: is set, and accord is not",
+		"policy(quotas = {\"press\": 3}, run_ms = 6000)\n" + voters:                                                            "s.star:1:8: policy.quotas: is set, and quotas(...) is not",
+		"policy()\n" + voters + "quotas(region = \"east\",\n lenders = [\"east=x\"])":                                          `s.star:4:2: quotas.lenders: "east=x" names no voter`,
+		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\", \"east=b\"])":                                `quotas.lenders: "east=b" names a region or a voter twice`,
+		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\", \"west=a\"])":                                `quotas.lenders: "west=a" names a region or a voter twice`,
+		"policy()\n" + voters + "quotas(region = \"north\", lenders = [\"east=a\"])":                                           `quotas.region: is "north", which is no region of lenders`,
+		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\"], lease_ms = 3000, region_lease_ms = 8999)":   "quotas.region_lease_ms: is 8999, want at least 3 times lease_ms",
+		"policy(quotas = {\"press\": 3})\n" + voters + call:                                                                    "s.star:1:7: policy.run_ms: is not set, where policy.quotas is",
+		"policy(run_ms = 6000,\n quotas = {\"pres\": 3})\n" + voters + call:                                                    `s.star:2:2: policy.quotas: names "pres", which is no tenant`,
+		"policy(quotas = {\"press\": 3}, run_ms = 5007)\n" + voters + call:                                                     "policy.run_ms: is 5007, want at least 5008",
+		"policy(quotas = {\"press\": 3}, run_ms = 5008)\n" + voters + call:                                                     "",
+		"policy(quotas = {\"press\": 3}, run_ms = 6000, urgent_classes = [\"fast\"])\n" + voters + call:                        `policy.urgent_classes: names "fast", which is no class`,
+		"policy(quotas = {\"press\": 3}, run_ms = 6000, urgent_reserve = 4)\n" + voters + call:                                 "policy.urgent_classes: is not set, where policy.urgent_reserve is",
+		"policy(quotas = {\"press\": 3}, run_ms = 6000, urgent_reserve = 4, urgent_classes = [\"express\"])\n" + voters + call: "",
+	} {
+		set, cfg := parsed(t, script), teamed()
+		var faults []string
+		for _, err := range []error{checkAccord(cfg, set), checkQuotas(cfg, set)} {
+			if err != nil {
+				faults = append(faults, err.Error())
+			}
+		}
+		if says == "" {
+			assert.Empty(t, faults, script)
+		} else {
+			assert.Contains(t, strings.Join(faults, "\n"), says, script)
+		}
+		assert.NotPanics(t, func() { _ = checkQuotas(nil, set); _ = checkQuotas(cfg, nil) }, script)
+	}
+}
+
+// TestPolicyFitsTheAccord: names that make a policy larger than the log takes are told at the check, not by a proposal that fails.
+func TestPolicyFitsTheAccord(t *testing.T) {
+	set := parsed(t, "policy(run_ms = 6000)\naccord(voters = [\"a=127.0.0.1:1\"], data = \"d\")\nquotas(region = \"east\", lenders = [\"east=a\"])")
+	cfg := teamed()
+	set.Policy.Quotas = map[string]int{}
+	for i := range policy.MaxQuotas {
+		name := fmt.Sprintf("%0*d", policy.MaxName, i)
+		cfg.Names.Tenants = append(cfg.Names.Tenants, name)
+		set.Policy.Quotas[name] = 1
+	}
+	assert.ErrorContains(t, checkAccord(cfg, set), "at most 65536 fit the accord")
+	set.Policy.Quotas = map[string]int{}
+	for i := range policy.MaxQuotas {
+		set.Policy.Quotas[fmt.Sprintf("team-%026d", i)] = 1_000_000
+	}
+	assert.NoError(t, checkAccord(cfg, set), "as many with names of 31 bytes fit")
+}
+
+// TestDispatcherThatCannotKeepQuotas: it refuses the policy, so that it takes hold nowhere.
+func TestDispatcherThatCannotKeepQuotas(t *testing.T) {
+	body := func(p policy.Policy) []byte { return p.Append(nil) }
+	quotas := policy.Policy{Quotas: map[string]int{"press": 3}, RunMS: 6000}
+	d := &dispatcher{cfg: teamed(), set: &settings.Settings{}}
+	assert.NoError(t, d.canTake(body(policy.Policy{})))
+	assert.ErrorContains(t, d.canTake(body(quotas)), "this dispatcher has no quotas(...)")
+	d.set.Quotas = &settings.Quotas{}
+	assert.NoError(t, d.canTake(body(quotas)))
+	quotas.Quotas["other"] = 1
+	assert.ErrorContains(t, d.canTake(body(quotas)), `policy.quotas: names "other", which is no tenant`)
+	delete(quotas.Quotas, "other")
+	quotas.RunMS = 5000
+	assert.ErrorContains(t, d.canTake(body(quotas)), "policy.run_ms: is 5000, want at least 5008")
+}
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -37,7 +37,7 @@
 	}
 	cfg, err := config.Load(os.Getenv)
 	set, err2 := settings.Load(o.settings)
-	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set)); err != nil {
+	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set), checkQuotas(cfg, set)); err != nil {
 		return faulty{err}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
@@ -321,7 +321,7 @@
 func (d *dispatcher) reload(cfg *config.Config, set *settings.Settings, path string) (*config.Config, *settings.Settings) {
 	next, err := config.Load(os.Getenv)
 	nextSet, err2 := settings.Load(path)
-	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet), checkAccord(next, nextSet)); err != nil {
+	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet), checkAccord(next, nextSet), checkQuotas(next, nextSet)); err != nil {
 		d.count.ReloadsBad.Add(1)
 		d.log.Error().Err(err).Msg("not reloaded")
 		return cfg, set
--- a/deploy/example.star
+++ b/deploy/example.star
@@ -78,6 +78,10 @@
     most = 0,
     reserve = 0.2,
     bans = [],
+    quotas = {},  # {"atelier": 400, "press": 30}: tenants of the configuration
+    urgent_reserve = 0,  # 20, with quotas
+    urgent_classes = [],  # ["express"]: classes of the configuration
+    run_ms = 0,  # 60 * 1000, must be set with quotas
 )
 
 accord(
@@ -88,3 +92,10 @@
     when_cut = "stop",
     data = "/var/lib/tinsail/accord",
 )
+
+quotas(
+    region = "east",
+    lenders = ["east=n0", "west=n1", "north=n2"],
+    lease_ms = 3000,
+    region_lease_ms = 600 * 1000,
+)
--- a/internal/fleet/policy/policy.go
+++ b/internal/fleet/policy/policy.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 )
 
@@ -16,7 +17,13 @@
 	MaxUnits = 1_000_000 // connections a second: no budget is larger
 	MaxMost  = 100_000   // dispatchers
 	MaxBans  = 1000
-	MaxName  = 128 // bytes of a backend's name
+	MaxName  = 128 // bytes of a backend's, a team's or a class's name
+
+	MaxQuotas  = 1024        // teams: each has a line in the table of every lender and dispatcher
+	MaxInRoom  = 1_000_000   // reqs in flight: no quota and no reserve is larger
+	MinRunMS   = 100         // a shorter bound would cut nearly every req
+	MaxRunMS   = 604_800_000 // a week: what a silent dispatcher held stays counted for as long
+	MaxClasses = 64          // urgent ones
 )
 
 // Policy is one version's content. Its values are the fleet's, not one dispatcher's.
@@ -25,6 +32,13 @@
 	Most        int      `json:"most"`        // most dispatchers at once, 0: the configuration's count
 	Reserve     float64  `json:"reserve"`     // part of the whole held as reserves
 	Bans        []string `json:"bans"`        // backends that nothing is sent to, in the order of names
+
+	// What follows is left out where it says nothing, so that a policy without quotas has the bytes that it had before
+	// there were any (docs/design/quota.md).
+	Quotas        map[string]int `json:"quotas,omitempty"`         // reqs in flight at once over the whole fleet, by team; others have no bound
+	UrgentReserve int            `json:"urgent_reserve,omitempty"` // reqs in flight in each region beyond the quotas, for urgent classes alone
+	UrgentClasses []string       `json:"urgent_classes,omitempty"` // in the order of names
+	RunMS         int            `json:"run_ms,omitempty"`         // ms: no req is in flight for longer, whatever its client says
 }
 
 // Append writes a policy: two that say the same have the same bytes.
@@ -33,6 +47,7 @@
 	if p.Bans == nil {
 		p.Bans = []string{}
 	}
+	p.UrgentClasses = slices.Compact(slices.Sorted(slices.Values(p.UrgentClasses)))
 	text, err := json.Marshal(p)
 	if err != nil { // a number that JSON does not have: Check refuses it
 		return append(b, "{}"...)
@@ -72,5 +87,38 @@
 			return fmt.Errorf("policy.bans has a name of %d bytes, want 1 to %d", len(name), MaxName)
 		}
 	}
+	return p.checkQuotas()
+}
+
+func (p Policy) checkQuotas() error {
+	switch {
+	case len(p.Quotas) > MaxQuotas:
+		return fmt.Errorf("policy.quotas names %d teams, at most %d", len(p.Quotas), MaxQuotas)
+	case p.UrgentReserve < 0 || p.UrgentReserve > MaxInRoom:
+		return fmt.Errorf("policy.urgent_reserve is %d, want 0 to %d", p.UrgentReserve, MaxInRoom)
+	case p.RunMS != 0 && (p.RunMS < MinRunMS || p.RunMS > MaxRunMS):
+		return fmt.Errorf("policy.run_ms is %d, want %d to %d", p.RunMS, MinRunMS, MaxRunMS)
+	case len(p.UrgentClasses) > MaxClasses:
+		return fmt.Errorf("policy.urgent_classes names %d classes, at most %d", len(p.UrgentClasses), MaxClasses)
+	case len(p.Quotas) == 0 && p.UrgentReserve > 0:
+		return errors.New("policy.urgent_reserve is set, and policy.quotas is not: nothing would need it")
+	case len(p.Quotas) > 0 && p.RunMS == 0:
+		return errors.New("policy.run_ms is not set, where policy.quotas is: nobody could know when what a lost dispatcher ran is over")
+	case p.UrgentReserve > 0 && len(p.UrgentClasses) == 0:
+		return errors.New("policy.urgent_classes is not set, where policy.urgent_reserve is: no req could draw on it")
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.Quotas)) {
+		if name == "" || len(name) > MaxName {
+			return fmt.Errorf("policy.quotas has a name of %d bytes, want 1 to %d", len(name), MaxName)
+		}
+		if n := p.Quotas[name]; n < 0 || n > MaxInRoom {
+			return fmt.Errorf("policy.quotas gives %q %d, want 0 to %d", name, n, MaxInRoom)
+		}
+	}
+	for _, name := range p.UrgentClasses {
+		if name == "" || len(name) > MaxName {
+			return fmt.Errorf("policy.urgent_classes has a name of %d bytes, want 1 to %d", len(name), MaxName)
+		}
+	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	Budgets     *Budgets     `json:"budgets"`
 	Policy      *Policy      `json:"policy"`
 	Accord      *Accord      `json:"accord"`
+	Quotas      *Quotas      `json:"quotas"`
 
 	at map[string]Fault // where each call and key stands
 }
@@ -70,6 +71,19 @@
 	Most        int      `json:"most"`
 	Reserve     float64  `json:"reserve"`
 	Bans        []string `json:"bans"`
+
+	Quotas        map[string]int `json:"quotas"`
+	UrgentReserve int            `json:"urgent_reserve"`
+	UrgentClasses []string       `json:"urgent_classes"`
+	RunMS         int            `json:"run_ms"`
+}
+
+// Quotas sets how the policy's quotas are kept; the schema says what each value means.
+type Quotas struct {
+	Region        string   `json:"region"`
+	Lenders       []string `json:"lenders"`
+	LeaseMS       int      `json:"lease_ms"`
+	RegionLeaseMS int      `json:"region_lease_ms"`
 }
 
 // Accord sets how the fleet agrees; the schema says what each value means.
@@ -394,10 +408,15 @@
 			}
 			return
 		}
-		if len(e.InstanceLocation) > 2 { // a value in a list: the whole list is told
+		c := s.calls[e.InstanceLocation[0]]
+		entry := ""
+		if len(e.InstanceLocation) > 2 { // a value in a list: the whole list is told; of a dictionary, the entry
+			if m, ok := c.values[e.InstanceLocation[1]].(map[string]any); ok {
+				got, _ := json.Marshal(m[e.InstanceLocation[2]])
+				entry = fmt.Sprintf("has %q: %s", e.InstanceLocation[2], short(got))
+			}
 			e.InstanceLocation, e.ErrorKind = e.InstanceLocation[:2], nil
 		}
-		c := s.calls[e.InstanceLocation[0]]
 		name := e.InstanceLocation[0]
 		switch k := e.ErrorKind.(type) {
 		case *kind.Required:
@@ -413,11 +432,14 @@
 			if len(e.InstanceLocation) > 1 {
 				key = e.InstanceLocation[1]
 			}
-			got, _ := json.Marshal(c.values[key])
+			if entry == "" {
+				got, _ := json.Marshal(c.values[key])
+				entry = "is " + short(got)
+			}
 			if len(faults) > 0 && faults[len(faults)-1].Key == name+"."+key { // one fault for each key is enough
 				return
 			}
-			faults = append(faults, c.fault(name, key, fmt.Sprintf("is %s, want %s", got, properties(name)[key].Wanted)))
+			faults = append(faults, c.fault(name, key, entry+", want "+properties(name)[key].Wanted))
 		}
 	}
 	if v, ok := err.(*jsonschema.ValidationError); ok {
@@ -432,6 +454,15 @@
 	return faults
 }
 
+// short is a value as a line of an error holds it.
+func short(text []byte) string {
+	const most = 200 // bytes
+	if len(text) > most {
+		return strings.ToValidUTF8(string(text[:most]), "") + "..."
+	}
+	return string(text)
+}
+
 var holds = map[string]string{"next start": "the next start", "new connections": "connections from then on", "now": "at once",
 	"accord": "the fleet, once it is decided"}
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -55,11 +56,18 @@
 		{"http2(listen = \"a:1\", strems = 3)", "http2.strems: is no key of http2, want one of listen, drain_ms"},
 		{"http2(\"a:1\")", "http2: takes named values only"},
 		{"http2(listen = \"a:1\")\nhttp2(listen = \"a:2\")", "s.star:2:6: http2: is called a second time, first at s.star:1"},
-		{"http3(listen = \"a:1\")", "s.star:1:1: http3: is not known, the calls are accord, backends, budgets, consul, http2, member_rules, policy"},
+		{"http3(listen = \"a:1\")", "s.star:1:1: http3: is not known, the calls are accord, backends, budgets, consul, http2, member_rules, policy, quotas"},
 		{"http2(listen = \"a:1\"", "s.star:1:21: got end of file"},
 		{"http2(listen = 1 // 0)", "s.star:1:18: floored division by zero"},
 		{"http2(listen = len)", "http2.listen: is a builtin_function_or_method, which no setting takes"},
 		{"http2(listen = 1 << 90)", "http2.listen: is too large a number"},
+		{"policy(\n  quotas = {\"a\": 3, \"b\": -1})", `s.star:2:3: policy.quotas: has "b": -1, want a dictionary of at most 1024 teams`},
+		{"policy(quotas = [3])", "policy.quotas: is [3], want a dictionary"},
+		{"policy(quotas = {1: 3})", "policy.quotas: has a key that is no text"},
+		{"policy(quotas = {\"a\": 3, \"a\": 4})", "duplicate key"},
+		{"policy(run_ms = -1)", "policy.run_ms: is -1, want a whole number from 100"},
+		{"quotas(lenders = [\"east=n0\"])", "quotas.region: is missing, want a region's name"},
+		{"quotas(region = \"east\",\n lenders = [\"n0\"])", `s.star:2:2: quotas.lenders: is ["n0"], want a list of 1 to 5 region=voter`},
 		{deep, "s.star:2:1: cannot reassign global x"},
 		{"load(\"none.star\", \"x\")", "none.star: file does not exist"},
 		{"load(\"../s.star\", \"x\")", "load takes the name of a .star file beside the script"},
@@ -76,7 +84,16 @@
 		_, err := parse(c.text)
 		assert.ErrorContains(t, err, c.want, c.text)
 	}
-	_, err := parse("http2(max_streams = 0,\n stall_ms = 1)")
+	var many strings.Builder
+	for i := range 1025 {
+		fmt.Fprintf(&many, "%q: 1, ", fmt.Sprint("team", i))
+	}
+	_, err := parse("policy(quotas = {" + many.String() + "})")
+	assert.ErrorContains(t, err, "..., want a dictionary of at most 1024 teams")
+	assert.Less(t, len(err.Error()), 500)
+	_, err = parse("policy(quotas = {" + many.String()[:strings.Index(many.String(), "\"team1024\"")] + "})")
+	assert.NoError(t, err, "1024 teams fit the script's own bounds")
+	_, err = parse("http2(max_streams = 0,\n stall_ms = 1)")
 	assert.Len(t, err, 3, "all that is wrong is told at once")
 }
 
