--- a/internal/network/fleet/quota/desk.go
+++ b/internal/network/fleet/quota/desk.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota"
 	"tinsail/internal/fleet/quota/wire"
 )
@@ -106,12 +107,12 @@
 	}
 }
 
-func (d *desk) enter(t terms) {
-	accounts := make([]string, 0, len(t.Quotas)+1)
-	for account := range t.Quotas {
+func (d *desk) enter(p policy.Policy) {
+	accounts := make([]string, 0, len(p.Quotas)+1)
+	for account := range p.Quotas {
 		accounts = append(accounts, account)
 	}
-	if t.UrgentReserve > 0 {
+	if p.UrgentReserve > 0 {
 		accounts = append(accounts, quota.Urgent)
 	}
 	d.mu.Lock()
--- /dev/null
+++ b/internal/network/fleet/quota/links_test.go
@@ -0,0 +1,139 @@
+package quota
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/fleet/frames"
+	"tinsail/internal/fleet/quota"
+	"tinsail/internal/fleet/quota/wire"
+	"tinsail/internal/network/fleet/accord"
+)
+
+// dial makes a link to a voter as a holder does.
+func (r *rig) dial(voter int) net.Conn {
+	conn, err := net.Dial("tcp", r.voters[voter])
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { conn.Close() })
+	_, err = conn.Write([]byte{accord.QuotaMark})
+	require.NoError(r.t, err)
+	return conn
+}
+
+func asks(to, child string, seq uint64) []byte {
+	return frames.Frame(wire.WriteAsk(wire.Ask{To: to, Ask: quota.Ask{Child: child, Epoch: 1, Seq: seq, All: true}}))
+}
+
+// closed reads until the link is closed.
+func closed(t *testing.T, conn net.Conn) {
+	conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.ReadAll(conn); err != nil {
+		assert.ErrorContains(t, err, "reset")
+	}
+}
+
+// TestLinkBounds: what is no message, none of a holder, or an ask by another name than the link's first, ends the link
+// and is counted.
+func TestLinkBounds(t *testing.T) {
+	r := newRig(t, 3, 4*time.Second, `{"run_ms":300,"quotas":{"a":1}}`)
+	r.inForce(1)
+	q := r.member(0).quota
+	for i, p := range [][]byte{
+		[]byte("\x00\x00\x00\x02{}"),
+		[]byte("\xff\xff\xff\xff"),
+		frames.Frame(wire.WriteNudge("east")),
+		frames.Frame(wire.WriteAnswer(wire.Answer{From: "east", Answer: quota.Answer{Child: "x"}})),
+		append(asks("east", "x", 1), asks("east", "y", 2)...),
+		append(asks("east", "x", 3), asks("west", "x", 4)...),
+	} {
+		conn := r.dial(0)
+		_, err := conn.Write(p)
+		require.NoError(t, err)
+		closed(t, conn)
+		assert.EqualValues(t, i+1, q.Count.Bad.Load(), "message %d", i)
+	}
+}
+
+// TestElsewhere: an ask for a region's lender that is not here, or for the root at a voter that does not lead, is told
+// so; a child that is no region gets nothing from the root.
+func TestElsewhere(t *testing.T) {
+	r := newRig(t, 3, 4*time.Second, `{"run_ms":300,"quotas":{"a":1}}`)
+	r.inForce(1)
+	leader := r.leader()
+	hear := func(voter int, p []byte) wire.Message {
+		conn := r.dial(voter)
+		_, err := conn.Write(p)
+		require.NoError(t, err)
+		conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		m, err := wire.Next(conn)
+		require.NoError(t, err)
+		return m
+	}
+	assert.Equal(t, &wire.Away{From: "west"}, hear(0, asks("west", "x", 1)).Away)
+	assert.Equal(t, &wire.Away{From: "", Leader: named(leader)}, hear((leader+1)%3, asks("", "north", 1)).Away)
+	conn := r.dial(leader)
+	_, err := conn.Write(asks("", "north", 1))
+	require.NoError(t, err)
+	closed(t, conn)
+	assert.EqualValues(t, 1, r.member(leader).quota.Count.Bad.Load())
+}
+
+// TestFlood: a link on which more asks come than any holder sends is closed, and counted.
+func TestFlood(t *testing.T) {
+	r := newRig(t, 3, 4*time.Second, `{"run_ms":300,"quotas":{"a":1}}`)
+	r.inForce(1)
+	conn := r.dial(0)
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	var err error
+	for seq := uint64(1); err == nil && seq < 1_000_000; seq++ {
+		_, err = conn.Write(asks("east", "x", seq))
+	}
+	assert.Error(t, err, "it was closed")
+	var late net.Error
+	assert.False(t, errors.As(err, &late) && late.Timeout())
+	r.until("counted", func() bool { return r.member(0).quota.Count.Floods.Load() == 1 })
+}
+
+// TestSlowReader: a link that takes no answers is closed, and holds up nobody.
+func TestSlowReader(t *testing.T) {
+	q := &Quota{cfg: Config{Plan: quota.Plan{Lease: time.Second}}, start: time.Now()}
+	near, far := net.Pipe()
+	defer near.Close()
+	l := &link{v: &votes{q: q}, conn: far, out: make(chan []byte, linkHeld)}
+	for range linkHeld / 2 {
+		l.nudge()
+	}
+	l.nudge()
+	assert.Len(t, l.out, linkHeld/2, "a nudge is a hint")
+	for range linkHeld / 2 {
+		l.away("")
+	}
+	assert.Zero(t, q.Count.Floods.Load())
+	l.away("")
+	assert.EqualValues(t, 1, q.Count.Floods.Load())
+	_, err := near.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// TestNew: what a configuration lacks is said.
+func TestNew(t *testing.T) {
+	plan := quota.Plan{Lease: time.Second, Run: time.Second}
+	for says, cfg := range map[string]Config{
+		"lease":              {},
+		"shorter":            {Plan: plan, RegionLease: 500 * time.Millisecond},
+		`no lender is named`: {Plan: plan, RegionLease: 4 * time.Second, Region: "east", Lenders: []Lender{{"west", "n0", "127.0.0.1:1"}}},
+		"n0 is a lender and no voter": {Name: "n0", Plan: plan, RegionLease: 4 * time.Second, Region: "west",
+			Lenders: []Lender{{"west", "n0", "127.0.0.1:1"}}},
+	} {
+		_, err := New(cfg, &accord.Accord{})
+		assert.ErrorContains(t, err, says)
+	}
+	_, err := New(Config{}, nil)
+	assert.ErrorContains(t, err, "no accord")
+}
--- a/internal/network/fleet/quota/quota.go
+++ b/internal/network/fleet/quota/quota.go
@@ -143,7 +143,7 @@
 }
 
 // Enter puts a policy's quotas in force at this dispatcher.
-func (q *Quota) Enter(p policy.Policy) { q.desk.enter(termsOf(p)) }
+func (q *Quota) Enter(p policy.Policy) { q.desk.enter(p) }
 
 // Take asks for room for a req of an account, until a time at most. ready is called once, unless leave was called
 // first; from any goroutine, perhaps before Take returns. from is the time by which the room counts: the req is over
--- a/internal/network/fleet/quota/root.go
+++ b/internal/network/fleet/quota/root.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota"
 	"tinsail/internal/fleet/quota/wire"
 )
@@ -77,16 +78,16 @@
 		r.inherit()
 		r.v.q.tell("", []quota.Note{{Step: "lends"}})
 	}
-	if version, t, ok := r.v.decided(); ok && version != r.version {
+	if version, p, ok := r.v.decided(); ok && version != r.version {
 		now := r.v.q.now()
 		for _, account := range r.accounts {
-			if _, has := t.Quotas[account]; !has {
+			if _, has := p.Quotas[account]; !has {
 				r.lender.Capacity(now, account, 0)
 			}
 		}
-		r.lender.Run(now, t.run())
+		r.lender.Run(now, time.Duration(p.RunMS)*time.Millisecond)
 		r.version, r.accounts = version, nil
-		for account, units := range t.Quotas {
+		for account, units := range p.Quotas {
 			r.accounts = append(r.accounts, account)
 			r.lender.Capacity(now, account, units)
 		}
@@ -99,7 +100,7 @@
 func (r *root) inherit() {
 	plan := r.v.q.cfg.up()
 	for _, p := range r.v.accord.Past() {
-		before, err := readTerms(p.Body)
+		before, err := policy.Read(p.Body)
 		if err != nil || time.Since(p.Until) > plan.Quiet()+plan.Tail() {
 			continue
 		}
@@ -108,7 +109,7 @@
 			shares = append(shares, quota.Share{Account: account, Units: units})
 		}
 		r.lender.Inherit(r.v.q.now(), shares)
-		r.lender.Run(r.v.q.now(), before.run())
+		r.lender.Run(r.v.q.now(), time.Duration(before.RunMS)*time.Millisecond)
 	}
 }
 
--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"tinsail/internal/fleet/frames"
+	"tinsail/internal/fleet/policy"
 	"tinsail/internal/fleet/quota/wire"
 	"tinsail/internal/network/fleet/accord"
 )
@@ -35,6 +36,7 @@
 	out   chan []byte
 	level string // of the lender that it asks; both are of its first ask
 	child string
+	flood sync.Once
 }
 
 // send queues a message; where the link does not take what it is sent, it is closed.
@@ -42,11 +44,16 @@
 	select {
 	case l.out <- frames.Frame(p):
 	default:
-		l.v.q.Count.Floods.Add(1)
-		l.conn.Close()
+		l.flooded()
 	}
 }
 
+// flooded closes a link, and counts it once.
+func (l *link) flooded() {
+	l.flood.Do(func() { l.v.q.Count.Floods.Add(1) })
+	l.conn.Close()
+}
+
 // nudge queues a nudge: a hint, never a reason to close a link.
 func (l *link) nudge() {
 	if len(l.out) < linkHeld/2 {
@@ -92,13 +99,13 @@
 func (v *votes) leader() string { return v.accord.Address(v.accord.Leader()) }
 
 // decided is the policy decided last, as this voter's log has it; false where there is none, or none that can be read.
-func (v *votes) decided() (version uint64, t terms, ok bool) {
+func (v *votes) decided() (version uint64, p policy.Policy, ok bool) {
 	version, body := v.accord.Decided()
 	if version == 0 {
-		return 0, t, false
+		return 0, p, false
 	}
-	t, err := readTerms(body)
-	return version, t, err == nil
+	p, err := policy.Read(body)
+	return version, p, err == nil
 }
 
 // lent is what the region and the root, where they lend, count as lent.
@@ -154,7 +161,7 @@
 func (l *link) read() {
 	q := l.v.q
 	r := bufio.NewReader(l.conn)
-	flood := rate.NewLimiter(asksMost, asksMost)
+	pace := rate.NewLimiter(asksMost, asksMost)
 	for {
 		l.conn.SetReadDeadline(time.Now().Add(4 * q.cfg.RegionLease)) // a region's holder asks each third of its lease
 		m, err := wire.Next(r)
@@ -167,8 +174,8 @@
 		case m.Ask == nil || l.child != "" && (m.Ask.Child != l.child || m.Ask.To != l.level):
 			q.Count.Bad.Add(1)
 			return
-		case !flood.Allow():
-			q.Count.Floods.Add(1)
+		case !pace.Allow():
+			l.flooded()
 			return
 		}
 		l.child, l.level = m.Ask.Child, m.Ask.To
