tinsail: quotas(...) puts the fleet's quotas before the core

cmd/tinsail/quotas.go: core.Quotas with names for the core's numbers (a req of no tenant is in no quota), urgent by the policy's classes, Most by its run_ms, or, where the policy has none, by the longest deadline of a class and the answer slack, so that what is in flight when quotas come is bounded as well. Policies are entered from the accord's goroutine, which begins before the quotas' links: the one in force is handed over when they do. A process that took over from another has a name of its own among holders: the old one goes on with its units until it is drained. At the end the quotas close before the accord, once all is answered, so that units go back in order. Counters come through the existing Each; levels are gauges. Started under when_cut = "stop" it warns that a cut-off region takes nothing.

go vet ./cmd/tinsail; go test ./cmd/tinsail -run 'Quotas|PolicyFits|CheckAccord|CommandLine|CannotKeep' passed; no process was run yet.

--- a/cmd/tinsail/accord.go
+++ b/cmd/tinsail/accord.go
@@ -130,6 +130,9 @@
 		return err
 	}
 	d.desk.Policy(p.Bans)
+	if d.quotas != nil {
+		d.quotas.enter(p)
+	}
 	if d.budgets == nil {
 		return nil
 	}
--- a/cmd/tinsail/metrics.go
+++ b/cmd/tinsail/metrics.go
@@ -15,6 +15,7 @@
 	"banned": true, "service_state": true, "door_slowest_us": true, "handover_ready_ms": true,
 	"handover_stage": true, "ready_after_ms": true,
 	"accord_version": true, "accord_ready": true, "accord_leads": true, "accord_leases": true, "accord_decided_ms": true,
+	"quota_held": true, "quota_in_use": true, "quota_waiting": true, "quota_lent": true, "quota_lent_root": true,
 }
 
 // metrics is every counter of the dispatcher, read now, in Prometheus' text exposition format
--- a/cmd/tinsail/quotas.go
+++ b/cmd/tinsail/quotas.go
@@ -6,12 +6,16 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"tinsail/internal/config"
 	leases "tinsail/internal/fleet/accord"
 	"tinsail/internal/fleet/policy"
+	lending "tinsail/internal/fleet/quota"
 	"tinsail/internal/network/fleet/accord"
+	"tinsail/internal/network/fleet/quota"
 	"tinsail/internal/settings"
 )
 
@@ -115,6 +119,110 @@
 	return nil
 }
 
+// fleetQuotas is where the core asks for room: it has names for the core's numbers, and the policy in force for all else.
+type fleetQuotas struct {
+	tenants, classes []string
+	rest             time.Duration // the bound on what is in flight while the policy states none
+	run              atomic.Int64  // the bound in force, in nanoseconds
+	urgent           atomic.Pointer[[]bool]
+
+	mu    sync.Mutex // of what follows; not held while a req is taken
+	first *policy.Policy
+	kept  atomic.Pointer[quota.Quota]
+}
+
+// newFleetQuotas makes what the accord puts policies in force at; nil where the settings do not call for quotas.
+func newFleetQuotas(cfg *config.Config, set *settings.Settings) *fleetQuotas {
+	if set.Quotas == nil {
+		return nil
+	}
+	f := &fleetQuotas{tenants: cfg.Names.Tenants, classes: cfg.Names.Classes, rest: longestRun(cfg)}
+	f.enter(policy.Policy{})
+	f.first = nil
+	return f
+}
+
+// enter puts a policy in force. It is called by the accord, which begins before the quotas' links do.
+func (f *fleetQuotas) enter(p policy.Policy) {
+	urgent := make([]bool, len(f.classes))
+	for i, class := range f.classes {
+		urgent[i] = slices.Contains(p.UrgentClasses, class)
+	}
+	f.urgent.Store(&urgent)
+	run := f.rest // also without quotas: what is in flight when there are some is then bounded, too
+	if p.RunMS > 0 {
+		run = millis(p.RunMS)
+	}
+	f.run.Store(int64(run))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.first = &p; f.kept.Load() != nil {
+		f.kept.Load().Enter(p)
+	}
+}
+
+// keep begins to ask q, which is told of the policy that is in force already.
+func (f *fleetQuotas) keep(q *quota.Quota) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.first != nil {
+		q.Enter(*f.first)
+	}
+	f.kept.Store(q)
+}
+
+// Take is core.Quotas. A req of no tenant is in no quota.
+func (f *fleetQuotas) Take(tenant, class int, until time.Time, ready func(from time.Time, pause time.Duration, ok bool)) (leave func()) {
+	if tenant < 0 || tenant >= len(f.tenants) {
+		ready(time.Now(), 0, true)
+		return func() {}
+	}
+	urgent := *f.urgent.Load()
+	return f.kept.Load().Take(f.tenants[tenant], class >= 0 && class < len(urgent) && urgent[class], until, ready)
+}
+
+// Most is core.Quotas.
+func (f *fleetQuotas) Most() time.Duration { return time.Duration(f.run.Load()) }
+
+// addQuotas begins this dispatcher's part in the quotas: after the accord's, and before the core runs.
+func (d *dispatcher) addQuotas(set *settings.Settings, from handed) error {
+	if d.quotas == nil {
+		return nil
+	}
+	voters, err := accord.ParseVoters(set.Accord.Voters)
+	if err != nil {
+		return settings.Faults{set.Fault("accord.voters", err.Error())}
+	}
+	lenders, err := parseLenders(set.Quotas.Lenders, voters)
+	if err != nil {
+		return settings.Faults{set.Fault("quotas.lenders", err.Error())}
+	}
+	epoch := uint64(time.Now().UnixNano())
+	cfg := quota.Config{Name: d.cfg.Name, Epoch: epoch, Region: set.Quotas.Region, RegionLease: millis(set.Quotas.RegionLeaseMS), Log: d.log,
+		Plan: lending.Plan{Lease: millis(set.Quotas.LeaseMS), Run: longestRun(d.cfg), Drift: set.Accord.Drift}}
+	if from.link != nil { // the process that hands over goes on with what it holds until it is drained: no earlier life of this one
+		cfg.Name = fmt.Sprintf("%s.%x", d.cfg.Name, epoch)
+	}
+	for _, l := range lenders {
+		for _, v := range voters {
+			if v.Name == l.voter {
+				cfg.Lenders = append(cfg.Lenders, quota.Lender{Region: l.region, Voter: l.voter, Address: v.Address})
+			}
+		}
+	}
+	q, err := quota.New(cfg, d.accord)
+	if err != nil {
+		return errors.Join(errors.New("quotas"), err)
+	}
+	d.quotas.keep(q)
+	d.core.Quotas = d.quotas
+	if !set.Accord.Keep() {
+		d.log.Warn().Str("when_cut", set.Accord.WhenCut).Msg("quotas: a region that is cut off from the accord's leader takes nothing, whatever " +
+			"units it holds: accord.when_cut is \"stop\", \"keep\" would let it live on them")
+	}
+	return nil
+}
+
 // canKeepQuotas checks a policy of the fleet against this dispatcher.
 func (d *dispatcher) canKeepQuotas(p policy.Policy) error {
 	if len(p.Quotas) == 0 {
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -109,6 +109,7 @@
 	sources   *sources       // nil where the director alone is asked
 	budgets   *fleetBudgets  // nil where the settings declare none
 	accord    *accord.Accord // nil where it is off
+	quotas    *fleetQuotas   // nil where the settings declare none
 	http2     *network.HTTP2 // nil where it is off
 	listener2 net.Listener
 }
@@ -177,10 +178,16 @@
 		d.addHandover(from)
 	}
 	d.set = set
+	d.quotas = newFleetQuotas(cfg, set)
 	if err := d.addAccord(set, from); err != nil {
 		d.close()
 		return nil, err
 	}
+	if err := d.addQuotas(set, from); err != nil {
+		d.accord.Close()
+		d.close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -257,6 +264,9 @@
 	if d.sources != nil && d.sources.self != nil {
 		d.sources.self.End()
 	}
+	if d.quotas != nil { // all is answered: what it held is given back
+		d.quotas.kept.Load().Close()
+	}
 	if d.accord != nil {
 		d.accord.Close()
 	}
@@ -307,6 +317,9 @@
 	if d.accord != nil {
 		d.accord.Each(f)
 	}
+	if d.quotas != nil {
+		d.quotas.kept.Load().Each(f)
+	}
 	if d.door != nil {
 		d.door.Count.Each(f)
 		f("banned", int64(len(d.desk.Banned())))
