--- a/internal/standin/platform/backend.go
+++ b/internal/standin/platform/backend.go
@@ -29,6 +29,16 @@
 	Reset Point
 }
 
+// Event is what Backend.Told hears of an attempt.
+type Event string
+
+// Events.
+const (
+	Started Event = "start"
+	Ended   Event = "end"
+	Aborted Event = "aborted"
+)
+
 // Point is a moment in the course of a job.
 type Point uint8
 
@@ -46,6 +56,9 @@
 type Backend struct {
 	Name, Address string
 	Work          func(id string) time.Duration
+	// Told, set before the first job where it is wanted, hears of each attempt: when its head is whole, and its end:
+	// before the last of its answer is sent, or, aborted, when it is found that its connection is gone.
+	Told func(at time.Time, id string, event Event)
 
 	server *http.Server
 	slots  chan struct{}
@@ -222,6 +235,16 @@
 	b.mu.Unlock()
 }
 
+// tell tells that an attempt has come, and gives what tells its end, which is told once.
+func (b *Backend) tell(id string) (end func(Event)) {
+	if b.Told == nil || id == "" {
+		return func(Event) {}
+	}
+	b.Told(time.Now(), id, Started)
+	var once sync.Once
+	return func(e Event) { once.Do(func() { b.Told(time.Now(), id, e) }) }
+}
+
 func (b *Backend) job(w http.ResponseWriter, r *http.Request) {
 	id, key := r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key")
 	b.mu.Lock()
@@ -230,6 +253,8 @@
 		b.starts = append(b.starts, Start{b.last, r.Header.Get("X-Dispatcher"), id, r.Header.Get("X-Policy-Version")})
 	}
 	b.mu.Unlock()
+	end := b.tell(id)
+	defer end(Aborted)
 	tap, f := tapOf(r), b.faulty()
 	a := &history.Attempt{ID: id, First: tap.begin()}
 	b.note(a)
@@ -258,6 +283,7 @@
 			return
 		}
 		b.now(func() { a.Never = true })
+		end(Ended)
 		w.Header().Set("X-Unprocessed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -280,6 +306,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.Fail || f.FailPart > 0 && part(id) < f.FailPart {
+		end(Ended)
 		line(`"state":"failed"`)
 		return
 	}
@@ -310,5 +337,6 @@
 	b.counts.Done++
 	a.Result = result
 	b.mu.Unlock()
+	end(Ended)
 	line(fmt.Sprintf(`"state":"done","result":%q,"load":%s`, result, b.load()))
 }
