Five real processes share a team's quota; a dispatcher that ends in order gives its units back

TestQuotasOfTheFleet starts three voters, each the lender of its region, and two more dispatchers. While backends end nothing exactly the quota's reqs are in flight whichever dispatchers they come to (6 at two of one region, by units called back from the other two; 9 over all five after a SIGHUP at one), ten more are refused with advice, an urgent one begins at each dispatcher on its region's reserve, reqs of no team pass.

region_lease_ms wants four leases, as quota.NewRegion does. TestRoomByNames: the adapter's names.

--- a/cmd/tinsail/quotas.go
+++ b/cmd/tinsail/quotas.go
@@ -44,8 +44,8 @@
 }
 
 // leaseTimes is how many of a dispatcher's leases a region's must last at least: the lender lends only what its own lease
-// covers, and renews that each third of it.
-const leaseTimes = 3
+// covers, and renews that each third of it (quota.NewRegion wants as much).
+const leaseTimes = 4
 
 // checkQuotas finds what the calls allow and the schema cannot say. cfg and set may be nil.
 func checkQuotas(cfg *config.Config, set *settings.Settings) error {
--- /dev/null
+++ b/cmd/tinsail/quotas_fleet_test.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/standin/platform"
+)
+
+// quotaFleet is a fleet of real processes with quotas: three voters, each the lender of its region, and two more
+// dispatchers, in the first two regions.
+type quotaFleet struct {
+	fleet
+	quota    int // of the team press
+	director string
+	voters   string
+	data     string
+	events   []chan map[string]any // each member's log lines of lenders
+}
+
+var quotaRegions = []string{"east", "west", "north", "east", "west"}
+
+func (f *quotaFleet) script(i int) string {
+	return fmt.Sprintf("policy(quotas = {\"press\": %d}, urgent_reserve = 2, urgent_classes = [\"express\"], run_ms = 10 * 1000)\n"+
+		"accord(voters = [%s], lease_ms = 900, data = %q, when_cut = \"keep\")\n"+
+		"quotas(region = %q, lenders = [\"east=n0\", \"west=n1\", \"north=n2\"], lease_ms = 900, region_lease_ms = 60 * 1000)\n",
+		f.quota, f.voters, filepath.Join(f.data, fmt.Sprint(i)), quotaRegions[i])
+}
+
+func startQuotaFleet(t *testing.T, quota int) *quotaFleet {
+	director, err := platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(director.Close)
+	f := &quotaFleet{director: director.Address, data: t.TempDir(), quota: quota}
+	for i := range 3 {
+		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 64, func(string) time.Duration { return 5 * time.Millisecond })
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		director.Set(b.Entry("fast", "here", i, "Ready"))
+		f.backends = append(f.backends, b)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		f.voters += fmt.Sprintf("%q, ", fmt.Sprintf("n%d=%s", i, l.Addr()))
+		l.Close()
+	}
+	for i := range quotaRegions {
+		f.members = append(f.members, f.start(t, i))
+	}
+	return f
+}
+
+// start starts a member; its configuration has a team and an urgent class beside the demo's.
+func (f *quotaFleet) start(t *testing.T, i int) *member {
+	var conf map[string]any
+	require.NoError(t, json.Unmarshal(demoConfig, &conf))
+	conf["name"], conf["discovery"] = fmt.Sprintf("n%d", i), f.director
+	set := conf["settings"].(map[string]any)
+	set["Balancers"] = len(quotaRegions)
+	set["Parties"] = []map[string]any{{"Name": "press", "Share": 0.5, "QuotaPerS": 1e6}}
+	express := map[string]any{}
+	for k, v := range set["Classes"].([]any)[0].(map[string]any) {
+		express[k] = v
+	}
+	express["Name"] = "express"
+	set["Classes"] = append(set["Classes"].([]any), express)
+	text, err := json.Marshal(conf)
+	require.NoError(t, err)
+	m := &member{}
+	var errs io.Reader
+	m.cmd, errs = launch(t, string(text), f.script(i))
+	lines := bufio.NewScanner(errs)
+	for lines.Scan() {
+		var line map[string]any
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line["event"] == "serving" {
+			m.address, _ = line["listen"].(string)
+			break
+		}
+	}
+	require.NotEmpty(t, m.address, "n%d did not serve", i)
+	events := make(chan map[string]any, 10_000)
+	f.events = append(f.events, events)
+	go func() {
+		defer close(events)
+		for lines.Scan() {
+			var line map[string]any
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line["lender"] != nil {
+				select {
+				case events <- line:
+				default:
+				}
+			}
+		}
+		_, _ = io.Copy(io.Discard, errs)
+	}()
+	return m
+}
+
+// send sends one req and returns its status and whether a refusal had advice.
+func (f *quotaFleet) send(t *testing.T, to int, id, team, class string, left time.Duration) (status int, advice bool) {
+	r, err := http.NewRequest("POST", "http://"+f.members[to].address+"/"+class+"/1", strings.NewReader("b"))
+	if !assert.NoError(t, err) {
+		return 0, false
+	}
+	r.Header.Set("X-Correlation-Id", id)
+	r.Header.Set("Idempotency-Key", id)
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Time-Left-Ms", fmt.Sprint(left.Milliseconds()))
+	if team != "" {
+		r.Header.Set("X-Account", team)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if !assert.NoError(t, err, id) {
+		return 0, false
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, answer.Header.Get("Retry-After") != ""
+}
+
+// begun is how many reqs whose ids begin so came to the backends, each once.
+func (f *quotaFleet) begun(prefix string) int {
+	seen := map[string]bool{}
+	for _, b := range f.backends {
+		for _, s := range b.Starts() {
+			if strings.HasPrefix(s.Req, prefix) {
+				seen[s.Req] = true
+			}
+		}
+	}
+	return len(seen)
+}
+
+// awaitBegun waits in rounds, at most 2,000 of 5 ms, until at least so many have.
+func (f *quotaFleet) awaitBegun(t *testing.T, prefix string, want int) {
+	for range 2000 {
+		if f.begun(prefix) >= want {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%d of %s began, want %d", f.begun(prefix), prefix, want)
+}
+
+func (f *quotaFleet) faults(set platform.Faults) {
+	for _, b := range f.backends {
+		b.Set(set)
+	}
+}
+
+// hold has the backends end nothing, and sends as many reqs of the team as its quota has, all to the members named: all
+// begin, wherever the units were. Then others, to all members: none begins, and each is refused with advice in its time.
+// meanwhile happens then; what it returns is waited for at the end, when the backends go on and all that began is served.
+func (f *quotaFleet) hold(t *testing.T, prefix string, to []int, meanwhile func() (wait func())) {
+	f.faults(platform.Faults{Hold: true})
+	var clients, late sync.WaitGroup
+	for i := range f.quota {
+		clients.Go(func() {
+			status, _ := f.send(t, to[i%len(to)], fmt.Sprintf("%s-%d", prefix, i), "press", "photo", time.Minute)
+			assert.Equal(t, 200, status, "%s-%d", prefix, i)
+		})
+	}
+	f.awaitBegun(t, prefix+"-", f.quota)
+	for i := range 2 * len(f.members) {
+		late.Go(func() {
+			status, advice := f.send(t, i%len(f.members), fmt.Sprintf("%s-late-%d", prefix, i), "press", "photo", 600*time.Millisecond)
+			assert.Equal(t, 503, status, "%s-late-%d", prefix, i)
+			assert.True(t, advice, "a refusal without advice")
+		})
+	}
+	late.Wait()
+	wait := meanwhile()
+	assert.Equal(t, f.quota, f.begun(prefix+"-"), "began while none ended")
+	f.faults(platform.Faults{})
+	clients.Wait()
+	wait()
+}
+
+// TestQuotasOfTheFleet: five real processes in three regions share the quota of a team. While no backend ends anything
+// exactly as many reqs of it are in flight over the whole fleet as the quota has, whichever dispatchers they come to; a req
+// of an urgent class begins all the same, on its region's reserve; reqs of no team are not bound. A changed quota holds at
+// all. A dispatcher that ends in order gives back what it held at once, not when its lease and run_ms are over.
+func TestQuotasOfTheFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts five processes")
+	}
+	f := startQuotaFleet(t, 6)
+	for _, m := range f.members {
+		m.await(t, "accord_version", 1)
+		m.await(t, "accord_ready", 1)
+	}
+	for _, m := range f.members { // lenders that have just begun do not know what of the reserve was lent before
+		for rounds := 0; m.counter(t, "quota_held") < 1; rounds++ {
+			require.Less(t, rounds, 6000, "no unit of the reserve")
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	f.hold(t, "a", []int{0, 3}, func() func() {
+		var others sync.WaitGroup
+		for i := range f.members {
+			for _, kind := range [][3]string{{"urgent", "press", "express"}, {"other", "", "photo"}} {
+				others.Go(func() {
+					status, _ := f.send(t, i, fmt.Sprintf("%s-%d", kind[0], i), kind[1], kind[2], time.Minute)
+					assert.Equal(t, 200, status, "%s-%d", kind[0], i)
+				})
+			}
+		}
+		f.awaitBegun(t, "urgent-", len(f.members))
+		f.awaitBegun(t, "other-", len(f.members))
+		return others.Wait
+	})
+
+	f.quota = 9
+	require.NoError(t, os.WriteFile(f.members[0].cmd.Args[3], []byte(f.script(0)), 0o600))
+	require.NoError(t, f.members[0].cmd.Process.Signal(syscall.SIGHUP))
+	for _, m := range f.members {
+		m.await(t, "accord_version", 2)
+		m.await(t, "accord_ready", 1)
+	}
+	f.hold(t, "b", []int{1, 2, 3, 4, 0}, func() func() { return func() {} })
+
+	east, leaves := f.members[0], f.members[3]
+	east.awaitBelow(t, "quota_in_use", 1)
+	leaves.awaitBelow(t, "quota_in_use", 1)
+	held := leaves.counter(t, "quota_held")
+	assert.Positive(t, held, "it has something to give back: a unit of the reserve, at least, ahead of need")
+	require.NoError(t, leaves.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, leaves.cmd.Wait())
+	for line := range f.events[0] {
+		if line["event"] == "quota: lapsed" && line["child"] == "n3" {
+			assert.EqualValues(t, 0, line["units"], "what its lender counted still when its lease was over")
+			return
+		}
+	}
+	t.Fatal("n0 has ended")
+}
--- a/cmd/tinsail/quotas_test.go
+++ b/cmd/tinsail/quotas_test.go
@@ -42,7 +42,7 @@
 		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\", \"east=b\"])":                                `quotas.lenders: "east=b" names a region or a voter twice`,
 		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\", \"west=a\"])":                                `quotas.lenders: "west=a" names a region or a voter twice`,
 		"policy()\n" + voters + "quotas(region = \"north\", lenders = [\"east=a\"])":                                           `quotas.region: is "north", which is no region of lenders`,
-		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\"], lease_ms = 3000, region_lease_ms = 8999)":   "quotas.region_lease_ms: is 8999, want at least 3 times lease_ms",
+		"policy()\n" + voters + "quotas(region = \"east\", lenders = [\"east=a\"], lease_ms = 3000, region_lease_ms = 11999)":  "quotas.region_lease_ms: is 11999, want at least 4 times lease_ms",
 		"policy(quotas = {\"press\": 3})\n" + voters + call:                                                                    "s.star:1:7: policy.run_ms: is not set, where policy.quotas is",
 		"policy(run_ms = 6000,\n quotas = {\"pres\": 3})\n" + voters + call:                                                    `s.star:2:2: policy.quotas: names "pres", which is no tenant`,
 		"policy(quotas = {\"press\": 3}, run_ms = 5007)\n" + voters + call:                                                     "policy.run_ms: is 5007, want at least 5008",
@@ -100,3 +100,29 @@
 	quotas.RunMS = 5000
 	assert.ErrorContains(t, d.canTake(body(quotas)), "policy.run_ms: is 5000, want at least 5008")
 }
+
+// TestRoomByNames: the core's numbers are the configuration's names; a req of no team is in no quota, and what is in flight is
+// bounded also while the policy has no quotas.
+func TestRoomByNames(t *testing.T) {
+	assert.Nil(t, newFleetQuotas(teamed(), &settings.Settings{}), "off without the call")
+	f := newFleetQuotas(teamed(), &settings.Settings{Quotas: &settings.Quotas{}})
+	assert.Equal(t, 5008*time.Millisecond, f.Most(), "the longest class and the answer slack")
+	assert.Nil(t, f.first, "no policy is in force")
+	for _, tenant := range []int{-1, 2} {
+		said := 0
+		before := time.Now()
+		f.Take(tenant, 0, before, func(from time.Time, _ time.Duration, ok bool) {
+			said++
+			assert.True(t, ok)
+			assert.False(t, from.Before(before))
+		})()
+		assert.Equal(t, 1, said)
+	}
+	f.enter(policy.Policy{Quotas: map[string]int{"press": 3}, RunMS: 7000, UrgentReserve: 1, UrgentClasses: []string{"express"}})
+	assert.Equal(t, 7*time.Second, f.Most())
+	assert.Equal(t, []bool{false, true}, *f.urgent.Load())
+	assert.Equal(t, 7000, f.first.RunMS, "handed over when the links begin")
+	f.enter(policy.Policy{})
+	assert.Equal(t, 5008*time.Millisecond, f.Most())
+	assert.Equal(t, []bool{false, false}, *f.urgent.Load())
+}
