--- a/cmd/tinsail/quotas_fleet_test.go
+++ b/cmd/tinsail/quotas_fleet_test.go
@@ -189,10 +189,36 @@
 	wait()
 }
 
+// drain has a member drain while it has all units of the team in use and more reqs wait for one: all are served, the ones
+// that wait as units come free, and it ends by itself.
+func (f *quotaFleet) drain(t *testing.T, i int) {
+	f.faults(platform.Faults{Hold: true})
+	var clients sync.WaitGroup
+	send := func(id string) {
+		clients.Go(func() {
+			status, _ := f.send(t, i, id, "press", "photo", time.Minute)
+			assert.Equal(t, 200, status, id)
+		})
+	}
+	for k := range f.quota {
+		send(fmt.Sprintf("c-%d", k))
+	}
+	f.awaitBegun(t, "c-", f.quota)
+	for k := range 3 {
+		send(fmt.Sprintf("d-%d", k))
+	}
+	f.members[i].await(t, "quota_waiting", 3)
+	require.NoError(t, f.members[i].cmd.Process.Signal(syscall.SIGTERM))
+	f.faults(platform.Faults{})
+	clients.Wait()
+	assert.NoError(t, f.members[i].cmd.Wait())
+	assert.Equal(t, 3, f.begun("d-"))
+}
+
 // TestQuotasOfTheFleet: five real processes in three regions share the quota of a team. While no backend ends anything
 // exactly as many reqs of it are in flight over the whole fleet as the quota has, whichever dispatchers they come to; a req
 // of an urgent class begins all the same, on its region's reserve; reqs of no team are not bound. A changed quota holds at
-// all. A dispatcher that ends in order gives back what it held at once, not when its lease and run_ms are over.
+// all. A dispatcher that is drained serves also what waits for a unit. One that ends in order gives back what it held at once, not when its lease and run_ms are over.
 func TestQuotasOfTheFleet(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts five processes")
@@ -232,6 +258,8 @@
 	}
 	f.hold(t, "b", []int{1, 2, 3, 4, 0}, func() func() { return func() {} })
 
+	f.drain(t, 4)
+
 	east, leaves := f.members[0], f.members[3]
 	east.awaitBelow(t, "quota_in_use", 1)
 	leaves.awaitBelow(t, "quota_in_use", 1)
