An upgrade under quotas: two processes of one dispatcher never use a unit twice

TestQuotasThroughAnUpgrade: a dispatcher with all six units in use and a req waiting hands over; the new process's req is refused with advice while the old one's run, the one that waits is served by the old process, which ends by itself, and its lender counts 0 units of it when its lease lapses.

The voters' ports were free ones of 127.0.0.1, closed before the voter listens, where another process on a busy machine may be given them; that this was the cause is likely, not seen. They are on loopback addresses of the test's own process now, and a member that does not serve tells its last line.

--- a/cmd/tinsail/quotas_fleet_test.go
+++ b/cmd/tinsail/quotas_fleet_test.go
@@ -35,13 +35,17 @@
 var quotaRegions = []string{"east", "west", "north", "east", "west"}
 
 func (f *quotaFleet) script(i int) string {
+	return f.scriptOf(quotaRegions[i], filepath.Join(f.data, fmt.Sprint(i)))
+}
+
+func (f *quotaFleet) scriptOf(region, data string) string {
 	return fmt.Sprintf("policy(quotas = {\"press\": %d}, urgent_reserve = 2, urgent_classes = [\"express\"], run_ms = 10 * 1000)\n"+
 		"accord(voters = [%s], lease_ms = 900, data = %q, when_cut = \"keep\")\n"+
 		"quotas(region = %q, lenders = [\"east=n0\", \"west=n1\", \"north=n2\"], lease_ms = 900, region_lease_ms = 60 * 1000)\n",
-		f.quota, f.voters, filepath.Join(f.data, fmt.Sprint(i)), quotaRegions[i])
+		f.quota, f.voters, data, region)
 }
 
-func startQuotaFleet(t *testing.T, quota int) *quotaFleet {
+func startQuotaFleet(t *testing.T, quota, members int) *quotaFleet {
 	director, err := platform.StartDirector()
 	require.NoError(t, err)
 	t.Cleanup(director.Close)
@@ -52,22 +56,24 @@
 		t.Cleanup(b.Close)
 		director.Set(b.Entry("fast", "here", i, "Ready"))
 		f.backends = append(f.backends, b)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// An address of this process's own: between the close and the voter's start nobody else is given the port.
+		pid := os.Getpid()
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8&0x3f, pid&0xff, 2+i))
 		require.NoError(t, err)
 		f.voters += fmt.Sprintf("%q, ", fmt.Sprintf("n%d=%s", i, l.Addr()))
 		l.Close()
 	}
-	for i := range quotaRegions {
+	for i := range members {
 		f.members = append(f.members, f.start(t, i))
 	}
 	return f
 }
 
-// start starts a member; its configuration has a team and an urgent class beside the demo's.
-func (f *quotaFleet) start(t *testing.T, i int) *member {
+// config is a dispatcher's configuration, with a team and an urgent class beside the demo's.
+func (f *quotaFleet) config(t *testing.T, name string) string {
 	var conf map[string]any
 	require.NoError(t, json.Unmarshal(demoConfig, &conf))
-	conf["name"], conf["discovery"] = fmt.Sprintf("n%d", i), f.director
+	conf["name"], conf["discovery"] = name, f.director
 	set := conf["settings"].(map[string]any)
 	set["Balancers"] = len(quotaRegions)
 	set["Parties"] = []map[string]any{{"Name": "press", "Share": 0.5, "QuotaPerS": 1e6}}
@@ -79,18 +85,23 @@
 	set["Classes"] = append(set["Classes"].([]any), express)
 	text, err := json.Marshal(conf)
 	require.NoError(t, err)
+	return string(text)
+}
+
+func (f *quotaFleet) start(t *testing.T, i int) *member {
 	m := &member{}
 	var errs io.Reader
-	m.cmd, errs = launch(t, string(text), f.script(i))
-	lines := bufio.NewScanner(errs)
+	m.cmd, errs = launch(t, f.config(t, fmt.Sprintf("n%d", i)), f.script(i))
+	lines, said := bufio.NewScanner(errs), ""
 	for lines.Scan() {
 		var line map[string]any
 		if json.Unmarshal(lines.Bytes(), &line) == nil && line["event"] == "serving" {
 			m.address, _ = line["listen"].(string)
 			break
 		}
+		said = lines.Text()
 	}
-	require.NotEmpty(t, m.address, "n%d did not serve", i)
+	require.NotEmpty(t, m.address, "n%d did not serve: %s", i, said)
 	events := make(chan map[string]any, 10_000)
 	f.events = append(f.events, events)
 	go func() {
@@ -122,6 +133,7 @@
 	if team != "" {
 		r.Header.Set("X-Account", team)
 	}
+	r.Close = true // a dispatcher that leaves may close a connection between two reqs
 	answer, err := http.DefaultClient.Do(r)
 	if !assert.NoError(t, err, id) {
 		return 0, false
@@ -223,7 +235,7 @@
 	if testing.Short() {
 		t.Skip("starts five processes")
 	}
-	f := startQuotaFleet(t, 6)
+	f := startQuotaFleet(t, 6, 5)
 	for _, m := range f.members {
 		m.await(t, "accord_version", 1)
 		m.await(t, "accord_ready", 1)
@@ -267,11 +279,64 @@
 	assert.Positive(t, held, "it has something to give back: a unit of the reserve, at least, ahead of need")
 	require.NoError(t, leaves.cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, leaves.cmd.Wait())
+	f.lapsed(t, "n3")
+}
+
+// lapsed waits until n0 says that it heard nothing of a holder for a lease, and that it counted no units of it any more.
+func (f *quotaFleet) lapsed(t *testing.T, child string) {
 	for line := range f.events[0] {
-		if line["event"] == "quota: lapsed" && line["child"] == "n3" {
-			assert.EqualValues(t, 0, line["units"], "what its lender counted still when its lease was over")
+		if line["event"] == "quota: lapsed" && line["child"] == child {
+			assert.EqualValues(t, 0, line["units"], "what its lender counted still when the lease of %s was over", child)
 			return
 		}
 	}
 	t.Fatal("n0 has ended")
 }
+
+// TestQuotasThroughAnUpgrade: a process that takes over from another begins nothing on the units that the old one has in
+// use, and that one serves what it took, also what waited for a unit, and gives back what it held when it ends.
+func TestQuotasThroughAnUpgrade(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts five processes")
+	}
+	f := startQuotaFleet(t, 6, 3)
+	h := newHouse(t, "127.0.0.1:0")
+	require.NoError(t, os.WriteFile(h.conf, []byte(f.config(t, "n5")), 0o600))
+	h.script = filepath.Join(t.TempDir(), "s.star")
+	require.NoError(t, os.WriteFile(h.script, []byte(f.scriptOf("east", "")), 0o600))
+	old := h.start()
+	old.serves()
+	f.members = append(f.members, &member{address: h.clients})
+	f.members[3].await(t, "accord_ready", 1)
+
+	f.faults(platform.Faults{Hold: true})
+	var clients sync.WaitGroup
+	send := func(id string) {
+		clients.Go(func() {
+			status, _ := f.send(t, 3, id, "press", "photo", time.Minute)
+			assert.Equal(t, 200, status, id)
+		})
+	}
+	for i := range f.quota {
+		send(fmt.Sprintf("old-%d", i))
+	}
+	f.awaitBegun(t, "old-", f.quota)
+	send("waits")
+	f.members[3].await(t, "quota_waiting", 1)
+
+	next := h.start()
+	next.event(t, "hand-over: serves")
+	status, advice := f.send(t, 3, "new", "press", "photo", 600*time.Millisecond)
+	assert.Equal(t, 503, status, "the old process has all units in use")
+	assert.True(t, advice)
+	assert.Zero(t, f.begun("new")+f.begun("waits"))
+	f.faults(platform.Faults{})
+	clients.Wait()
+	for range old.lines {
+	}
+	assert.NoError(t, old.cmd.Wait())
+	status, _ = f.send(t, 3, "again", "press", "photo", 5*time.Second)
+	assert.Equal(t, 200, status)
+	f.lapsed(t, "n5")
+	next.end(t)
+}
