quota: what a region's earlier life may have running is told apart from what the new one may begin by

A fresh region was answered with all that was counted for its earlier life as units to begin by, also of a quota lowered since (found by rapid: a req began with the quota at 0). The answer is now an inheritance; the grant follows with the next ask.

--- a/internal/fleet/quota/division.go
+++ b/internal/fleet/quota/division.go
@@ -131,15 +131,13 @@
 }
 
 // grant decides what a child may begin by of each account, and names what differs from what it said that it holds.
-func (l *Lender) grant(now Time, c *child, names []string, inherits bool) (out []Share) {
+func (l *Lender) grant(now Time, c *child, names []string) (out []Share) {
 	for _, name := range names {
 		var ln line
 		if old := c.lines[name]; old != nil {
 			ln = *old
 		}
-		if ln.units = max(ln.floor, ln.Held, ln.Used); !inherits {
-			ln.units = l.allowed(now, name, c, ln)
-		}
+		ln.units = l.allowed(now, name, c, ln)
 		if l.set(c, name, ln); ln.units != ln.Held {
 			out = append(out, Share{name, ln.units})
 		}
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -20,6 +20,8 @@
 	at     map[string]*held
 	stale  map[string]bool // accounts whose line the lender may not know
 
+	inherited []Share // what earlier lives may have running, by the answer that said so
+
 	flying bool // the newest ask has no answer yet
 	asap   bool // something is to be said
 	nudged bool
@@ -184,10 +186,11 @@
 		h.lender, h.all, h.asap = a.Lender, true, true
 		return
 	}
-	h.until = h.sent.Add(h.plan.Usable())
-	if h.fresh && !a.Unsure { // the next ask is the first that may be given more than was inherited
-		h.fresh, h.asap = false, true
+	if h.fresh && !a.Unsure {
+		h.fresh, h.all, h.asap, h.inherited = false, true, true, a.Shares
+		return
 	}
+	h.until = h.sent.Add(h.plan.Usable())
 	h.all = h.fresh
 	for account := range h.stale {
 		if k := h.at[account]; k.told == (Line{account, k.units, k.used, k.want}) {
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -113,7 +113,9 @@
 	Lines  []Line
 }
 
-// Answer is what a lender says to an ask. It is a grant unless Again is set.
+// Answer is what a lender says to an ask. It is a grant unless Again is set, or the ask was fresh and Unsure is not: then
+// the shares are what earlier lives of the child may have running, which it counts from now on, and the next ask is the
+// first that may be given something to begin by.
 type Answer struct {
 	Child      string
 	Epoch, Seq uint64  // of the ask
--- a/internal/fleet/quota/region.go
+++ b/internal/fleet/quota/region.go
@@ -88,13 +88,9 @@
 // Answered takes the root's answer.
 func (r *Region) Answered(now Time, a Answer) {
 	r.lender.Tick(now)
-	fresh := r.holder.Fresh()
 	r.holder.Answered(now, a)
-	if fresh && !r.holder.Fresh() {
-		var shares []Share
-		r.holder.Each(func(name string, units int) { shares = append(shares, Share{name, units}) })
-		r.lender.Inherit(now, shares)
-	}
+	r.lender.Inherit(now, r.holder.inherited)
+	r.holder.inherited = nil
 	r.sync(now)
 	r.needs()
 }
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -1,6 +1,9 @@
 package quota
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Take answers an ask; false: nothing is to be sent. What the ask says is exact from its sending on: the child believes
 // no answer to an older one.
@@ -14,7 +17,7 @@
 		return Answer{}, false // late, or twice
 	}
 	out := Answer{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: l.life}
-	if a.Lender != l.life || !a.All && (c == nil || c.epoch != a.Epoch) {
+	if a.Lender != l.life || !a.All && (c == nil || c.epoch != a.Epoch || c.lapsed) {
 		out.Again = true
 		return out, true
 	}
@@ -23,8 +26,11 @@
 	l.report(now, c, a)
 	lends := l.covered(now) || now >= l.born.Add(l.plan.Quiet())
 	if lends {
-		out.Unsure = c.unsure
-		out.Shares = l.grant(now, c, l.named(c), a.Fresh && !c.unsure)
+		if out.Unsure = c.unsure; a.Fresh && !c.unsure {
+			out.Shares = c.running()
+		} else {
+			out.Shares = l.grant(now, c, l.named(c))
+		}
 	}
 	for _, name := range append(touched, l.named(c)...) {
 		l.settle(now, name)
@@ -103,6 +109,16 @@
 	l.note("inherited", "", c.name, sum)
 }
 
+// running is what lives of a child may have running.
+func (c *child) running() (out []Share) {
+	for _, name := range slices.Sorted(maps.Keys(c.lines)) {
+		if u := c.lines[name].count(); u > 0 {
+			out = append(out, Share{name, u})
+		}
+	}
+	return out
+}
+
 // set puts a line in place of what was counted.
 func (l *Lender) set(c *child, name string, n line) {
 	a, old := l.account(name), c.lines[name]
