--- a/internal/fleet/quota/ends.go
+++ b/internal/fleet/quota/ends.go
@@ -75,9 +75,7 @@
 			if c.lapsed = true; !l.young { // while young it is remembered what it reported
 				delete(l.children, name)
 			}
-			for _, a := range l.accounts {
-				a.targets = nil
-			}
+			l.redivide()
 		}
 	}
 	for i := len(l.past) - 1; i >= 0; i-- {
@@ -111,9 +109,7 @@
 		l.set(c, account, n)
 		moved[account] = true
 	}
-	for _, a := range l.accounts {
-		a.targets = nil
-	}
+	l.redivide()
 	l.note("lapsed", "", c.name, sum)
 }
 
--- a/internal/fleet/quota/fault_test.go
+++ b/internal/fleet/quota/fault_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -19,7 +20,6 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			caught := 0
 			plays := rapid.Custom(func(t *rapid.T) *world {
 				s := drawSetup(t)
 				if s.flaw = f; f.wholeLease { // seen only where clocks differ much and what runs is short beside the lease
@@ -28,10 +28,14 @@
 				}
 				return schedule(t, s)
 			})
+			caught := 0
 			for seed := range most {
 				if w := plays.Example(seed); w.truth.bad != nil {
 					if caught++; caught == 1 {
 						t.Logf("schedule %d: %v", seed, w.truth.bad)
+						if os.Getenv("QUOTA_CASES") == "" {
+							return
+						}
 					}
 				}
 			}
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -139,10 +139,17 @@
 	}
 }
 
+// redivide forgets all targets: who has a part in them has changed.
+func (l *Lender) redivide() {
+	for _, a := range l.accounts {
+		a.targets = nil
+	}
+}
+
 // resettle works all accounts out anew.
 func (l *Lender) resettle(now Time) {
+	l.redivide()
 	for _, name := range l.Accounts() {
-		l.accounts[name].targets = nil
 		l.settle(now, name)
 	}
 }
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -69,9 +69,7 @@
 		}
 		l.children[a.Child] = n
 		if l.options.Spread {
-			for _, acc := range l.accounts {
-				acc.targets = nil
-			}
+			l.redivide()
 		}
 		c = n
 	}
@@ -126,7 +124,7 @@
 		old = &line{}
 		c.lines[name], a.lines[c.name] = old, old
 	}
-	if n.Account = name; n.Want != old.Want || l.options.Spread {
+	if n.Account = name; n.Want != old.Want || n.floor != old.floor || c.unsure {
 		a.targets = nil
 	}
 	l.moved[name] = true
@@ -170,7 +168,10 @@
 // known here goes on reporting, as its own children come back to it; meanwhile it is given no more than it reports, so
 // that nothing lent since is taken for found.
 func (l *Lender) report(now Time, c *child, a Ask) {
-	c.unsure = a.Fresh && l.young && !c.reported
+	if unsure := a.Fresh && l.young && !c.reported; unsure != c.unsure {
+		c.unsure = unsure
+		l.redivide()
+	}
 	if l.young && !c.reported {
 		for name, ln := range c.lines {
 			if more := max(ln.Held, ln.Used) - c.first[name]; more > 0 {
