--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -46,5 +46,9 @@
 	go test -run - -bench Version -benchtime 1x ./internal/network
 	go test -run - -bench Propose -benchtime 1x ./cmd/tinsail
 
+# Quotas of teams under faults, 24 real processes, judged by what the backends saw: docs/design/quota.md has the figures.
+measure-quota:
+	TINSAIL_QUOTA_PROCESSES=24 TINSAIL_QUOTA_SEED=$(or $(SEED),1) go test -count=1 -v -run QuotaFaults -timeout 15m ./cmd/tinsail
+
 run: build
 	exec bin/tinsail serve
--- /dev/null
+++ b/cmd/tinsail/quota_rig_test.go
@@ -0,0 +1,431 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/faultnet"
+	"tinsail/internal/standin/platform"
+	history "tinsail/internal/standin/quotahistory"
+)
+
+// The quota rig's times: leases of dispatchers and of regions, and the longest that a req runs.
+const (
+	quotaLease  = 900 * time.Millisecond
+	quotaRegion = 5 * time.Second
+	quotaRun    = 1600 * time.Millisecond
+)
+
+var rigRegions = []string{"east", "west", "north"}
+
+// lentFleet is a fleet of real processes whose teams have quotas, and whose history the backends record. The first three
+// are voters and lenders of their regions; a dispatcher is in the region of its number. Each process reaches each voter
+// but itself through a relay of its own, by which it keeps its links of the accord, of the quotas and of the log.
+type lentFleet struct {
+	t        *testing.T
+	n        int
+	director *platform.Director
+	backends []*platform.Backend
+	voters   []string
+	relays   [][]*faultnet.TCP // by dispatcher and voter
+	data     string
+	stop     chan struct{}
+	clients  sync.WaitGroup
+
+	mu      sync.Mutex
+	policy  string // as the script of whoever is started next has it
+	lives   []*lentLife
+	lines   []history.Line
+	running map[string]int // attempts at the backends now, by team
+	starts  map[string]int // so far, by team and dispatcher
+	asked   map[string]int // reqs by what became of them
+	failed  map[string]int // those that may have run and had no result, by dispatcher
+	stopped map[string]bool
+}
+
+// lentLife is one process.
+type lentLife struct {
+	member
+	up bool // clients ask it
+}
+
+func startLent(t *testing.T, n int, policy string) *lentFleet {
+	f := &lentFleet{t: t, n: n, data: t.TempDir(), stop: make(chan struct{}), policy: policy, lives: make([]*lentLife, n), relays: make([][]*faultnet.TCP, n),
+		running: map[string]int{}, starts: map[string]int{}, asked: map[string]int{}, failed: map[string]int{}, stopped: map[string]bool{}}
+	var err error
+	f.director, err = platform.StartDirector()
+	require.NoError(t, err)
+	t.Cleanup(f.director.Close)
+	for i := range 3 {
+		b, err := platform.StartBackend(fmt.Sprintf("b%d", i), 256, func(id string) time.Duration { return time.Duration(30+len(id)%5*15) * time.Millisecond })
+		require.NoError(t, err)
+		t.Cleanup(b.Close)
+		b.Told = func(at time.Time, id string, event platform.Event) { f.told(b.Name, at, id, event) }
+		f.director.Set(b.Entry("fast", "here", i, "Ready"))
+		f.backends = append(f.backends, b)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		f.voters = append(f.voters, l.Addr().String())
+		l.Close()
+	}
+	for i := range n {
+		for _, at := range f.voters {
+			r, err := faultnet.ListenTCP(at)
+			require.NoError(t, err)
+			t.Cleanup(r.Close)
+			f.relays[i] = append(f.relays[i], r)
+		}
+	}
+	t.Cleanup(f.keep)
+	t.Cleanup(f.end)
+	for i := range n {
+		f.start(i)
+	}
+	return f
+}
+
+// end ends the load.
+func (f *lentFleet) end() {
+	select {
+	case <-f.stop:
+	default:
+		close(f.stop)
+	}
+	f.clients.Wait()
+}
+
+// told takes what a backend saw. An id is "team-" or "team!-" of urgent ones, "dispatcher-" and a number.
+func (f *lentFleet) told(backend string, at time.Time, id string, event platform.Event) {
+	team, rest, _ := strings.Cut(id, "-")
+	on, _, _ := strings.Cut(rest, "-")
+	plain, urgent := strings.CutSuffix(team, "!")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lines = append(f.lines, history.Line{T: at.UnixNano(), Event: string(event), Team: plain, Req: id, Backend: backend, Urgent: urgent && event == platform.Started})
+	if event != platform.Started {
+		f.running[plain]--
+		return
+	}
+	f.running[plain]++
+	f.starts[team]++
+	f.starts[on]++
+}
+
+// set records a quota from now on.
+func (f *lentFleet) set(event, team string, units int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lines = append(f.lines, history.Line{T: time.Now().UnixNano(), Event: event, Team: team, Units: units})
+}
+
+func (f *lentFleet) script(i int) string {
+	var voters []string
+	for v, at := range f.voters {
+		if v != i {
+			at = f.relays[i][v].Addr()
+		}
+		voters = append(voters, fmt.Sprintf("%q", named(v)+"="+at))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprintf("policy(%s, urgent_classes = [\"express\"], run_ms = %d)\n"+
+		"accord(voters = [%s], lease_ms = 900, data = %q, when_cut = \"keep\")\n"+
+		"quotas(region = %q, lenders = [\"east=n0\", \"west=n1\", \"north=n2\"], lease_ms = %d, region_lease_ms = %d)\n",
+		f.policy, quotaRun.Milliseconds(), strings.Join(voters, ", "), filepath.Join(f.data, named(i)),
+		rigRegions[i%3], quotaLease.Milliseconds(), quotaRegion.Milliseconds())
+}
+
+func (f *lentFleet) start(i int) {
+	var conf map[string]any
+	require.NoError(f.t, json.Unmarshal(demoConfig, &conf))
+	conf["name"], conf["discovery"] = named(i), f.director.Address
+	set := conf["settings"].(map[string]any)
+	set["Balancers"] = f.n
+	set["Parties"] = []map[string]any{{"Name": "press", "Share": 0.3, "QuotaPerS": 1e6}, {"Name": "atelier", "Share": 0.3, "QuotaPerS": 1e6}}
+	photo := set["Classes"].([]any)[0].(map[string]any)
+	photo["HardLimitMs"] = 1500
+	express := map[string]any{}
+	for k, v := range photo {
+		express[k] = v
+	}
+	express["Name"] = "express"
+	set["Classes"] = append(set["Classes"].([]any), express)
+	text, err := json.Marshal(conf)
+	require.NoError(f.t, err)
+	l := &lentLife{}
+	var errs io.Reader
+	l.cmd, errs = launch(f.t, string(text), f.script(i))
+	at := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(errs)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			var e struct{ Event, Listen string }
+			if json.Unmarshal(lines.Bytes(), &e) != nil {
+				fmt.Fprintln(os.Stderr, lines.Text()) // the race detector's words, say
+			} else if e.Event == "serving" {
+				at <- e.Listen
+			}
+		}
+		close(at)
+	}()
+	l.address = <-at
+	require.NotEmpty(f.t, l.address, "%s did not serve", named(i))
+	l.up = true
+	f.mu.Lock()
+	f.lives[i] = l
+	f.mu.Unlock()
+}
+
+func (f *lentFleet) shut(i int) *lentLife {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives[i].up = false
+	return f.lives[i]
+}
+
+func (f *lentFleet) kill(i int) {
+	l := f.shut(i)
+	_ = l.cmd.Process.Kill()
+	_, _ = l.cmd.Process.Wait()
+	l.gone = true
+}
+
+func (f *lentFleet) pause(i int) {
+	f.mu.Lock()
+	f.stopped[named(i)] = true
+	f.mu.Unlock()
+	require.NoError(f.t, f.shut(i).cmd.Process.Signal(syscall.SIGSTOP))
+}
+
+func (f *lentFleet) wake(i int) {
+	require.NoError(f.t, f.lives[i].cmd.Process.Signal(syscall.SIGCONT))
+	f.mu.Lock()
+	f.lives[i].up = true
+	f.mu.Unlock()
+}
+
+// rule sets the rule of the links between a region and all others.
+func (f *lentFleet) rule(region int, rule faultnet.Rule) {
+	for i, all := range f.relays {
+		for v, r := range all {
+			if (i%3 == region) == (v == region) {
+				continue
+			}
+			r.Set(rule)
+			if rule == faultnet.Pass { // bytes were swallowed, or are held back
+				r.Reset()
+			}
+		}
+	}
+}
+
+// change has a process propose a policy, which those that start from now on have in their scripts too.
+func (f *lentFleet) change(i int, policy string) {
+	f.mu.Lock()
+	f.policy = policy
+	l := f.lives[i]
+	f.mu.Unlock()
+	require.NoError(f.t, os.WriteFile(l.cmd.Args[3], []byte(f.script(i)), 0o600))
+	require.NoError(f.t, l.cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// until asks in rounds, at most 6,000 of 5 ms, until a condition holds.
+func (f *lentFleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for range 6000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.t.Fatalf("never: %s; running %v, starts %v, answers %v", what, f.running, f.starts, f.asked)
+}
+
+// atLeast says whether so many attempts of a team, or more, are at the backends now.
+func (f *lentFleet) atLeast(team string, n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[team] >= n
+}
+
+// more waits until so many more attempts began, of a team, a dispatcher, or those of a region where the key is a number.
+func (f *lentFleet) more(n int, keys ...string) {
+	f.t.Helper()
+	was := f.count(keys)
+	f.until(fmt.Sprintf("%d more of %v", n, keys), func() bool { return f.count(keys) >= was+n })
+}
+
+func (f *lentFleet) count(keys []string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range keys {
+		n += f.starts[k]
+	}
+	return n
+}
+
+// of are the dispatchers of a region that clients ask.
+func (f *lentFleet) of(regions ...int) (out []string) {
+	for i := range f.n {
+		if slices.Contains(regions, i%3) {
+			out = append(out, named(i))
+		}
+	}
+	return out
+}
+
+// up are the processes that run and are not stopped.
+func (f *lentFleet) up() (out []*lentLife) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.lives {
+		if l.up {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// inForce waits until all that run are at a version.
+func (f *lentFleet) inForce(version int64) {
+	for _, l := range f.up() {
+		l.await(f.t, "accord_version", version)
+		l.await(f.t, "accord_ready", 1)
+	}
+}
+
+// leader is the voter that leads, of those that run.
+func (f *lentFleet) leader() (at int) {
+	f.until("a leader", func() bool {
+		for i, l := range f.lives[:3] {
+			if l.up && l.counter(f.t, "accord_leads") == 1 {
+				at = i
+				return true
+			}
+		}
+		return false
+	})
+	return at
+}
+
+// lowered waits until the root counts no more as lent than the quotas have, for twenty rounds on end.
+func (f *lentFleet) lowered(units int64) {
+	rounds := 0
+	f.until("room under the lowered quotas", func() bool {
+		rounds++
+		if n := f.lives[f.leader()].counter(f.t, "quota_lent_root"); n <= 0 || n > units {
+			rounds = 0
+		}
+		return rounds == 20
+	})
+}
+
+// load runs clients of a team at a dispatcher, each with one req at a time.
+func (f *lentFleet) load(i, clients int, team, class string) {
+	for c := range clients {
+		f.clients.Go(func() {
+			client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for n := 0; ; n++ {
+				select {
+				case <-f.stop:
+					return
+				default:
+				}
+				f.mu.Lock()
+				l := f.lives[i]
+				up := l != nil && l.up
+				f.mu.Unlock()
+				if !up {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				f.ask(client, i, l.address, fmt.Sprintf("%s-%s-%d-%d", team, named(i), c, n), strings.TrimSuffix(team, "!"), class)
+			}
+		})
+	}
+}
+
+func (f *lentFleet) ask(client *http.Client, to int, address, id, team, class string) {
+	r, err := http.NewRequest("POST", "http://"+address+"/"+class+"/1", strings.NewReader("b"))
+	if !assert.NoError(f.t, err) {
+		return
+	}
+	r.Header.Set("X-Correlation-Id", id)
+	r.Header.Set("Idempotency-Key", id)
+	r.Header.Set("X-Account", team)
+	r.Header.Set("X-Service-Class", class)
+	r.Header.Set("X-Time-Left-Ms", "1200")
+	what := "broken"
+	if answer, err := client.Do(r); err == nil {
+		if _, err = io.Copy(io.Discard, answer.Body); err == nil {
+			what = strconv.Itoa(answer.StatusCode)
+		}
+		answer.Body.Close()
+	}
+	f.mu.Lock()
+	if f.asked[what]++; what != "200" && what != "503" && what != "broken" {
+		f.failed[named(to)]++
+	}
+	f.mu.Unlock()
+	if what == "broken" {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// judge ends the load and has the history judged.
+func (f *lentFleet) judge(rules history.Rules) {
+	f.t.Helper()
+	f.end()
+	f.mu.Lock()
+	lines := slices.Clone(f.lines)
+	f.mu.Unlock()
+	verdicts := history.Judge(lines, rules)
+	for i, v := range verdicts {
+		if i == 20 {
+			f.t.Errorf("and %d further verdicts", len(verdicts)-i)
+			break
+		}
+		f.t.Error(v)
+	}
+	assert.Positive(f.t, f.asked["200"])
+	for name, n := range f.failed { // in hand when it was stopped, and beyond their time when it was woken
+		assert.True(f.t, f.stopped[name], "%d reqs failed at %s, which was never stopped", n, name)
+	}
+	f.t.Logf("%d lines of history; most at once %v; starts %v; answers %v", len(lines), history.Most(lines, rules), f.starts, f.asked)
+}
+
+// keep writes the history to the file that TINSAIL_HISTORY names, if it does, also of a test that failed.
+func (f *lentFleet) keep() {
+	at := os.Getenv("TINSAIL_HISTORY")
+	if at == "" {
+		return
+	}
+	file, err := os.Create(at)
+	require.NoError(f.t, err)
+	defer file.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.lines {
+		require.NoError(f.t, json.NewEncoder(file).Encode(l))
+	}
+}
