Quotas' links start once their side knows them; a link's child is set once

Both found by go test -race ./internal/network/fleet/quota: desk.turn read d.link while newDesk still set it, and link.read wrote l.child at each ask while root.turn nudged. After: the package's tests 3 times, six of them 10 times, with -race: passed.

--- a/internal/network/fleet/quota/desk.go
+++ b/internal/network/fleet/quota/desk.go
@@ -42,8 +42,8 @@
 	d := &desk{q: q, woken: make(chan struct{}, 1), stop: make(chan struct{}), desk: quota.NewDesk(), holder: h,
 		waiting: map[uint64]*room{}, used: map[string]int{}}
 	d.link = newAsker(q, q.cfg.Region, d, func() string { return to })
-	d.done.Add(1)
-	go d.run()
+	d.link.start()
+	d.done.Go(d.run)
 	return d, nil
 }
 
@@ -55,7 +55,6 @@
 
 // run refuses those whose time is over; all else is done when it happens.
 func (d *desk) run() {
-	defer d.done.Done()
 	for {
 		d.mu.Lock()
 		next := d.desk.Next()
--- a/internal/network/fleet/quota/link.go
+++ b/internal/network/fleet/quota/link.go
@@ -40,10 +40,12 @@
 func newAsker(q *Quota, level string, s side, target func() string) *asker {
 	k := &asker{q: q, level: level, side: s, target: target, woken: make(chan struct{}, 1)}
 	k.ctx, k.end = context.WithCancel(context.Background())
-	k.done.Go(k.run)
 	return k
 }
 
+// start begins to ask, once its side knows the asker.
+func (k *asker) start() { k.done.Go(k.run) }
+
 func (k *asker) close() {
 	k.end()
 	k.done.Wait()
--- a/internal/network/fleet/quota/rig_test.go
+++ b/internal/network/fleet/quota/rig_test.go
@@ -66,9 +66,9 @@
 	accord  *accord.Accord
 	quota   *Quota
 	policy  policy.Policy // entered before quota was there
-	entered bool
+	entered uint64
 	begun   atomic.Int64
-	serves  atomic.Bool // a policy is in force: before, no req is taken, as the accord has it
+	serves  atomic.Uint64 // the version in force: before, no req is taken, as the accord has it
 }
 
 // running counts what runs of a team, as those that run it see it: from when they were told to begin to before they
@@ -128,15 +128,15 @@
 	m := &member{}
 	cfg := accord.Config{Plan: leases.Plan{Lease: 600 * time.Millisecond, Drift: 0.001, Keep: true}, Name: named(i), Epoch: uint64(time.Now().UnixNano()),
 		Check: func([]byte) error { return nil },
-		Enter: func(_ uint64, body []byte) error {
+		Enter: func(version uint64, body []byte) error {
 			p, err := policy.Read(body)
 			r.mu.Lock()
-			m.policy, m.entered = p, true
+			m.policy, m.entered = p, version
 			q := m.quota
 			r.mu.Unlock()
 			if q != nil {
 				q.Enter(p)
-				m.serves.Store(true)
+				m.serves.Store(version)
 			}
 			return err
 		},
@@ -159,9 +159,9 @@
 	r.all[i] = m
 	entered := m.entered
 	r.mu.Unlock()
-	if entered {
+	if entered > 0 {
 		q.Enter(m.policy)
-		m.serves.Store(true)
+		m.serves.Store(m.entered)
 	}
 }
 
@@ -203,7 +203,7 @@
 			default:
 			}
 			m := r.member(i)
-			if m == nil || !m.serves.Load() {
+			if m == nil || m.serves.Load() == 0 {
 				r.pause(10 * time.Millisecond)
 				continue
 			}
@@ -294,10 +294,8 @@
 	r.until(fmt.Sprintf("version %d in force", version), func() bool {
 		for i := range r.all {
 			m := r.member(i)
-			if v := uint64(0); m != nil {
-				if v, _ = m.accord.Held(); v < version && !contains(skip, i) {
-					return false
-				}
+			if m != nil && m.serves.Load() < version && !contains(skip, i) {
+				return false
 			}
 		}
 		return true
--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -74,6 +74,7 @@
 	v.done.Go(v.root.run)
 	if v.region != nil {
 		v.region.link = newAsker(q, "", v.region, v.leader)
+		v.region.link.start()
 		v.done.Go(v.region.run)
 	}
 	a.Quotas(v.serve)
@@ -178,7 +179,9 @@
 			l.flooded()
 			return
 		}
-		l.child, l.level = m.Ask.Child, m.Ask.To
+		if l.child == "" {
+			l.child, l.level = m.Ask.Child, m.Ask.To
+		}
 		q.Count.Taken.Add(1)
 		switch {
 		case l.level == "":
