--- /dev/null
+++ b/cmd/tinsail/quotas.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tinsail/internal/config"
+	leases "tinsail/internal/fleet/accord"
+	"tinsail/internal/fleet/policy"
+	lending "tinsail/internal/fleet/quota"
+	"tinsail/internal/network/fleet/accord"
+	"tinsail/internal/network/fleet/quota"
+	"tinsail/internal/settings"
+)
+
+// lender is a region's lender: the voter that lends the region's units to its dispatchers.
+type lender struct{ region, voter string }
+
+// parseLenders reads "region=voter" texts. No region and no voter may be there twice, and all must be voters.
+func parseLenders(texts []string, voters []accord.Peer) ([]lender, error) {
+	var out []lender
+	for _, text := range texts {
+		region, voter, ok := strings.Cut(text, "=")
+		if !ok || region == "" || voter == "" {
+			return nil, fmt.Errorf("%q is not region=voter", text)
+		}
+		if !slices.ContainsFunc(voters, func(v accord.Peer) bool { return v.Name == voter }) {
+			return nil, fmt.Errorf("%q names no voter of accord", text)
+		}
+		for _, l := range out {
+			if l.region == region || l.voter == voter {
+				return nil, fmt.Errorf("%q names a region or a voter twice", text)
+			}
+		}
+		out = append(out, lender{region, voter})
+	}
+	return out, nil
+}
+
+// leaseTimes is how many of a dispatcher's leases a region's must last at least: the lender lends only what its own lease
+// covers, and renews that each third of it (quota.NewRegion wants as much).
+const leaseTimes = 4
+
+// checkQuotas finds what the calls allow and the schema cannot say. cfg and set may be nil.
+func checkQuotas(cfg *config.Config, set *settings.Settings) error {
+	if set == nil {
+		return nil
+	}
+	q := set.Quotas
+	switch {
+	case q == nil && set.Policy != nil && len(set.Policy.Quotas) > 0:
+		return settings.Faults{set.Fault("policy.quotas", "is set, and quotas(...) is not: nothing would keep them")}
+	case q == nil:
+		return nil
+	case set.Accord == nil:
+		return settings.Faults{set.Fault("quotas", "is set, and accord is not: nobody would lend")}
+	}
+	voters, err := accord.ParseVoters(set.Accord.Voters)
+	if err != nil {
+		return nil // checkAccord tells it
+	}
+	lenders, err := parseLenders(q.Lenders, voters)
+	if err != nil {
+		return settings.Faults{set.Fault("quotas.lenders", err.Error())}
+	}
+	if !slices.ContainsFunc(lenders, func(l lender) bool { return l.region == q.Region }) {
+		return settings.Faults{set.Fault("quotas.region", fmt.Sprintf("is %q, which is no region of lenders", q.Region))}
+	}
+	if q.RegionLeaseMS < leaseTimes*q.LeaseMS {
+		return settings.Faults{set.Fault("quotas.region_lease_ms", fmt.Sprintf("is %d, want at least %d times lease_ms, which is %d",
+			q.RegionLeaseMS, leaseTimes, q.LeaseMS))}
+	}
+	if set.Policy == nil || cfg == nil {
+		return nil
+	}
+	if key, err := fitsQuotas(cfg, policyOf(set)); err != nil {
+		return settings.Faults{set.Fault("policy."+key, err.Error())}
+	}
+	return nil
+}
+
+// fitsQuotas checks the quotas of a policy against the configuration, and names the key at fault.
+func fitsQuotas(cfg *config.Config, p policy.Policy) (key string, err error) {
+	for _, team := range slices.Sorted(maps.Keys(p.Quotas)) {
+		if !slices.Contains(cfg.Names.Tenants, team) {
+			return "quotas", fmt.Errorf("names %q, which is no tenant of the configuration", team)
+		}
+	}
+	for _, class := range p.UrgentClasses {
+		if !slices.Contains(cfg.Names.Classes, class) {
+			return "urgent_classes", fmt.Errorf("names %q, which is no class of the configuration", class)
+		}
+	}
+	if run := millis(p.RunMS); p.RunMS > 0 && run < longestRun(cfg) {
+		return "run_ms", fmt.Errorf("is %d, want at least %d: the longest deadline of a class and the answer slack", p.RunMS,
+			longestRun(cfg).Milliseconds())
+	}
+	return "", nil
+}
+
+// longestRun is the longest that a req of the configuration's classes is in flight, where its client states no patience of its
+// own; in whole milliseconds, rounded up.
+func longestRun(cfg *config.Config) time.Duration {
+	run := cfg.Longest() + time.Duration(cfg.Settings.Rules.AnswerSlack*float64(time.Millisecond))
+	return (run + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
+// checkSize says whether a policy's bytes fit the accord.
+func checkSize(set *settings.Settings) error {
+	if n := len(policyOf(set).Append(nil)); n > leases.MaxBody {
+		return settings.Faults{set.Fault("policy", fmt.Sprintf("has %d bytes, at most %d fit the accord: fewer or shorter names", n, leases.MaxBody))}
+	}
+	return nil
+}
+
+// fleetQuotas is where the core asks for room: it has names for the core's numbers, and the policy in force for all else.
+type fleetQuotas struct {
+	tenants, classes []string
+	rest             time.Duration // the bound on what is in flight while the policy states none
+	run              atomic.Int64  // the bound in force, in nanoseconds
+	urgent           atomic.Pointer[[]bool]
+
+	mu    sync.Mutex // of what follows; not held while a req is taken
+	first *policy.Policy
+	kept  atomic.Pointer[quota.Quota]
+}
+
+// newFleetQuotas makes what the accord puts policies in force at; nil where the settings do not call for quotas.
+func newFleetQuotas(cfg *config.Config, set *settings.Settings) *fleetQuotas {
+	if set.Quotas == nil {
+		return nil
+	}
+	f := &fleetQuotas{tenants: cfg.Names.Tenants, classes: cfg.Names.Classes, rest: longestRun(cfg)}
+	f.enter(policy.Policy{})
+	f.first = nil
+	return f
+}
+
+// enter puts a policy in force. It is called by the accord, which begins before the quotas' links do.
+func (f *fleetQuotas) enter(p policy.Policy) {
+	urgent := make([]bool, len(f.classes))
+	for i, class := range f.classes {
+		urgent[i] = slices.Contains(p.UrgentClasses, class)
+	}
+	f.urgent.Store(&urgent)
+	run := f.rest // also without quotas: what is in flight when there are some is then bounded, too
+	if p.RunMS > 0 {
+		run = millis(p.RunMS)
+	}
+	f.run.Store(int64(run))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.first = &p; f.kept.Load() != nil {
+		f.kept.Load().Enter(p)
+	}
+}
+
+// keep begins to ask q, which is told of the policy that is in force already.
+func (f *fleetQuotas) keep(q *quota.Quota) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.first != nil {
+		q.Enter(*f.first)
+	}
+	f.kept.Store(q)
+}
+
+// Take is core.Quotas. A req of no tenant is in no quota.
+func (f *fleetQuotas) Take(tenant, class int, until time.Time, ready func(from time.Time, pause time.Duration, ok bool)) (leave func()) {
+	if tenant < 0 || tenant >= len(f.tenants) {
+		ready(time.Now(), 0, true)
+		return func() {}
+	}
+	urgent := *f.urgent.Load()
+	return f.kept.Load().Take(f.tenants[tenant], class >= 0 && class < len(urgent) && urgent[class], until, ready)
+}
+
+// Most is core.Quotas.
+func (f *fleetQuotas) Most() time.Duration { return time.Duration(f.run.Load()) }
+
+// addQuotas begins this dispatcher's part in the quotas: after the accord's, and before the core runs.
+func (d *dispatcher) addQuotas(set *settings.Settings, from handed) error {
+	if d.quotas == nil {
+		return nil
+	}
+	voters, err := accord.ParseVoters(set.Accord.Voters)
+	if err != nil {
+		return settings.Faults{set.Fault("accord.voters", err.Error())}
+	}
+	lenders, err := parseLenders(set.Quotas.Lenders, voters)
+	if err != nil {
+		return settings.Faults{set.Fault("quotas.lenders", err.Error())}
+	}
+	epoch := uint64(time.Now().UnixNano())
+	cfg := quota.Config{Name: d.cfg.Name, Epoch: epoch, Region: set.Quotas.Region, RegionLease: millis(set.Quotas.RegionLeaseMS), Log: d.log,
+		Plan: lending.Plan{Lease: millis(set.Quotas.LeaseMS), Run: longestRun(d.cfg), Drift: set.Accord.Drift}}
+	if from.link != nil { // the process that hands over goes on with what it holds until it is drained: no earlier life of this one
+		cfg.Name = fmt.Sprintf("%s.%x", d.cfg.Name, epoch)
+	}
+	for _, l := range lenders {
+		for _, v := range voters {
+			if v.Name == l.voter {
+				cfg.Lenders = append(cfg.Lenders, quota.Lender{Region: l.region, Voter: l.voter, Address: v.Address})
+			}
+		}
+	}
+	q, err := quota.New(cfg, d.accord)
+	if err != nil {
+		return errors.Join(errors.New("quotas"), err)
+	}
+	d.quotas.keep(q)
+	d.core.Quotas = d.quotas
+	if !set.Accord.Keep() {
+		d.log.Warn().Str("when_cut", set.Accord.WhenCut).Msg("quotas: a region that is cut off from the accord's leader takes nothing, whatever " +
+			"units it holds: accord.when_cut is \"stop\", \"keep\" would let it live on them")
+	}
+	return nil
+}
+
+// canKeepQuotas checks a policy of the fleet against this dispatcher.
+func (d *dispatcher) canKeepQuotas(p policy.Policy) error {
+	if len(p.Quotas) == 0 {
+		return nil
+	}
+	if d.set.Quotas == nil {
+		return errors.New("it sets policy.quotas, and this dispatcher has no quotas(...)")
+	}
+	if key, err := fitsQuotas(d.cfg, p); err != nil {
+		return fmt.Errorf("policy.%s: %w", key, err)
+	}
+	return nil
+}
