--- a/internal/network/fleet/accord/log.go
+++ b/internal/network/fleet/accord/log.go
@@ -115,6 +115,7 @@
 	machine *machine
 	store   *raftboltdb.BoltStore
 	turns   chan bool // leadership, each change of it
+	begins  bool      // there was no log in the folder
 }
 
 // openLog opens this voter's log in a folder and joins the others. The voters are those of the log's
@@ -152,6 +153,7 @@
 		first.Servers = append(first.Servers, raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Address)})
 	}
 	known, err := raft.HasExistingState(m.store, m.store, snaps)
+	m.begins = !known
 	if err == nil && !known {
 		err = raft.BootstrapCluster(c, m.store, m.store, snaps, transport, first)
 	}
--- a/internal/network/fleet/accord/voters.go
+++ b/internal/network/fleet/accord/voters.go
@@ -90,3 +90,6 @@
 	defer m.mu.Unlock()
 	return slices.Clone(m.past)
 }
+
+// Begins says whether this voter's folder held no log when this process started: no earlier process of it took part.
+func (a *Accord) Begins() bool { return a.voter != nil && a.voter.log.begins }
