--- a/internal/fleet/quota/division.go
+++ b/internal/fleet/quota/division.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"hash/fnv"
 	"maps"
 	"slices"
 )
@@ -18,33 +20,46 @@
 type wish struct {
 	child     string
 	want, has int
+	lot       uint64
 }
 
 // fill gives each wish its max-min share of whole units, adds it to targets and returns what is left. Units that cannot be
-// parted evenly stay with those that have them, and go by name where nobody does: shares of a crowd move only for a
-// reason.
-func fill(units int, wishes []wish, targets map[string]int) (left int) {
+// parted evenly stay with those that have them, and go by name where nobody does, so that shares move only for a reason.
+// Where there are fewer units than wishes they go round, drawn anew each turn: else some had one for ever and others none.
+func fill(units int, wishes []wish, targets map[string]int, turn int64) (left int) {
 	slices.SortFunc(wishes, func(a, b wish) int { return cmp.Or(a.want-b.want, cmp.Compare(a.child, b.child)) })
 	for i, w := range wishes {
-		if rest := len(wishes) - i; w.want*rest > units {
-			share, odd := units/rest, units%rest
-			capped := wishes[i:]
-			slices.SortFunc(capped, func(a, b wish) int {
-				return cmp.Or(min(b.has, share+1)-min(a.has, share+1), cmp.Compare(a.child, b.child))
-			})
-			for j, w := range capped {
-				if targets[w.child] += share; j < odd {
-					targets[w.child]++
-				}
+		rest := len(wishes) - i
+		if w.want*rest <= units {
+			targets[w.child] += w.want
+			units -= w.want
+			continue
+		}
+		share, odd := units/rest, units%rest
+		capped := wishes[i:]
+		for j, w := range capped {
+			if capped[j].lot = uint64(share + 1 - min(w.has, share+1)); share == 0 {
+				capped[j].lot = lot(w.child, turn)
+			}
+		}
+		slices.SortFunc(capped, func(a, b wish) int { return cmp.Or(cmp.Compare(a.lot, b.lot), cmp.Compare(a.child, b.child)) })
+		for j, w := range capped {
+			if targets[w.child] += share; j < odd {
+				targets[w.child]++
 			}
-			return 0
 		}
-		targets[w.child] += w.want
-		units -= w.want
+		return 0
 	}
 	return units
 }
 
+// lot is a child's lot in a turn.
+func lot(child string, turn int64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte(child), uint64(turn)))
+	return h.Sum64()
+}
+
 // targets are the units that each child should have of an account, of all that is not counted for lives that ended: by
 // max-min of what they want, and the rest evenly where the lender spreads. Of the urgent reserve each wants one ahead of
 // need; real need goes first.
@@ -64,26 +79,26 @@
 		case c.lapsed:
 			units -= ln.count()
 		case c.unsure:
-			need = append(need, wish{child, min(ln.Want, max(ln.Held, ln.Used)), has})
+			need = append(need, wish{child, min(ln.Want, max(ln.Held, ln.Used)), has, 0})
 		default:
 			want := max(ln.Want, ln.floor)
-			need = append(need, wish{child, max(want-ahead, 0), has})
-			more = append(more, wish{child, min(want, ahead), has})
+			need = append(need, wish{child, max(want-ahead, 0), has, 0})
+			more = append(more, wish{child, min(want, ahead), has, 0})
 		}
 	}
 	a.targets = make(map[string]int, len(need))
-	units = fill(max(units, 0), need, a.targets)
+	units = fill(max(units, 0), need, a.targets, l.turn)
 	if ahead > 0 {
-		units = fill(units, more, a.targets)
+		units = fill(units, more, a.targets, 0)
 	}
 	if l.options.Spread {
 		more = more[:0]
 		for child, c := range l.children {
 			if !c.unsure && !c.lapsed {
-				more = append(more, wish{child, units, 0})
+				more = append(more, wish{child, units, 0, 0})
 			}
 		}
-		fill(units, more, a.targets)
+		fill(units, more, a.targets, 0)
 	}
 	return a.targets
 }
--- a/internal/fleet/quota/ends.go
+++ b/internal/fleet/quota/ends.go
@@ -19,6 +19,12 @@
 	}
 	if now >= l.settled.Add(l.plan.Retry()) {
 		l.settled = now
+		if turn := int64(now-l.born) / int64(l.plan.Turn()); turn != l.turn {
+			l.turn = turn
+			for name := range l.short {
+				l.accounts[name].targets = nil
+			}
+		}
 		for _, name := range sorted(l.short) {
 			l.settle(now, name)
 		}
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -21,6 +21,7 @@
 	past     []pastLife
 	accounts map[string]*account
 	scan     Time            // no lease ends before
+	turn     int64           // of units that go round
 	settled  Time            // when those short were looked at last
 	short    map[string]bool // accounts of which some lack units, or more is counted than may be lent
 	moved    map[string]bool // accounts whose counts or wants changed, for the region
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -87,6 +87,9 @@
 // Tell is how long after its last ask a holder tells what has changed where nothing is due at once.
 func (p Plan) Tell() time.Duration { return min(p.Renew(), 2*time.Second) }
 
+// Turn is how long units of which there are fewer than children that want one stay before they go round.
+func (p Plan) Turn() time.Duration { return min(2*p.Lease, 30*time.Second) }
+
 // Line is what a holder says of one account.
 type Line struct {
 	Account string
--- a/internal/fleet/quota/region.go
+++ b/internal/fleet/quota/region.go
@@ -31,6 +31,13 @@
 	return &Region{h, l}, nil
 }
 
+// Starts tells that no life of this region's lender lent before: nothing is waited for. To be called at the start, and only
+// where that is known, as by a data folder that did not exist.
+func (r *Region) Starts(now Time) {
+	r.lender.grown(now)
+	r.holder.Known()
+}
+
 // Reserve sets the urgent reserve, which is this region's own. To be called at the start and at each change.
 func (r *Region) Reserve(now Time, units int) {
 	r.lender.Inherit(now, []Share{{Urgent, units}})
