--- a/internal/network/fleet/quota/region.go
+++ b/internal/network/fleet/quota/region.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if v.accord.Begins() {
+		r.Starts(v.q.now())
+	}
 	return &region{v: v, name: name, region: r, children: children{}}, nil
 }
 
