--- /dev/null
+++ b/internal/network/fleet/accord/voters_test.go
@@ -0,0 +1,86 @@
+package accord
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestVoters: what other parts of the fleet are told by a voter that leads, by one that does not, and by a dispatcher
+// that is none; a term that is not led any more is not confirmed.
+func TestVoters(t *testing.T) {
+	f := newFleet(t, 4)
+	f.await(1)
+	at := f.leader()
+	leader, other, none := f.all[at], f.all[(at+1)%3], f.all[3]
+	term, ok := leader.Leading()
+	assert.True(t, ok)
+	assert.True(t, leader.Confirm(term))
+	assert.False(t, leader.Confirm(term+1))
+	assert.False(t, other.Confirm(term))
+	_, ok = other.Leading()
+	assert.False(t, ok)
+	assert.Equal(t, leader.cfg.Name, other.Leader())
+	assert.Equal(t, f.voters[at].Address, leader.Address(other.Leader()))
+	assert.Empty(t, other.Address("nobody"))
+	assert.True(t, other.Begins())
+
+	require.NoError(t, none.Propose([]byte("second")))
+	f.await(2)
+	version, body := leader.Decided()
+	assert.EqualValues(t, 2, version)
+	assert.Equal(t, "second", string(body))
+	require.Eventually(t, func() bool { v, _ := other.Decided(); return v == 2 }, 20*time.Second, 5*time.Millisecond)
+	past := other.Past()
+	require.Len(t, past, 1)
+	assert.Equal(t, "first", string(past[0].Body))
+
+	assert.False(t, none.Votes())
+	_, ok = none.Leading()
+	assert.False(t, ok || none.Confirm(term) || none.Begins())
+	version, _ = none.Decided()
+	assert.Zero(t, version)
+	assert.Empty(t, none.Leader()+none.Address(""))
+	assert.Empty(t, none.Past())
+
+	leader.Close()
+	f.all[at] = nil
+	assert.False(t, leader.Confirm(term))
+	f.halt()
+	f.start(at)
+	assert.False(t, f.all[at].Begins())
+	assert.Equal(t, f.all[at].cfg.Voters, f.voters)
+}
+
+// TestQuotaLinks: a connection that is marked as one of the quotas is closed, unless they took it over.
+func TestQuotaLinks(t *testing.T) {
+	f := newFleet(t, 3)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", f.voters[0].Address)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = conn.Write([]byte{QuotaMark, 'x'})
+		require.NoError(t, err)
+		return conn
+	}
+	ended := func(conn net.Conn) (said string) {
+		p, err := io.ReadAll(conn)
+		if err != nil {
+			assert.ErrorContains(t, err, "reset")
+		}
+		return string(p)
+	}
+	assert.Empty(t, ended(dial()))
+	f.all[0].Quotas(func(conn net.Conn) {
+		p := make([]byte, 1)
+		_, _ = io.ReadFull(conn, p)
+		_, _ = conn.Write(append(p, 'y'))
+	})
+	assert.Equal(t, "xy", ended(dial()))
+	f.all[0].Quotas(nil)
+	assert.Empty(t, ended(dial()))
+}
--- /dev/null
+++ b/internal/network/fleet/quota/cost_test.go
@@ -0,0 +1,82 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/fleet/frames"
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/fleet/quota"
+	"tinsail/internal/fleet/quota/wire"
+)
+
+// alone is a dispatcher's side with no lender to reach, which holds so many units of each of some accounts.
+func alone(t testing.TB, accounts, units int) *Quota {
+	q := &Quota{cfg: Config{Name: "n0", Epoch: 1 << 60, Region: "east", Plan: quota.Plan{Lease: time.Hour, Run: time.Second}, Log: zerolog.Nop()}, start: time.Now()}
+	var err error
+	q.desk, err = newDesk(q, "")
+	require.NoError(t, err)
+	t.Cleanup(q.Close)
+	p := policy.Policy{Quotas: map[string]int{}}
+	a := quota.Answer{Child: "n0", Epoch: 1 << 60, Lender: 1 << 60}
+	for i := range accounts {
+		name := fmt.Sprintf("team%03d", i)
+		p.Quotas[name] = units
+		a.Shares = append(a.Shares, quota.Share{Account: name, Units: units})
+	}
+	q.Enter(p)
+	for range 2 { // the first is of a life not heard before, and grants nothing
+		ask, ok := q.desk.due()
+		require.True(t, ok)
+		a.Seq = ask.Seq
+		q.desk.heard(wire.Message{Answer: &wire.Answer{From: "east", Answer: a}})
+	}
+	return q
+}
+
+// TestQuietBytes: what a dispatcher and its lender say to each other where nothing changes, however many accounts there
+// are: a third of a lease apart, so that at leases of 3 s it is a fiftieth of 15 KB a second at most.
+func TestQuietBytes(t *testing.T) {
+	q := alone(t, 310, 3)
+	q.desk.linked()
+	ask, ok := q.desk.due() // all that it was lent is told once
+	require.True(t, ok)
+	assert.Len(t, ask.Lines, 310)
+	first := len(frames.Frame(wire.WriteAsk(wire.Ask{To: "east", Ask: ask})))
+	q.desk.heard(wire.Message{Answer: &wire.Answer{From: "east", Answer: quota.Answer{Child: "n0", Epoch: 1 << 60, Seq: ask.Seq, Lender: 1 << 60}}})
+	q.desk.linked()
+	ask, ok = q.desk.due()
+	require.True(t, ok)
+	assert.Empty(t, ask.Lines)
+	quiet := len(frames.Frame(wire.WriteAsk(wire.Ask{To: "east", Ask: ask})))
+	answer := len(frames.Frame(wire.WriteAnswer(wire.Answer{From: "east", Answer: quota.Answer{Child: "n0", Epoch: 1 << 60, Seq: ask.Seq, Lender: 1 << 60}})))
+	t.Logf("an ask %d bytes, its answer %d; an ask with 310 lines %d", quiet, answer, first)
+	assert.LessOrEqual(t, quiet+answer, 200)
+	assert.LessOrEqual(t, first, 310*30+100)
+}
+
+// BenchmarkTake is what a req pays for its unit where one is held: taken and left, among so many accounts.
+func BenchmarkTake(b *testing.B) {
+	for _, accounts := range []int{1, 310} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			q := alone(b, accounts, 1000)
+			until := time.Now().Add(time.Hour)
+			begun := 0
+			for b.Loop() {
+				q.Take("team000", false, until, func(_ time.Time, _ time.Duration, ok bool) {
+					if ok {
+						begun++
+					}
+				})()
+			}
+			if begun != b.N {
+				b.Errorf("%d of %d begun", begun, b.N)
+			}
+		})
+	}
+}
--- a/internal/network/fleet/quota/link.go
+++ b/internal/network/fleet/quota/link.go
@@ -35,6 +35,8 @@
 	ctx    context.Context // ends with the holder's life
 	end    context.CancelFunc
 	done   sync.WaitGroup
+
+	strayed sync.Once
 }
 
 func newAsker(q *Quota, level string, s side, target func() string) *asker {
@@ -162,7 +164,12 @@
 		case m.Answer != nil && m.Answer.From == k.level:
 			answered.Store(true)
 		case m.Nudge != nil && *m.Nudge == k.level:
-		case m.Away != nil && m.Away.From == k.level: // the root is elsewhere, or the settings name another lender
+		case m.Away != nil && m.Away.From == k.level: // the root is elsewhere; a region's lender only by a fault of the settings
+			if k.level != "" {
+				k.strayed.Do(func() {
+					k.q.cfg.Log.Error().Str("process", k.q.cfg.Name).Str("lender", k.level).Msg("quota: no such lender where the settings name it")
+				})
+			}
 			return
 		default:
 			k.q.Count.Bad.Add(1)
--- a/internal/network/fleet/quota/region.go
+++ b/internal/network/fleet/quota/region.go
@@ -65,7 +65,7 @@
 
 // follow takes up the policy that was decided last. r.mu is held.
 func (r *region) follow() {
-	if version, p, ok := r.v.decided(); ok && version != r.version {
+	if version, p, ok := r.v.decided(r.version); ok {
 		r.version = version
 		r.region.Reserve(r.v.q.now(), p.UrgentReserve)
 		r.region.Run(r.v.q.now(), time.Duration(p.RunMS)*time.Millisecond)
--- a/internal/network/fleet/quota/root.go
+++ b/internal/network/fleet/quota/root.go
@@ -78,7 +78,7 @@
 		r.inherit()
 		r.v.q.tell("", []quota.Note{{Step: "lends"}})
 	}
-	if version, p, ok := r.v.decided(); ok && version != r.version {
+	if version, p, ok := r.v.decided(r.version); ok {
 		now := r.v.q.now()
 		for _, account := range r.accounts {
 			if _, has := p.Quotas[account]; !has {
--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -99,11 +99,12 @@
 // leader is where the voter that leads listens, as far as this one knows.
 func (v *votes) leader() string { return v.accord.Address(v.accord.Leader()) }
 
-// decided is the policy decided last, as this voter's log has it; false where there is none, or none that can be read.
-func (v *votes) decided() (version uint64, p policy.Policy, ok bool) {
+// decided is the policy decided last, as this voter's log has it, where it is not the version given; false where it is,
+// and where there is none that can be read.
+func (v *votes) decided(known uint64) (version uint64, p policy.Policy, ok bool) {
 	version, body := v.accord.Decided()
-	if version == 0 {
-		return 0, p, false
+	if version == known || version == 0 {
+		return version, p, false
 	}
 	p, err := policy.Read(body)
 	return version, p, err == nil
