--- a/internal/fleet/quota/desk.go
+++ b/internal/fleet/quota/desk.go
@@ -148,6 +148,7 @@
 	start := func(r *req, charged string) {
 		d.unqueue(r)
 		d.begin(r, charged)
+		d.tidy(r.account)
 		begin = append(begin, r.id)
 	}
 	for _, account := range sorted(d.queued) {
--- a/internal/fleet/quota/division.go
+++ b/internal/fleet/quota/division.go
@@ -26,7 +26,7 @@
 // fill gives each wish its max-min share of whole units, adds it to targets and returns what is left. Units that cannot be
 // parted evenly stay with those that have them, and go by name where nobody does, so that shares move only for a reason.
 // Where there are fewer units than wishes they go round, drawn anew each turn: else some had one for ever and others none.
-func fill(units int, wishes []wish, targets map[string]int, turn int64) (left int) {
+func fill(units int, wishes []wish, targets map[string]int, turn int64) (left int, round bool) {
 	slices.SortFunc(wishes, func(a, b wish) int { return cmp.Or(a.want-b.want, cmp.Compare(a.child, b.child)) })
 	for i, w := range wishes {
 		rest := len(wishes) - i
@@ -48,9 +48,9 @@
 				targets[w.child]++
 			}
 		}
-		return 0
+		return 0, share == 0
 	}
-	return units
+	return units, false
 }
 
 // lot is a child's lot in a turn.
@@ -87,9 +87,12 @@
 		}
 	}
 	a.targets = make(map[string]int, len(need))
-	units = fill(max(units, 0), need, a.targets, l.turn)
+	units, round := fill(max(units, 0), need, a.targets, l.turn)
+	if delete(l.round, name); round {
+		l.round[name] = true
+	}
 	if ahead > 0 {
-		units = fill(units, more, a.targets, 0)
+		units, _ = fill(units, more, a.targets, 0)
 	}
 	if l.options.Spread {
 		more = more[:0]
--- a/internal/fleet/quota/ends.go
+++ b/internal/fleet/quota/ends.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Tick lets time pass: leases lapse, what had begun by them is over, earlier lives of the lender have no say any more.
@@ -17,14 +18,15 @@
 	if now >= l.scan {
 		l.lapse(now)
 	}
+	if now >= l.turns() {
+		l.turn = int64(now-l.born) / int64(l.plan.Turn())
+		for _, name := range sorted(l.round) {
+			l.accounts[name].targets = nil
+			l.settle(now, name)
+		}
+	}
 	if now >= l.settled.Add(l.plan.Retry()) {
 		l.settled = now
-		if turn := int64(now-l.born) / int64(l.plan.Turn()); turn != l.turn {
-			l.turn = turn
-			for name := range l.short {
-				l.accounts[name].targets = nil
-			}
-		}
 		for _, name := range sorted(l.short) {
 			l.settle(now, name)
 		}
@@ -40,12 +42,18 @@
 	if l.lit && l.cover != Never {
 		next = min(next, l.cover.Add(-l.plan.Lease+1))
 	}
+	if len(l.round) > 0 {
+		next = min(next, l.turns())
+	}
 	if len(l.short) > 0 {
 		next = min(next, l.settled.Add(l.plan.Retry()))
 	}
 	return next
 }
 
+// turns is when units go round.
+func (l *Lender) turns() Time { return l.born.Add(time.Duration(l.turn+1) * l.plan.Turn()) }
+
 // grown ends the time in which earlier lives may have lent something unheard of.
 func (l *Lender) grown(now Time) {
 	sum := 0
@@ -164,6 +172,7 @@
 		if a.capacity == 0 && a.counted == 0 && len(a.lines) == 0 && l.legacy(a) == 0 && !l.young {
 			delete(l.accounts, name)
 			delete(l.short, name)
+			delete(l.round, name)
 		}
 	}
 }
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -24,6 +24,7 @@
 	turn     int64           // of units that go round
 	settled  Time            // when those short were looked at last
 	short    map[string]bool // accounts of which some lack units, or more is counted than may be lent
+	round    map[string]bool // accounts whose units go round
 	moved    map[string]bool // accounts whose counts or wants changed, for the region
 	nudge    map[string]bool
 	notes    []Note
@@ -82,7 +83,7 @@
 		return nil, errors.New("quota: a lender's life is 0")
 	}
 	l := &Lender{plan: p, life: life, options: o, born: now, young: !o.Starts, cover: Never, scan: now, settled: now,
-		children: map[string]*child{}, accounts: map[string]*account{}, short: map[string]bool{}, moved: map[string]bool{}, nudge: map[string]bool{}}
+		children: map[string]*child{}, accounts: map[string]*account{}, short: map[string]bool{}, round: map[string]bool{}, moved: map[string]bool{}, nudge: map[string]bool{}}
 	if l.lit = !o.Middle; o.Middle {
 		l.cover = now
 	}
