--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -74,6 +74,7 @@
 	v.done.Go(v.root.run)
 	if v.region != nil {
 		v.region.link = newAsker(q, "", v.region, v.leader)
+		v.region.link.start()
 		v.done.Go(v.region.run)
 	}
 	a.Quotas(v.serve)
@@ -98,11 +99,12 @@
 // leader is where the voter that leads listens, as far as this one knows.
 func (v *votes) leader() string { return v.accord.Address(v.accord.Leader()) }
 
-// decided is the policy decided last, as this voter's log has it; false where there is none, or none that can be read.
-func (v *votes) decided() (version uint64, p policy.Policy, ok bool) {
+// decided is the policy decided last, as this voter's log has it, where it is not the version given; false where it is,
+// and where there is none that can be read.
+func (v *votes) decided(known uint64) (version uint64, p policy.Policy, ok bool) {
 	version, body := v.accord.Decided()
-	if version == 0 {
-		return 0, p, false
+	if version == known || version == 0 {
+		return version, p, false
 	}
 	p, err := policy.Read(body)
 	return version, p, err == nil
@@ -178,7 +180,9 @@
 			l.flooded()
 			return
 		}
-		l.child, l.level = m.Ask.Child, m.Ask.To
+		if l.child == "" {
+			l.child, l.level = m.Ask.Child, m.Ask.To
+		}
 		q.Count.Taken.Add(1)
 		switch {
 		case l.level == "":
