--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -37,7 +37,7 @@
 	}
 	cfg, err := config.Load(os.Getenv)
 	set, err2 := settings.Load(o.settings)
-	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set)); err != nil {
+	if err = errors.Join(err, err2, clash(cfg, set), checkSources(cfg, set), checkBudgets(set), checkAccord(cfg, set), checkQuotas(cfg, set)); err != nil {
 		return faulty{err}
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
@@ -109,6 +109,7 @@
 	sources   *sources       // nil where the director alone is asked
 	budgets   *fleetBudgets  // nil where the settings declare none
 	accord    *accord.Accord // nil where it is off
+	quotas    *fleetQuotas   // nil where the settings declare none
 	http2     *network.HTTP2 // nil where it is off
 	listener2 net.Listener
 }
@@ -177,10 +178,16 @@
 		d.addHandover(from)
 	}
 	d.set = set
+	d.quotas = newFleetQuotas(cfg, set)
 	if err := d.addAccord(set, from); err != nil {
 		d.close()
 		return nil, err
 	}
+	if err := d.addQuotas(set, from); err != nil {
+		d.accord.Close()
+		d.close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -257,6 +264,9 @@
 	if d.sources != nil && d.sources.self != nil {
 		d.sources.self.End()
 	}
+	if d.quotas != nil { // all is answered: what it held is given back
+		d.quotas.kept.Load().Close()
+	}
 	if d.accord != nil {
 		d.accord.Close()
 	}
@@ -307,6 +317,9 @@
 	if d.accord != nil {
 		d.accord.Each(f)
 	}
+	if d.quotas != nil {
+		d.quotas.kept.Load().Each(f)
+	}
 	if d.door != nil {
 		d.door.Count.Each(f)
 		f("banned", int64(len(d.desk.Banned())))
@@ -321,7 +334,7 @@
 func (d *dispatcher) reload(cfg *config.Config, set *settings.Settings, path string) (*config.Config, *settings.Settings) {
 	next, err := config.Load(os.Getenv)
 	nextSet, err2 := settings.Load(path)
-	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet), checkAccord(next, nextSet)); err != nil {
+	if err = errors.Join(err, err2, clash(next, nextSet), checkSources(next, nextSet), checkBudgets(nextSet), checkAccord(next, nextSet), checkQuotas(next, nextSet)); err != nil {
 		d.count.ReloadsBad.Add(1)
 		d.log.Error().Err(err).Msg("not reloaded")
 		return cfg, set
