--- a/cmd/tinsail/ready.go
+++ b/cmd/tinsail/ready.go
@@ -42,9 +42,14 @@
 		from, count = "known", &d.count.ReadyFromKnown
 	}
 	calls, failed := d.count.DirectorCalls.Load(), d.directorFailed()
-	go func() { // the core takes the list a moment later, and the fleet's policy may come later still
+	ended := d.service.Ended()
+	go func() { // the core takes the list a moment later, and the fleet's policy may come later still, or never
 		for d.core.Ready() == 0 || !d.core.Serves() {
-			time.Sleep(service.LookEvery)
+			select {
+			case <-ended:
+				return
+			case <-time.After(service.LookEvery):
+			}
 		}
 		after := time.Since(d.ready.begun)
 		d.count.ReadyMS.Store(max(after.Milliseconds(), 1))
