Clients that send on after their last answer are cut short only where somebody has waited in vain

Now such a client has 100 ms, and the one that has had it longest is closed when a newcomer has waited 20 ms for any seat; before, that newcomer was turned away.

--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -22,7 +22,7 @@
 	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
 	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
 	hereLook   = 200 * time.Microsecond              // for what has come already to be read, where a descriptor is waited for
-	ebbMost    = 15 * time.Millisecond               // for a client that sends on to end, where its descriptor is waited for: within roomWait
+	ebbMost    = 100 * time.Millisecond              // for a client that sends on to end, where its descriptor is wanted and nobody waits for it in vain
 	turnedMost = 2                                   // clients at a time, of both fronts, that there was no descriptor for: within what Share keeps
 	turnedLook = 2 * time.Millisecond                // for what such a one sends to have come
 	turnedWait = 50 * time.Millisecond               // for such a one to read so
@@ -205,7 +205,7 @@
 			return
 		}
 	}
-	s.conn.SetReadDeadline(time.Now().Add(ebbMost))
+	s.clients.table.ebb(&s.seat, time.Now().Add(ebbMost))
 	s.dropUntil(left)
 }
 
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -112,7 +112,7 @@
 const excessMost = 16
 
 // lingerRoom is how many sessions beyond the budget there may be before those that linger go for whoever comes: the rest of
-// excessMost is for newcomers while they go, so that a crowd that never goes by itself keeps nobody waiting.
+// excessMost is for newcomers while they go, so that a crowd of them is gone together and not one after the other.
 const lingerRoom = excessMost / 2
 
 // Serve accepts eagerly until the listener is closed: a req counts as taken as soon as the
@@ -159,7 +159,9 @@
 	c.Count.ClientSessions.Add(1)
 	most := c.most()
 	n, all, shed := c.table.enter(s, most)
-	if all > most+excessMost && !c.table.waitBelow(most+excessMost, roomWait) {
+	room = all <= most+excessMost || c.table.waitBelow(most+excessMost, roomWait) ||
+		c.table.cutEbb() && c.table.waitBelow(most+excessMost, roomWait)
+	if !room {
 		c.Count.SessionsRefused.Add(1)
 		return true, false
 	}
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -47,6 +47,7 @@
 	owed  bool      // reqs of it are whole, and the last answer to them is not written yet
 	ahead bool      // bytes have come behind that req
 	stays bool      // it lingers
+	ebbs  bool      // ... though its descriptor is wanted: its client's bytes come
 }
 
 // table holds all sessions by rank, and within a rank by since, so that the one to shed is at
@@ -232,6 +233,28 @@
 	}
 }
 
+// ebb lets a session whose descriptor is wanted read on until a time, or until somebody has waited in vain for a descriptor.
+func (t *table) ebb(s *seat, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.ebbs = true
+	s.conn.SetReadDeadline(until)
+}
+
+// cutEbb ends the session that has been reading on so for longest, if there is one.
+func (t *table) cutEbb() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for e := t.rows[leaving].Front(); e != nil; e = e.Next() {
+		if s := e.Value.(*seat); s.ebbs {
+			s.ebbs = false
+			s.conn.SetReadDeadline(time.Now())
+			return true
+		}
+	}
+	return false
+}
+
 // over says whether the session is to end for want of another req.
 func (t *table) over(s *seat) bool {
 	t.mu.Lock()
