Clients turned away without a seat linger in turn; a newcomer waits 50 ms before one that sends on is cut

Clients turned away without a seat were closed 7 ms after they came if two lingered already; now the one that came first gives up its place, at the same pace, so that each has the time of two others more. One that sends on is cut when a newcomer has waited 50 ms in vain, not 20. A req that is half read is known to go on too.

--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -22,10 +22,8 @@
 	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
 	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
 	hereLook   = 200 * time.Microsecond              // for what has come already to be read, where a descriptor is waited for
+	ebbWait    = 30 * time.Millisecond               // for one of those to go, once a newcomer has waited for roomWait
 	ebbMost    = 100 * time.Millisecond              // for a client that sends on to end, where its descriptor is wanted and nobody waits for it in vain
-	turnedMost = 2                                   // clients at a time, of both fronts, that there was no descriptor for: within what Share keeps
-	turnedLook = 2 * time.Millisecond                // for what such a one sends to have come
-	turnedWait = 50 * time.Millisecond               // for such a one to read so
 )
 
 // waste is space for bytes that nobody will read.
@@ -198,7 +196,7 @@
 // now, and what comes of a client that has sent on behind its last req, until that has read the answer and ends too. A
 // close while its bytes come would reset the connection, and the answer with it.
 func (s *session) ebb(left int) {
-	if left == lingerMost && s.in.Ahead() == 0 {
+	if left == lingerMost && !s.in.Partial() {
 		s.conn.SetReadDeadline(time.Now().Add(hereLook))
 		var over bool
 		if left, over = s.dropUntil(left); over || left == lingerMost {
@@ -209,36 +207,6 @@
 	s.dropUntil(left)
 }
 
-// turnAway tells a client that there is no descriptor for it, unread. The close must not reset the connection over what it
-// sent: that is read and dropped. A few are given a while for it, all others some milliseconds, since whoever
-// connects next waits for that.
-func (c *Clients) turnAway(s *session) {
-	gone := func() {
-		s.conn.Close()
-		c.table.leave(&s.seat)
-	}
-	end, ok := s.conn.(interface{ CloseWrite() error })
-	if !ok {
-		s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
-		gone()
-		return
-	}
-	s.drop(turnedLook)
-	s.write(platform.AppendAnswer(nil, 503, shedPause, true, ""))
-	end.CloseWrite()
-	if c.turned.Add(1) > turnedMost {
-		c.turned.Add(-1)
-		s.drop(lastLook)
-		gone()
-		return
-	}
-	go func() {
-		s.drop(turnedWait)
-		gone()
-		c.turned.Add(-1)
-	}()
-}
-
 // drop reads and drops what comes, for a time and up to a bound, until the client's end.
 func (s *session) drop(wait time.Duration) {
 	s.conn.SetReadDeadline(time.Now().Add(wait))
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -44,6 +44,7 @@
 	size   atomic.Pointer[Budget] // by Resize; nil for Most and Usual
 	held   atomic.Int64
 	turned atomic.Int32 // clients of both fronts that were turned away unread, and still linger
+	away   turnedAway
 	table  table
 }
 
@@ -159,15 +160,23 @@
 	c.Count.ClientSessions.Add(1)
 	most := c.most()
 	n, all, shed := c.table.enter(s, most)
-	room = all <= most+excessMost || c.table.waitBelow(most+excessMost, roomWait) ||
-		c.table.cutEbb() && c.table.waitBelow(most+excessMost, roomWait)
-	if !room {
+	if room = all <= most+excessMost || c.waitRoom(most+excessMost); !room {
 		c.Count.SessionsRefused.Add(1)
 		return true, false
 	}
 	return n > most && !shed, true
 }
 
+// waitRoom waits until there are no more than n sessions. Those whose clients' bytes come are given longer to go by themselves;
+// one of them is cut short only where none did.
+func (c *Clients) waitRoom(n int) bool {
+	t := &c.table
+	if t.waitBelow(n, roomWait) {
+		return true
+	}
+	return t.ebbing() != nil && (t.waitBelow(n, ebbWait) || t.cutEbb() && t.waitBelow(n, roomWait))
+}
+
 func (s *session) run() {
 	e := s.serve()
 	if e != core.ClientClosed {
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -241,18 +241,29 @@
 	s.conn.SetReadDeadline(until)
 }
 
-// cutEbb ends the session that has been reading on so for longest, if there is one.
-func (t *table) cutEbb() bool {
+// ebbing is the session that has been reading on so for longest, if there is one.
+func (t *table) ebbing() *seat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for e := t.rows[leaving].Front(); e != nil; e = e.Next() {
 		if s := e.Value.(*seat); s.ebbs {
-			s.ebbs = false
-			s.conn.SetReadDeadline(time.Now())
-			return true
+			return s
 		}
 	}
-	return false
+	return nil
+}
+
+// cutEbb ends it.
+func (t *table) cutEbb() bool {
+	s := t.ebbing()
+	if s == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.ebbs = false
+	s.conn.SetReadDeadline(time.Now())
+	return true
 }
 
 // over says whether the session is to end for want of another req.
