Tests of lingering take the rig's lock for its peers

TestNobodyWaitsForThoseWhoSendOn read the map of peers while the rig's director dialled: a race in the test, found by -race.

--- a/internal/network/linger_crossing_test.go
+++ b/internal/network/linger_crossing_test.go
@@ -22,9 +22,18 @@
 
 // come has a client connect that can be lingered for, and returns its end.
 func (w *world) come(name string) net.Conn {
-	go w.clients.admit(halved{w.pipe(name)})
+	w.mu.Lock() // the dispatcher connects elsewhere meanwhile
+	near := w.pipe(name)
+	w.mu.Unlock()
+	go w.clients.admit(halved{near})
 	synctest.Wait()
-	return w.peers[name].conn
+	return w.peer(name).conn
+}
+
+func (w *world) peer(name string) *peer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peers[name]
 }
 
 // says has a client send what must be read.
@@ -37,7 +46,7 @@
 
 // lives says whether a client's connection is still read.
 func (w *world) lives(name string) bool {
-	p := w.peers[name]
+	p := w.peer(name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !p.over
@@ -188,7 +197,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			}()
-			for p, answered := w.peers[fmt.Sprint("hostile", i)], false; !answered; {
+			for p, answered := w.peer(fmt.Sprint("hostile", i)), false; !answered; {
 				time.Sleep(time.Millisecond)
 				synctest.Wait()
 				p.mu.Lock()
@@ -215,8 +224,7 @@
 		const each = turnedLook + lastLook
 		begun := time.Now()
 		for i := range 8 {
-			name := fmt.Sprint("away", i)
-			go w.clients.admit(halved{w.pipe(name)})
+			w.come(fmt.Sprint("away", i))
 			time.Sleep(each + time.Millisecond) // whoever connects next has waited so long at most
 			synctest.Wait()
 			lives := 0
@@ -224,7 +232,7 @@
 				if w.lives(fmt.Sprint("away", k)) {
 					lives++
 					assert.Less(t, i-k, turnedMost, "the first that came goes first")
-					_, err := w.peers[fmt.Sprint("away", k)].conn.Write([]byte("x"))
+					_, err := w.peer(fmt.Sprint("away", k)).conn.Write([]byte("x"))
 					assert.NoError(t, err)
 				}
 			}
