--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -191,12 +191,9 @@
 	defer t.mu.Unlock()
 	s.used, s.job, s.since = true, s.job || job, time.Now()
 	closing = closing || s.shed && !s.ahead
-	switch {
-	case s.ahead && !closing: // it is not idle for an instant: who connects then would have its descriptor
-		t.move(s, working)
-	case s.job:
+	if s.job {
 		t.move(s, resting)
-	default:
+	} else {
 		t.move(s, asked)
 	}
 	if closing || wake || s.ahead {
