--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -44,6 +44,7 @@
 	size   atomic.Pointer[Budget] // by Resize; nil for Most and Usual
 	held   atomic.Int64
 	turned atomic.Int32 // clients of both fronts that were turned away unread, and still linger
+	away   turnedAway
 	table  table
 }
 
@@ -112,7 +113,7 @@
 const excessMost = 16
 
 // lingerRoom is how many sessions beyond the budget there may be before those that linger go for whoever comes: the rest of
-// excessMost is for newcomers while they go, so that a crowd that never goes by itself keeps nobody waiting.
+// excessMost is for newcomers while they go, so that a crowd of them is gone together and not one after the other.
 const lingerRoom = excessMost / 2
 
 // Serve accepts eagerly until the listener is closed: a req counts as taken as soon as the
@@ -159,13 +160,23 @@
 	c.Count.ClientSessions.Add(1)
 	most := c.most()
 	n, all, shed := c.table.enter(s, most)
-	if all > most+excessMost && !c.table.waitBelow(most+excessMost, roomWait) {
+	if room = all <= most+excessMost || c.waitRoom(most+excessMost); !room {
 		c.Count.SessionsRefused.Add(1)
 		return true, false
 	}
 	return n > most && !shed, true
 }
 
+// waitRoom waits until there are no more than n sessions. Those whose clients' bytes come are given longer to go by themselves;
+// one of them is cut short only where none did.
+func (c *Clients) waitRoom(n int) bool {
+	t := &c.table
+	if t.waitBelow(n, roomWait) {
+		return true
+	}
+	return t.ebbing() != nil && (t.waitBelow(n, ebbWait) || t.cutEbb() && t.waitBelow(n, roomWait))
+}
+
 func (s *session) run() {
 	e := s.serve()
 	if e != core.ClientClosed {
