--- a/cmd/tinsail/quota_rig_test.go
+++ b/cmd/tinsail/quota_rig_test.go
@@ -201,9 +201,19 @@
 
 // rule sets the rule of the links between a region and all others.
 func (f *lentFleet) rule(region int, rule faultnet.Rule) {
+	f.links(rule, func(from, to int) bool { return (from == region) != (to == region) })
+}
+
+// between sets the rule of the links between two regions.
+func (f *lentFleet) between(a, b int, rule faultnet.Rule) {
+	f.links(rule, func(from, to int) bool { return from == a && to == b || from == b && to == a })
+}
+
+// links sets the rule of the links from processes of one region to the voter of another, of which which says so.
+func (f *lentFleet) links(rule faultnet.Rule, which func(from, to int) bool) {
 	for i, all := range f.relays {
 		for v, r := range all {
-			if (i%3 == region) == (v == region) {
+			if !which(i%3, v) {
 				continue
 			}
 			r.Set(rule)
--- a/cmd/tinsail/quota_test.go
+++ b/cmd/tinsail/quota_test.go
@@ -82,6 +82,21 @@
 		f.start(at)
 		f.start(i)
 	}},
+	{"two regions cut from each other", func(f *lentFleet, i int) { // both reach the third
+		a, b := i%3, (i+1)%3
+		f.between(a, b, faultnet.Rule{Blackhole: true})
+		f.more(30, f.of(a)...)
+		f.more(30, f.of(b)...)
+		f.between(a, b, faultnet.Pass)
+	}},
+	{"all voters killed", func(f *lentFleet, _ int) {
+		for v := range 3 {
+			f.kill(v)
+		}
+		for v := range 3 {
+			f.start(v)
+		}
+	}},
 	{"the leader killed", func(f *lentFleet, i int) {
 		at := f.leader()
 		f.kill(at)
--- a/internal/network/fleet/quota/quota_test.go
+++ b/internal/network/fleet/quota/quota_test.go
@@ -90,6 +90,39 @@
 	r.neverOver()
 }
 
+// TestTeamMoves: all reqs of a team come to one dispatcher, then all to another of another region: each time it has the
+// whole quota, and what the first does not want any more is called back.
+func TestTeamMoves(t *testing.T) {
+	r := newRig(t, 6, 4*time.Second, `{"run_ms":300,"quotas":{"a":6}}`)
+	a := r.team("a")
+	a.cap.Store(6)
+	r.inForce(1)
+	for _, at := range []int{3, 4, 0} {
+		var leaves []func()
+		for range 6 {
+			said := make(chan bool, 1)
+			leaves = append(leaves, r.member(at).quota.Take("a", false, time.Now().Add(20*time.Second), func(_ time.Time, _ time.Duration, ok bool) {
+				if ok {
+					a.begin()
+				}
+				said <- ok
+			}))
+			require.True(t, <-said, "dispatcher %d", at)
+		}
+		for _, leave := range leaves {
+			a.now.Add(-1)
+			leave()
+		}
+	}
+	called := int64(0)
+	for _, m := range r.members(every) {
+		called += m.quota.Count.Nudged.Load()
+	}
+	assert.Positive(t, called)
+	assert.True(t, r.log.has(`"message":"quota: called back"`))
+	r.neverOver()
+}
+
 // TestUrgent: a team's quota is in use by reqs that do not end; an urgent req of it begins by the reserve of its region,
 // and a second is held.
 func TestUrgent(t *testing.T) {
