--- a/cmd/tinsail/quota_rig_test.go
+++ b/cmd/tinsail/quota_rig_test.go
@@ -209,6 +209,14 @@
 	f.links(rule, func(from, to int) bool { return from == a && to == b || from == b && to == a })
 }
 
+// lone sets the rule of the links of one dispatcher, and ends those that are there.
+func (f *lentFleet) lone(i int, rule faultnet.Rule) {
+	for _, r := range f.relays[i] {
+		r.Set(rule)
+		r.Reset()
+	}
+}
+
 // links sets the rule of the links from processes of one region to the voter of another, of which which says so.
 func (f *lentFleet) links(rule faultnet.Rule, which func(from, to int) bool) {
 	for i, all := range f.relays {
--- a/cmd/tinsail/quota_test.go
+++ b/cmd/tinsail/quota_test.go
@@ -69,6 +69,13 @@
 		f.wake(i)
 		f.more(10, named(i))
 	}},
+	{"a dispatcher without links", func(f *lentFleet, i int) { // what it held is lent to others once its lease and run are over
+		f.lone(i, faultnet.Rule{Refuse: true})
+		time.Sleep(quotaLease + quotaRun)
+		f.more(200, "press")
+		f.lone(i, faultnet.Pass)
+		f.more(10, named(i))
+	}},
 	{"a lender stopped", func(f *lentFleet, i int) {
 		at := (f.leader() + 1 + i%2) % 3
 		f.pause(at)
@@ -121,7 +128,7 @@
 	}
 	f := startQuotaHistory(t, 9)
 	for i, fault := range quotaFaults {
-		fault.play(f, 3+i%6)
+		fault.play(f, 3+i%(f.n-3))
 		f.whole("after "+fault.what, rigPress)
 	}
 	f.lower()
