--- a/internal/fleet/quota/division.go
+++ b/internal/fleet/quota/division.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/binary"
 	"hash/fnv"
-	"maps"
 	"slices"
 )
 
@@ -120,15 +119,14 @@
 	return units < t
 }
 
-// lacking are the children that have too little of an account, in order.
-func (l *Lender) lacking(a *account, targets map[string]int) (out []string) {
+// lacking says whether a child other than one has too little of an account.
+func (l *Lender) lacking(a *account, targets map[string]int, except string) bool {
 	for child := range targets {
-		if l.lacks(a, child, targets) {
-			out = append(out, child)
+		if child != except && l.lacks(a, child, targets) {
+			return true
 		}
 	}
-	slices.Sort(out)
-	return out
+	return false
 }
 
 // named are the accounts that an answer to a child is about, in order: those that it has, and all where the lender
@@ -169,7 +167,7 @@
 	a := l.account(name)
 	targets := l.targets(now, name, a)
 	t := targets[c.name]
-	if l.options.Spread && t < ln.Held && !slices.ContainsFunc(l.lacking(a, targets), func(child string) bool { return child != c.name }) {
+	if l.options.Spread && t < ln.Held && !l.lacking(a, targets, c.name) {
 		t = ln.Held // nobody needs it
 	}
 	room := l.able(now, name, a) - l.legacy(a) - (a.counted - ln.count())
@@ -188,19 +186,35 @@
 	}
 	able := l.able(now, name, a)
 	targets := l.targets(now, name, a)
-	lacking := l.lacking(a, targets)
 	free := able - l.legacy(a) - a.counted
-	if len(lacking) == 0 && free >= 0 {
+	short := l.lacking(a, targets, "")
+	if !short && free >= 0 {
 		delete(l.short, name)
 		return
 	}
 	l.short[name] = true
-	for _, child := range slices.Sorted(maps.Keys(a.lines)) {
-		if over := a.lines[child].units - targets[child]; over > 0 && l.call(now, child) {
-			l.note("called back", name, child, over)
+	var over, under []string
+	for child, ln := range a.lines {
+		if ln.units > targets[child] {
+			over = append(over, child)
+		}
+	}
+	slices.Sort(over)
+	for _, child := range over {
+		if l.call(now, child) {
+			l.note("called back", name, child, a.lines[child].units-targets[child])
+		}
+	}
+	if free <= 0 {
+		return
+	}
+	for child := range targets {
+		if l.lacks(a, child, targets) {
+			under = append(under, child)
 		}
 	}
-	for _, child := range lacking {
+	slices.Sort(under)
+	for _, child := range under {
 		if free <= 0 {
 			break
 		}
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -65,6 +65,7 @@
 type account struct {
 	capacity int
 	counted  int              // of lines and past lives
+	want     int              // of lines
 	past     int              // of past lives alone
 	base     int              // what earlier lives may have lent at most, while young
 	first    int              // of it, what children reported
@@ -193,8 +194,9 @@
 func (l *Lender) Want(account string) (used, want int) {
 	if a := l.accounts[account]; a != nil {
 		for _, n := range a.lines {
-			used, want = used+n.Used, want+n.Want
+			used += n.Used
 		}
+		want = a.want
 	}
 	return used, want
 }
--- a/internal/fleet/quota/oracle_test.go
+++ b/internal/fleet/quota/oracle_test.go
@@ -14,7 +14,7 @@
 	urgent  map[string]int // of the reserve, by region
 	history map[string][]decided
 	reserve []decided
-	most    map[string]int
+	begun   map[string]int // reqs, by account and by region
 	bad     error
 }
 
@@ -25,7 +25,7 @@
 }
 
 func newOracle(w *world) *oracle {
-	o := &oracle{w: w, running: map[string]int{}, all: map[string]int{}, urgent: map[string]int{}, history: map[string][]decided{}, most: map[string]int{}}
+	o := &oracle{w: w, running: map[string]int{}, all: map[string]int{}, urgent: map[string]int{}, history: map[string][]decided{}, begun: map[string]int{}}
 	o.reserve = []decided{{0, w.reserve}}
 	return o
 }
@@ -73,6 +73,8 @@
 
 func (o *oracle) begin(account, charged, region string) {
 	o.all[account]++
+	o.begun[account]++
+	o.begun[region]++
 	if charged == Urgent {
 		o.urgent[region]++
 		if most := largest(o.reserve, o.w.now, o.runs()); o.urgent[region] > most {
@@ -88,7 +90,6 @@
 		o.fail("a req of %q begins beside %d, and the quota is %d", account, o.running[account], most)
 	}
 	o.running[account]++
-	o.most[account] = max(o.most[account], o.running[account])
 }
 
 func (o *oracle) end(account, charged, region string) {
--- a/internal/fleet/quota/play_test.go
+++ b/internal/fleet/quota/play_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"flag"
 	"maps"
 	"os"
@@ -204,9 +205,10 @@
 
 // crowd has more reqs wait at each dispatcher than any quota has units.
 func (w *world) crowd() {
+	accounts := slices.Sorted(maps.Keys(w.quotas))
 	for _, n := range w.disps {
-		for _, a := range []string{"a", "b"} {
-			for range w.quotas[a] + 2 - n.waiting[a] {
+		for _, a := range accounts {
+			for range cmp.Or(w.deep, w.quotas[a]+2) - n.waiting[a] {
 				w.take(n, a, false, 0)
 			}
 		}
--- a/internal/fleet/quota/region.go
+++ b/internal/fleet/quota/region.go
@@ -60,9 +60,8 @@
 		if a == nil {
 			r.holder.Need(name, 0, 0)
 		} else if name != Urgent {
-			_, want := r.lender.Want(name)
 			legacy := r.lender.legacy(a)
-			r.holder.Need(name, a.counted+legacy, want+a.past+legacy)
+			r.holder.Need(name, a.counted+legacy, a.want+a.past+legacy)
 		}
 	}
 }
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -22,7 +22,11 @@
 		return out, true
 	}
 	c = l.hear(now, c, a)
-	touched := l.said(c, a)
+	before := make(map[string]line, len(c.lines))
+	for name, ln := range c.lines {
+		before[name] = *ln
+	}
+	l.said(c, a)
 	l.report(now, c, a)
 	lends := l.covered(now) || now >= l.born.Add(l.plan.Quiet())
 	if lends {
@@ -32,10 +36,26 @@
 			out.Shares = l.grant(now, c, l.named(c))
 		}
 	}
-	for _, name := range append(touched, l.named(c)...) {
+	l.follow(now, c, before)
+	return out, lends
+}
+
+// follow settles the accounts of which an ask or its answer changed something, and those of which the child lacks some.
+func (l *Lender) follow(now Time, c *child, before map[string]line) {
+	for _, name := range l.named(c) {
+		is := line{}
+		if ln := c.lines[name]; ln != nil {
+			is = *ln
+		}
+		a := l.accounts[name]
+		if is != before[name] || l.lacks(a, c.name, l.targets(now, name, a)) {
+			l.settle(now, name)
+		}
+		delete(before, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(before)) { // nothing is left of
 		l.settle(now, name)
 	}
-	return out, lends
 }
 
 // fits says whether an ask keeps to the limits and comes from a child that there is.
@@ -129,6 +149,7 @@
 	}
 	l.moved[name] = true
 	a.counted -= old.count()
+	a.want += n.Want - old.Want
 	*old = n
 	a.counted += old.count()
 	if n == (line{Line: Line{Account: name}}) {
@@ -138,19 +159,14 @@
 }
 
 // said takes an ask's lines. What was answered before counts no more: the child believed it, and says so, or never will.
-func (l *Lender) said(c *child, a Ask) (touched []string) {
+func (l *Lender) said(c *child, a Ask) {
 	next := map[string]Line{}
 	for name, ln := range c.lines {
-		if touched = append(touched, name); !a.All {
-			next[name] = ln.Line
-		} else {
+		if next[name] = ln.Line; a.All {
 			next[name] = Line{}
 		}
 	}
 	for _, n := range a.Lines {
-		if c.lines[n.Account] == nil {
-			touched = append(touched, n.Account)
-		}
 		next[n.Account] = n
 	}
 	for name, n := range next {
@@ -160,8 +176,6 @@
 		}
 		l.set(c, name, ln)
 	}
-	slices.Sort(touched)
-	return touched
 }
 
 // report counts what a child says first as found of what earlier lives lent. A fresh child whose earlier lives are not
--- a/internal/fleet/quota/world_test.go
+++ b/internal/fleet/quota/world_test.go
@@ -30,6 +30,7 @@
 	trips   map[string]int
 	verbose func(string, ...any)
 	used    float64 // the least part of a quota in use after the faults
+	deep    int     // reqs that wait of an account where it is crowded; 0: two more than its quota
 	crowded bool    // more reqs than units wait everywhere, and all run as long as they may
 }
 
@@ -226,10 +227,18 @@
 	n.d.SetQuotas(n.at(w.now), w.accounts())
 }
 
+// kind is d for a dispatcher, r for a region and R for the root.
+func kind(node string) string {
+	if node == "root" {
+		return "R"
+	}
+	return node[:1]
+}
+
 // post sends something that happens at the far end.
 func (w *world) post(from, to string, most time.Duration, do func()) {
 	w.sent++
-	w.trips[from[:1]+to[:1]]++
+	w.trips[kind(from)+kind(to)]++
 	s := w.setup
 	if !s.steady && w.rnd.Float64() < s.loses {
 		return
