--- a/internal/fleet/quota/hard_test.go
+++ b/internal/fleet/quota/hard_test.go
@@ -238,3 +238,25 @@
 	took := w.until(t, urgentWithin, "all 30 urgent ones begin", func() bool { return w.disps[298].runs("a") == 30 })
 	t.Logf("30 units held by another region and not used: called back in %v, messages %v", took, w.trips)
 }
+
+// TestGoingRound: four units over thirty dispatchers that all want them go round, and are in use nearly all the time.
+func TestGoingRound(t *testing.T) {
+	w := fleet(t, 30, map[string]int{"a": 4}, 0)
+	w.crowded = true
+	w.pass(t, 5*time.Second)
+	had := map[string]bool{}
+	sum, samples := 0, 0
+	for range 10 * 60 * 5 {
+		w.pass(t, 200*time.Millisecond)
+		sum, samples = sum+w.truth.running["a"], samples+1
+		for _, n := range w.disps {
+			had[n.name] = had[n.name] || n.runs("a") > 0
+		}
+	}
+	use := float64(sum) / float64(4*samples)
+	t.Logf("%d of 30 dispatchers had a unit in ten minutes; %.3f in use", len(had), use)
+	assert.GreaterOrEqual(t, use, 0.95)
+	for _, n := range w.disps {
+		assert.True(t, had[n.name], n.name)
+	}
+}
