--- a/internal/fleet/quota/ends.go
+++ b/internal/fleet/quota/ends.go
@@ -59,7 +59,7 @@
 	sum := 0
 	for name, a := range l.accounts {
 		sum += l.legacy(a)
-		l.moved[name] = true
+		l.touch(name)
 	}
 	l.young, l.scan = false, now
 	for _, c := range l.children {
@@ -133,7 +133,7 @@
 	for account, u := range p.units {
 		a := l.account(account)
 		a.counted, a.past, a.targets = a.counted+u, a.past+u, nil
-		l.moved[account] = true
+		l.touch(account)
 		sum += u
 	}
 	if sum == 0 {
@@ -161,7 +161,7 @@
 	for account, u := range l.past[i].units {
 		a := l.account(account)
 		a.counted, a.past, a.targets = a.counted-u, a.past-u, nil
-		l.moved[account] = true
+		l.touch(account)
 	}
 	l.past = slices.Delete(l.past, i, i+1)
 }
--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -190,7 +190,9 @@
 		h.fresh, h.all, h.asap, h.inherited = false, true, true, a.Shares
 		return
 	}
-	h.until = h.sent.Add(h.plan.Usable())
+	counted := h.plan
+	counted.Lease = max(min(counted.Lease, a.Lease), 0)
+	h.until = h.sent.Add(counted.Usable())
 	h.all = h.fresh
 	for account := range h.stale {
 		if k := h.at[account]; k.told == (Line{account, k.units, k.used, k.want}) {
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -115,7 +115,7 @@
 func (l *Lender) inherit(name string, units int) {
 	if a := l.account(name); l.young && units > a.base {
 		a.base, a.targets = units, nil
-		l.moved[name] = true
+		l.touch(name)
 	}
 }
 
@@ -224,4 +224,11 @@
 	}
 }
 
+// touch notes for the region that an account's count or wants changed.
+func (l *Lender) touch(name string) {
+	if l.options.Middle {
+		l.moved[name] = true
+	}
+}
+
 func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/internal/fleet/quota/lives_test.go
+++ b/internal/fleet/quota/lives_test.go
@@ -25,6 +25,20 @@
 	assert.Zero(t, h.Units(d, "team"))
 }
 
+// TestLeasesDiffer: while some go by settings with another lease, no holder begins by a longer one than its lender counts.
+func TestLeasesDiffer(t *testing.T) {
+	longer := shortPlan
+	longer.Lease *= 4
+	for _, p := range []Plan{shortPlan, longer} {
+		x := newPair(t, shortPlan, Options{Starts: true})
+		x.join(p, "a", 1)
+		x.l.Capacity(0, "team", 5)
+		x.all["a"].Need("team", 0, 1)
+		x.turn(0)
+		assert.Equal(t, Time(shortPlan.Usable()), x.all["a"].Until())
+	}
+}
+
 // TestAskOfAnEarlierLife: an ask that was sent before a life of the lender began tells that life nothing: the child may
 // have given away since what it says it holds.
 func TestAskOfAnEarlierLife(t *testing.T) {
@@ -160,7 +174,7 @@
 	r.holder.lender = 9
 	a, due := r.Due(0)
 	require.True(t, due)
-	r.Answered(0, Answer{Child: "east", Epoch: 1, Seq: a.Seq, Lender: 9, Shares: []Share{{"team", 2}}})
+	r.Answered(0, Answer{Child: "east", Epoch: 1, Seq: a.Seq, Lender: 9, Lease: longPlan.Lease, Shares: []Share{{"team", 2}}})
 	now := second
 	turn(now)
 	assert.Equal(t, 2, h.Units(now, "team"))
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -121,11 +121,12 @@
 // first that may be given something to begin by.
 type Answer struct {
 	Child      string
-	Epoch, Seq uint64  // of the ask
-	Lender     uint64  // the lender's life
-	Again      bool    // nothing is granted: ask again, with all lines, for this life of the lender
-	Unsure     bool    // to a fresh ask: what earlier lives of the child lent is not known here, so go on saying Fresh
-	Shares     []Share // of the accounts whose units differ from the Held told
+	Epoch, Seq uint64        // of the ask
+	Lender     uint64        // the lender's life
+	Lease      time.Duration // that the lender counts: a holder whose plan has a longer one goes by this
+	Again      bool          // nothing is granted: ask again, with all lines, for this life of the lender
+	Unsure     bool          // to a fresh ask: what earlier lives of the child lent is not known here, so go on saying Fresh
+	Shares     []Share       // of the accounts whose units differ from the Held told
 }
 
 // Note is one step, for the log of the process that took it.
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -16,7 +16,7 @@
 	if c != nil && (a.Epoch < c.epoch || a.Epoch == c.epoch && a.Seq <= c.seq) {
 		return Answer{}, false // late, or twice
 	}
-	out := Answer{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: l.life}
+	out := Answer{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: l.life, Lease: l.plan.Lease}
 	if a.Lender != l.life || !a.All && (c == nil || c.epoch != a.Epoch || c.lapsed) {
 		out.Again = true
 		return out, true
@@ -147,7 +147,7 @@
 	if n.Account = name; n.Want != old.Want || n.floor != old.floor || c.unsure {
 		a.targets = nil
 	}
-	l.moved[name] = true
+	l.touch(name)
 	a.counted -= old.count()
 	a.want += n.Want - old.Want
 	*old = n
@@ -191,7 +191,7 @@
 			if more := max(ln.Held, ln.Used) - c.first[name]; more > 0 {
 				acc := l.account(name)
 				acc.first, acc.targets = acc.first+more, nil
-				l.moved[name] = true
+				l.touch(name)
 				c.first[name] += more
 			}
 		}
--- a/internal/fleet/quota/wire/wire.go
+++ b/internal/fleet/quota/wire/wire.go
@@ -8,8 +8,10 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -109,6 +111,7 @@
 	Epoch  uint64 `msgpack:"epoch"`
 	Seq    uint64 `msgpack:"seq"`
 	Lender uint64 `msgpack:"lender"`
+	Lease  uint32 `msgpack:"l"` // ms
 	Again  bool   `msgpack:"again"`
 	Unsure bool   `msgpack:"unsure"`
 	Shares shares `msgpack:"shares"`
@@ -147,7 +150,7 @@
 
 // WriteAnswer is the bytes of an answer, its shares in the order of accounts.
 func WriteAnswer(a Answer) []byte {
-	out := answer{Format, kindAnswer, a.From, a.Child, a.Epoch, a.Seq, a.Lender, a.Again, a.Unsure, make(shares, 0, len(a.Shares))}
+	out := answer{Format, kindAnswer, a.From, a.Child, a.Epoch, a.Seq, a.Lender, uint32(min(max(a.Lease.Milliseconds(), 0), math.MaxUint32)), a.Again, a.Unsure, make(shares, 0, len(a.Shares))}
 	for _, s := range a.Shares {
 		out.Shares = append(out.Shares, share{s.Account, units(s.Units)})
 	}
@@ -234,7 +237,8 @@
 	if err := common(a.From, a.Child, len(a.Shares), func(i int) string { return a.Shares[i].Account }); err != nil {
 		return nil, err
 	}
-	out := &Answer{a.From, quota.Answer{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: a.Lender, Again: a.Again, Unsure: a.Unsure}}
+	out := &Answer{a.From, quota.Answer{Lease: time.Duration(a.Lease) * time.Millisecond,
+		Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: a.Lender, Again: a.Again, Unsure: a.Unsure}}
 	for _, s := range a.Shares {
 		if s.Units > quota.MaxUnits {
 			return nil, fmt.Errorf("%w: an answer has more than %d units", ErrMessage, quota.MaxUnits)
--- a/internal/fleet/quota/wire/wire_test.go
+++ b/internal/fleet/quota/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -17,7 +18,7 @@
 var (
 	anAsk = Ask{"east", quota.Ask{Child: "n3", Epoch: 7 << 60, Seq: 2, Lender: 9, All: true, Fresh: true,
 		Lines: []quota.Line{{Account: "", Held: 1, Used: 2, Want: 3}, {Account: "team1", Held: 300, Used: 70_000, Want: quota.MaxUnits}}}}
-	anAnswer = Answer{"", quota.Answer{Child: "east", Epoch: 7, Seq: 2, Lender: 3, Again: true, Unsure: true,
+	anAnswer = Answer{"", quota.Answer{Child: "east", Epoch: 7, Seq: 2, Lender: 3, Lease: 600 * time.Second, Again: true, Unsure: true,
 		Shares: []quota.Share{{Account: "team1", Units: 5}, {Account: "team2", Units: 0}}}}
 	aNudge  = "east"
 	anAway  = Away{"", "v2"}
--- a/internal/network/fleet/quota/cost_test.go
+++ b/internal/network/fleet/quota/cost_test.go
@@ -23,7 +23,7 @@
 	require.NoError(t, err)
 	t.Cleanup(q.Close)
 	p := policy.Policy{Quotas: map[string]int{}}
-	a := quota.Answer{Child: "n0", Epoch: 1 << 60, Lender: 1 << 60}
+	a := quota.Answer{Child: "n0", Epoch: 1 << 60, Lender: 1 << 60, Lease: 3 * time.Second}
 	for i := range accounts {
 		name := fmt.Sprintf("team%03d", i)
 		p.Quotas[name] = units
@@ -48,13 +48,13 @@
 	require.True(t, ok)
 	assert.Len(t, ask.Lines, 310)
 	first := len(frames.Frame(wire.WriteAsk(wire.Ask{To: "east", Ask: ask})))
-	q.desk.heard(wire.Message{Answer: &wire.Answer{From: "east", Answer: quota.Answer{Child: "n0", Epoch: 1 << 60, Seq: ask.Seq, Lender: 1 << 60}}})
+	q.desk.heard(wire.Message{Answer: &wire.Answer{From: "east", Answer: quota.Answer{Child: "n0", Epoch: 1 << 60, Seq: ask.Seq, Lender: 1 << 60, Lease: 3 * time.Second}}})
 	q.desk.linked()
 	ask, ok = q.desk.due()
 	require.True(t, ok)
 	assert.Empty(t, ask.Lines)
 	quiet := len(frames.Frame(wire.WriteAsk(wire.Ask{To: "east", Ask: ask})))
-	answer := len(frames.Frame(wire.WriteAnswer(wire.Answer{From: "east", Answer: quota.Answer{Child: "n0", Epoch: 1 << 60, Seq: ask.Seq, Lender: 1 << 60}})))
+	answer := len(frames.Frame(wire.WriteAnswer(wire.Answer{From: "east", Answer: quota.Answer{Child: "n0", Epoch: 1 << 60, Seq: ask.Seq, Lender: 1 << 60, Lease: 3 * time.Second}})))
 	t.Logf("an ask %d bytes, its answer %d; an ask with 310 lines %d", quiet, answer, first)
 	assert.LessOrEqual(t, quiet+answer, 200)
 	assert.LessOrEqual(t, first, 310*30+100)
