--- a/internal/fleet/quota/division.go
+++ b/internal/fleet/quota/division.go
@@ -129,35 +129,35 @@
 	return false
 }
 
-// named are the accounts that an answer to a child is about, in order: those that it has, and all where the lender
-// spreads.
-func (l *Lender) named(c *child) []string {
-	names := make(map[string]bool, len(c.lines))
+// grant decides what a child may begin by of each account that it has, and of all where the lender spreads, and names
+// what differs from what it said that it holds.
+func (l *Lender) grant(now Time, c *child) (out []Share) {
+	names := make([]string, 0, len(c.lines))
 	for name := range c.lines {
-		names[name] = true
+		names = append(names, name)
 	}
 	if l.options.Spread {
 		for name, a := range l.accounts {
-			if a.capacity > 0 {
-				names[name] = true
+			if a.capacity > 0 && c.lines[name] == nil {
+				names = append(names, name)
 			}
 		}
 	}
-	return sorted(names)
-}
-
-// grant decides what a child may begin by of each account, and names what differs from what it said that it holds.
-func (l *Lender) grant(now Time, c *child, names []string) (out []Share) {
 	for _, name := range names {
 		var ln line
 		if old := c.lines[name]; old != nil {
 			ln = *old
 		}
-		ln.units = l.allowed(now, name, c, ln)
-		if l.set(c, name, ln); ln.units != ln.Held {
-			out = append(out, Share{name, ln.units})
+		units := l.allowed(now, name, c, ln)
+		if units != ln.units {
+			ln.units = units
+			l.set(c, name, ln)
+		}
+		if units != ln.Held {
+			out = append(out, Share{name, units})
 		}
 	}
+	slices.SortFunc(out, func(a, b Share) int { return cmp.Compare(a.Account, b.Account) })
 	return out
 }
 
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -27,6 +27,7 @@
 	round    map[string]bool // accounts whose units go round
 	moved    map[string]bool // accounts whose counts or wants changed, for the region
 	nudge    map[string]bool
+	before   map[*account]line // while an ask is taken: the asker's lines that it changes, as they were
 	notes    []Note
 }
 
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -21,11 +21,9 @@
 		out.Again = true
 		return out, true
 	}
+	joins := c == nil || c.epoch != a.Epoch
+	l.before = map[*account]line{}
 	c = l.hear(now, c, a)
-	before := make(map[string]line, len(c.lines))
-	for name, ln := range c.lines {
-		before[name] = *ln
-	}
 	l.said(c, a)
 	l.report(now, c, a)
 	lends := l.covered(now) || now >= l.born.Add(l.plan.Quiet())
@@ -33,27 +31,32 @@
 		if out.Unsure = c.unsure; a.Fresh && !c.unsure {
 			out.Shares = c.running()
 		} else {
-			out.Shares = l.grant(now, c, l.named(c))
+			out.Shares = l.grant(now, c)
 		}
 	}
-	l.follow(now, c, before)
+	l.follow(now, c, joins)
 	return out, lends
 }
 
-// follow settles the accounts of which an ask or its answer changed something, and those of which the child lacks some.
-func (l *Lender) follow(now Time, c *child, before map[string]line) {
-	for _, name := range l.named(c) {
+// follow settles the accounts of which an ask or its answer changed something.
+func (l *Lender) follow(now Time, c *child, joins bool) {
+	before := l.before
+	if l.before = nil; joins && l.options.Spread { // it has a part in each
+		l.resettle(now)
+		return
+	}
+	var names []string
+	for a, was := range before {
 		is := line{}
-		if ln := c.lines[name]; ln != nil {
+		if ln := a.lines[c.name]; ln != nil {
 			is = *ln
 		}
-		a := l.accounts[name]
-		if is != before[name] || l.lacks(a, c.name, l.targets(now, name, a)) {
-			l.settle(now, name)
+		if is != was {
+			names = append(names, was.Account)
 		}
-		delete(before, name)
 	}
-	for _, name := range slices.Sorted(maps.Keys(before)) { // nothing is left of
+	slices.Sort(names)
+	for _, name := range names {
 		l.settle(now, name)
 	}
 }
@@ -147,7 +150,11 @@
 	if n.Account = name; n.Want != old.Want || n.floor != old.floor || c.unsure {
 		a.targets = nil
 	}
-	l.touch(name)
+	if l.touch(name); l.before != nil {
+		if _, noted := l.before[a]; !noted {
+			l.before[a] = line{Line: Line{Account: name, Held: old.Held, Used: old.Used, Want: old.Want}, units: old.units, floor: old.floor}
+		}
+	}
 	a.counted -= old.count()
 	a.want += n.Want - old.Want
 	*old = n
@@ -160,24 +167,30 @@
 
 // said takes an ask's lines. What was answered before counts no more: the child believed it, and says so, or never will.
 func (l *Lender) said(c *child, a Ask) {
-	next := map[string]Line{}
-	for name, ln := range c.lines {
-		if next[name] = ln.Line; a.All {
-			next[name] = Line{}
-		}
-	}
+	said := make(map[string]bool, len(a.Lines))
 	for _, n := range a.Lines {
-		next[n.Account] = n
+		said[n.Account] = true
+		l.set(c, n.Account, line{Line: n, floor: c.floor(n.Account, a.Fresh)})
 	}
-	for name, n := range next {
-		ln := line{Line: n}
-		if old := c.lines[name]; old != nil && a.Fresh {
-			ln.floor = old.floor
+	for name, ln := range c.lines {
+		switch floor := c.floor(name, a.Fresh); {
+		case said[name]:
+		case a.All:
+			l.set(c, name, line{floor: floor})
+		case ln.units != ln.Held || ln.floor != floor:
+			l.set(c, name, line{Line: ln.Line, floor: floor})
 		}
-		l.set(c, name, ln)
 	}
 }
 
+// floor is what a child counts for at least while it is fresh.
+func (c *child) floor(account string, fresh bool) int {
+	if ln := c.lines[account]; ln != nil && fresh {
+		return ln.floor
+	}
+	return 0
+}
+
 // report counts what a child says first as found of what earlier lives lent. A fresh child whose earlier lives are not
 // known here goes on reporting, as its own children come back to it; meanwhile it is given no more than it reports, so
 // that nothing lent since is taken for found.
