--- a/internal/fleet/quota/hard_test.go
+++ b/internal/fleet/quota/hard_test.go
@@ -253,3 +253,18 @@
 		assert.True(t, had[n.name], n.name)
 	}
 }
+
+// TestIdleWhenLeaderRestarts: nothing runs when the leader's machine, which is its region's lender too, is replaced at
+// once and unwarned. What the region held is nobody's until Run is over, but what the others hold and do not use goes to
+// it as soon as they have reported.
+func TestIdleWhenLeaderRestarts(t *testing.T) {
+	w := fleet(t, 9, map[string]int{"a": 30}, 2)
+	w.root = nil
+	w.pass(t, 2*time.Second)
+	w.elect(false)
+	w.newRegion(2)
+	w.pass(t, time.Second)
+	w.flood(2, 20, "a", false)
+	took := w.until(t, 4*time.Second, "twenty begin in that region", func() bool { return w.disps[2].runs("a") == 20 })
+	t.Logf("20 of 30 units run in the region %v after its lender's start", took+time.Second)
+}
--- a/internal/fleet/quota/lives_test.go
+++ b/internal/fleet/quota/lives_test.go
@@ -68,8 +68,7 @@
 // TestUnsure: a root that knows nothing of what a region's earlier life lent gives the new one no more than it reports,
 // and lends the rest to nobody until the region can vouch for all.
 func TestUnsure(t *testing.T) {
-	known := []string{"east", "west"}
-	x := newPair(t, longPlan, Options{Spread: true, Known: known}, "west")
+	x := newPair(t, longPlan, Options{Spread: true, Known: []string{"east", "west", "north"}}, "west")
 	x.l.Capacity(0, "team", 10)
 	west := x.all["west"]
 	west.at["team"] = &held{units: 4, used: 2, want: 9, told: Line{Account: "team"}} // by an earlier leader
@@ -92,12 +91,22 @@
 	assert.Equal(t, 4, west.Units(now, "team"), "one more once east runs no more than its part")
 	assert.Equal(t, 10, x.l.Lent(now, "team"), "and not lent twice")
 
-	east.Known()
-	x.turn(20 * second)
+	x.join(longPlan, "north", 3)
+	x.turn(15 * second)
+	assert.False(t, east.Fresh(), "nobody else can have the rest, so it is told")
+	assert.Equal(t, []Share{{"team", 6}}, east.inherited, "five that it reported, and one")
+	east.Need("team", 6, 7)
 	x.turn(20 * second)
+	assert.Equal(t, 10, x.l.Lent(20*second, "team"))
+	x.all["north"].Need("team", 0, 0)
+	east.Need("team", 5, 7) // what it inherited is over
+	x.turn(21 * second)
+	x.turn(30 * second)
+	x.turn(40 * second)
 	assert.False(t, x.l.Young())
-	assert.Equal(t, 10, east.Units(20*second, "team")+west.Units(20*second, "team"))
-	assert.Equal(t, 5, min(east.Units(20*second, "team"), west.Units(20*second, "team")))
+	x.all["north"].Close()
+	x.turn(40 * second)
+	assert.Equal(t, 10, east.Units(40*second, "team")+west.Units(40*second, "team")+x.all["north"].Units(40*second, "team"))
 }
 
 // TestInherited: what a region's earlier life was counted at stays counted, is told to the new one, and is no grant.
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -195,10 +195,6 @@
 // known here goes on reporting, as its own children come back to it; meanwhile it is given no more than it reports, so
 // that nothing lent since is taken for found.
 func (l *Lender) report(now Time, c *child, a Ask) {
-	if unsure := a.Fresh && l.young && !c.reported; unsure != c.unsure {
-		c.unsure = unsure
-		l.redivide()
-	}
 	if l.young && !c.reported {
 		for name, ln := range c.lines {
 			if more := max(ln.Held, ln.Used) - c.first[name]; more > 0 {
@@ -209,14 +205,52 @@
 			}
 		}
 	}
-	if a.Fresh {
-		return
+	if !a.Fresh {
+		c.reported, c.first = true, nil
 	}
-	c.reported, c.first = true, nil
-	if l.young && l.options.Known != nil && !slices.ContainsFunc(l.options.Known, func(name string) bool {
-		k := l.children[name]
-		return k == nil || !k.reported
-	}) {
+	missing := l.missing()
+	if l.young && a.Fresh && slices.Equal(missing, []string{c.name}) {
+		l.leave(c)
+		missing = nil
+	}
+	if unsure := a.Fresh && l.young && !c.reported; unsure != c.unsure {
+		c.unsure = unsure
+		l.redivide()
+	}
+	switch {
+	case !l.young || l.options.Known == nil:
+	case len(missing) == 0:
 		l.grown(now)
+	case len(missing) == 1 && l.children[missing[0]] != nil:
+		l.nudge[missing[0]] = true
 	}
 }
+
+// missing are the children known by name that have not said all that earlier lives of this lender lent to them.
+func (l *Lender) missing() (out []string) {
+	for _, name := range l.options.Known {
+		if c := l.children[name]; c == nil || !c.reported {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// leave leaves all that earlier lives of this lender lent and nobody reported to the one child, a fresh one, that has not
+// said all: its earlier lives have it.
+func (l *Lender) leave(c *child) {
+	for name, a := range l.accounts {
+		legacy := l.legacy(a)
+		if legacy == 0 {
+			continue
+		}
+		var ln line
+		if old := c.lines[name]; old != nil {
+			ln = *old
+		}
+		ln.floor = max(ln.floor, ln.Held, ln.Used, c.first[name]) + legacy
+		l.set(c, name, ln)
+		a.first += legacy
+	}
+	c.reported, c.first = true, nil
+}
--- a/internal/fleet/quota/world_test.go
+++ b/internal/fleet/quota/world_test.go
@@ -186,6 +186,11 @@
 		n.l.Capacity(n.at(w.now), a, w.quotas[a])
 	}
 	w.root = n
+	for _, r := range w.regions {
+		if w.setup.steady || w.rnd.IntN(2) == 0 { // a link to the new leader is seen to be new
+			r.r.Linked()
+		}
+	}
 }
 
 func (w *world) newRegion(i int) {
