--- a/internal/fleet/quota/play_test.go
+++ b/internal/fleet/quota/play_test.go
@@ -66,6 +66,12 @@
 		w.requota([]string{"a", "b"}[who%2], n)
 	case 9:
 		w.rereserve(n % 4)
+	case 11: // the leader's machine is a region's lender too, or is not alone
+		w.elect(false)
+		w.newRegion(r)
+		if n%2 == 0 {
+			w.newRegion((r + 1) % len(w.regions))
+		}
 	case 10: // a team loses its quota, or gains one
 		if _, has := w.quotas["b"]; has {
 			w.unquota("b")
@@ -221,7 +227,7 @@
 	w.crowded = rapid.Bool().Draw(t, "crowded")
 	for range rapid.IntRange(1, 40).Draw(t, "steps") {
 		if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
-			w.fault(rapid.IntRange(0, 10).Draw(t, "fault"), rapid.IntRange(0, 11).Draw(t, "who"), rapid.IntRange(0, 40).Draw(t, "units"))
+			w.fault(rapid.IntRange(0, 11).Draw(t, "fault"), rapid.IntRange(0, 11).Draw(t, "who"), rapid.IntRange(0, 40).Draw(t, "units"))
 		}
 		for range w.rnd.IntN(2 * len(w.disps)) {
 			n := w.disps[w.rnd.IntN(len(w.disps))]
