A voter that is closed does not wait for answers of its log's library that never come

Seen in internal/network/fleet/quota TestHolderThatEnds with -race (1 of some 40 plays of the package): Accord.Close hung in voter.done.Wait, the goroutine of voter.confirm in VerifyLeader().Error(): the question stood in the library's queue when it was shut down. VerifyLeader and Barrier are waited for until the voter's end. Also: ports of voters in the rigs are held until the relays have theirs (listen: address already in use, once).

--- a/cmd/tinsail/accord_rig_test.go
+++ b/cmd/tinsail/accord_rig_test.go
@@ -92,8 +92,8 @@
 	for range 3 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
+		defer l.Close() // not before the relays have other ports
 		voters = append(voters, l.Addr().String())
-		l.Close()
 	}
 	relays = make([][]*faultnet.TCP, n)
 	for i := range relays {
--- a/internal/network/fleet/accord/voter.go
+++ b/internal/network/fleet/accord/voter.go
@@ -143,7 +143,7 @@
 	if has || r.State() != raft.Leader {
 		return
 	}
-	if r.Barrier(barrier).Error() != nil || r.State() != raft.Leader || r.CurrentTerm() != term {
+	if v.await(func() error { return r.Barrier(barrier).Error() }) != nil || r.State() != raft.Leader || r.CurrentTerm() != term {
 		return
 	}
 	k, err := accord.NewKeeper(v.a.cfg.Plan, term, v.a.clock.now(), v.log.machine.State())
@@ -258,7 +258,7 @@
 		k, term := v.keeper, v.term
 		v.mu.Unlock()
 		r := v.log.raft
-		if k == nil || r.VerifyLeader().Error() != nil || r.CurrentTerm() != term {
+		if k == nil || !v.verify() || r.CurrentTerm() != term {
 			_, id := r.LeaderWithID()
 			if string(id) == v.a.cfg.Name {
 				id = "" // a term whose keeper is still to come
@@ -286,6 +286,24 @@
 	}
 }
 
+// verify asks a majority whether this voter leads.
+func (v *voter) verify() bool {
+	return v.await(func() error { return v.log.raft.VerifyLeader().Error() }) == nil
+}
+
+// await waits for the log's library, or for the voter's end: the library never answers a question that stands in its
+// queue when it is shut down.
+func (v *voter) await(ask func() error) error {
+	said := make(chan error, 1)
+	go func() { said <- ask() }()
+	select {
+	case err := <-said:
+		return err
+	case <-v.stop:
+		return raft.ErrRaftShutdown
+	}
+}
+
 // tick lets time pass for the keeper.
 func (v *voter) tick() {
 	defer v.done.Done()
--- a/internal/network/fleet/accord/voters.go
+++ b/internal/network/fleet/accord/voters.go
@@ -52,7 +52,7 @@
 		return false
 	}
 	r := a.voter.log.raft
-	return r.State() == raft.Leader && r.VerifyLeader().Error() == nil && r.CurrentTerm() == term
+	return r.State() == raft.Leader && a.voter.verify() && r.CurrentTerm() == term
 }
 
 // Decided is the version decided last as this voter's log has it, and its policy.
--- a/internal/network/fleet/quota/rig_test.go
+++ b/internal/network/fleet/quota/rig_test.go
@@ -80,11 +80,12 @@
 func newRig(t *testing.T, n int, region time.Duration, first string) *rig {
 	r := &rig{t: t, plan: quota.Plan{Lease: 400 * time.Millisecond, Run: 300 * time.Millisecond, Drift: 0.001}, region: region, first: first,
 		relays: make([][]*faultnet.TCP, n), all: make([]*member, n), stop: make(chan struct{}), runs: map[string]*running{}}
+	var held []net.Listener
 	for range regions {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
+		held = append(held, l) // until the relays have other ports
 		r.voters = append(r.voters, l.Addr().String())
-		l.Close()
 		r.data = append(r.data, t.TempDir())
 	}
 	for i := range n {
@@ -95,6 +96,9 @@
 			r.relays[i] = append(r.relays[i], relay)
 		}
 	}
+	for _, l := range held {
+		l.Close()
+	}
 	t.Cleanup(r.end)
 	for i := range n {
 		r.start(i)
