accord: a voter's close waits for its askers before the log is shut down, not after

Seen: once in some 50 ends of a voter that led, a process did not end within 600 s of SIGTERM (trial with five processes; where it stood was not kept). Looked for what may wait for ever there, found one: hashicorp raft's VerifyLeader chooses between its queue and the shutdown's end when both are open, and a future that is queued after the end has no answer: of 40 calls on a log that was shut down 21 did not return (trial). voter.confirm may call it after voter.close has shut the log down, where the keeper is not dropped yet; then close waits for it for ever. close waits for the three askers first now, while the log answers. That this was what hung is likely, not proven.

go test ./internal/network/fleet/accord ./internal/network/fleet/quota passed (5.2 s, 18.6 s).

--- a/internal/network/fleet/accord/voter.go
+++ b/internal/network/fleet/accord/voter.go
@@ -87,6 +87,7 @@
 		_ = v.log.raft.LeadershipTransfer().Error() // bounded by the election's time; where it fails there is an election
 	}
 	close(v.stop)
+	v.done.Wait() // the log still answers them: of one that is shut down a word of the majority may be awaited for ever
 	v.log.close()
 	v.port.Close()
 	v.mu.Lock()
@@ -94,7 +95,6 @@
 		l.conn.Close()
 	}
 	v.mu.Unlock()
-	v.done.Wait()
 }
 
 // leads says whether this voter leads, and how many leases are out.
