quota: a voter that leads hands its region on before it ends

The new root knew nothing of that region, and the region's new life nothing of the one before, so that both waited until its lease and run_ms were over. votes.close resigns now (raft's transfer of leadership, as the accord's close does later) and waits, 2 s at most, until the next root has answered this region in full.

TestLeaderHandsItsRegionOn waits for "quota: inherited" at the next root: passed 3 of 3, and fails with handOn left out.

--- a/cmd/tinsail/quotas_fleet_test.go
+++ b/cmd/tinsail/quotas_fleet_test.go
@@ -340,3 +340,39 @@
 	f.lapsed(t, "n5")
 	next.end(t)
 }
+
+// TestLeaderHandsItsRegionOn: where the voter that leads, and lends to a region, is ended and started again, the next root
+// knows what the region held: the region's next life inherits it and has room at once, not after its lease and run_ms.
+func TestLeaderHandsItsRegionOn(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts four processes")
+	}
+	f := startQuotaFleet(t, 6, 3)
+	at := -1
+	for rounds := 0; at < 0; rounds++ {
+		require.Less(t, rounds, 2000, "nobody leads")
+		for i, m := range f.members {
+			m.await(t, "accord_ready", 1)
+			if m.counter(t, "accord_leads") == 1 {
+				at = i
+			}
+		}
+	}
+	f.members[at].await(t, "quota_held", 1) // of the reserve: its region lends
+	require.NoError(t, f.members[at].cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, f.members[at].cmd.Wait())
+	f.members[at] = f.start(t, at)
+	bound := time.After(30 * time.Second)
+	for {
+		var line map[string]any
+		select {
+		case line = <-f.events[(at+1)%3]:
+		case line = <-f.events[(at+2)%3]:
+		case <-bound:
+			require.Fail(t, "no root knew the region")
+		}
+		if line["event"] == "quota: inherited" && line["lender"] == "root" && line["child"] == quotaRegions[at] {
+			return
+		}
+	}
+}
--- a/internal/network/fleet/accord/voters.go
+++ b/internal/network/fleet/accord/voters.go
@@ -55,6 +55,12 @@
 	return r.State() == raft.Leader && r.VerifyLeader().Error() == nil && r.CurrentTerm() == term
 }
 
+// Resign has another voter lead where this one does, so that what hangs on who leads can be handed on before this process
+// ends. It waits for an election's time at most; false where this voter did not lead, or still does.
+func (a *Accord) Resign() bool {
+	return a.voter != nil && a.voter.log.raft.State() == raft.Leader && a.voter.log.raft.LeadershipTransfer().Error() == nil
+}
+
 // Decided is the version decided last as this voter's log has it, and its policy.
 func (a *Accord) Decided() (version uint64, body []byte) {
 	if a.voter == nil {
--- a/internal/network/fleet/quota/region.go
+++ b/internal/network/fleet/quota/region.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	region   *quota.Region
 	version  uint64 // of the policy whose reserve and run are in force
+	root     uint64 // the term of the root that knows all that is held and lent here
 	children children
 }
 
@@ -136,6 +137,9 @@
 	defer r.mu.Unlock()
 	if m.Answer != nil {
 		r.region.Answered(r.v.q.now(), m.Answer.Answer)
+		if a := m.Answer.Answer; !a.Again && !a.Unsure {
+			r.root = a.Lender
+		}
 	} else {
 		r.region.Nudged()
 		r.v.q.Count.Nudged.Add(1)
@@ -143,5 +147,12 @@
 	r.turn()
 }
 
+// heardBy says whether the root of a term, or of a later one, knows all that is held and lent here.
+func (r *region) heardBy(term uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.root >= term
+}
+
 // last is nothing: what is lent goes on, and the next life inherits it.
 func (r *region) last() (quota.Ask, bool) { return quota.Ask{}, false }
--- a/internal/network/fleet/quota/votes.go
+++ b/internal/network/fleet/quota/votes.go
@@ -81,7 +81,24 @@
 	return v, nil
 }
 
+// handOnWait is how long a voter that leads waits at its end for the next root to have heard of this voter's region: some
+// round trips between regions. A root that has not heard of it cannot tell the region's next life what it holds, which
+// gets nothing then until all that this life may have lent is over.
+const handOnWait = 2 * time.Second
+
+// handOn has another voter lead, and waits until its root has answered this voter's region.
+func (v *votes) handOn() {
+	term, _ := v.accord.Leading()
+	if v.region == nil || !v.accord.Resign() {
+		return
+	}
+	for over := time.Now().Add(handOnWait); !v.region.heardBy(term+1) && time.Now().Before(over); {
+		time.Sleep(paceLeast)
+	}
+}
+
 func (v *votes) close() {
+	v.handOn()
 	v.accord.Quotas(nil)
 	close(v.stop)
 	if v.region != nil {
