--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -27,6 +27,7 @@
 	round    map[string]bool // accounts whose units go round
 	moved    map[string]bool // accounts whose counts or wants changed, for the region
 	nudge    map[string]bool
+	before   map[*account]line // while an ask is taken: the asker's lines that it changes, as they were
 	notes    []Note
 }
 
@@ -65,6 +66,7 @@
 type account struct {
 	capacity int
 	counted  int              // of lines and past lives
+	want     int              // of lines
 	past     int              // of past lives alone
 	base     int              // what earlier lives may have lent at most, while young
 	first    int              // of it, what children reported
@@ -114,7 +116,7 @@
 func (l *Lender) inherit(name string, units int) {
 	if a := l.account(name); l.young && units > a.base {
 		a.base, a.targets = units, nil
-		l.moved[name] = true
+		l.touch(name)
 	}
 }
 
@@ -193,8 +195,9 @@
 func (l *Lender) Want(account string) (used, want int) {
 	if a := l.accounts[account]; a != nil {
 		for _, n := range a.lines {
-			used, want = used+n.Used, want+n.Want
+			used += n.Used
 		}
+		want = a.want
 	}
 	return used, want
 }
@@ -222,4 +225,11 @@
 	}
 }
 
+// touch notes for the region that an account's count or wants changed.
+func (l *Lender) touch(name string) {
+	if l.options.Middle {
+		l.moved[name] = true
+	}
+}
+
 func sorted(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
