--- a/internal/network/fleet/accord/voter.go
+++ b/internal/network/fleet/accord/voter.go
@@ -87,7 +87,7 @@
 		_ = v.log.raft.LeadershipTransfer().Error() // bounded by the election's time; where it fails there is an election
 	}
 	close(v.stop)
-	v.done.Wait() // the log still answers them: of one that is shut down a word of the majority may be awaited for ever
+	v.done.Wait() // while the log answers them: VerifyLeader, called once it is shut down, may have no answer ever
 	v.log.close()
 	v.port.Close()
 	v.mu.Lock()
