quota: what changed since an ask is taken only by a lender that knows that ask

Lines left out stood at the old values: a count could have been too low. An ask names its base; the codec has it in place of the bool all (b, 0 for all lines). TestLateWholeAsk.

--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -16,6 +16,7 @@
 	fresh  bool
 	seq    uint64
 	lender uint64 // the life heard last
+	base   uint64 // the newest ask that was answered by it
 	all    bool   // the next ask carries all lines
 	at     map[string]*held
 	stale  map[string]bool // accounts whose line the lender may not know
@@ -145,7 +146,10 @@
 	}
 	h.seq++
 	h.sent, h.flying, h.asap, h.nudged = now, true, false, false
-	return Ask{Child: h.name, Epoch: h.epoch, Seq: h.seq, Lender: h.lender, All: h.all, Fresh: h.fresh, Lines: h.lines()}, true
+	if h.all {
+		h.base = 0
+	}
+	return Ask{Child: h.name, Epoch: h.epoch, Seq: h.seq, Lender: h.lender, All: h.all, Base: h.base, Fresh: h.fresh, Lines: h.lines()}, true
 }
 
 func (h *Holder) backoff() time.Duration {
@@ -193,7 +197,7 @@
 	counted := h.plan
 	counted.Lease = max(min(counted.Lease, a.Lease), 0)
 	h.until = h.sent.Add(counted.Usable())
-	h.all = h.fresh
+	h.all, h.base = h.fresh, a.Seq
 	for account := range h.stale {
 		if k := h.at[account]; k.told == (Line{account, k.units, k.used, k.want}) {
 			delete(h.stale, account)
--- a/internal/fleet/quota/lives_test.go
+++ b/internal/fleet/quota/lives_test.go
@@ -197,3 +197,38 @@
 	assert.Zero(t, h.Units(over+second, "team"))
 	assert.Equal(t, 1, h.Units(over+second, Urgent))
 }
+
+// TestLateWholeAsk: a lender that has forgotten a child takes a late ask of it with all lines for the first; what the
+// child then says has changed since an ask that the lender does not know is not taken for all that has.
+func TestLateWholeAsk(t *testing.T) {
+	x := newPair(t, shortPlan, Options{Starts: true}, "a", "b")
+	x.l.Capacity(0, "team", 10)
+	h := x.all["a"]
+	h.Need("team", 0, 1)
+	a, _ := h.Due(0)
+	again, _ := x.l.Take(0, a)
+	h.Answered(0, again)
+	late, _ := h.Due(0) // all lines, and nothing of them held
+	require.True(t, late.All)
+	h.Need("team", 0, 8)
+	x.turn(second) // sent again: the first is late
+	x.turn(second)
+	h.Need("team", 8, 8)
+	x.turn(2 * second)
+	x.turn(2 * second)
+	require.Equal(t, 8, h.Units(2*second, "team"))
+
+	forgotten := 2*second + Time(shortPlan.Lease+shortPlan.Tail())
+	x.l.Tick(forgotten)
+	_, ok := x.l.Take(forgotten, late)
+	require.True(t, ok)
+	delta, due := h.Due(forgotten)
+	require.True(t, due)
+	delta.Lines = nil // and nothing changed
+	answer, ok := x.l.Take(forgotten, delta)
+	require.True(t, ok)
+	assert.True(t, answer.Again)
+	h.Answered(forgotten, answer)
+	x.turn(forgotten)
+	assert.Equal(t, 8, x.l.Lent(forgotten, "team"))
+}
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -111,7 +111,8 @@
 	Epoch  uint64 // rises with each life of the child: its start in Unix nanoseconds
 	Seq    uint64 // counts the asks of an epoch from 1
 	Lender uint64 // the life of the lender heard last, 0 for none: of another life the ask is only answered by Again
-	All    bool   // Lines are all there are; else those changed since the last ask that was answered
+	All    bool   // Lines are all there are; else those changed since ask Base
+	Base   uint64 // the newest ask that was answered; 0 where All is set
 	Fresh  bool   // an earlier life of this region's lender may have lent what this life has not heard of yet
 	Lines  []Line
 }
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -17,7 +17,7 @@
 		return Answer{}, false // late, or twice
 	}
 	out := Answer{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: l.life, Lease: l.plan.Lease}
-	if a.Lender != l.life || !a.All && (c == nil || c.epoch != a.Epoch || c.lapsed) {
+	if a.Lender != l.life || !a.All && (c == nil || c.epoch != a.Epoch || c.lapsed || c.seq < a.Base) {
 		out.Again = true
 		return out, true
 	}
--- a/internal/fleet/quota/wire/wire.go
+++ b/internal/fleet/quota/wire/wire.go
@@ -98,7 +98,7 @@
 	Epoch  uint64 `msgpack:"epoch"`
 	Seq    uint64 `msgpack:"seq"`
 	Lender uint64 `msgpack:"lender"`
-	All    bool   `msgpack:"all"`
+	Base   uint64 `msgpack:"b"` // 0: all lines are here
 	Fresh  bool   `msgpack:"fresh"`
 	Lines  lines  `msgpack:"lines"`
 }
@@ -140,7 +140,11 @@
 
 // WriteAsk is the bytes of an ask, its lines in the order of accounts.
 func WriteAsk(a Ask) []byte {
-	out := ask{Format, kindAsk, a.To, a.Child, a.Epoch, a.Seq, a.Lender, a.All, a.Fresh, make(lines, 0, len(a.Lines))}
+	base := a.Base
+	if a.All {
+		base = 0
+	}
+	out := ask{Format, kindAsk, a.To, a.Child, a.Epoch, a.Seq, a.Lender, base, a.Fresh, make(lines, 0, len(a.Lines))}
 	for _, l := range a.Lines {
 		out.Lines = append(out.Lines, line{l.Account, units(l.Held), units(l.Used), units(l.Want)})
 	}
@@ -219,7 +223,7 @@
 	if err := common(a.To, a.Child, len(a.Lines), func(i int) string { return a.Lines[i].Account }); err != nil {
 		return nil, err
 	}
-	out := &Ask{a.To, quota.Ask{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: a.Lender, All: a.All, Fresh: a.Fresh}}
+	out := &Ask{a.To, quota.Ask{Child: a.Child, Epoch: a.Epoch, Seq: a.Seq, Lender: a.Lender, All: a.Base == 0, Base: a.Base, Fresh: a.Fresh}}
 	for _, l := range a.Lines {
 		if max(l.Held, l.Used, l.Want) > quota.MaxUnits {
 			return nil, fmt.Errorf("%w: an ask has more than %d units", ErrMessage, quota.MaxUnits)
--- a/internal/fleet/quota/wire/wire_test.go
+++ b/internal/fleet/quota/wire/wire_test.go
@@ -160,3 +160,16 @@
 		}
 	})
 }
+
+// TestBase: an ask says whether its lines are all by the ask that they changed since.
+func TestBase(t *testing.T) {
+	for _, a := range []quota.Ask{
+		{Child: "n3", Epoch: 1, Seq: 9, Lender: 3, Base: 8, Lines: []quota.Line{}},
+		{Child: "n3", Epoch: 1, Seq: 9, Lender: 3, All: true, Lines: []quota.Line{}},
+	} {
+		m, err := Read(WriteAsk(Ask{To: "east", Ask: a}))
+		require.NoError(t, err)
+		assert.Equal(t, a.All, m.Ask.All)
+		assert.Equal(t, a.Base, m.Ask.Base)
+	}
+}
