--- a/internal/network/fleet/accord/voter.go
+++ b/internal/network/fleet/accord/voter.go
@@ -87,6 +87,7 @@
 		_ = v.log.raft.LeadershipTransfer().Error() // bounded by the election's time; where it fails there is an election
 	}
 	close(v.stop)
+	v.done.Wait() // while the log answers them: VerifyLeader, called once it is shut down, may have no answer ever
 	v.log.close()
 	v.port.Close()
 	v.mu.Lock()
@@ -94,7 +95,6 @@
 		l.conn.Close()
 	}
 	v.mu.Unlock()
-	v.done.Wait()
 }
 
 // leads says whether this voter leads, and how many leases are out.
