--- a/internal/network/fleet/accord/voters.go
+++ b/internal/network/fleet/accord/voters.go
@@ -52,7 +52,13 @@
 		return false
 	}
 	r := a.voter.log.raft
-	return r.State() == raft.Leader && r.VerifyLeader().Error() == nil && r.CurrentTerm() == term
+	return r.State() == raft.Leader && a.voter.verify() && r.CurrentTerm() == term
+}
+
+// Resign has another voter lead where this one does, so that what hangs on who leads can be handed on before this process
+// ends. It waits for an election's time at most; false where this voter did not lead, or still does.
+func (a *Accord) Resign() bool {
+	return a.voter != nil && a.voter.log.raft.State() == raft.Leader && a.voter.log.raft.LeadershipTransfer().Error() == nil
 }
 
 // Decided is the version decided last as this voter's log has it, and its policy.
