--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -23,12 +23,13 @@
 
 	inherited []Share // what earlier lives may have running, by the answer that said so
 
-	flying bool // the newest ask has no answer yet
-	asap   bool // something is to be said
-	nudged bool
-	sent   Time // the newest ask
-	wait   time.Duration
-	until  Time
+	vouched bool // the newest ask was not fresh
+	flying  bool // the newest ask has no answer yet
+	asap    bool // something is to be said
+	nudged  bool
+	sent    Time // the newest ask
+	wait    time.Duration
+	until   Time
 }
 
 // held is one account as the holder knows it.
@@ -145,7 +146,7 @@
 		}
 	}
 	h.seq++
-	h.sent, h.flying, h.asap, h.nudged = now, true, false, false
+	h.sent, h.flying, h.asap, h.nudged, h.vouched = now, true, false, false, !h.fresh
 	if h.all {
 		h.base = 0
 	}
@@ -190,7 +191,7 @@
 		h.lender, h.all, h.asap = a.Lender, true, true
 		return
 	}
-	if h.fresh && !a.Unsure {
+	if !h.vouched && !a.Unsure { // no grant, also where all has become known since the ask was sent
 		h.fresh, h.all, h.asap, h.inherited = false, true, true, a.Shares
 		return
 	}
--- a/internal/fleet/quota/lives_test.go
+++ b/internal/fleet/quota/lives_test.go
@@ -232,3 +232,21 @@
 	x.turn(forgotten)
 	assert.Equal(t, 8, x.l.Lent(forgotten, "team"))
 }
+
+// TestKnownWhileAFreshAskFlies: the answer to a fresh ask is no grant, also where the region has since come to know all.
+func TestKnownWhileAFreshAskFlies(t *testing.T) {
+	h, err := NewHolder(longPlan, "east", 2, true)
+	require.NoError(t, err)
+	h.lender = 7
+	a, due := h.Due(0)
+	require.True(t, due)
+	require.True(t, a.Fresh)
+	h.Known()
+	h.Answered(1, Answer{Child: "east", Epoch: 2, Seq: a.Seq, Lender: 7, Lease: longPlan.Lease, Shares: []Share{{"team", 12}}})
+	assert.Zero(t, h.Units(1, "team"))
+	next, due := h.Due(1)
+	require.True(t, due)
+	assert.False(t, next.Fresh)
+	assert.True(t, next.All)
+	assert.Empty(t, next.Lines)
+}
