--- a/internal/fleet/quota/lives_test.go
+++ b/internal/fleet/quota/lives_test.go
@@ -250,3 +250,25 @@
 	assert.True(t, next.All)
 	assert.Empty(t, next.Lines)
 }
+
+// TestLapsedComesBack: what a lapsed child may have had running is parted among the others once it is back and says that
+// nothing of it runs.
+func TestLapsedComesBack(t *testing.T) {
+	x := newPair(t, shortPlan, Options{Starts: true}, "a", "b")
+	x.l.Capacity(0, "team", 10)
+	x.all["a"].Need("team", 6, 6)
+	x.turn(0)
+	x.turn(0)
+	a := x.all["a"]
+	delete(x.all, "a")
+	x.all["b"].Need("team", 4, 9)
+	for now := Time(0); now < 5*second; now += second {
+		x.turn(now)
+	}
+	require.Equal(t, 4, x.all["b"].Units(4*second, "team"))
+	x.all["a"] = a
+	a.Need("team", 0, 0)
+	x.turn(5 * second)
+	x.turn(5 * second)
+	assert.Equal(t, 9, x.all["b"].Units(5*second, "team"))
+}
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -96,6 +96,9 @@
 		}
 		c = n
 	}
+	if c.lapsed { // what it may have running was left out of what is parted
+		l.redivide()
+	}
 	c.seq, c.heard, c.lapsed, c.nudged = a.Seq, now, false, now.Add(-l.plan.Retry())
 	l.scan = min(l.scan, now.Add(l.plan.Lease))
 	delete(l.nudge, a.Child)
