A voter that is closed takes no term from a heartbeat that is still under way

Seen once in some ten plays of internal/network/fleet/quota with -race: panic: failed to save current term: database not open, while a voter that had led was closed. From what is said of it (read, not traced): the log's library answers heartbeats beside the goroutines that its shutdown waits for. Writes of terms do not return once the store is closed. After: go test -race ./internal/network/fleet/accord once and ./internal/network/fleet/quota 3 times, cmd/tinsail TestQuotaHistory and TestPolicyOfTheFleet once: passed.

--- a/internal/network/fleet/accord/log.go
+++ b/internal/network/fleet/accord/log.go
@@ -109,11 +109,45 @@
 	return len(p), nil
 }
 
+// terms is a voter's store of its term and vote. The library answers heartbeats beside its own goroutines, and does not
+// wait for one of those when it is shut down: a term that came in that moment would find the store closed, and end the
+// process. Once closed, a write here never returns.
+type terms struct {
+	*raftboltdb.BoltStore
+	mu     sync.RWMutex
+	closed bool
+}
+
+func (t *terms) write(f func() error) error {
+	t.mu.RLock()
+	if t.closed {
+		t.mu.RUnlock()
+		select {}
+	}
+	defer t.mu.RUnlock()
+	return f()
+}
+
+func (t *terms) Set(key, value []byte) error {
+	return t.write(func() error { return t.BoltStore.Set(key, value) })
+}
+
+func (t *terms) SetUint64(key []byte, value uint64) error {
+	return t.write(func() error { return t.BoltStore.SetUint64(key, value) })
+}
+
+func (t *terms) Close() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	return t.BoltStore.Close()
+}
+
 // majority is the log and what it needs.
 type majority struct {
 	raft    *raft.Raft
 	machine *machine
-	store   *raftboltdb.BoltStore
+	store   *terms
 	turns   chan bool // leadership, each change of it
 	begins  bool      // there was no log in the folder
 }
@@ -134,11 +168,11 @@
 	c.NoLegacyTelemetry = true
 	m := &majority{machine: &machine{decided: decided}, turns: make(chan bool, 64)}
 	c.NotifyCh = m.turns
-	var err error
-	m.store, err = raftboltdb.New(raftboltdb.Options{Path: filepath.Join(cfg.Data, "log.db"), BoltOptions: &bbolt.Options{Timeout: lockWait}})
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(cfg.Data, "log.db"), BoltOptions: &bbolt.Options{Timeout: lockWait}})
 	if err != nil {
 		return nil, fmt.Errorf("the log in %s: %w", cfg.Data, err)
 	}
+	m.store = &terms{BoltStore: store}
 	fail := func(err error) (*majority, error) {
 		m.store.Close()
 		return nil, err
