--- a/internal/fleet/quota/lives_test.go
+++ b/internal/fleet/quota/lives_test.go
@@ -232,3 +232,43 @@
 	x.turn(forgotten)
 	assert.Equal(t, 8, x.l.Lent(forgotten, "team"))
 }
+
+// TestKnownWhileAFreshAskFlies: the answer to a fresh ask is no grant, also where the region has since come to know all.
+func TestKnownWhileAFreshAskFlies(t *testing.T) {
+	h, err := NewHolder(longPlan, "east", 2, true)
+	require.NoError(t, err)
+	h.lender = 7
+	a, due := h.Due(0)
+	require.True(t, due)
+	require.True(t, a.Fresh)
+	h.Known()
+	h.Answered(1, Answer{Child: "east", Epoch: 2, Seq: a.Seq, Lender: 7, Lease: longPlan.Lease, Shares: []Share{{"team", 12}}})
+	assert.Zero(t, h.Units(1, "team"))
+	next, due := h.Due(1)
+	require.True(t, due)
+	assert.False(t, next.Fresh)
+	assert.True(t, next.All)
+	assert.Empty(t, next.Lines)
+}
+
+// TestLapsedComesBack: what a lapsed child may have had running is parted among the others once it is back and says that
+// nothing of it runs.
+func TestLapsedComesBack(t *testing.T) {
+	x := newPair(t, shortPlan, Options{Starts: true}, "a", "b")
+	x.l.Capacity(0, "team", 10)
+	x.all["a"].Need("team", 6, 6)
+	x.turn(0)
+	x.turn(0)
+	a := x.all["a"]
+	delete(x.all, "a")
+	x.all["b"].Need("team", 4, 9)
+	for now := Time(0); now < 5*second; now += second {
+		x.turn(now)
+	}
+	require.Equal(t, 4, x.all["b"].Units(4*second, "team"))
+	x.all["a"] = a
+	a.Need("team", 0, 0)
+	x.turn(5 * second)
+	x.turn(5 * second)
+	assert.Equal(t, 9, x.all["b"].Units(5*second, "team"))
+}
