--- a/internal/fleet/quota/desk.go
+++ b/internal/fleet/quota/desk.go
@@ -180,12 +180,15 @@
 }
 
 // Needs tells what is used and wanted of each account with a quota of which that may have changed since it was told
-// last, and once 0 and 0 of each that lost its quota. Of the reserve one unit is wanted ahead of need.
+// last, and once 0 and 0 of each that lost its quota; of a reserve that is no more, once nothing runs by it. Of the reserve one unit is wanted ahead of need.
 func (d *Desk) Needs(tell func(account string, used, want int)) {
 	for account := range d.changed {
 		delete(d.changed, account)
 		if !d.quotas[account] {
-			if d.told[account] {
+			if used := d.used(account); account == Urgent && used > 0 { // a reserve that comes back finds them counted
+				d.told[account] = true
+				tell(account, used, used)
+			} else if d.told[account] {
 				delete(d.told, account)
 				tell(account, 0, 0)
 			}
--- a/internal/fleet/quota/desk_test.go
+++ b/internal/fleet/quota/desk_test.go
@@ -150,3 +150,18 @@
 		assert.Equal(t, Never, d.Next())
 	})
 }
+
+// TestDeskReserveGone: what runs by a reserve that is no more counts on, so that it is counted when there is one again.
+func TestDeskReserveGone(t *testing.T) {
+	d := NewDesk()
+	d.SetQuotas(0, []string{"team", Urgent})
+	d.Take(0, 1, "team", true, Never)
+	begin, _ := d.Turn(0, fixed(map[string]int{Urgent: 1}))
+	assert.Equal(t, []uint64{1}, begin)
+	needs(d)
+	d.SetQuotas(0, []string{"team"})
+	assert.Equal(t, [2]int{1, 1}, needs(d)[Urgent])
+	d.Leave(1)
+	assert.Equal(t, map[string][2]int{Urgent: {0, 0}}, needs(d))
+	assert.Empty(t, needs(d))
+}
