internal/lab/capacity: slopes as kept rows, a line with its interval and bend, the page's tables

The page of sizes needs figures that are worked out from slopes: rows stay in docs/capacity/*.csv, a line is fitted through at least four sizes with gonum (95% intervals, R², largest residual, a term in x² as the check for a bend), and the tables of docs/CAPACITY.md are made from the rows between markers. A test refuses a page whose tables are not what the rows give.

Checked: the line of four points worked out by hand; over 2,000 noisy lines the interval holds the slope in 0.95 ± 0.02, a bend is seen in at most 0.05 where there is none, and always where the slope doubles over the range.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord capacity-page
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -46,5 +46,9 @@
 	go test -run - -bench Version -benchtime 1x ./internal/network
 	go test -run - -bench Propose -benchtime 1x ./cmd/tinsail
 
+# The tables of docs/CAPACITY.md, from the rows in docs/capacity.
+capacity-page:
+	go run ./internal/lab/capacity/page
+
 run: build
 	exec bin/tinsail serve
--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,170 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func rowsOf(f func(x float64) float64, xs ...float64) (rows []Row) {
+	for _, x := range xs {
+		rows = append(rows, Row{Slope: "s", Unit: "bytes", Against: "backends", X: x, Y: f(x), How: Real})
+	}
+	return rows
+}
+
+// TestPageIsItsRows: docs/CAPACITY.md has in its tables what the rows of docs/capacity give.
+func TestPageIsItsRows(t *testing.T) {
+	const page = "../../../docs/CAPACITY.md"
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	all, err := ReadAll("../../../docs/capacity")
+	require.NoError(t, err)
+	out, err := Page(string(text), all)
+	require.NoError(t, err)
+	assert.Equal(t, out, string(text), "make capacity-page makes it anew")
+}
+
+func TestRowsAreKept(t *testing.T) {
+	at := filepath.Join(t.TempDir(), "new", "a.csv")
+	rows := rowsOf(func(x float64) float64 { return x/3 + 0.1 }, 1, 2, 1e9)
+	rows[1].Note = `says "it", and more`
+	require.NoError(t, Append(at, rows[:1]...))
+	require.NoError(t, Append(at, rows[1:]...))
+	got, err := Read(at)
+	require.NoError(t, err)
+	for i := range rows {
+		assert.InEpsilon(t, rows[i].Y, got[i].Y, 1e-9)
+		got[i].Y = rows[i].Y
+	}
+	assert.Equal(t, rows, got)
+
+	other := rows[0]
+	other.Slope = "t"
+	require.NoError(t, Replace(at, other))
+	require.NoError(t, Replace(at, rows[0]))
+	got, err = Read(at)
+	require.NoError(t, err)
+	require.Len(t, got, 2)
+	assert.Equal(t, "t", got[0].Slope)
+	all, err := ReadAll(filepath.Dir(at))
+	require.NoError(t, err)
+	assert.Len(t, all, 2)
+}
+
+func TestBadRowsAreNamed(t *testing.T) {
+	at := filepath.Join(t.TempDir(), "a.csv")
+	good := strings.Join(header, ",") + "\ns,bytes,backends,1,2,real,\n"
+	for _, c := range []struct{ line, says string }{
+		{"s,bytes,backends,1,x,real,", ":3:"},
+		{"s,bytes,backends,1,NaN,real,", "finite"},
+		{"s,bytes,backends,1,2,guessed,", `how is "guessed"`},
+		{"s,bytes,,1,2,real,", "against is empty"},
+		{"a b,bytes,backends,1,2,real,", "slope is"},
+		{"s,bytes,backends,1,2,real", "wrong number of fields"},
+	} {
+		require.NoError(t, os.WriteFile(at, []byte(good+c.line+"\n"), 0o600))
+		_, err := Read(at)
+		assert.ErrorContains(t, err, c.says, c.line)
+		assert.ErrorContains(t, err, at)
+	}
+	assert.Error(t, Append(at, Row{Slope: "s", Unit: "u", Against: "x", Y: math.Inf(1), How: Real}))
+}
+
+func TestFitOfALine(t *testing.T) {
+	l, err := Fit(rowsOf(func(x float64) float64 { return 3 + 2*x }, 50, 100, 200, 1000))
+	require.NoError(t, err)
+	assert.InDelta(t, 3, l.A, 1e-9)
+	assert.InDelta(t, 2, l.B, 1e-12)
+	assert.InDelta(t, 0, l.BHalf, 1e-9)
+	assert.InDelta(t, 1, l.R2, 1e-12)
+	assert.False(t, l.Bend)
+	y, half := l.At(580)
+	assert.InDelta(t, 1163, y, 1e-9)
+	assert.InDelta(t, 0, half, 1e-6)
+	assert.InDelta(t, 1163, l.Between(580), 1e-9)
+
+	_, err = Fit(rowsOf(func(x float64) float64 { return x }, 1, 2, 3, 3, 3))
+	assert.ErrorIs(t, err, ErrFewSizes)
+	mixed := rowsOf(func(x float64) float64 { return x }, 1, 2, 3, 4)
+	mixed[2].Unit = "KB"
+	_, err = Fit(mixed)
+	assert.ErrorContains(t, err, "KB")
+}
+
+// TestFitByHand is checked against figures that were worked out by hand: x 1, 2, 3, 4; y 2, 4, 5, 8. b = 9.5/5, a = 4.75 - 1.9·2.5,
+// rss 0.7, s² 0.35, t (2 degrees) 4.3027.
+func TestFitByHand(t *testing.T) {
+	y := map[float64]float64{1: 2, 2: 4, 3: 5, 4: 8}
+	l, err := Fit(rowsOf(func(x float64) float64 { return y[x] }, 1, 2, 3, 4))
+	require.NoError(t, err)
+	assert.InDelta(t, 1.9, l.B, 1e-9)
+	assert.InDelta(t, 0, l.A, 1e-9)
+	assert.InDelta(t, 4.3027*math.Sqrt(0.35/5), l.BHalf, 1e-3)
+	assert.InDelta(t, 1-0.7/18.75, l.R2, 1e-9)
+	assert.InDelta(t, -0.7, l.Residual, 1e-9)
+	assert.InDelta(t, 3, l.ResidualX, 0)
+	_, half := l.At(2.5)
+	assert.InDelta(t, 4.3027*math.Sqrt(0.35*1.25), half, 1e-3)
+}
+
+// TestIntervalsHold: over 2,000 noisy lines the interval of the slope holds the true one in 95 of 100, a bend is
+// seen in 5 of 100 at most where there is none, and one that doubles the slope over the range is seen.
+func TestIntervalsHold(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	held, seen, missed := 0, 0, 0
+	const plays = 2000
+	for range plays {
+		noisy := func(bend float64) *Line {
+			l, err := Fit(rowsOf(func(x float64) float64 { return 10 + 3*x + bend*x*x + r.NormFloat64()*20 }, 50, 50, 100, 100, 200, 200, 580, 580, 1000, 1000))
+			require.NoError(t, err)
+			return l
+		}
+		l := noisy(0)
+		if math.Abs(l.B-3) <= l.BHalf {
+			held++
+		}
+		if l.Bend {
+			seen++
+		}
+		if !noisy(0.003).Bend {
+			missed++
+		}
+	}
+	assert.InDelta(t, 0.95, float64(held)/plays, 0.02)
+	assert.LessOrEqual(t, float64(seen)/plays, 0.05)
+	assert.Zero(t, missed)
+}
+
+func TestPage(t *testing.T) {
+	all := map[string][]Row{"s": rowsOf(func(x float64) float64 { return 2 * x }, 10, 20, 30, 40), "q": rowsOf(func(x float64) float64 { return x * x }, 10, 20, 30, 40)}
+	all["s"][3].How = Hollow
+	text := "# A\n<!-- slope s at=50,100 limit=150 -->\nold\n<!-- end -->\nbetween\n<!-- slope q at=25,50 -->\n<!-- end -->\nafter\n"
+	out, err := Page(text, all)
+	require.NoError(t, err)
+	for _, want := range []string{"no bend", "| 40 | 80 | 80 to 80 | 80 | 1 | hollow |", "| *50* | *100* |", "limit 150, factor left 1.50",
+		"**limit 150 missed by a factor of 1.33**", "**bends**", "| *25* | *650* |", "between the sizes next to it", "| *50* | *2,300* |", "by the last two sizes", "\nbetween\n", "\nafter\n"} {
+		assert.Contains(t, out, want)
+	}
+	assert.NotContains(t, out, "old")
+	again, err := Page(out, all)
+	require.NoError(t, err)
+	assert.Equal(t, out, again)
+	for marker, says := range map[string]string{"<!-- slope r -->\n<!-- end -->": "slope r", "<!-- slope s by=3 -->\n<!-- end -->": "marker says", "<!-- slope s -->\n": "not each ends"} {
+		_, err := Page(marker, all)
+		assert.ErrorContains(t, err, says)
+	}
+}
+
+func TestFigure(t *testing.T) {
+	for v, want := range map[float64]string{0: "0", 580: "580", 1234567: "1,234,567", -1234: "-1,234", 0.01234: "0.0123", 12.34: "12.3", 3: "3", 1e-9: "1.00e-09", -0.5: "-0.500"} {
+		assert.Equal(t, want, Figure(v), fmt.Sprint(v))
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/tables.go
@@ -0,0 +1,139 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// A table stands between these lines of a page, the first with the slope's name and, where wanted, sizes at which the line is to be
+// worked out and the limit it is held against, in the slope's unit: <!-- slope NAME at=580,1160 limit=15000 -->
+var marked = regexp.MustCompile(`(?s)(<!-- slope ([^\n]*?) -->\n).*?(<!-- end -->)`)
+
+// Page puts the table of each slope into a page's text, between its markers. A marker without rows is an error.
+func Page(text string, all map[string][]Row) (string, error) {
+	var failed error
+	out := marked.ReplaceAllStringFunc(text, func(found string) string {
+		m := marked.FindStringSubmatch(found)
+		table, err := table(m[2], all)
+		if err != nil && failed == nil {
+			failed = err
+		}
+		return m[1] + table + m[3]
+	})
+	if opened := strings.Count(text, "<!-- slope "); failed == nil && opened != len(marked.FindAllString(text, -1)) {
+		failed = fmt.Errorf("%d tables are begun, and not each ends", opened)
+	}
+	return out, failed
+}
+
+func table(marker string, all map[string][]Row) (string, error) {
+	words := strings.Fields(marker)
+	if len(words) == 0 {
+		return "", fmt.Errorf("a marker names no slope")
+	}
+	l, err := Fit(all[words[0]])
+	if err != nil {
+		return "", fmt.Errorf("slope %s: %w", words[0], err)
+	}
+	var at []float64
+	limit := math.NaN()
+	for _, w := range words[1:] {
+		key, text, _ := strings.Cut(w, "=")
+		for _, v := range strings.Split(text, ",") {
+			x, err := strconv.ParseFloat(v, 64)
+			switch {
+			case err != nil || key != "at" && key != "limit":
+				return "", fmt.Errorf("slope %s: marker says %q, want at=SIZE,... or limit=NUMBER", words[0], w)
+			case key == "at":
+				at = append(at, x)
+			default:
+				limit = x
+			}
+		}
+	}
+	return l.Table(at, limit), nil
+}
+
+// Table is a slope in Markdown: its line, what was measured at each size, and the line at further sizes with the factor that it leaves
+// of a limit (NaN: none).
+func (l *Line) Table(at []float64, limit float64) string {
+	var b strings.Builder
+	bend := "no bend"
+	if l.Bend {
+		bend = fmt.Sprintf("**bends** (by %s of the span)", percent(l.Leaves))
+	}
+	fmt.Fprintf(&b, "`%s`, %s against %s: %s + %s (± %s) · x, R² %.4f, largest residual %s at %s, %s.\n\n", l.Slope, l.Unit, l.Against,
+		Figure(l.A), Figure(l.B), Figure(l.BHalf), l.R2, Figure(l.Residual), Figure(l.ResidualX), bend)
+	fmt.Fprintf(&b, "| %s | %s | least to most | line | rows | how |\n| ---: | ---: | ---: | ---: | ---: | --- |\n", l.Against, l.Unit)
+	for _, s := range l.Sizes {
+		fmt.Fprintf(&b, "| %s | %s | %s to %s | %s | %d | %s |\n", Figure(s.X), Figure(s.Mean), Figure(s.Least), Figure(s.Most), Figure(l.A+l.B*s.X), s.Rows, s.How)
+	}
+	for _, x := range at {
+		y, half := l.At(x)
+		how, line := "worked out, by the line", fmt.Sprintf("± %s", Figure(half))
+		if l.Bend {
+			y, line = l.Between(x), ""
+			how = "worked out, between the sizes next to it"
+			if !l.Within(x) {
+				how = "worked out, by the last two sizes"
+			}
+		}
+		if !math.IsNaN(limit) {
+			how += fmt.Sprintf("; limit %s, factor left %s", Figure(limit), Figure(limit/y))
+			if y > limit {
+				how = fmt.Sprintf("%s; **limit %s missed by a factor of %s**", strings.Split(how, ";")[0], Figure(limit), Figure(y/limit))
+			}
+		}
+		fmt.Fprintf(&b, "| *%s* | *%s* | | %s | | %s |\n", Figure(x), Figure(y), line, how)
+	}
+	return b.String()
+}
+
+func percent(v float64) string { return fmt.Sprintf("%.0f%%", 100*v) }
+
+// Figure is a number for people: three digits, thousands set apart.
+func Figure(v float64) string {
+	if v == 0 {
+		return "0"
+	}
+	digits := max(0, 2-int(math.Floor(math.Log10(math.Abs(v)))))
+	if digits > 0 {
+		if v == math.Trunc(v) {
+			digits = 0
+		}
+		if digits > 6 {
+			return strconv.FormatFloat(v, 'e', 2, 64)
+		}
+		s := strconv.FormatFloat(v, 'f', digits, 64)
+		return s
+	}
+	s := strconv.FormatFloat(math.Abs(v), 'f', 0, 64)
+	for i := len(s) - 3; i > 0; i -= 3 {
+		s = s[:i] + "," + s[i:]
+	}
+	if v < 0 {
+		s = "-" + s
+	}
+	return s
+}
+
+// Rewrite makes a page's tables anew from the rows of a folder.
+func Rewrite(page, folder string) error {
+	text, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	all, err := ReadAll(folder)
+	if err != nil {
+		return err
+	}
+	out, err := Page(string(text), all)
+	if err != nil {
+		return fmt.Errorf("%s: %w", page, err)
+	}
+	return os.WriteFile(page, []byte(out), 0o644)
+}
