--- a/internal/lab/script/accord.go
+++ b/internal/lab/script/accord.go
@@ -16,9 +16,15 @@
 	return nil, nil
 }
 
-// cut cuts dispatchers, counted from 0, off from the accord.
+// cut cuts dispatchers, counted from 0, or all of a region off from the accord.
 func (r *reader) cut(a *args) (starlark.Value, error) {
 	c := sim.Cut{At: a.seconds("start", 0), Length: a.seconds("length", 10_000)}
+	if v, ok := a.named("region"); ok {
+		name, _ := starlark.AsString(v)
+		c.Nodes = r.region(a, name)
+		r.sc.Cuts = append(r.sc.Cuts, c)
+		return nil, nil
+	}
 	v, ok := a.next("dispatchers")
 	list, isList := v.(starlark.Iterable)
 	if !ok || !isList {
--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -56,6 +56,30 @@
 	assert.Equal(t, []any{[]sim.Cut{{At: 2000, Length: 3000, Nodes: []int{1, 2}}}, []sim.Change{{At: 4000, Node: 1}}}, []any{sc.Cuts, sc.Changes})
 }
 
+// TestTenantsAndRegions: what the calls of a large day make.
+func TestTenantsAndRegions(t *testing.T) {
+	sc, err := Load("x.star", []byte(`
+traffic(length = 20)
+dispatchers(7)
+regions(["east", "west"])
+backends("a", 3, kind("fast"))
+job_class("batch", standing = 1)
+job_class("urgent", urgent = 1)
+tenants("big", 1, quota = 30, times = 2.5, at = 3, job_class = "batch")
+tenants("t", 2, job_class = "batch", think_ms = 0)
+measure(start = 5, ramp = 2)
+accord()
+cut(start = 2, length = 3, region = "west")
+`))
+	require.NoError(t, err)
+	assert.Equal(t, []sim.Region{{Name: "east", Dispatchers: []int{0, 1, 2}}, {Name: "west", Dispatchers: []int{3, 4, 5, 6}}}, sc.Regions)
+	assert.Equal(t, []sim.Tenant{{Name: "big1", Quota: 30, Wants: 75, At: 3, Class: "batch", Think: 200},
+		{Name: "t1", Quota: 30, Wants: 30, Class: "batch"}, {Name: "t2", Quota: 30, Wants: 30, Class: "batch"}}, sc.Tenants)
+	assert.Equal(t, sim.Window{From: 5000, To: 20_000, Ramp: 2000}, sc.Window)
+	assert.Equal(t, []sim.Cut{{At: 2000, Length: 3000, Nodes: []int{3, 4, 5, 6}}}, sc.Cuts)
+	assert.Equal(t, []any{0.0, false, true}, []any{sc.Classes[0].Share, sc.Classes[0].Urgent, sc.Classes[1].Urgent})
+}
+
 // TestFaults: whoever wrote a script is told where and what.
 func TestFaults(t *testing.T) {
 	const fine = "k = kind(\"k\")\nb = backends(\"b\", 2, k)\n"
@@ -76,6 +100,12 @@
 		fine + "restart(dispatcher = 1.5e3)":      "restart: dispatcher is 1500.0",
 		fine + "accord(when_cut = \"go\")":        `accord: when_cut is "go", want one of keep, stop`,
 		fine + "cut(dispatchers = 3)":             "cut: dispatchers is missing, or no list of numbers",
+		fine + "tenants(\"t\", 2)":                "x.star:3:8: tenants: job_class is missing or no text",
+		fine + "tenants(\"t\", 2, quota = 0)":     "tenants: quota is 0, want a number from 1",
+		fine + "tenants(\"t\", 2, job_class = \"all\", qota = 3)":      "tenants: there is no qota",
+		fine + "regions([\"a\", \"b\"])":          "x.star:3:8: regions: names holds 2 regions for one dispatcher",
+		fine + "cut(region = \"x\")":              `cut: region is "x", which regions() has not named`,
+		fine + "measure(start = -1)":              "measure: start is -1",
 		fine + "heavy(part = 2)":                  "heavy: part is 2",
 		"kind(\"k\", cancel = \"no\")":            "kind: cancel is \"no\", want one of all, none, queued",
 		"backends(\"b\", 2, \"none\")":            `backends: kind is "none", which no kind() has made`,
--- a/internal/lab/script/site.go
+++ b/internal/lab/script/site.go
@@ -27,19 +27,28 @@
 // class adds a class of reqs; what traffic() says of works, aims and deadlines then counts for nothing.
 func (r *reader) class(a *args) (starlark.Value, error) {
 	s := &r.sc
-	s.Classes = append(s.Classes, sim.Class{Name: a.text("name"), Share: a.number("share", 1, 0.001, 1000), Work: a.number("work_ms", s.Work, 0.001, 1e6),
+	s.Classes = append(s.Classes, sim.Class{Name: a.text("name"), Share: share(a), Work: a.number("work_ms", s.Work, 0.001, 1e6),
 		Spread: a.number("spread", s.Spread, 0, 3), Noise: a.number("noise", 0, 0, 3), Aim: a.number("aim_ms", s.Aim, 0.001, 1e6),
 		Stretch: a.number("stretch", s.Stretch, 0.001, 100), Deadline: a.number("deadline_ms", s.Deadline, 1, 1e6), Worth: a.number("worth", 1, 0, 1e6),
-		Wide: a.number("wide", 0, 0, 1), Window: a.seconds("repeat_window", 7500),
+		Wide: a.number("wide", 0, 0, 1), Urgent: a.number("urgent", 0, 0, 1) == 1, Window: a.seconds("repeat_window", 7500),
 		Effect: oneOf(a, "effect", "keyed", map[string]balance.Effect{"safe": balance.Safe, "keyed": balance.Deduped, "unsafe": balance.Unsafe})})
 	return nil, nil
 }
 
+// share is a class's part of the reqs that traffic() has come; one of tenants' standing demand has none of them.
+func share(a *args) float64 {
+	if a.number("standing", 0, 0, 1) == 1 {
+		return 0
+	}
+	return a.number("share", 1, 0.001, 1000)
+}
+
 // site says what a site's settings have beside its classes.
 func (r *reader) site(a *args) (starlark.Value, error) {
 	r.once(a)
 	r.sc.Site = sim.Site{
 		Unweighted: oneOf(a, "weights", "size", map[string]bool{"size": false, "none": true}), Progress: a.seconds("progress", 0),
+		Over:   a.number("over_share_worth", 0, 0, 1),
 		ByWork: oneOf(a, "worth_by", "req", map[string]bool{"req": false, "work": true}), Guess: a.number("guess", 0, 0, 3),
 		Mix:           balance.Mix{Whole: a.number("whole", 0, 0, 1), WorstWindow: a.number("worst_window", 0, 0, 1), WorstClass: a.number("worst_class", 0, 0, 1)},
 		StartCapacity: a.number("start_capacity", 0, 0, 1), WarmAfter: a.seconds("warm_after", 0),
--- a/internal/lab/sim/accord.go
+++ b/internal/lab/sim/accord.go
@@ -44,6 +44,7 @@
 	Version    uint64  // decided last
 	Fenced     int     // tries refused, since the dispatcher might take none
 	FencedCut  int     // of them, by a dispatcher that was cut off
+	AskedCut   int     // tries that came to a dispatcher that was cut off
 	Over       int     // tries taken by a version after a later one was decided
 	OverStarts int     // attempts begun by one
 	Most       int     // versions that dispatchers might begin attempts by at one moment, at most
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -58,7 +58,12 @@
 	}
 	w.at(a.At, func() {
 		w.res.First++
-		(&client{w: w, n: w.res.First, key: fmt.Sprint("k", w.res.First), Arrival: a, begun: w.now}).ask()
+		c := &client{w: w, n: w.res.First, key: fmt.Sprint("k", w.res.First), Arrival: a, begun: w.now}
+		if w.runs != nil {
+			c.tenant = w.runs.draw()
+		}
+		c.region = w.region()
+		c.ask()
 		w.arrive()
 	})
 }
@@ -75,6 +80,9 @@
 	id    string  // of the try
 	trips []*trip // of the try
 	ran   int     // how often a job of its began, in all tries
+
+	tenant, region int
+	stands         bool // part of its tenant's standing demand
 }
 
 func (w *world) second(at float64) *Second {
@@ -105,7 +113,7 @@
 		r.First++
 		r.Asked += c.worth()
 	}
-	fronts := w.fronts()
+	fronts := c.near(w.fronts())
 	if len(fronts) == 0 {
 		c.unreachable()
 		return
@@ -118,6 +126,9 @@
 		c.unreachable()
 		return
 	}
+	if w.keeper != nil && w.severed(c.side.at) {
+		w.res.Accord.AskedCut++
+	}
 	w.open++
 	c.side.asked[c] = struct{}{}
 	c.id = fmt.Sprint(c.key, "-", c.tries)
@@ -125,7 +136,7 @@
 	w.note(judge.Event{What: judge.Asked, Node: c.side.at, Req: c.id, Key: c.key, Deadline: deadline, Work: c.Work, Effect: effects[c.class().Effect]})
 	w.tries[c.id] = c
 	job := &core.Job{Method: "POST", Target: "/photo", ID: c.id}
-	q := balance.Request{Class: c.Class, Slots: c.Slots, Work: c.Guess, Retry: c.tries > 1}
+	q := balance.Request{Class: c.Class, Tenant: c.tenant, Slots: c.Slots, Work: c.Guess, Retry: c.tries > 1}
 	if c.class().Effect == balance.Deduped {
 		job.IdempotencyKey = c.key
 	}
@@ -229,6 +240,12 @@
 // over ends a first req.
 func (c *client) over(good bool, how string) {
 	w, r := c.w, &c.w.res.Classes[c.Class]
+	if w.runs != nil {
+		if c.class().Urgent && c.ran == 0 && w.runs.inside(c.begun) {
+			w.res.Tenants.Never++
+		}
+		defer w.runs.again(c)
+	}
 	w.service.Weigh(c.begun, c.worth()*c.class().Worth, good)
 	if good {
 		r.InTime++
--- a/internal/lab/sim/side.go
+++ b/internal/lab/sim/side.go
@@ -164,6 +164,9 @@
 	w.at(w.now+w.delay(), func() {
 		if t.n.out[t.id] != nil {
 			delete(t.n.out, t.id)
+			if w.runs != nil && t.n.cfg.Kind.OnCancel == fleet.DropAll {
+				w.runs.ended(t.id)
+			}
 			w.told(t.n, t.n.model.Cancel(w.now, t.id))
 		}
 	})
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -48,6 +48,9 @@
 	Accord   Accord
 	Cuts     []Cut
 	Changes  []Change
+	Tenants  []Tenant
+	Window   Window
+	Regions  []Region
 }
 
 // Burst multiplies the rate for a while.
@@ -126,6 +129,7 @@
 	Seconds  []Second
 	Load     map[string]int // jobs begun, by backend
 	Accord   AccordResult
+	Tenants  TenantsResult
 	Latency  *hdrhistogram.Histogram // of served first reqs, from the first try to the answer, us
 }
 
@@ -183,6 +187,9 @@
 	w.next, stop = iter.Pull(sc.Arrivals())
 	defer stop()
 	w.arrive()
+	if w.runs != nil {
+		w.runs.stand()
+	}
 	if err := w.run(); err != nil {
 		return Result{}, err
 	}
--- a/internal/lab/sim/site.go
+++ b/internal/lab/sim/site.go
@@ -23,6 +23,7 @@
 	Wide     float64 // part of the jobs that take two slots
 	Effect   balance.Effect
 	Window   float64 // in which a pod drops repeats, of a keyed class
+	Urgent   bool
 }
 
 // Site is what a site's settings say beside its classes. Zero values leave what the variant's settings have.
@@ -36,6 +37,7 @@
 	WarmAfter     float64
 	FallMultiple  float64
 	Connect       float64 // a connection's time, ms
+	Over          float64 // worth of a req beyond its tenant's share
 }
 
 // Heavy has part of a class's reqs cost so many times as much, for a while.
@@ -124,6 +126,10 @@
 	if sc.Report.Period > 0 {
 		s.ReportInAnswer, s.Metrics = true, []balance.Metric{balance.MetricFreeSlots}
 	}
+	put(&s.OverShareWorth, sc.Site.Over)
+	if len(sc.Tenants) > 0 {
+		s.Tenants = sc.tenants()
+	}
 	s.Instances = max(sc.Dispatchers, 1)
 	return s
 }
@@ -135,7 +141,7 @@
 		switch {
 		case names[c.Name]:
 			return fmt.Errorf("class %q stands there twice, or has no name", c.Name)
-		case !(c.Work > 0) || !(c.Deadline > 0) || !(c.Share > 0):
+		case !(c.Work > 0) || !(c.Deadline > 0) || !(c.Share > 0) && len(sc.Tenants) == 0:
 			return fmt.Errorf("class %q: work, deadline and share must be more than 0", c.Name)
 		}
 		names[c.Name] = true
@@ -150,5 +156,5 @@
 			return fmt.Errorf("dispatcher %d restarts, which is none", r.Node)
 		}
 	}
-	return nil
+	return sc.checkTenants()
 }
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -88,14 +88,16 @@
 	attempts *rand.Rand       // of what attempts of a job differ by
 	heard    float64          // when the last change is heard: a stale list keeps their order
 	restarts int
-	keeper   *keeperAt // nil without an accord
+	keeper   *keeperAt  // nil without an accord
+	runs     *runs      // nil without tenants
+	where    *rand.Rand // of which region a client is in
 }
 
 func newWorld(sc Scenario, settings balance.Settings, p Policy) (*world, error) {
 	w := &world{sc: sc, tries: map[string]*client{}, nodes: map[string]*node{}, byID: map[balance.WorkerID]*node{}, pods: map[int]*fleet.Pod{},
 		net: fleet.Chance(sc.Seed, "network"), clients: fleet.Chance(sc.Seed, "clients"), front: fleet.Chance(sc.Seed, "front"),
 		noise: fleet.Chance(sc.Seed, "reports"), log: fnv.New64a(),
-		policy: p, owners: map[uint64]*trip{}, attempts: fleet.Chance(sc.Seed, "attempts")}
+		policy: p, owners: map[uint64]*trip{}, attempts: fleet.Chance(sc.Seed, "attempts"), where: fleet.Chance(sc.Seed, "regions")}
 	if w.sc.Stretch == 0 {
 		w.sc.Stretch = 2
 	}
@@ -123,6 +125,9 @@
 	}
 	settings.Kinds = max(settings.Kinds, len(kinds))
 	w.settings = settings
+	if len(sc.Tenants) > 0 {
+		w.runs = newRuns(w)
+	}
 	for _, b := range sc.Backends {
 		w.add(b, kinds[b.Kind.Name])
 	}
@@ -335,6 +340,9 @@
 		if e.What == fleet.Started {
 			w.began(e.Job)
 		}
+		if w.runs != nil && e.What != fleet.Started {
+			w.runs.ended(e.Job)
+		}
 		t := n.out[e.Job]
 		if t == nil {
 			continue
@@ -378,7 +386,11 @@
 	delete(w.owners, job)
 	t.began = true
 	c := w.tries[t.a.Job.ID]
-	if c.ran++; c.ran == 2 && c.class().Effect == balance.Unsafe {
+	c.ran++
+	if w.runs != nil {
+		w.runs.began(job, c)
+	}
+	if c.ran == 2 && c.class().Effect == balance.Unsafe {
 		w.res.Twice++
 	}
 }
@@ -389,5 +401,8 @@
 	w.judge.End(math.Inf(1))
 	w.res.Broken, w.res.Breaches = w.judge.Breaches(), w.judge.Count("")
 	w.res.Worst = w.service.Worst()
+	if w.runs != nil {
+		w.runs.finish()
+	}
 	w.res.Hash = w.log.Sum64()
 }
