What is missing first: quotas of teams, by plays of the coming size before anything is built

At the root of it Dispatcher.meter: a window of 2 s where a req comes each 8 s, and no count of what runs.

--- /dev/null
+++ b/internal/lab/script/quotas.go
@@ -0,0 +1,83 @@
+package script
+
+import (
+	"go.starlark.net/starlark"
+
+	"tinsail/internal/lab/sim"
+)
+
+// quotas has the tenants' quotas lent in levels, over the regions that regions() has named before.
+func (r *reader) quotas(a *args) (starlark.Value, error) {
+	r.once(a)
+	n := len(r.sc.Regions)
+	if n == 0 {
+		a.fail("call regions() before")
+	}
+	q := sim.Quotas{Lease: a.number("lease_ms", 3000, 100, 86_400_000), RegionLease: a.number("region_lease_ms", 600_000, 100, 86_400_000),
+		Run: a.number("run_ms", 1_000_000, 0, 86_400_000), Drift: a.number("drift", 0.001, 0, 0.1), Reserve: int(a.number("urgent_reserve", 0, 0, 1e6)),
+		Latency: a.number("latency_ms", 1, 0, 1e5), Loss: a.number("loss", 0, 0, 1), Elect: a.number("elect_ms", 5000, 0, 1e6)}
+	q.Far = make([]float64, n*(n-1)/2)
+	v, ok := a.named("between_ms")
+	if !ok {
+		v = starlark.MakeInt(50)
+	}
+	list, isList := v.(starlark.Sequence)
+	switch {
+	case !isList:
+		ms := a.bounded("between_ms", v, 0, 1e5)
+		for i := range q.Far {
+			q.Far[i] = ms
+		}
+	case list.Len() != len(q.Far):
+		a.fail("between_ms holds %s, want one for each of %s, first with second, first with third", plural(list.Len(), "delay"), plural(len(q.Far), "pair"))
+	default:
+		i := 0
+		for x := range starlark.Elements(list) {
+			q.Far[i] = a.bounded("between_ms", x, 0, 1e5)
+			i++
+		}
+	}
+	r.sc.Quotas = q
+	return nil, nil
+}
+
+// sever has a region lose the others, or one other, for a while: messages between them are lost.
+func (r *reader) sever(a *args) (starlark.Value, error) {
+	s := sim.Span{In: r.regionAt(a, "region"), To: -1, At: a.seconds("start", 0), Length: a.seconds("length", 300_000)}
+	if _, ok := a.kw["other"]; ok {
+		s.To = r.regionAt(a, "other")
+	}
+	r.sc.Spans = append(r.sc.Spans, s)
+	return nil, nil
+}
+
+// crash kills the lender of a region, or the root, whose next life is in a region.
+func (r *reader) crash(a *args) (starlark.Value, error) {
+	c := sim.Crash{At: a.seconds("start", 0), Down: a.seconds("down", 2000), Region: -1}
+	if _, ok := a.kw["to"]; ok {
+		c.To = r.regionAt(a, "to")
+	} else {
+		c.Region = r.regionAt(a, "lender")
+	}
+	r.sc.Crashes = append(r.sc.Crashes, c)
+	return nil, nil
+}
+
+// requota changes a tenant's quota.
+func (r *reader) requota(a *args) (starlark.Value, error) {
+	r.sc.Requotas = append(r.sc.Requotas, sim.Requota{Tenant: a.text("tenant"), At: a.seconds("start", 0), Quota: int(a.number("quota", 1, 1, 1e6))})
+	return nil, nil
+}
+
+// regionAt takes a region by its name.
+func (r *reader) regionAt(a *args, key string) int {
+	v, _ := a.named(key)
+	name, _ := starlark.AsString(v)
+	for i := range r.sc.Regions {
+		if r.sc.Regions[i].Name == name {
+			return i
+		}
+	}
+	a.fail("%s is %q, which regions() has not named", key, name)
+	return 0
+}
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -51,6 +51,7 @@
 		"job_class": r.class, "site": r.site, "heavy": r.heavy, "stale": r.stale, "restart": r.restart,
 		"accord": r.accord, "cut": r.cut, "change": r.change,
 		"tenants": r.tenants, "measure": r.measure, "regions": r.regions,
+		"quotas": r.quotas, "sever": r.sever, "crash": r.crash, "requota": r.requota,
 	} {
 		calls[call] = starlark.NewBuiltin(call, func(t *starlark.Thread, b *starlark.Builtin, pos starlark.Tuple, kw []starlark.Tuple) (starlark.Value, error) {
 			a := &args{call: b.Name(), pos: pos, kw: map[string]starlark.Value{}}
--- /dev/null
+++ b/internal/lab/sim/quotas.go
@@ -0,0 +1,616 @@
+package sim
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tinsail/internal/fleet/quota"
+	"tinsail/internal/lab/fleet"
+	"tinsail/internal/lab/judge"
+)
+
+// Quotas has the tenants' quotas lent in levels (docs/design/quota.md): the real Lender at the root, a real Region in each
+// region, the real Desk and Holder at each dispatcher, and links between them. The zero value is a fleet without. Times
+// are milliseconds.
+type Quotas struct {
+	Lease       float64 // of a dispatcher's units; 0: no quotas
+	RegionLease float64
+	Drift       float64 // of each clock's rate, drawn: slowest, right or fastest
+	Run         float64 // the longest that a req may be in flight once it has room
+	Reserve     int     // units for urgent reqs, in each region
+	Latency     float64 // one way within a region; half of it varies
+	Far         []float64
+	Loss        float64 // part of the messages that never arrive
+	Elect       float64 // from the root's region being cut off to another leader's first word
+
+	whole bool // a seeded fault for tests: a dispatcher begins by a lease until its whole length, and past it
+}
+
+// Span is the part of a day in which regions lose each other: what is between In and the others, or only between In and To.
+type Span struct {
+	At, Length float64
+	In, To     int // To -1: all others
+}
+
+// Crash is a lender that is killed, and started again with nothing but its reserve: that of a region, or the root (Region
+// -1), whose next life is in region To.
+type Crash struct {
+	At, Down   float64
+	Region, To int
+}
+
+// Requota is a change of a tenant's quota, in force at all lenders and dispatchers at once.
+type Requota struct {
+	At     float64
+	Tenant string
+	Quota  int
+}
+
+// QuotasResult is what came of the quotas.
+type QuotasResult struct {
+	Asks, Answers, Nudges int // of dispatchers
+	Far                   int // messages between regions
+	Bytes                 int // of all messages between dispatchers and their region's lender
+	FarBytes              int
+	Most                  int // bytes of the dispatcher that had most, in the window
+	Refused               int // reqs that were out of patience before they had room
+	Notes                 map[string]int
+	Breaches              int // begins beyond a quota, at the backends or at the dispatchers
+	Broken                []judge.Breach
+}
+
+func (sc *Scenario) checkQuotas() error {
+	q := &sc.Quotas
+	if q.Lease == 0 {
+		if len(sc.Spans)+len(sc.Crashes)+len(sc.Requotas) > 0 {
+			return fmt.Errorf("spans, crashes and changes of quotas want quotas")
+		}
+		return nil
+	}
+	n := len(sc.Regions)
+	for _, s := range sc.Spans {
+		if s.In < 0 || s.In >= n || s.To < -1 || s.To >= n {
+			return fmt.Errorf("region %d is cut off from %d, of %d", s.In, s.To, n)
+		}
+	}
+	for _, c := range sc.Crashes {
+		if c.Region < -1 || c.Region >= n || c.To < 0 || c.To >= n {
+			return fmt.Errorf("the lender of region %d is killed, of %d", c.Region, n)
+		}
+	}
+	for _, r := range sc.Requotas {
+		if !slices.ContainsFunc(sc.Tenants, func(t Tenant) bool { return t.Name == r.Tenant }) {
+			return fmt.Errorf("a change of the quota of tenant %q, which is none", r.Tenant)
+		}
+	}
+	if n == 0 || len(sc.Tenants) == 0 || len(q.Far) != n*(n-1)/2 {
+		return fmt.Errorf("quotas want tenants, regions and a delay for each pair of them")
+	}
+	if err := q.up().Check(); err != nil {
+		return err
+	}
+	return q.down().Check()
+}
+
+func (q *Quotas) up() quota.Plan {
+	return quota.Plan{Lease: span(q.RegionLease), Run: span(q.Run), Drift: q.Drift}
+}
+
+func (q *Quotas) down() quota.Plan {
+	return quota.Plan{Lease: span(q.Lease), Run: span(q.Run), Drift: q.Drift}
+}
+
+// quotas is all of it in a run.
+type quotas struct {
+	w       *world
+	set     Quotas
+	chance  *rand.Rand
+	lives   uint64
+	root    *rootAt
+	regions []*regionAt
+	now     map[string]int // the quotas in force
+	urgent  []bool         // by class
+	at      judge.Shares   // what runs at backends
+	flight  judge.Shares   // what is in flight at dispatchers
+	bytes   []int          // of each dispatcher, in the window
+}
+
+// clock is a process's own, with the event that is set for its next turn.
+type clock struct {
+	rate float64
+	wake float64
+}
+
+func (c *clock) now(w *world) quota.Time { return quota.Time(w.now * 1e6 * c.rate) }
+
+// again sets an event for a time of the clock, unless one is set for an earlier one.
+func (c *clock) again(w *world, next quota.Time, turn func()) {
+	if next == quota.Never {
+		return
+	}
+	// Rounded up: an event that came a hair too early would set itself again and again.
+	at := max(float64(next)/1e6/c.rate, w.now) + 0.01
+	if at >= c.wake {
+		return
+	}
+	c.wake = at
+	w.at(at, func() {
+		if c.wake == at {
+			c.wake = math.Inf(1)
+			turn()
+		}
+	})
+}
+
+func (q *quotas) clock() clock {
+	return clock{rate: 1 + q.set.Drift*float64(q.chance.IntN(3)-1), wake: math.Inf(1)}
+}
+
+func (q *quotas) life() uint64 { q.lives++; return q.lives }
+
+func newQuotas(w *world) (*quotas, error) {
+	q := &quotas{w: w, set: w.sc.Quotas, chance: fleet.Chance(w.sc.Seed, "quotas"), now: map[string]int{}, bytes: make([]int, max(w.sc.Dispatchers, 1))}
+	// A region that is cut off hears of no change, and may begin by what it holds until its lease and one of its own are over.
+	grace := (q.set.RegionLease + q.set.Lease) * (1 + q.set.Drift) / (1 - q.set.Drift)
+	q.at = judge.Shares{Reserve: q.set.Reserve * len(w.sc.Regions), Grace: grace}
+	q.flight = q.at
+	for _, t := range w.sc.Tenants {
+		q.decide(t.Name, t.Quota)
+	}
+	for _, c := range w.classes {
+		q.urgent = append(q.urgent, c.Urgent)
+	}
+	w.res.Quotas.Notes = map[string]int{}
+	for i := range w.sc.Regions {
+		q.regions = append(q.regions, &regionAt{q: q, at: i})
+		if err := q.regions[i].start(); err != nil {
+			return nil, err
+		}
+	}
+	return q, q.elect(0, true)
+}
+
+func (q *quotas) decide(name string, units int) {
+	q.now[name] = units
+	q.at.Quota(q.w.now, name, units)
+	q.flight.Quota(q.w.now, name, units)
+}
+
+// accounts are those that have a quota, by name.
+func (q *quotas) accounts() []string {
+	var out []string
+	for _, t := range q.w.sc.Tenants {
+		out = append(out, t.Name)
+	}
+	if q.set.Reserve > 0 {
+		out = append(out, quota.Urgent)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// far is the delay between two regions, one way.
+func (q *quotas) far(a, b int) float64 {
+	if a == b {
+		return q.set.Latency
+	}
+	if a > b {
+		a, b = b, a
+	}
+	n := len(q.regions)
+	return q.set.Far[a*n-a*(a+1)/2+b-a-1]
+}
+
+func (q *quotas) severed(a, b int) bool {
+	for _, s := range q.w.sc.Spans {
+		if a != b && q.w.now >= s.At && q.w.now < s.At+s.Length &&
+			(s.To < 0 && (a == s.In || b == s.In) || s.To >= 0 && (a == s.In && b == s.To || a == s.To && b == s.In)) {
+			return true
+		}
+	}
+	return false
+}
+
+// carry has a message between two regions, or within one, arrive, or not.
+func (q *quotas) carry(a, b int, arrive func()) {
+	w := q.w
+	if q.chance.Float64() < q.set.Loss || q.severed(a, b) {
+		return
+	}
+	w.at(w.now+q.far(a, b)*(0.75+0.5*q.chance.Float64()), func() {
+		if !q.severed(a, b) {
+			arrive()
+		}
+	})
+}
+
+// rootAt is the root: the accord's leader.
+type rootAt struct {
+	clock
+	q      *quotas
+	lender *quota.Lender
+	region int
+	gone   bool
+}
+
+// elect starts a life of the root in a region; the one before may grant nothing from then on.
+func (q *quotas) elect(region int, first bool) error {
+	if q.root != nil {
+		q.root.gone = true
+	}
+	r := &rootAt{clock: q.clock(), q: q, region: region}
+	var known []string
+	for _, g := range q.w.sc.Regions {
+		known = append(known, g.Name)
+	}
+	var err error
+	r.lender, err = quota.NewLender(q.set.up(), q.life(), r.now(q.w), quota.Options{Spread: true, Known: known, Starts: first})
+	if err != nil {
+		return err
+	}
+	for _, a := range q.accounts() {
+		if a != quota.Urgent {
+			r.lender.Capacity(r.now(q.w), a, q.now[a])
+		}
+	}
+	q.root = r
+	r.turn()
+	return nil
+}
+
+// take answers a region's ask, once another voter has confirmed by a round trip that this one leads.
+func (r *rootAt) take(g *regionAt, a quota.Ask) {
+	q, nearest := r.q, -1
+	for i := range q.regions {
+		if i != r.region && !q.severed(i, r.region) && (nearest < 0 || q.far(i, r.region) < q.far(nearest, r.region)) {
+			nearest = i
+		}
+	}
+	if r.gone || nearest < 0 && len(q.regions) > 1 {
+		return
+	}
+	confirm := func() {
+		if r.gone {
+			return
+		}
+		if answer, ok := r.lender.Take(r.now(q.w), a); ok {
+			q.far2(sizeOfAnswer(answer))
+			q.carry(r.region, g.at, func() { g.answered(answer) })
+		}
+		r.turn()
+	}
+	if nearest < 0 {
+		confirm()
+		return
+	}
+	q.carry(r.region, nearest, func() { q.carry(nearest, r.region, confirm) })
+}
+
+func (r *rootAt) turn() {
+	if r.gone {
+		return
+	}
+	q := r.q
+	r.lender.Tick(r.now(q.w))
+	for _, name := range r.lender.Nudges() {
+		g := q.regions[slices.IndexFunc(q.w.sc.Regions, func(x Region) bool { return x.Name == name })]
+		q.far2(sizeOfNudge)
+		q.carry(r.region, g.at, func() {
+			if !g.dead {
+				g.region.Nudged()
+				g.turn()
+			}
+		})
+	}
+	q.notes("root ", r.lender.Notes())
+	r.again(q.w, r.lender.Next(), r.turn)
+}
+
+func (q *quotas) far2(bytes int) {
+	q.w.res.Quotas.Far++
+	q.w.res.Quotas.FarBytes += bytes
+}
+
+func (q *quotas) notes(level string, list []quota.Note) {
+	for _, n := range list {
+		q.w.res.Quotas.Notes[level+n.Step]++
+	}
+}
+
+// regionAt is a region's lender.
+type regionAt struct {
+	clock
+	q      *quotas
+	at     int
+	region *quota.Region
+	dead   bool
+}
+
+func (g *regionAt) start() (err error) {
+	q := g.q
+	g.clock, g.dead = q.clock(), false
+	g.region, err = quota.NewRegion(q.set.up(), q.set.down(), q.w.sc.Regions[g.at].Name, q.life(), g.now(q.w))
+	if err == nil {
+		g.region.Reserve(g.now(q.w), q.set.Reserve)
+		q.w.at(q.w.now, g.turn)
+	}
+	return err
+}
+
+func (g *regionAt) answered(a quota.Answer) {
+	if !g.dead {
+		g.region.Answered(g.now(g.q.w), a)
+		g.turn()
+	}
+}
+
+// take answers a dispatcher's ask.
+func (g *regionAt) take(d *deskAt, a quota.Ask) {
+	if g.dead {
+		return
+	}
+	q := g.q
+	if answer, ok := g.region.Take(g.now(q.w), a); ok {
+		q.w.res.Quotas.Answers++
+		q.near(d.side.at, sizeOfAnswer(answer))
+		q.carry(g.at, g.at, func() { d.answered(answer) })
+	}
+	g.turn()
+}
+
+func (g *regionAt) turn() {
+	if g.dead {
+		return
+	}
+	q := g.q
+	g.region.Tick(g.now(q.w))
+	if a, ok := g.region.Due(g.now(q.w)); ok {
+		q.far2(sizeOfAsk(a))
+		root := q.root
+		q.carry(g.at, root.region, func() { root.take(g, a) })
+	}
+	for _, name := range g.region.Nudges() {
+		node := 0
+		_, _ = fmt.Sscanf(name, "n%d", &node)
+		q.w.res.Quotas.Nudges++
+		q.near(node, sizeOfNudge)
+		q.carry(g.at, g.at, func() {
+			if d := q.w.sides[node].desk; !d.side.dead {
+				d.holder.Nudged()
+				d.turn()
+			}
+		})
+	}
+	q.notes("region ", g.region.Notes())
+	g.again(q.w, g.region.Next(), g.turn)
+}
+
+// near counts the bytes of a message between a dispatcher and its region's lender.
+func (q *quotas) near(node, bytes int) {
+	q.w.res.Quotas.Bytes += bytes
+	if q.w.runs.inside(q.w.now) {
+		q.bytes[node] += bytes
+	}
+}
+
+// deskAt is a dispatcher's side: the core's Quotas by the real Desk, with the real Holder.
+type deskAt struct {
+	clock
+	q      *quotas
+	side   *side
+	desk   *quota.Desk
+	holder *quota.Holder
+	last   uint64
+	ready  map[uint64]func(time.Duration, bool)
+	set    bool // a turn is set for this moment
+	ranOut quota.Time
+	held   map[string]int // what was held last, for the seeded fault
+	flying map[uint64]account
+}
+
+type account struct {
+	name   string
+	urgent bool
+}
+
+func newDesk(s *side) (*deskAt, error) {
+	q := s.w.quotas
+	d := &deskAt{clock: q.clock(), q: q, side: s, desk: quota.NewDesk(), ready: map[uint64]func(time.Duration, bool){}, held: map[string]int{}, flying: map[uint64]account{}}
+	var err error
+	if d.holder, err = quota.NewHolder(q.set.down(), fmt.Sprint("n", s.at), q.life(), false); err != nil {
+		return nil, err
+	}
+	d.desk.SetQuotas(d.now(s.w), q.accounts())
+	d.soon()
+	return d, nil
+}
+
+// soon sets a turn for this moment: the core is in the middle of an event.
+func (d *deskAt) soon() {
+	if d.set {
+		return
+	}
+	d.set = true
+	d.q.w.at(d.q.w.now, func() { d.set = false; d.turn() })
+}
+
+// Take asks for room: core.Quotas.
+func (d *deskAt) Take(tenant, class int, until time.Time, ready func(time.Duration, bool)) (leave func()) {
+	w := d.q.w
+	d.last++
+	id, name := d.last, ""
+	if tenant < len(w.sc.Tenants) {
+		name = w.sc.Tenants[tenant].Name
+	}
+	a := account{name, d.q.urgent[class]}
+	patience := float64(until.Sub(origin))/1e6 - w.now
+	if d.desk.Take(d.now(w), id, name, a.urgent, d.now(w)+quota.Time(patience*1e6*d.rate)) {
+		d.begun(id, a)
+		ready(0, true)
+	} else {
+		d.ready[id] = func(pause time.Duration, ok bool) {
+			if ok {
+				d.begun(id, a)
+			}
+			ready(pause, ok)
+		}
+		d.soon()
+	}
+	return func() {
+		delete(d.ready, id)
+		d.desk.Leave(id)
+		d.ended(id)
+		d.soon()
+	}
+}
+
+// Most is the longest that room may be held.
+func (d *deskAt) Most() time.Duration { return span(d.q.set.Run) }
+
+func (d *deskAt) begun(id uint64, a account) {
+	d.flying[id] = a
+	d.q.flight.Began(d.q.w.now, a.name, a.urgent)
+}
+
+func (d *deskAt) ended(id uint64) {
+	if a, flies := d.flying[id]; flies {
+		delete(d.flying, id)
+		d.q.flight.Ended(a.name, a.urgent)
+	}
+}
+
+// died takes what was in flight at a dispatcher that was killed out of the count, once its attempts are called off.
+func (d *deskAt) died() {
+	d.q.w.at(d.q.w.now+2*d.q.w.sc.Latency, func() {
+		for id := range d.flying {
+			d.ended(id)
+		}
+	})
+}
+
+func (d *deskAt) units(name string) int {
+	units := d.holder.Units(d.now(d.q.w), name)
+	if !d.q.set.whole {
+		return units
+	}
+	if units > 0 { // the seeded fault: what was held once is held for good
+		d.held[name] = units
+	}
+	return d.held[name]
+}
+
+// turn carries out what the desk and the holder want.
+func (d *deskAt) turn() {
+	if d.side.dead {
+		return
+	}
+	w := d.q.w
+	begin, refuse := d.desk.Turn(d.now(w), d.units)
+	for _, id := range begin {
+		d.say(id, 0, true)
+	}
+	for _, id := range refuse {
+		w.res.Quotas.Refused++
+		d.say(id, refusedPause, false)
+	}
+	d.desk.Needs(d.holder.Need)
+	if a, ok := d.holder.Due(d.now(w)); ok {
+		d.ask(a)
+	}
+	d.again(w, min(d.holder.Next(), d.desk.Next()), d.turn)
+}
+
+// refusedPause is advised to clients of reqs that had no room in time.
+const refusedPause = 500 * time.Millisecond
+
+func (d *deskAt) say(id uint64, pause time.Duration, ok bool) {
+	if ready := d.ready[id]; ready != nil {
+		delete(d.ready, id)
+		ready(pause, ok)
+		d.side.touch()
+	}
+}
+
+func (d *deskAt) ask(a quota.Ask) {
+	q := d.q
+	q.w.res.Quotas.Asks++
+	q.near(d.side.at, sizeOfAsk(a))
+	region := q.w.sc.RegionOf(d.side.at)
+	q.carry(region, region, func() { q.regions[region].take(d, a) })
+}
+
+func (d *deskAt) answered(a quota.Answer) {
+	if !d.side.dead {
+		d.holder.Answered(d.now(d.q.w), a)
+		d.turn()
+	}
+}
+
+// begin sets the events of the day: leaders that are cut off and replaced, lenders that are killed, changes of quotas.
+func (q *quotas) begin() {
+	w := q.w
+	for _, s := range w.sc.Spans {
+		w.at(s.At+q.set.Elect, func() {
+			if s.To < 0 && q.root.region == s.In && w.now < s.At+s.Length {
+				q.must(q.elect((s.In+1)%len(q.regions), false))
+			}
+		})
+	}
+	for _, c := range w.sc.Crashes {
+		w.at(c.At, func() {
+			if c.Region < 0 {
+				q.root.gone = true
+				w.at(w.now+c.Down, func() { q.must(q.elect(c.To, false)) })
+				return
+			}
+			g := q.regions[c.Region]
+			g.dead = true
+			w.at(w.now+c.Down, func() { q.must(g.start()) })
+		})
+	}
+	for _, r := range w.sc.Requotas {
+		w.at(r.At, func() {
+			q.decide(r.Tenant, r.Quota)
+			if !q.root.gone {
+				q.root.lender.Capacity(q.root.now(w), r.Tenant, r.Quota)
+				q.root.turn()
+			}
+		})
+	}
+}
+
+// must is for what the scenario's check has found sound.
+func (q *quotas) must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (q *quotas) finish() {
+	r := &q.w.res.Quotas
+	r.Breaches = q.at.Count() + q.flight.Count()
+	r.Broken = append(q.at.Breaches(), q.flight.Breaches()...)
+	r.Most = slices.Max(q.bytes)
+}
+
+// What messages cost, as the codec writes them: see internal/fleet/quota/wire.
+const sizeOfNudge = 60
+
+func sizeOfAsk(a quota.Ask) int {
+	n := 100 + len(a.Child)
+	for _, l := range a.Lines {
+		n += len(l.Account) + 20
+	}
+	return n
+}
+
+func sizeOfAnswer(a quota.Answer) int {
+	n := 100 + len(a.Child)
+	for _, s := range a.Shares {
+		n += len(s.Account) + 12
+	}
+	return n
+}
--- a/internal/lab/sim/restart.go
+++ b/internal/lab/sim/restart.go
@@ -51,6 +51,9 @@
 			}
 		}
 	}
+	if old.desk != nil {
+		old.desk.died()
+	}
 	for _, c := range old.clients() {
 		c.lost()
 	}
--- a/internal/lab/sim/side.go
+++ b/internal/lab/sim/side.go
@@ -26,6 +26,7 @@
 	fronted bool                           // the front sends it clients
 	unready bool                           // the front has heard that it takes none
 	fence   *fence                         // nil without an accord
+	desk    *deskAt                        // nil without quotas
 }
 
 func newSide(w *world, at int, settings balance.Settings, p Policy) (s *side, err error) {
@@ -37,6 +38,11 @@
 			s.core.Versions = s.fence
 		}
 	}
+	if err == nil && w.quotas != nil {
+		if s.desk, err = newDesk(s); err == nil {
+			s.core.Quotas = s.desk
+		}
+	}
 	return s, err
 }
 
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -51,6 +51,10 @@
 	Tenants  []Tenant
 	Window   Window
 	Regions  []Region
+	Quotas   Quotas
+	Spans    []Span
+	Crashes  []Crash
+	Requotas []Requota
 }
 
 // Burst multiplies the rate for a while.
@@ -130,6 +134,7 @@
 	Load     map[string]int // jobs begun, by backend
 	Accord   AccordResult
 	Tenants  TenantsResult
+	Quotas   QuotasResult
 	Latency  *hdrhistogram.Histogram // of served first reqs, from the first try to the answer, us
 }
 
@@ -187,6 +192,9 @@
 	w.next, stop = iter.Pull(sc.Arrivals())
 	defer stop()
 	w.arrive()
+	if w.quotas != nil {
+		w.quotas.begin()
+	}
 	if w.runs != nil {
 		w.runs.stand()
 	}
@@ -247,7 +255,10 @@
 	if err := sc.checkAccord(); err != nil {
 		return err
 	}
-	return sc.checkSite()
+	if err := sc.checkSite(); err != nil {
+		return err
+	}
+	return sc.checkQuotas()
 }
 
 // origin is the wall clock at the start of every run.
--- a/internal/lab/sim/tenants.go
+++ b/internal/lab/sim/tenants.go
@@ -201,6 +201,9 @@
 	if urgent {
 		r.urgent[c.tenant]++
 	}
+	if q := r.w.quotas; q != nil {
+		q.at.Began(r.w.now, t.Each[c.tenant].Name, urgent)
+	}
 	e := &t.Each[c.tenant]
 	e.Most = max(e.Most, r.now[c.tenant]-r.urgent[c.tenant])
 	if c.ran > 1 || !r.inside(c.begun) {
@@ -228,6 +231,9 @@
 	if c.class().Urgent {
 		r.urgent[c.tenant]--
 	}
+	if q := r.w.quotas; q != nil {
+		q.at.Ended(r.w.res.Tenants.Each[c.tenant].Name, c.class().Urgent)
+	}
 }
 
 // pass adds what ran for a tenant since it last changed.
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -90,6 +90,7 @@
 	restarts int
 	keeper   *keeperAt  // nil without an accord
 	runs     *runs      // nil without tenants
+	quotas   *quotas    // nil without quotas
 	where    *rand.Rand // of which region a client is in
 }
 
@@ -137,6 +138,12 @@
 			return nil, err
 		}
 	}
+	if sc.Quotas.Lease > 0 {
+		var err error
+		if w.quotas, err = newQuotas(w); err != nil {
+			return nil, err
+		}
+	}
 	for i := range settings.Instances {
 		settings.Seed, settings.Self = sc.Seed*1_000_003+uint64(i), i
 		s, err := newSide(w, i, settings, p)
@@ -404,5 +411,8 @@
 	if w.runs != nil {
 		w.runs.finish()
 	}
+	if w.quotas != nil {
+		w.quotas.finish()
+	}
 	w.res.Hash = w.log.Sum64()
 }
