--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -121,6 +121,7 @@
 	Served   int
 	Refused  int // given up by their clients after a refusal
 	Failed   int
+	Open     int // at the end of a run with tenants, which ends with its arrivals
 	Answers  int // final answers, retries' too
 	Attempts int
 	Fallen   int     // backends that fell over
