--- /dev/null
+++ b/internal/lab/report/teams.go
@@ -0,0 +1,133 @@
+package report
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"tinsail/internal/lab/experiment"
+	"tinsail/internal/lab/sim"
+)
+
+// urgentAim is within what urgent work has to start, us.
+const urgentAim = 2_300_000
+
+// Late is the part of urgent reqs that began after the aim, or never.
+func Late(t *sim.TenantsResult) float64 {
+	n := t.Urgent.TotalCount() + int64(t.Never)
+	return float64(n-within(t.Urgent, urgentAim)) / float64(max(n, 1))
+}
+
+func within(h *hdrhistogram.Histogram, most int64) (n int64) {
+	for _, b := range h.Distribution() {
+		if b.To <= most {
+			n += b.Count
+		}
+	}
+	return n
+}
+
+// Teams adds up what plays of one variant gave.
+type Teams struct {
+	Name       string
+	Least, Use []float64 // by play
+	Over       float64   // of all plays
+	Parts      []float64 // by team, sums
+	Quotas     []int
+	Urgent     *hdrhistogram.Histogram
+	Never      int
+	Bytes      float64 // a second, of the dispatcher with most of all plays
+	Broken     int
+}
+
+// Add takes a play.
+func (s *Teams) Add(r *sim.Result) {
+	t := &r.Tenants
+	s.Least, s.Use, s.Over = append(s.Least, t.Least()), append(s.Use, t.Use()), max(s.Over, t.Over())
+	s.Broken += r.Breaches + r.Quotas.Breaches
+	s.Bytes = max(s.Bytes, r.Quotas.MostRate)
+	if s.Urgent == nil {
+		s.Parts, s.Urgent = make([]float64, len(t.Each)), hdrhistogram.New(1, 100_000_000_000, 3)
+		for i := range t.Each {
+			s.Quotas = append(s.Quotas, t.Each[i].Quota)
+		}
+	}
+	for i := range t.Each {
+		s.Parts[i] += (t.Each[i].Running - t.Each[i].Urgent) / float64(t.Each[i].Quota)
+	}
+	s.Urgent.Merge(t.Urgent)
+	s.Never += t.Never
+}
+
+func (s *Teams) String() string {
+	n := s.Urgent.TotalCount() + int64(s.Never)
+	return fmt.Sprintf("worst off within its quota %v, use %v, at most %.3f times a quota, %d of %d urgent reqs within 2.3 s (p50 %.3f s, p99.9 %.3f s), %.0f bytes/s at a dispatcher at most, %d broken",
+		experiment.Bootstrap(s.Least, 0.95), experiment.Bootstrap(s.Use, 0.95), s.Over, within(s.Urgent, urgentAim), n, inSeconds(s.Urgent, 50), inSeconds(s.Urgent, 99.9), s.Bytes, s.Broken)
+}
+
+func inSeconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1e6
+}
+
+// TeamsLine is a play in a line.
+func TeamsLine(r *sim.Result) string {
+	t, q := &r.Tenants, &r.Quotas
+	out := fmt.Sprintf("running %.0f of %.0f slots, use %.4f, worst off %.4f, over %.3f; urgent %d, p50 %.3f s, p99.9 %.3f s, late %.5f; rules broken %d",
+		t.Running, t.Slots, t.Use(), t.Least(), t.Over(), t.Urgent.TotalCount()+int64(t.Never), inSeconds(t.Urgent, 50), inSeconds(t.Urgent, 99.9), Late(t), r.Breaches)
+	if q.Room != nil {
+		out += fmt.Sprintf("; room p99.9 %.3f s, %.1f messages/s and %.0f bytes/s a dispatcher (most %.0f), %d beyond quotas, %v", inSeconds(q.Room, 99.9), q.MessageRate, q.MeanRate, q.MostRate, q.Breaches, q.Notes)
+	}
+	return out
+}
+
+// PlotTeams draws what each team got of its quota, and how long urgent reqs waited, into a folder.
+func PlotTeams(folder, name string, all ...*Teams) error {
+	shares, waits := plot.New(), plot.New()
+	shares.Title.Text, shares.X.Label.Text, shares.Y.Label.Text = "What each team got, "+name, "team, as the scenario names them", "part of its quota, mean"
+	waits.Title.Text, waits.X.Label.Text, waits.Y.Label.Text = "How long urgent reqs waited, "+name, "s until the job began", "part that waited longer"
+	shares.Y.Scale, shares.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	waits.X.Scale, waits.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	waits.Y.Scale, waits.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	for i, s := range all {
+		if len(s.Least) == 0 {
+			continue
+		}
+		var dots, line plotter.XYs
+		for k, p := range s.Parts {
+			dots = append(dots, plotter.XY{X: float64(k + 1), Y: max(p/float64(len(s.Least)), 0.01)})
+		}
+		n, seen := float64(s.Urgent.TotalCount()+int64(s.Never)), 0.0
+		for _, b := range s.Urgent.Distribution() {
+			if b.Count > 0 {
+				seen += float64(b.Count)
+				line = append(line, plotter.XY{X: max(float64(b.To)/1e6, 1e-4), Y: max(1-seen/n, 0.5/n)})
+			}
+		}
+		d, err := plotter.NewScatter(dots)
+		if err != nil {
+			return err
+		}
+		l, err := plotter.NewLine(line)
+		if err != nil {
+			return err
+		}
+		d.Color, d.Radius = plotutil.Color(i), vg.Points(1.5)
+		l.Color, l.Width = plotutil.Color(i), vg.Points(1.5)
+		shares.Add(d)
+		shares.Legend.Add(s.Name, d)
+		waits.Add(l)
+		waits.Legend.Add(s.Name, l)
+	}
+	shares.Legend.Top, waits.Legend.Top = true, true
+	for what, p := range map[string]*plot.Plot{"teams": shares, "urgent": waits} {
+		if err := p.Save(width, height, filepath.Join(folder, name+"-"+what+".svg")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/sim/quotas.go
+++ b/internal/lab/sim/quotas.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"tinsail/internal/fleet/quota"
 	"tinsail/internal/fleet/quota/wire"
 	"tinsail/internal/lab/fleet"
@@ -56,11 +58,13 @@
 	Far                   int // messages between regions
 	Bytes                 int // of all messages between dispatchers and their region's lender
 	FarBytes              int
-	Most                  int // bytes of the dispatcher that had most, in the window
-	Refused               int // reqs that were out of patience before they had room
-	Notes                 map[string]int
-	Breaches              int // begins beyond a quota, at the backends or at the dispatchers
-	Broken                []judge.Breach
+	// Of dispatchers and their lender, both ways, a second of the window: bytes of the one that had most, bytes and messages of all.
+	MostRate, MeanRate, MessageRate float64
+	Room                            *hdrhistogram.Histogram // of urgent reqs in the window: from the try to room for it, us
+	Refused                         int                     // reqs that were out of patience before they had room
+	Notes                           map[string]int
+	Breaches                        int // begins beyond a quota, at the backends or at the dispatchers
+	Broken                          []judge.Breach
 }
 
 func (sc *Scenario) checkQuotas() error {
@@ -106,17 +110,18 @@
 
 // quotas is all of it in a run.
 type quotas struct {
-	w       *world
-	set     Quotas
-	chance  *rand.Rand
-	lives   uint64
-	root    *rootAt
-	regions []*regionAt
-	now     map[string]int // the quotas in force
-	urgent  []bool         // by class
-	at      judge.Shares   // what runs at backends
-	flight  judge.Shares   // what is in flight at dispatchers
-	bytes   []int          // of each dispatcher, in the window
+	w        *world
+	set      Quotas
+	chance   *rand.Rand
+	lives    uint64
+	root     *rootAt
+	regions  []*regionAt
+	now      map[string]int // the quotas in force
+	urgent   []bool         // by class
+	at       judge.Shares   // what runs at backends
+	flight   judge.Shares   // what is in flight at dispatchers
+	messages int            // of all dispatchers, in the window
+	bytes    []int          // of each dispatcher, in the window
 }
 
 // clock is a process's own, with the event that is set for its next turn.
@@ -165,6 +170,7 @@
 		q.urgent = append(q.urgent, c.Urgent)
 	}
 	w.res.Quotas.Notes = map[string]int{}
+	w.res.Quotas.Room = hdrhistogram.New(1, 100_000_000_000, 3)
 	for i := range w.sc.Regions {
 		q.regions = append(q.regions, &regionAt{q: q, at: i})
 		if err := q.regions[i].start(); err != nil {
@@ -394,6 +400,7 @@
 	q.w.res.Quotas.Bytes += bytes
 	if q.w.runs.inside(q.w.now) {
 		q.bytes[node] += bytes
+		q.messages++
 	}
 }
 
@@ -414,6 +421,7 @@
 type account struct {
 	name   string
 	urgent bool
+	came   float64
 }
 
 func newDesk(s *side) (*deskAt, error) {
@@ -445,7 +453,7 @@
 	if tenant < len(w.sc.Tenants) {
 		name = w.sc.Tenants[tenant].Name
 	}
-	a := account{name, d.q.urgent[class]}
+	a := account{name, d.q.urgent[class], w.now}
 	patience := float64(until.Sub(origin))/1e6 - w.now
 	if d.desk.Take(d.now(w), id, name, a.urgent, d.now(w)+quota.Time(patience*1e6*d.rate)) {
 		d.begun(id, a)
@@ -472,6 +480,9 @@
 
 func (d *deskAt) begun(id uint64, a account) {
 	d.flying[id] = a
+	if w := d.q.w; a.urgent && w.runs.inside(a.came) {
+		_ = w.res.Quotas.Room.RecordValue(int64((w.now-a.came)*1000) + 1) // in its bounds: patience is shorter
+	}
 	d.q.flight.Began(d.q.w.now, a.name, a.urgent)
 }
 
@@ -593,7 +604,13 @@
 	r := &q.w.res.Quotas
 	r.Breaches = q.at.Count() + q.flight.Count()
 	r.Broken = append(q.at.Breaches(), q.flight.Breaches()...)
-	r.Most = slices.Max(q.bytes)
+	win := &q.w.sc.Window
+	s, n := (win.To-win.From)/1000, float64(len(q.bytes))
+	sum := 0
+	for _, b := range q.bytes {
+		sum += b
+	}
+	r.MostRate, r.MeanRate, r.MessageRate = float64(slices.Max(q.bytes))/s, float64(sum)/s/n, float64(q.messages)/s/n
 }
 
 // What messages cost, as the codec writes them.
--- a/internal/lab/sim/site.go
+++ b/internal/lab/sim/site.go
@@ -127,7 +127,7 @@
 		s.ReportInAnswer, s.Metrics = true, []balance.Metric{balance.MetricFreeSlots}
 	}
 	put(&s.OverShareWorth, sc.Site.Over)
-	if len(sc.Tenants) > 0 {
+	if len(sc.Tenants) > 0 && sc.Quotas.Lease == 0 { // else no tenant has more than its quota, and none is metered
 		s.Tenants = sc.tenants()
 	}
 	s.Instances = max(sc.Dispatchers, 1)
