--- a/internal/lab/sim/quotas.go
+++ b/internal/lab/sim/quotas.go
@@ -341,6 +341,9 @@
 	g.clock, g.dead = q.clock(), false
 	g.region, err = quota.NewRegion(q.set.up(), q.set.down(), q.w.sc.Regions[g.at].Name, q.life(), g.now(q.w))
 	if err == nil {
+		if q.root == nil { // the run's first lives
+			g.region.Starts(g.now(q.w))
+		}
 		g.region.Reserve(g.now(q.w), q.set.Reserve)
 		q.w.at(q.w.now, g.turn)
 	}
