--- a/internal/fleet/quota/division.go
+++ b/internal/fleet/quota/division.go
@@ -186,7 +186,6 @@
 	if a == nil {
 		return
 	}
-	a.moved = false
 	able := l.able(now, name, a)
 	targets := l.targets(now, name, a)
 	lacking := l.lacking(a, targets)
--- a/internal/fleet/quota/lender.go
+++ b/internal/fleet/quota/lender.go
@@ -70,7 +70,6 @@
 	first    int              // of it, what children reported
 	lines    map[string]*line // by child
 	targets  map[string]int   // nil: to be worked out
-	moved    bool             // a line changed since it was settled last
 }
 
 // NewLender starts a life of a lender, which knows nothing of what earlier lives lent. life is not 0 and differs from
--- a/internal/fleet/quota/take.go
+++ b/internal/fleet/quota/take.go
@@ -33,9 +33,7 @@
 		}
 	}
 	for _, name := range append(touched, l.named(c)...) {
-		if a := l.accounts[name]; a != nil && (a.moved || a.targets == nil || l.short[name]) {
-			l.settle(now, name)
-		}
+		l.settle(now, name)
 	}
 	return out, lends
 }
@@ -129,7 +127,6 @@
 	if n.Account = name; n.Want != old.Want || n.floor != old.floor || c.unsure {
 		a.targets = nil
 	}
-	a.moved = a.moved || n != *old
 	l.moved[name] = true
 	a.counted -= old.count()
 	*old = n
