--- a/internal/lab/report/teams.go
+++ b/internal/lab/report/teams.go
@@ -82,6 +82,13 @@
 	if q.Room != nil {
 		out += fmt.Sprintf("; room p99.9 %.3f s, %.1f messages/s and %.0f bytes/s a dispatcher (most %.0f), %d beyond quotas, %v", inSeconds(q.Room, 99.9), q.MessageRate, q.MeanRate, q.MostRate, q.Breaches, q.Notes)
 	}
+	held := 0.0
+	for i := range t.Each {
+		held += t.Each[i].InFlight
+	}
+	if q.Room != nil {
+		out += fmt.Sprintf(", %.0f units in flight", held)
+	}
 	return out
 }
 
--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -80,6 +80,73 @@
 	assert.Equal(t, []any{0.0, false, true}, []any{sc.Classes[0].Share, sc.Classes[0].Urgent, sc.Classes[1].Urgent})
 }
 
+// TestQuotas: what the calls of quotas lent in levels make.
+func TestQuotas(t *testing.T) {
+	const head = `
+dispatchers(6)
+regions(["east", "mid", "west"])
+backends("a", 3, kind("fast"))
+tenants("t", 2, job_class = "all")
+`
+	sc, err := Load("x.star", []byte(head+`
+quotas(lease_ms = 900, region_lease_ms = 8000, run_ms = 5000, urgent_reserve = 7, between_ms = [5, 80, 150], loss = 0.1)
+sever(start = 1, length = 2, region = "mid")
+sever(start = 3, length = 4, region = "mid", other = "west")
+crash(start = 5, lender = "west")
+crash(start = 6, down = 1, to = "mid")
+requota("t2", start = 7, quota = 9)
+restart(start = 8, dispatcher = 1, orderly = 1)
+`))
+	require.NoError(t, err)
+	assert.Equal(t, sim.Quotas{Lease: 900, RegionLease: 8000, Run: 5000, Reserve: 7, Far: []float64{5, 80, 150}, Loss: 0.1, Drift: 0.001, Latency: 1, Elect: 5000}, sc.Quotas)
+	assert.Equal(t, []sim.Span{{At: 1000, Length: 2000, In: 1, To: -1}, {At: 3000, Length: 4000, In: 1, To: 2}}, sc.Spans)
+	assert.Equal(t, []sim.Crash{{At: 5000, Down: 2000, Region: 2}, {At: 6000, Down: 1000, Region: -1, To: 1}}, sc.Crashes)
+	assert.Equal(t, []sim.Requota{{At: 7000, Tenant: "t2", Quota: 9}}, sc.Requotas)
+	assert.True(t, sc.Restarts[0].Orderly)
+	for text, want := range map[string]string{
+		"quotas(between_ms = [3])":              "x.star:7:7: quotas: between_ms holds one delay, want one for each of 3 pairs",
+		"quotas(between_ms = \"a\")":            `quotas: between_ms is "a", want a number`,
+		"quotas(urgent_reserve = -1)":           "quotas: urgent_reserve is -1",
+		"quotas()\nquotas()":                    "quotas: is called a second time",
+		"sever(region = \"north\")":             `sever: region is "north", which regions() has not named`,
+		"crash(lender = \"north\")":             `crash: lender is "north"`,
+		"requota(\"t1\", quota = 0)":            "requota: quota is 0, want a number from 1",
+		"crash(to = \"mid\", lender = \"mid\")": "crash: there is no lender",
+	} {
+		_, err := Load("x.star", []byte(head+"\n"+text))
+		assert.ErrorContains(t, err, want, text)
+	}
+	_, err = Load("x.star", []byte("backends(\"a\", 1, kind(\"k\"))\nquotas()"))
+	assert.ErrorContains(t, err, "x.star:2:7: quotas: call regions() before")
+}
+
+// TestQuotasSmall: the small form of the coming size, with the same code as the large: never over a quota, each team what is
+// its, urgent reqs in time, control within the letter's 15 KB a second.
+func TestQuotasSmall(t *testing.T) {
+	text, err := os.ReadFile("../../../lab/scenarios/quotas-small.star")
+	require.NoError(t, err)
+	sc, err := Load("quotas-small.star", text)
+	require.NoError(t, err)
+	for sc.Seed = 1; sc.Seed <= 4; sc.Seed++ {
+		r, err := sim.Play(sc, defaults.Settings())
+		require.NoError(t, err)
+		assert.Empty(t, r.Broken)
+		assert.Empty(t, r.Quotas.Broken)
+		assert.Equal(t, 1.0, r.Tenants.Over())
+		assert.Greater(t, r.Tenants.Least(), 0.93) // jobs of 12 s: a unit's way from region to region counts twentyfold
+		assert.Greater(t, r.Tenants.Use(), 0.95)
+		assert.Less(t, float64(r.Tenants.Urgent.Max())/1e6, 2.3)
+		assert.Zero(t, r.Tenants.Never)
+		assert.Less(t, r.Quotas.MostRate, 15_000.0)
+
+		before := sc
+		before.Quotas = sim.Quotas{}
+		b, err := sim.Play(before, defaults.Settings())
+		require.NoError(t, err)
+		assert.Greater(t, b.Tenants.Over(), 2.0, "without quotas")
+	}
+}
+
 // TestFaults: whoever wrote a script is told where and what.
 func TestFaults(t *testing.T) {
 	const fine = "k = kind(\"k\")\nb = backends(\"b\", 2, k)\n"
--- a/internal/lab/script/site.go
+++ b/internal/lab/script/site.go
@@ -77,6 +77,6 @@
 // restart kills a dispatcher, counted from 0, and starts it again with its last list.
 func (r *reader) restart(a *args) (starlark.Value, error) {
 	r.sc.Restarts = append(r.sc.Restarts, sim.Restart{At: a.seconds("start", 0), Node: int(a.number("dispatcher", 0, 0, 999)),
-		Down: a.seconds("down", 800), Notice: a.seconds("notice", 2500)})
+		Down: a.seconds("down", 800), Notice: a.seconds("notice", 2500), Orderly: a.number("orderly", 0, 0, 1) == 1})
 	return nil, nil
 }
--- a/internal/lab/sim/quotas.go
+++ b/internal/lab/sim/quotas.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -61,6 +60,7 @@
 	// Of dispatchers and their lender, both ways, a second of the window: bytes of the one that had most, bytes and messages of all.
 	MostRate, MeanRate, MessageRate float64
 	Room                            *hdrhistogram.Histogram // of urgent reqs in the window: from the try to room for it, us
+	Alone                           int                     // reqs that had room in a region while it was cut off from all others
 	Refused                         int                     // reqs that were out of patience before they had room
 	Notes                           map[string]int
 	Breaches                        int // begins beyond a quota, at the backends or at the dispatchers
@@ -116,12 +116,13 @@
 	lives    uint64
 	root     *rootAt
 	regions  []*regionAt
-	now      map[string]int // the quotas in force
-	urgent   []bool         // by class
-	at       judge.Shares   // what runs at backends
-	flight   judge.Shares   // what is in flight at dispatchers
-	messages int            // of all dispatchers, in the window
-	bytes    []int          // of each dispatcher, in the window
+	now      map[string]int       // the quotas in force
+	urgent   []bool               // by class
+	at       judge.Shares         // what runs at backends
+	flight   judge.Shares         // what is in flight at dispatchers
+	messages int                  // of all dispatchers, in the window
+	mean     map[string]*inFlight // by tenant
+	bytes    []int                // of each dispatcher, in the window
 }
 
 // clock is a process's own, with the event that is set for its next turn.
@@ -158,7 +159,7 @@
 func (q *quotas) life() uint64 { q.lives++; return q.lives }
 
 func newQuotas(w *world) (*quotas, error) {
-	q := &quotas{w: w, set: w.sc.Quotas, chance: fleet.Chance(w.sc.Seed, "quotas"), now: map[string]int{}, bytes: make([]int, max(w.sc.Dispatchers, 1))}
+	q := &quotas{w: w, set: w.sc.Quotas, chance: fleet.Chance(w.sc.Seed, "quotas"), now: map[string]int{}, mean: map[string]*inFlight{}, bytes: make([]int, max(w.sc.Dispatchers, 1))}
 	// A region that is cut off hears of no change, and may begin by what it holds until its lease and one of its own are over.
 	grace := (q.set.RegionLease + q.set.Lease) * (1 + q.set.Drift) / (1 - q.set.Drift)
 	q.at = judge.Shares{Reserve: q.set.Reserve * len(w.sc.Regions), Grace: grace}
@@ -221,6 +222,16 @@
 	return false
 }
 
+// alone says whether a region is cut off from all others.
+func (q *quotas) alone(region int) bool {
+	for i := range q.regions {
+		if i != region && !q.severed(i, region) {
+			return false
+		}
+	}
+	return len(q.regions) > 1
+}
+
 // carry has a message between two regions, or within one, arrive, or not.
 func (q *quotas) carry(a, b int, arrive func()) {
 	w := q.w
@@ -407,162 +418,6 @@
 	}
 }
 
-// deskAt is a dispatcher's side: the core's Quotas by the real Desk, with the real Holder.
-type deskAt struct {
-	clock
-	q      *quotas
-	side   *side
-	desk   *quota.Desk
-	holder *quota.Holder
-	last   uint64
-	ready  map[uint64]func(time.Time, time.Duration, bool)
-	set    bool           // a turn is set for this moment
-	held   map[string]int // what was held last, for the seeded fault
-	flying map[uint64]account
-}
-
-type account struct {
-	name   string
-	urgent bool
-	came   float64
-}
-
-func newDesk(s *side) (*deskAt, error) {
-	q := s.w.quotas
-	d := &deskAt{clock: q.clock(), q: q, side: s, desk: quota.NewDesk(), ready: map[uint64]func(time.Time, time.Duration, bool){}, held: map[string]int{}, flying: map[uint64]account{}}
-	var err error
-	if d.holder, err = quota.NewHolder(q.set.down(), fmt.Sprint("n", s.at), q.life(), false); err != nil {
-		return nil, err
-	}
-	d.desk.SetQuotas(d.now(s.w), q.accounts())
-	d.soon()
-	return d, nil
-}
-
-// soon sets a turn for this moment: the core is in the middle of an event.
-func (d *deskAt) soon() {
-	if d.set {
-		return
-	}
-	d.set = true
-	d.q.w.at(d.q.w.now, func() { d.set = false; d.turn() })
-}
-
-// Take asks for room: core.Quotas.
-func (d *deskAt) Take(tenant, class int, until time.Time, ready func(time.Time, time.Duration, bool)) (leave func()) {
-	w := d.q.w
-	d.last++
-	id, name := d.last, ""
-	if tenant < len(w.sc.Tenants) {
-		name = w.sc.Tenants[tenant].Name
-	}
-	a := account{name, d.q.urgent[class], w.now}
-	patience := float64(until.Sub(origin))/1e6 - w.now
-	if d.desk.Take(d.now(w), id, name, a.urgent, d.now(w)+quota.Time(patience*1e6*d.rate)) {
-		d.begun(id, a)
-		ready(w.time(), 0, true)
-	} else {
-		d.ready[id] = func(from time.Time, pause time.Duration, ok bool) {
-			if ok {
-				d.begun(id, a)
-			}
-			ready(from, pause, ok)
-		}
-		d.soon()
-	}
-	return func() {
-		delete(d.ready, id)
-		d.desk.Leave(id)
-		d.ended(id)
-		d.soon()
-	}
-}
-
-// Most is the longest that room may be held.
-func (d *deskAt) Most() time.Duration { return span(d.q.set.Run) }
-
-func (d *deskAt) begun(id uint64, a account) {
-	d.flying[id] = a
-	if w := d.q.w; a.urgent && w.runs.inside(a.came) {
-		_ = w.res.Quotas.Room.RecordValue(int64((w.now-a.came)*1000) + 1) // in its bounds: patience is shorter
-	}
-	d.q.flight.Began(d.q.w.now, a.name, a.urgent)
-}
-
-func (d *deskAt) ended(id uint64) {
-	if a, flies := d.flying[id]; flies {
-		delete(d.flying, id)
-		d.q.flight.Ended(a.name, a.urgent)
-	}
-}
-
-// died takes what was in flight at a dispatcher that was killed out of the count, once its attempts are called off.
-func (d *deskAt) died() {
-	d.q.w.at(d.q.w.now+2*d.q.w.sc.Latency, func() {
-		for id := range d.flying {
-			d.ended(id)
-		}
-	})
-}
-
-func (d *deskAt) units(name string) int {
-	units := d.holder.Units(d.now(d.q.w), name)
-	if !d.q.set.whole {
-		return units
-	}
-	if units > 0 { // the seeded fault: what was held once is held for good
-		d.held[name] = units
-	}
-	return d.held[name]
-}
-
-// turn carries out what the desk and the holder want.
-func (d *deskAt) turn() {
-	if d.side.dead {
-		return
-	}
-	w := d.q.w
-	begin, refuse := d.desk.Turn(d.now(w), d.units)
-	for _, id := range begin {
-		d.say(id, 0, true)
-	}
-	for _, id := range refuse {
-		w.res.Quotas.Refused++
-		d.say(id, refusedPause, false)
-	}
-	d.desk.Needs(d.holder.Need)
-	if a, ok := d.holder.Due(d.now(w)); ok {
-		d.ask(a)
-	}
-	d.again(w, min(d.holder.Next(), d.desk.Next()), d.turn)
-}
-
-// refusedPause is advised to clients of reqs that had no room in time.
-const refusedPause = 500 * time.Millisecond
-
-func (d *deskAt) say(id uint64, pause time.Duration, ok bool) {
-	if ready := d.ready[id]; ready != nil {
-		delete(d.ready, id)
-		ready(d.q.w.time(), pause, ok)
-		d.side.touch()
-	}
-}
-
-func (d *deskAt) ask(a quota.Ask) {
-	q := d.q
-	q.w.res.Quotas.Asks++
-	q.near(d.side.at, sizeOfAsk(a))
-	region := q.w.sc.RegionOf(d.side.at)
-	q.carry(region, region, func() { q.regions[region].take(d, a) })
-}
-
-func (d *deskAt) answered(a quota.Answer) {
-	if !d.side.dead {
-		d.holder.Answered(d.now(d.q.w), a)
-		d.turn()
-	}
-}
-
 // begin sets the events of the day: leaders that are cut off and replaced, lenders that are killed, changes of quotas.
 func (q *quotas) begin() {
 	w := q.w
@@ -604,6 +459,11 @@
 }
 
 func (q *quotas) finish() {
+	for i := range q.w.res.Tenants.Each {
+		e, win := &q.w.res.Tenants.Each[i], &q.w.sc.Window
+		q.passes(e.Name, false, 0)
+		e.InFlight = q.mean[e.Name].sum / (win.To - win.From)
+	}
 	r := &q.w.res.Quotas
 	r.Breaches = q.at.Count() + q.flight.Count()
 	r.Broken = append(q.at.Breaches(), q.flight.Breaches()...)
--- a/internal/lab/sim/restart.go
+++ b/internal/lab/sim/restart.go
@@ -16,6 +16,8 @@
 	Node   int
 	Down   float64 // until the new process serves
 	Notice float64 // until the front sends it nobody any more
+	// Orderly: what it runs is lost as well, but its last word to its region's lender is that it holds nothing.
+	Orderly bool
 }
 
 // fronts are the dispatchers that the front sends clients to, dead ones that it has not noticed among them. Where it
@@ -52,7 +54,7 @@
 		}
 	}
 	if old.desk != nil {
-		old.desk.died()
+		old.desk.died(r.Orderly)
 	}
 	for _, c := range old.clients() {
 		c.lost()
--- a/internal/lab/sim/tenants.go
+++ b/internal/lab/sim/tenants.go
@@ -33,6 +33,7 @@
 	Urgent       float64 // of them, of urgent classes
 	Most         int     // jobs not of urgent classes that ran at once, at most, at any time
 	Starts       int
+	InFlight     float64 // with quotas: units in use by reqs not of urgent classes
 }
 
 // Due is what the tenant should have had running.
