--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -218,7 +218,10 @@
 	files, err := filepath.Glob("../../../lab/scenarios/*.star")
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
-	for _, f := range files {
+	size, err := filepath.Glob("../../../lab/scenarios/size/*.star") // too large to be played in tests
+	require.NoError(t, err)
+	require.NotEmpty(t, size)
+	for _, f := range append(files, size...) {
 		text, err := os.ReadFile(f)
 		require.NoError(t, err)
 		_, err = Load(filepath.Base(f), text)
--- a/internal/lab/sim/quotas.go
+++ b/internal/lab/sim/quotas.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -86,6 +87,9 @@
 			return fmt.Errorf("the lender of region %d is killed, of %d", c.Region, n)
 		}
 	}
+	if !slices.IsSortedFunc(sc.Requotas, func(a, b Requota) int { return cmp.Compare(a.At, b.At) }) {
+		return fmt.Errorf("changes of quotas out of the order of their times")
+	}
 	for _, r := range sc.Requotas {
 		if !slices.ContainsFunc(sc.Tenants, func(t Tenant) bool { return t.Name == r.Tenant }) {
 			return fmt.Errorf("a change of the quota of tenant %q, which is none", r.Tenant)
--- a/internal/lab/sim/tenants.go
+++ b/internal/lab/sim/tenants.go
@@ -33,11 +33,12 @@
 	Urgent       float64 // of them, of urgent classes
 	Most         int     // jobs not of urgent classes that ran at once, at most, at any time
 	Starts       int
+	due          float64
 	InFlight     float64 // with quotas: units in use by reqs not of urgent classes
 }
 
-// Due is what the tenant should have had running.
-func (t *TenantResult) Due() float64 { return float64(min(t.Quota, t.Wants)) }
+// Due is what the tenant should have had running, on average where its quota changed.
+func (t *TenantResult) Due() float64 { return t.due }
 
 // Part is the part of its due that it got.
 func (t *TenantResult) Part() float64 { return (t.Running - t.Urgent) / max(t.Due(), 1) }
@@ -251,11 +252,32 @@
 	win, t := &r.w.sc.Window, &r.w.res.Tenants
 	for i := range t.Each {
 		r.pass(i)
+		t.Each[i].due = r.due(i)
 		t.Each[i].Running, t.Each[i].Urgent = r.sum[i]/(win.To-win.From), r.sumU[i]/(win.To-win.From)
 		t.Running += t.Each[i].Running
 	}
 }
 
+// due is what a tenant should have had running over the window, by its quotas.
+func (r *runs) due(i int) float64 {
+	win, t := &r.w.sc.Window, &r.w.sc.Tenants[i]
+	at, units, sum := win.From, t.Quota, 0.0
+	until := func(to float64) {
+		if to = min(to, win.To); to > at {
+			sum += (to - at) * float64(min(units, t.Wants))
+			at = to
+		}
+	}
+	for _, c := range r.w.sc.Requotas { // in the order of their times
+		if c.Tenant == t.Name {
+			until(c.At)
+			units = c.Quota
+		}
+	}
+	until(win.To)
+	return sum / (win.To - win.From)
+}
+
 // tenants are the module's: shares by the jobs that a quota lets begin in a second.
 func (sc *Scenario) tenants() []balance.Tenant {
 	classes := sc.classes()
