--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -106,8 +106,8 @@
 
 // Each tells the units of each account, whether the lease is over or not.
 func (h *Holder) Each(tell func(account string, units int)) {
-	for account, k := range h.at {
-		tell(account, k.units)
+	for _, account := range slices.Sorted(maps.Keys(h.at)) { // in one order, so that a run stays the same
+		tell(account, h.at[account].units)
 	}
 }
 
--- a/internal/fleet/quota/region.go
+++ b/internal/fleet/quota/region.go
@@ -69,7 +69,7 @@
 // sync lends what is held.
 func (r *Region) sync(now Time) {
 	r.lender.Cover(now, r.holder.Until())
-	for name := range r.lender.accounts {
+	for _, name := range r.lender.Accounts() {
 		if k := r.holder.at[name]; name != Urgent && k == nil {
 			r.lender.Capacity(now, name, 0)
 		}
