--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota capacity-page
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual capacity-page
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -46,6 +46,12 @@
 	go test -run - -bench Version -benchtime 1x ./internal/network
 	go test -run - -bench Propose -benchtime 1x ./cmd/tinsail
 
+# The coming size in virtual time: what teams get and how long urgent reqs wait, with quotas lent and without; 20 seeds take some
+# 1,200 s of one core. Rows and plots: docs/capacity.
+measure-virtual:
+	go run ./internal/lab/capacity/virtual -seeds $(or $(SEEDS),20) -rows docs/capacity/virtual.csv -plots docs/capacity lab/scenarios/size/quotas-greedy.star
+	go run ./internal/lab/capacity/virtual -seeds $(or $(SEEDS),4) -only lent -rows docs/capacity/virtual.csv -plots docs/capacity lab/scenarios/size/quotas-day.star
+
 # The tables of docs/CAPACITY.md, from the rows in docs/capacity.
 capacity-page:
 	go run ./internal/lab/capacity/page
--- a/internal/lab/report/teams.go
+++ b/internal/lab/report/teams.go
@@ -1,8 +1,10 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/plot"
@@ -82,6 +84,11 @@
 	if q.Room != nil {
 		out += fmt.Sprintf("; room p99.9 %.3f s, %.1f messages/s and %.0f bytes/s a dispatcher (most %.0f), %d beyond quotas, %v", inSeconds(q.Room, 99.9), q.MessageRate, q.MeanRate, q.MostRate, q.Breaches, q.Notes)
 	}
+	worst := slices.Clone(t.Each)
+	slices.SortFunc(worst, func(a, b sim.TenantResult) int { return cmp.Compare(a.Part(), b.Part()) })
+	for _, e := range worst[:min(len(worst), 4)] {
+		out += fmt.Sprintf("; %s %.3f of %.1f", e.Name, e.Part(), e.Due())
+	}
 	held := 0.0
 	for i := range t.Each {
 		held += t.Each[i].InFlight
