lab: a dispatcher that ends in order takes back what is on its way

The model's fault: a process that ends in order waits for its attempts. A crash's are covered by the tail, as before.

--- a/internal/lab/sim/restart.go
+++ b/internal/lab/sim/restart.go
@@ -53,6 +53,13 @@
 			}
 		}
 	}
+	if r.Orderly { // what is on its way to a backend is taken back: a process that ends in order ends when nothing of it is out
+		for _, c := range old.clients() {
+			for _, t := range c.trips {
+				t.over = true
+			}
+		}
+	}
 	if old.desk != nil {
 		old.desk.died(r.Orderly)
 	}
