--- a/internal/fleet/quota/holder.go
+++ b/internal/fleet/quota/holder.go
@@ -16,18 +16,20 @@
 	fresh  bool
 	seq    uint64
 	lender uint64 // the life heard last
+	base   uint64 // the newest ask that was answered by it
 	all    bool   // the next ask carries all lines
 	at     map[string]*held
 	stale  map[string]bool // accounts whose line the lender may not know
 
 	inherited []Share // what earlier lives may have running, by the answer that said so
 
-	flying bool // the newest ask has no answer yet
-	asap   bool // something is to be said
-	nudged bool
-	sent   Time // the newest ask
-	wait   time.Duration
-	until  Time
+	vouched bool // the newest ask was not fresh
+	flying  bool // the newest ask has no answer yet
+	asap    bool // something is to be said
+	nudged  bool
+	sent    Time // the newest ask
+	wait    time.Duration
+	until   Time
 }
 
 // held is one account as the holder knows it.
@@ -144,8 +146,11 @@
 		}
 	}
 	h.seq++
-	h.sent, h.flying, h.asap, h.nudged = now, true, false, false
-	return Ask{Child: h.name, Epoch: h.epoch, Seq: h.seq, Lender: h.lender, All: h.all, Fresh: h.fresh, Lines: h.lines()}, true
+	h.sent, h.flying, h.asap, h.nudged, h.vouched = now, true, false, false, !h.fresh
+	if h.all {
+		h.base = 0
+	}
+	return Ask{Child: h.name, Epoch: h.epoch, Seq: h.seq, Lender: h.lender, All: h.all, Base: h.base, Fresh: h.fresh, Lines: h.lines()}, true
 }
 
 func (h *Holder) backoff() time.Duration {
@@ -186,14 +191,14 @@
 		h.lender, h.all, h.asap = a.Lender, true, true
 		return
 	}
-	if h.fresh && !a.Unsure {
+	if !h.vouched && !a.Unsure { // no grant, also where all has become known since the ask was sent
 		h.fresh, h.all, h.asap, h.inherited = false, true, true, a.Shares
 		return
 	}
 	counted := h.plan
 	counted.Lease = max(min(counted.Lease, a.Lease), 0)
 	h.until = h.sent.Add(counted.Usable())
-	h.all = h.fresh
+	h.all, h.base = h.fresh, a.Seq
 	for account := range h.stale {
 		if k := h.at[account]; k.told == (Line{account, k.units, k.used, k.want}) {
 			delete(h.stale, account)
