--- a/internal/lab/capacity/measure/recovery.go
+++ b/internal/lab/capacity/measure/recovery.go
@@ -31,6 +31,8 @@
 	var wait sync.WaitGroup
 	for i := range n {
 		wait.Go(func() {
+			s := s
+			s.self = i
 			if all[i], errs[i] = p.start(s); errs[i] == nil {
 				ms[i], errs[i] = all[i].untilReady()
 			}
