--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -153,11 +153,15 @@
 func TestPage(t *testing.T) {
 	all := map[string][]Row{"s": rowsOf(func(x float64) float64 { return 2 * x }, 10, 20, 30, 40), "q": rowsOf(func(x float64) float64 { return x * x }, 10, 20, 30, 40)}
 	all["s"][3].How = Hollow
-	text := "# A\n<!-- slope s at=50,100 limit=150 -->\nold\n<!-- end -->\nbetween\n<!-- slope q at=25,50 -->\n<!-- end -->\nafter\n"
+	for i := range all["q"] {
+		all["q"][i].Slope = "q"
+	}
+	text := "# A\n<!-- summary -->\n<!-- end -->\n<!-- slope s at=50,100 limit=150 -->\nold\n<!-- end -->\nbetween\n<!-- slope q at=25,50 -->\n<!-- end -->\nafter\n"
 	out, err := Page(text, all)
 	require.NoError(t, err)
 	for _, want := range []string{"no bend", "| 40 | 80 | 80 to 80 | 80 | 1 | hollow |", "| *50* | *100* |", "limit 150, factor left 1.50",
-		"**limit 150 missed by a factor of 1.33**", "**bends**", "| *25* | *650* |", "between the sizes next to it", "| *50* | *2,300* |", "by the last two sizes", "\nbetween\n", "\nafter\n"} {
+		"**limit 150 missed by a factor of 1.33**", "**bends**", "| *25* | *650* |", "between the sizes next to it", "| *50* | *2,300* |", "by the last two sizes", "\nbetween\n", "\nafter\n",
+		"| `s`, bytes | backends | 50; 100 | 100; 200 | 150 | 1.50; **missed by 1.33** | straight |\n", "| `q`, bytes | backends | 25; 50 | 650; 2,300 |  |  | bends |\n"} {
 		assert.Contains(t, out, want)
 	}
 	assert.NotContains(t, out, "old")
--- a/internal/lab/capacity/fit.go
+++ b/internal/lab/capacity/fit.go
@@ -143,6 +143,17 @@
 	return p.Mean + (q.Mean-p.Mean)*(x-p.X)/(q.X-p.X)
 }
 
+// Best is the line at a size, or Between where it bends, and says which.
+func (l *Line) Best(x float64) (y float64, how string) {
+	switch y, _ = l.At(x); {
+	case !l.Bend:
+		return y, "worked out, by the line"
+	case l.Within(x):
+		return l.Between(x), "worked out, between the sizes next to it"
+	}
+	return l.Between(x), "worked out, by the last two sizes"
+}
+
 // Within says whether a size lies between those that were measured.
 func (l *Line) Within(x float64) bool {
 	return x >= l.Sizes[0].X && x <= l.Sizes[len(l.Sizes)-1].X
--- a/internal/lab/capacity/run/main.go
+++ b/internal/lab/capacity/run/main.go
@@ -29,7 +29,7 @@
 	"tenants": func(p measure.Program) ([]capacity.Row, error) {
 		return measure.Tenants(p, idle, 580, 10, 50, 100, 310, 620)
 	},
-	"flight":    flight(measure.Flight{Body: 1}, "flight"),
+	"flight":    flight(measure.Flight{Body: 1, Still: 5 * time.Second}, "flight"),
 	"flight-4k": flight(measure.Flight{Body: 4096}, "flight-4k"),
 	"flight-h2": flight(measure.Flight{Body: 1, HTTP2: true}, "flight-h2"),
 	"most": func(p measure.Program) ([]capacity.Row, error) {
@@ -63,7 +63,7 @@
 var idle = measure.Idle{Repeats: 2, Settle: 3 * time.Second, Window: 30 * time.Second}
 
 func flight(f measure.Flight, name string) func(measure.Program) ([]capacity.Row, error) {
-	f.Sockets, f.MemoryMB, f.Dispatchers, f.Workers, f.Still = 20000, 512, 1, 580, time.Second
+	f.Sockets, f.MemoryMB, f.Dispatchers, f.Workers = 20000, 512, 1, 580
 	return func(p measure.Program) ([]capacity.Row, error) {
 		return measure.InFlight(p, f, name, 2, 30, 100, 300, 1000, 3000, 8900)
 	}
--- a/internal/lab/capacity/tables.go
+++ b/internal/lab/capacity/tables.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -13,49 +14,92 @@
 // worked out and the limit it is held against, in the slope's unit: <!-- slope NAME at=580,1160 limit=15000 -->
 var marked = regexp.MustCompile(`(?s)(<!-- slope ([^\n]*?) -->\n).*?(<!-- end -->)`)
 
+// The summary has a line for each slope of the page whose marker names sizes.
+var summary = regexp.MustCompile(`(?s)(<!-- summary -->\n).*?(<!-- end -->)`)
+
 // Page puts the table of each slope into a page's text, between its markers. A marker without rows is an error.
 func Page(text string, all map[string][]Row) (string, error) {
 	var failed error
+	var lines strings.Builder
+	lines.WriteString("| slope | against | sizes | what it says there | limit | factor left | line |\n| --- | --- | ---: | ---: | ---: | ---: | --- |\n")
 	out := marked.ReplaceAllStringFunc(text, func(found string) string {
 		m := marked.FindStringSubmatch(found)
-		table, err := table(m[2], all)
-		if err != nil && failed == nil {
-			failed = err
+		k, err := readMarker(m[2], all)
+		if err != nil {
+			failed = errors.Join(failed, err)
+			return found
+		}
+		if len(k.at) > 0 {
+			lines.WriteString(k.summary())
 		}
-		return m[1] + table + m[3]
+		return m[1] + k.line.Table(k.at, k.limit) + m[3]
 	})
 	if opened := strings.Count(text, "<!-- slope "); failed == nil && opened != len(marked.FindAllString(text, -1)) {
 		failed = fmt.Errorf("%d tables are begun, and not each ends", opened)
 	}
+	out = summary.ReplaceAllStringFunc(out, func(found string) string {
+		m := summary.FindStringSubmatch(found)
+		return m[1] + lines.String() + m[2]
+	})
 	return out, failed
 }
 
-func table(marker string, all map[string][]Row) (string, error) {
-	words := strings.Fields(marker)
+// marker is what a table's first line asks for.
+type marker struct {
+	line  *Line
+	at    []float64
+	limit float64 // NaN: none
+}
+
+func readMarker(text string, all map[string][]Row) (k marker, err error) {
+	words := strings.Fields(text)
 	if len(words) == 0 {
-		return "", fmt.Errorf("a marker names no slope")
+		return k, errors.New("a marker names no slope")
 	}
-	l, err := Fit(all[words[0]])
-	if err != nil {
-		return "", fmt.Errorf("slope %s: %w", words[0], err)
+	k.limit = math.NaN()
+	if k.line, err = Fit(all[words[0]]); err != nil {
+		return k, fmt.Errorf("slope %s: %w", words[0], err)
 	}
-	var at []float64
-	limit := math.NaN()
 	for _, w := range words[1:] {
 		key, text, _ := strings.Cut(w, "=")
 		for _, v := range strings.Split(text, ",") {
 			x, err := strconv.ParseFloat(v, 64)
 			switch {
 			case err != nil || key != "at" && key != "limit":
-				return "", fmt.Errorf("slope %s: marker says %q, want at=SIZE,... or limit=NUMBER", words[0], w)
+				return k, fmt.Errorf("slope %s: marker says %q, want at=SIZE,... or limit=NUMBER", words[0], w)
 			case key == "at":
-				at = append(at, x)
+				k.at = append(k.at, x)
 			default:
-				limit = x
+				k.limit = x
 			}
 		}
 	}
-	return l.Table(at, limit), nil
+	return k, nil
+}
+
+// summary is a line of the summary: sizes and figures in the marker's order.
+func (k marker) summary() string {
+	var xs, ys, left []string
+	for _, x := range k.at {
+		y, _ := k.line.Best(x)
+		xs, ys = append(xs, Figure(x)), append(ys, Figure(y))
+		switch {
+		case math.IsNaN(k.limit):
+		case y > k.limit:
+			left = append(left, fmt.Sprintf("**missed by %s**", Figure(y/k.limit)))
+		default:
+			left = append(left, Figure(k.limit/y))
+		}
+	}
+	limit, line := "", "straight"
+	if !math.IsNaN(k.limit) {
+		limit = Figure(k.limit)
+	}
+	if k.line.Bend {
+		line = "bends"
+	}
+	return fmt.Sprintf("| `%s`, %s | %s | %s | %s | %s | %s | %s |\n", k.line.Slope, k.line.Unit, k.line.Against, strings.Join(xs, "; "), strings.Join(ys, "; "),
+		limit, strings.Join(left, "; "), line)
 }
 
 // Table is a slope in Markdown: its line, what was measured at each size, and the line at further sizes with the factor that it leaves
@@ -73,14 +117,11 @@
 		fmt.Fprintf(&b, "| %s | %s | %s to %s | %s | %d | %s |\n", Figure(s.X), Figure(s.Mean), Figure(s.Least), Figure(s.Most), Figure(l.A+l.B*s.X), s.Rows, s.How)
 	}
 	for _, x := range at {
-		y, half := l.At(x)
-		how, line := "worked out, by the line", fmt.Sprintf("± %s", Figure(half))
-		if l.Bend {
-			y, line = l.Between(x), ""
-			how = "worked out, between the sizes next to it"
-			if !l.Within(x) {
-				how = "worked out, by the last two sizes"
-			}
+		y, how := l.Best(x)
+		line := ""
+		if !l.Bend {
+			_, half := l.At(x)
+			line = fmt.Sprintf("± %s", Figure(half))
 		}
 		if !math.IsNaN(limit) {
 			how += fmt.Sprintf("; limit %s, factor left %s", Figure(limit), Figure(limit/y))
