--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	go test -run - -bench Propose -benchtime 1x ./cmd/tinsail
 
 # The slopes of docs/CAPACITY.md that need no accord, all or PART=name of them (list, agent, changes, tenants, flight, flight-4k,
-# flight-h2, most, few, module, placements, restart, restart-all); their rows go to docs/capacity. To be run on a quiet machine.
+# flight-h2, most, few, memory, module, placements, restart, restart-all); their rows go to docs/capacity. To be run on a quiet machine.
 measure-capacity: build
 	go run ./internal/lab/capacity/run -part '$(PART)'
 
--- a/internal/lab/capacity/measure/flight.go
+++ b/internal/lab/capacity/measure/flight.go
@@ -329,3 +329,23 @@
 	}
 	return rows, nil
 }
+
+// Memory is what so many reqs in flight cost a dispatcher against the memory that it is allowed: its collector works towards three
+// quarters of that, and nothing else keeps to it.
+func Memory(p Program, f Flight, name string, reqs int, mb ...int) (rows []capacity.Row, err error) {
+	for _, n := range mb {
+		f.MemoryMB = n
+		h, err := f.Hold(p, reqs, false)
+		if err != nil {
+			return nil, fmt.Errorf("%s, %d MB: %w", name, n, err)
+		}
+		row := func(what, unit string, y float64) {
+			rows = append(rows, capacity.Row{Slope: name + "-" + what, Unit: unit, Against: "MB allowed", X: float64(n), Y: y, How: capacity.Real,
+				Note: fmt.Sprintf("%d offered, %d in flight", reqs, h.InFlight)})
+		}
+		row("rss", "MB", h.RSS)
+		row("cpu", "ms to take them", h.CPU)
+		row("still", "% of a core while they wait", h.Still)
+	}
+	return rows, nil
+}
--- a/internal/lab/capacity/measure/module.go
+++ b/internal/lab/capacity/measure/module.go
@@ -11,7 +11,10 @@
 	"tinsail/internal/lab/capacity"
 )
 
-// Module says how the decision module is measured by itself: one dispatcher of 300.
+// dispatchers is how many the module is told that there are.
+const dispatchers = 300
+
+// Module says how the decision module is measured by itself: as one of many dispatchers.
 type Module struct {
 	Workers, InFlight, Teams int
 	Rounds                   int // reqs that are timed, from arrival to answer
@@ -37,7 +40,7 @@
 func (s *sent) Log(string)                                                           {}
 
 func (m Module) settings() balance.Settings {
-	s := balance.Settings{Seed: 1, Self: 0, Instances: 3, Zones: 1, Kinds: 2, Weight: balance.WeightSize, Metrics: []balance.Metric{balance.MetricFreeSlots}, ReportInAnswer: true, TellsStart: true,
+	s := balance.Settings{Seed: 1, Self: 0, Instances: dispatchers, Zones: 1, Kinds: 2, Weight: balance.WeightSize, Metrics: []balance.Metric{balance.MetricFreeSlots}, ReportInAnswer: true, TellsStart: true,
 		Subscribe: true, MaxAttempts: 3, MayCancel: true, MaxPause: 2000, ConnectTimeout: 120, Tick: 2,
 		Rules:   balance.Rules{AnswerSlack: 8, AskEvery: 10000, FallMultiple: 3, FallWindow: 2000, StartCapacity: 0.31, WarmAfter: 9000, DrainGrace: 500},
 		Classes: []balance.Class{{Worth: 1, Aim: 1e8, Stretch: 2, Deadline: 1e9, Effect: balance.Deduped, Scope: balance.ScopeCell, RepeatWindow: 7500, Kind: -1}}}
@@ -48,8 +51,8 @@
 }
 
 func (m Module) list() (list []balance.Worker) {
-	// Slots for what is in flight at three dispatchers, and a margin: who has none left refuses, which is another decision.
-	size := math.Ceil(6*float64(m.InFlight)/float64(m.Workers)) + 16
+	// Slots for what would be in flight at all dispatchers, and a margin: who has none left refuses, which is another decision.
+	size := math.Ceil(2*dispatchers*float64(m.InFlight)/float64(m.Workers)) + weight
 	for i := range m.Workers {
 		list = append(list, balance.Worker{ID: balance.WorkerID(i + 1), Kind: i % 2, Cell: i % 100, State: balance.Ready, Weight: size})
 	}
--- a/internal/lab/capacity/run/main.go
+++ b/internal/lab/capacity/run/main.go
@@ -45,6 +45,9 @@
 	"few": func(p measure.Program) ([]capacity.Row, error) {
 		return measure.Few(p, measure.Flight{Body: 1, Sockets: 1024, MemoryMB: 192, Workers: 580}, "few", 9100, 1, 5, 10, 15, 20)
 	},
+	"memory": func(p measure.Program) ([]capacity.Row, error) {
+		return measure.Memory(p, measure.Flight{Body: 1, Sockets: 20000, Dispatchers: 1, Workers: 580, Still: time.Second}, "memory", 8900, 128, 192, 256, 320, 384, 512)
+	},
 	"module": func(measure.Program) ([]capacity.Row, error) {
 		return measure.ModuleSlopes(measure.Module{Workers: 580, InFlight: 100, Teams: 310, Rounds: 20000, Repeats: 3, Timed: true},
 			[]int{50, 100, 200, 580, 1000, 2000, 4000}, []int{100, 300, 1000, 3000, 9100}, []int{10, 50, 100, 310, 620})
