--- a/cmd/tinsail/capacity_test.go
+++ b/cmd/tinsail/capacity_test.go
@@ -67,8 +67,9 @@
 	assert.InDelta(t, 10, at(t, all, "restart-all-bytes-in", 10)[0]/at(t, one, "restart-bytes-in", 100)[0], 1)
 }
 
-// TestCapacityInFlight: a req in flight takes two descriptors, none at the front where HTTP/2 carries a hundred; what the limit of
-// descriptors leaves is the page's nine in twenty of it, and each req beyond is refused, none lost.
+// TestCapacityInFlight: a req in flight takes two descriptors, none at the front where HTTP/2 carries a hundred. The limit of
+// descriptors leaves nine in twenty of it, and the few whose req was there as they were to be turned away; each req beyond is turned
+// away, and none that was taken is lost. (Whether each that is turned away is told so is TestRefusedOverUnread's to judge.)
 func TestCapacityInFlight(t *testing.T) {
 	f := measure.Flight{Body: 1, Sockets: 2000, MemoryMB: 192, Dispatchers: 1, Workers: 20}
 	rows, err := measure.InFlight(self, f, "h1", 2, 50, 250)
