--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual capacity-page
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual measure-capacity capacity-page
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -52,6 +52,11 @@
 	go run ./internal/lab/capacity/virtual -seeds $(or $(SEEDS),20) -rows docs/capacity/virtual.csv -plots docs/capacity lab/scenarios/size/quotas-greedy.star
 	go run ./internal/lab/capacity/virtual -seeds $(or $(SEEDS),4) -only lent -rows docs/capacity/virtual.csv -plots docs/capacity lab/scenarios/size/quotas-day.star
 
+# The slopes of docs/CAPACITY.md that need no accord, all or PART=name of them (list, agent, changes, tenants, flight, flight-4k,
+# flight-h2, most, few, memory, module, placements, restart, restart-all); their rows go to docs/capacity. To be run on a quiet machine.
+measure-capacity: build
+	go run ./internal/lab/capacity/run -part '$(PART)'
+
 # The tables of docs/CAPACITY.md, from the rows in docs/capacity.
 capacity-page:
 	go run ./internal/lab/capacity/page
