internal/lab/hollow: hundreds of dispatchers in a process, checked against real ones

faultnet relays take a tap and a lag (a line on which pieces travel behind each other; Delay is a narrow line that holds one piece at a time). A meter reads what passes a voter's address: members' messages, and of the log's library heartbeats, commit time-outs, entries, the rest and the replies.

--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -7,6 +7,7 @@
 package faultnet
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -23,6 +24,9 @@
 	Blackhole bool
 	// Delay holds each piece this long in each direction before it is passed on.
 	Delay time.Duration
+	// Lag is the time that a piece travels in each direction, while those after it travel behind it: a long
+	// line, where Delay is a narrow one. TCP only.
+	Lag time.Duration
 	// DropEvery drops one datagram in so many (UDP only; 0: none). A stream has no such fault:
 	// TCP would send again.
 	DropEvery int
@@ -35,6 +39,7 @@
 type TCP struct {
 	l      net.Listener
 	target string
+	tap    Tap
 
 	mu    sync.Mutex
 	ended *sync.Cond // told when a connection ends
@@ -50,16 +55,23 @@
 	Passed, Swallowed               int64
 }
 
+// Tap looks at what passes. It is called at each connection; out takes what the dialler sends, back what it
+// is sent, each in order and from one goroutine, and an empty piece at the end. They must not keep the pieces.
+type Tap func() (out, back func([]byte))
+
 type pair struct{ in, out net.Conn }
 
 // ListenTCP starts a relay on a free port of 127.0.0.1 to target. Close ends it and all that
 // passes through it.
-func ListenTCP(target string) (*TCP, error) {
+func ListenTCP(target string) (*TCP, error) { return ListenTapped(target, nil) }
+
+// ListenTapped is ListenTCP with a tap; nil for none.
+func ListenTapped(target string, tap Tap) (*TCP, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &TCP{l: l, target: target, conns: map[*pair]struct{}{}}
+	r := &TCP{l: l, target: target, tap: tap, conns: map[*pair]struct{}{}}
 	r.ended = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
@@ -156,13 +168,17 @@
 	r.n.Accepted++
 	r.conns[p] = struct{}{}
 	r.mu.Unlock()
+	var out, back func([]byte)
+	if r.tap != nil {
+		out, back = r.tap()
+	}
 	if p.out == nil { // blackholed from the start: read and swallow until it ends
-		r.pipe(in, nil)
+		r.pipe(in, nil, out)
 		r.end(p)
 		return
 	}
-	go r.pipe(p.out, in)
-	r.pipe(in, p.out)
+	go r.pipe(p.out, in, back)
+	r.pipe(in, p.out, out)
 	r.end(p)
 }
 
@@ -187,17 +203,30 @@
 
 // pipe passes what from says to to, by the rule in force at each piece. to nil swallows it all.
 // An end of from is passed on as an end of sending; a reset or another fault as a close.
-func (r *TCP) pipe(from, to net.Conn) {
+func (r *TCP) pipe(from, to net.Conn, tap func([]byte)) {
+	if tap != nil {
+		defer tap(nil)
+	}
 	buf := make([]byte, 32<<10)
+	var line *line // from the first piece that travels
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
+			if tap != nil {
+				tap(buf[:n])
+			}
 			rule := r.now()
 			if rule.Delay > 0 {
 				time.Sleep(rule.Delay) // holds this direction back, as a slow link does
 			}
 			if to == nil || rule.Blackhole {
 				r.count(0, int64(n))
+			} else if line != nil || rule.Lag > 0 {
+				if line == nil {
+					line = newLine(from, to)
+				}
+				line.send(bytes.Clone(buf[:n]), rule.Lag)
+				r.count(int64(n), 0)
 			} else if _, werr := to.Write(buf[:n]); werr != nil {
 				from.Close()
 				return
@@ -206,6 +235,9 @@
 			}
 		}
 		if err != nil {
+			if line != nil {
+				line.end()
+			}
 			if t, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				t.CloseWrite()
 			} else if to != nil {
--- a/internal/faultnet/relay_test.go
+++ b/internal/faultnet/relay_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -127,3 +128,34 @@
 	assert.Equal(t, []byte{0, 1, 3, 4, 6, 7}, got, "the third, sixth and ninth are dropped")
 	assert.Equal(t, Counts{Passed: 6, Swallowed: 3}, r.Seen(9))
 }
+
+// TestLagKeepsTheBytes: pieces that travel come whole, in order and none before its time, and a tap sees them all.
+func TestLagKeepsTheBytes(t *testing.T) {
+	target, _ := echo(t)
+	var out, back atomic.Int64
+	count := func(n *atomic.Int64) func([]byte) { return func(p []byte) { n.Add(int64(len(p))) } }
+	r, err := ListenTapped(target, func() (func([]byte), func([]byte)) { return count(&out), count(&back) })
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	const lag = 20 * time.Millisecond
+	r.Set(Rule{Lag: lag})
+	began := time.Now()
+	c, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	var want []byte
+	for i := range 500 {
+		p := []byte{byte(i), byte(i >> 8)}
+		want = append(want, p...)
+		_, err = c.Write(p)
+		require.NoError(t, err)
+	}
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(c)
+	require.NoError(t, err)
+	assert.Equal(t, want, got)
+	assert.GreaterOrEqual(t, time.Since(began), 2*lag, "a lower bound alone")
+	assert.Equal(t, int64(2*len(want)), r.Ended(1).Passed)
+	assert.Equal(t, int64(len(want)), out.Load())
+	assert.Equal(t, int64(len(want)), back.Load())
+}
--- /dev/null
+++ b/internal/lab/hollow/dispatcher.go
@@ -0,0 +1,114 @@
+// Package hollow is the laboratory's stand-in for a fleet that does not fit a machine: hundreds of dispatchers in one
+// process, each the real control side of one (the accord's member with its lessee and holder of a budget, the
+// watch of the director's list, their codecs, on real sockets) without a data path, and hundreds of workers; beside real
+// processes of the program, behind relays that count what passes. It has no logic of its own for what it
+// stands for. That it costs the voters what real dispatchers cost is a test (TestHollowIsReal).
+package hollow
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/budget"
+	"tinsail/internal/config"
+	"tinsail/internal/core"
+	"tinsail/internal/counters"
+	leases "tinsail/internal/fleet/accord"
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/network"
+	"tinsail/internal/network/fleet/accord"
+	"tinsail/internal/settings"
+)
+
+// Dispatcher is a hollow one.
+type Dispatcher struct {
+	Accord *accord.Accord // nil where the settings have none
+	Count  counters.Set
+	Listed atomic.Int64 // lines of the list that were told
+
+	budgets *settings.Budgets
+	most    int
+	stop    chan struct{}
+}
+
+// Start starts a dispatcher from what a real one reads: its configuration and its settings script. Of the script it
+// takes accord(...), budgets(...) and policy(...); log may be nil. Close ends it.
+func Start(conf, script []byte, log io.Writer) (*Dispatcher, error) {
+	cfg, err := config.Parse(conf, func(string) string { return "" })
+	if err != nil {
+		return nil, err
+	}
+	set, err := settings.Parse("hollow.star", func(string) ([]byte, error) { return script, nil })
+	if err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{budgets: set.Budgets, most: cfg.Settings.Instances, stop: make(chan struct{})}
+	if set.Accord != nil {
+		if err := d.join(cfg, set, log); err != nil {
+			return nil, err
+		}
+	}
+	watch := &network.Director{Names: &cfg.Names, Count: &d.Count, Address: cfg.Discovery, Dial: network.TCP, Stop: d.stop,
+		Told: func(_ balance.ListKind, list []core.Entry) { d.Listed.Add(int64(len(list))) },
+		Pace: network.Pushed().Within(time.Duration(cfg.Settings.Rules.DrainGrace * float64(time.Millisecond)))}
+	if cfg.Settings.Subscribe {
+		watch.Pace = network.Asked(time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond)))
+	}
+	watch.Afresh()
+	watch.Subscribe()
+	return d, nil
+}
+
+// Close ends it.
+func (d *Dispatcher) Close() {
+	close(d.stop)
+	if d.Accord != nil {
+		d.Accord.Close()
+	}
+}
+
+// join starts its part in the accord, as cmd/tinsail does for a dispatcher that is no voter.
+func (d *Dispatcher) join(cfg *config.Config, set *settings.Settings, log io.Writer) error {
+	a := set.Accord
+	voters, err := accord.ParseVoters(a.Voters)
+	if err != nil {
+		return err
+	}
+	for _, v := range voters {
+		if v.Name == cfg.Name {
+			return fmt.Errorf("%s is a voter: no hollow dispatcher stands for one", cfg.Name)
+		}
+	}
+	logger := zerolog.Nop()
+	if log != nil {
+		logger = zerolog.New(log).With().Timestamp().Logger()
+	}
+	check := func(body []byte) error { _, err := policy.Read(body); return err }
+	c := accord.Config{Plan: leases.Plan{Lease: time.Duration(a.LeaseMS) * time.Millisecond, Drift: a.Drift, Keep: a.Keep()},
+		Name: cfg.Name, Epoch: uint64(time.Now().UnixNano()), Voters: voters, Check: check,
+		Enter: func(_ uint64, body []byte) error { return check(body) }, Log: logger}
+	if d.budgets != nil {
+		c.Budget = d.plan
+	}
+	d.Accord, err = accord.New(c)
+	return err
+}
+
+// plan is the budget that a policy has.
+func (d *Dispatcher) plan(body []byte) (budget.Plan, bool) {
+	p, err := policy.Read(body)
+	if err != nil || p.Connections == 0 {
+		return budget.Plan{}, false
+	}
+	most := p.Most
+	if most == 0 {
+		most = d.most
+	}
+	return budget.Plan{Name: "connections", Total: p.Connections, Most: most, Part: p.Reserve,
+		Lease: time.Duration(d.budgets.LeaseMs) * time.Millisecond, Drift: d.budgets.Drift}, true
+}
--- /dev/null
+++ b/internal/lab/hollow/fleet.go
@@ -0,0 +1,424 @@
+package hollow
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tinsail/internal/faultnet"
+	"tinsail/internal/standin/platform"
+)
+
+// Regions is how many regions a fleet stands in; a voter stands in each, and a dispatcher's is its number
+// modulo Regions.
+const Regions = 3
+
+// Plan is a fleet to be started.
+type Plan struct {
+	Program []string // what starts a real dispatcher, before its "serve"
+	Env     []string // of a real dispatcher, beside this process's
+
+	Real   int // dispatchers that are processes, the voters among them: 3 or more
+	Hollow int
+	Bare   bool // no accord and no budgets
+
+	Lease   time.Duration
+	Lag     time.Duration // one way between two regions
+	Bans    []string      // of the first policy
+	Workers int           // of the list
+}
+
+func (p Plan) size() int { return p.Real + p.Hollow }
+
+// Fleet is real and hollow dispatchers around three voters, with a director and workers. Between each region and
+// each voter, and before the director, stands a relay.
+type Fleet struct {
+	Plan     Plan
+	Director *platform.Director
+	Workers  *Workers
+	Meter    [Regions][Regions]Meter // by the region that asks and the voter
+	Lists    ListMeter
+
+	dir    string
+	voters []string // where they listen
+	relays [Regions][Regions]*faultnet.TCP
+	list   *faultnet.TCP
+	events *Events
+
+	mu     sync.Mutex
+	Real   []*Process    // by number; the first three are the voters
+	Hollow []*Dispatcher // number Plan.Real and on
+}
+
+// ListMeter counts the bytes that dispatchers and the director exchange, and the pieces in which they came.
+type ListMeter struct{ Asked, Told, AskedBytes, ToldBytes atomic.Int64 }
+
+func (l *ListMeter) tap() (out, back func([]byte)) {
+	one := func(n, size *atomic.Int64) func([]byte) {
+		return func(p []byte) {
+			if len(p) > 0 {
+				n.Add(1)
+				size.Add(int64(len(p)))
+			}
+		}
+	}
+	return one(&l.Asked, &l.AskedBytes), one(&l.Told, &l.ToldBytes)
+}
+
+// spread is over what time hollow dispatchers start. Real ones take that long by themselves; hollow ones that all
+// began in one moment would ask in step from then on, be confirmed together, and cost the voters fewer rounds than
+// real ones do.
+const spread = 2 * time.Second
+
+// Launch starts a fleet. Close ends it, also one whose start failed.
+func Launch(p Plan) (*Fleet, error) {
+	f := &Fleet{Plan: p, events: newEvents()}
+	err := f.launch()
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) launch() (err error) {
+	p := f.Plan
+	if p.Real < Regions && !p.Bare {
+		return fmt.Errorf("%d real dispatchers, want %d or more: the voters are real", p.Real, Regions)
+	}
+	if f.dir, err = os.MkdirTemp("", "hollow"); err != nil {
+		return err
+	}
+	if f.Director, err = platform.StartDirector(); err != nil {
+		return err
+	}
+	if f.Workers, err = StartWorkers(f.Director, p.Workers); err != nil {
+		return err
+	}
+	if f.list, err = faultnet.ListenTapped(f.Director.Address, f.Lists.tap); err != nil {
+		return err
+	}
+	for v := range Regions {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		f.voters = append(f.voters, l.Addr().String())
+		l.Close()
+		for from := range Regions {
+			if f.relays[from][v], err = faultnet.ListenTapped(f.voters[v], f.Meter[from][v].Tap); err != nil {
+				return err
+			}
+		}
+	}
+	f.SetLag(p.Lag)
+	f.Real = make([]*Process, p.Real)
+	for i := range p.Real {
+		if err := f.Start(i); err != nil {
+			return err
+		}
+	}
+	if !p.Bare { // a first version that came now would have all ask in step, too
+		if err := f.AwaitServing(p.Real, 1, serveWait); err != nil {
+			return err
+		}
+	}
+	f.Hollow = make([]*Dispatcher, p.Hollow)
+	for i := range p.Hollow {
+		time.Sleep(rand.N(2*spread/time.Duration(p.Hollow) + 1))
+		if err := f.Start(p.Real + i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SetLag sets the time that a piece travels between two regions, one way.
+func (f *Fleet) SetLag(lag time.Duration) {
+	for from := range Regions {
+		for v, r := range f.relays[from] {
+			if v != from {
+				r.Set(faultnet.Rule{Lag: lag})
+			}
+		}
+	}
+}
+
+// Cut cuts a region off from the two others, or ends that.
+func (f *Fleet) Cut(region int, cut bool) {
+	for from := range Regions {
+		for v, r := range f.relays[from] {
+			if v == from || v != region && from != region {
+				continue
+			}
+			r.Set(faultnet.Rule{Lag: f.Plan.Lag, Blackhole: cut})
+			if !cut {
+				r.Reset() // bytes were swallowed
+			}
+		}
+	}
+}
+
+// Name is what a dispatcher is called.
+func Name(i int) string { return fmt.Sprintf("n%d", i) }
+
+// Start starts a dispatcher, which must not run: a real or a hollow one by its number.
+func (f *Fleet) Start(i int) error {
+	conf, script := f.config(i), f.script(i)
+	if i < f.Plan.Real {
+		p, err := launch(f.Plan.Program, f.Plan.Env, f.dir, Name(i), conf, script, f.events.heard(Name(i)))
+		f.mu.Lock()
+		f.Real[i] = p
+		f.mu.Unlock()
+		return err
+	}
+	d, err := Start(conf, script, f.events.heard(Name(i)))
+	f.mu.Lock()
+	f.Hollow[i-f.Plan.Real] = d
+	f.mu.Unlock()
+	return err
+}
+
+// Stop ends a dispatcher: a real one is killed.
+func (f *Fleet) Stop(i int) {
+	f.mu.Lock()
+	var end func()
+	if i < f.Plan.Real {
+		if p := f.Real[i]; p != nil {
+			end = p.Kill
+		}
+		f.Real[i] = nil
+	} else {
+		if d := f.Hollow[i-f.Plan.Real]; d != nil {
+			end = d.Close
+		}
+		f.Hollow[i-f.Plan.Real] = nil
+	}
+	f.mu.Unlock()
+	if end != nil {
+		end()
+	}
+	f.events.gone(Name(i))
+}
+
+// Close ends all.
+func (f *Fleet) Close() {
+	var all sync.WaitGroup
+	for i := range f.Plan.size() {
+		if i < f.Plan.Real && i < len(f.Real) || i >= f.Plan.Real && i-f.Plan.Real < len(f.Hollow) {
+			all.Go(func() { f.Stop(i) })
+		}
+	}
+	all.Wait()
+	for _, from := range f.relays {
+		for _, r := range from {
+			if r != nil {
+				r.Close()
+			}
+		}
+	}
+	if f.list != nil {
+		f.list.Close()
+	}
+	if f.Workers != nil {
+		f.Workers.Close()
+	}
+	if f.Director != nil {
+		f.Director.Close()
+	}
+	if f.dir != "" {
+		_ = os.RemoveAll(f.dir)
+	}
+}
+
+func (f *Fleet) config(i int) []byte {
+	return []byte(fmt.Sprintf(`{"name": %q, "listen": "127.0.0.1:0", "discovery": %q, "seed": "%d",
+  "limits": {"cores": 2, "memory_mb": 192, "sockets": 1024},
+  "settings": {
+    "Allowed": {"Cancel": true, "ConnIdleMs": 10000, "ConnectTimeoutMs": 120, "MaxAttempts": 5, "MaxRetryAfterMs": 2000, "MayDuplicate": true, "Probes": true, "RetryAfter": true},
+    "Balancers": %d,
+    "Classes": [{"AimMs": 120, "AimStretch": 2, "DedupScope": "cell", "Effect": "idempotency_key", "HardLimitMs": 5000, "Name": "photo", "RepeatWindowMs": 7500, "Worth": 1}],
+    "FamilyInfo": {"TellsStart": true},
+    "GranularityMs": 2,
+    "Models": ["fast", "std"],
+    "Obligations": {"AnswerSlackMs": 8, "AskEveryMs": 10000, "FallMs": 2000, "FallMultiple": 3, "StartCapacity": 0.31, "StopSendingWithinMs": 500, "WarmAfterMs": 9000},
+    "RegistryMode": "on_request",
+    "Report": {"Columns": ["x0", "busy_reqs"], "How": "answers"},
+    "Weights": "nominal",
+    "Zones": ["here"]
+  }
+}`, Name(i), f.list.Addr(), i+1, f.Plan.size()))
+}
+
+// connections is the budget of the fleet in new connections a second.
+const connections = 100_000
+
+func (f *Fleet) script(i int) []byte {
+	if f.Plan.Bare {
+		return nil
+	}
+	var voters []string
+	for v, at := range f.voters {
+		if v != i {
+			at = f.relays[i%Regions][v].Addr()
+		}
+		voters = append(voters, fmt.Sprintf("%q", Name(v)+"="+at))
+	}
+	bans, _ := json.Marshal(append([]string{}, f.Plan.Bans...)) // a list of texts is one of the script's, too
+	return fmt.Appendf(nil, "policy(bans = %s, connections = %d)\naccord(voters = [%s], lease_ms = %d, data = %q)\nbudgets(connections = %d, keeper = \"leader\")\n",
+		bans, connections, strings.Join(voters, ", "), f.Plan.Lease.Milliseconds(), filepath.Join(f.dir, Name(i)), connections)
+}
+
+// Counts is what all relays before the voters have passed.
+func (f *Fleet) Counts() (c Counts) {
+	for from := range Regions {
+		for v := range Regions {
+			c = c.Plus(f.Meter[from][v].Counts())
+		}
+	}
+	return c
+}
+
+// errLate is a fleet that has not come where it was waited for.
+var errLate = errors.New("not in time")
+
+// Await looks, each 10 ms and for at most so long, until holds.
+func (f *Fleet) Await(what string, most time.Duration, holds func() bool) error {
+	for end := time.Now().Add(most); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s: %w (%v)", what, errLate, most)
+		}
+	}
+	return nil
+}
+
+// Serving is how many dispatchers take reqs by a version, which is not below the one given.
+func (f *Fleet) Serving(version uint64) int { return f.events.serving(version) }
+
+// AwaitServing waits until n dispatchers take reqs by a version or a later one.
+func (f *Fleet) AwaitServing(n int, version uint64, most time.Duration) error {
+	return f.Await(fmt.Sprintf("%d dispatchers on version %d", n, version), most, func() bool { return f.Serving(version) >= n })
+}
+
+// Events follows what the dispatchers' logs tell of the accord.
+type Events struct {
+	mu  sync.Mutex
+	at  map[string]*State
+	log []Event // since the last Reset
+}
+
+// Event is a step of the accord at a dispatcher.
+type Event struct {
+	At      time.Time // as it was heard
+	Process string
+	Step    string // the accord's own word
+	Version uint64
+}
+
+// State is how a dispatcher stands.
+type State struct {
+	Version uint64 // in force
+	Serves  bool
+	Leads   bool
+}
+
+func newEvents() *Events { return &Events{at: map[string]*State{}} }
+
+// heard takes the log of a dispatcher.
+func (e *Events) heard(process string) io.Writer {
+	e.mu.Lock()
+	s := &State{}
+	e.at[process] = s
+	e.mu.Unlock()
+	return writerFunc(func(p []byte) (int, error) {
+		for text := range bytes.Lines(p) {
+			var l struct {
+				Event, Message string
+				Version        uint64
+			}
+			if json.Unmarshal(text, &l) != nil {
+				continue
+			}
+			step, ok := strings.CutPrefix(l.Event+l.Message, "accord: ")
+			if ok {
+				e.take(s, Event{time.Now(), process, step, l.Version})
+			}
+		}
+		return len(p), nil
+	})
+}
+
+func (e *Events) take(s *State, ev Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.log = append(e.log, ev)
+	switch ev.Step {
+	case "in force":
+		s.Version = ev.Version
+	case "serving":
+		s.Serves, s.Version = true, ev.Version
+	case "fenced":
+		s.Serves = false
+	case "leads":
+		s.Leads = true
+	case "leads no more":
+		s.Leads = false
+	}
+}
+
+// gone forgets a dispatcher that has ended.
+func (e *Events) gone(process string) {
+	e.mu.Lock()
+	delete(e.at, process)
+	e.mu.Unlock()
+}
+
+func (e *Events) serving(version uint64) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.at {
+		if s.Serves && s.Version >= version {
+			n++
+		}
+	}
+	return n
+}
+
+// Leader is the number of the voter that leads; -1 where none or more than one says so.
+func (f *Fleet) Leader() int {
+	f.events.mu.Lock()
+	defer f.events.mu.Unlock()
+	at := -1
+	for i := range Regions {
+		if s := f.events.at[Name(i)]; s != nil && s.Leads {
+			if at >= 0 {
+				return -1
+			}
+			at = i
+		}
+	}
+	return at
+}
+
+// Events hands out what was heard since it was last called.
+func (f *Fleet) Events() []Event {
+	f.events.mu.Lock()
+	defer f.events.mu.Unlock()
+	log := f.events.log
+	f.events.log = nil
+	return log
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (w writerFunc) Write(p []byte) (int, error) { return w(p) }
--- /dev/null
+++ b/internal/lab/hollow/meter.go
@@ -0,0 +1,248 @@
+package hollow
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+	"github.com/hashicorp/raft"
+
+	"tinsail/internal/faultnet"
+)
+
+// Kind is what a message at a voter's address is for.
+type Kind int
+
+// Kinds. Of the log's library's messages only the asking side is a kind of its own: what answers it counts in
+// bytes alone, as Replies.
+const (
+	Asks     Kind = iota // from members: of leases and of shares
+	Answers              // to members
+	Beats                // heartbeats, at their pace or to confirm that the leader leads
+	Timeouts             // appends without an entry, at the commit time-out
+	Entries              // appends with entries
+	Others               // votes, snapshots, hand-overs
+	Replies              // to all of the log's library's
+	Unread               // what could not be read: there must be none
+	kinds
+)
+
+func (k Kind) String() string {
+	return [...]string{"asks", "answers", "heartbeats", "commit time-outs", "entries", "others", "replies", "unread"}[k]
+}
+
+// Tally is how much came of a kind.
+type Tally struct{ Messages, Bytes int64 }
+
+// Counts are tallies by kind.
+type Counts [kinds]Tally
+
+// Since is what came after an earlier reading.
+func (c Counts) Since(old Counts) Counts {
+	for k := range c {
+		c[k].Messages -= old[k].Messages
+		c[k].Bytes -= old[k].Bytes
+	}
+	return c
+}
+
+// Plus is the sum.
+func (c Counts) Plus(d Counts) Counts {
+	for k := range c {
+		c[k].Messages += d[k].Messages
+		c[k].Bytes += d[k].Bytes
+	}
+	return c
+}
+
+// Log is the part of the log's library: all that goes between the voters for it.
+func (c Counts) Log() (t Tally) {
+	for _, k := range []Kind{Beats, Timeouts, Entries, Others, Replies, Unread} {
+		t.Messages += c[k].Messages
+		t.Bytes += c[k].Bytes
+	}
+	return t
+}
+
+// Members is the part of the members' links.
+func (c Counts) Members() Tally {
+	return Tally{c[Asks].Messages + c[Answers].Messages, c[Asks].Bytes + c[Answers].Bytes}
+}
+
+// Meter counts what passes relays that stand before voters' addresses. It is for concurrent use.
+type Meter struct {
+	messages, bytes [kinds]atomic.Int64
+}
+
+func (m *Meter) add(k Kind, messages, bytes int64) {
+	m.messages[k].Add(messages)
+	m.bytes[k].Add(bytes)
+}
+
+// Counts reads the meter.
+func (m *Meter) Counts() (c Counts) {
+	for k := range c {
+		c[k] = Tally{m.messages[k].Load(), m.bytes[k].Load()}
+	}
+	return c
+}
+
+// The first byte of a connection to a voter, as internal/network/fleet/accord has it.
+const (
+	memberMark = 'A'
+	logMark    = 'R'
+)
+
+// Tap looks at one more connection: faultnet.Tap.
+func (m *Meter) Tap() (out, back func([]byte)) {
+	var mark atomic.Int32
+	var ask, answer frames
+	var log *io.PipeWriter
+	out = func(p []byte) {
+		if len(p) > 0 && mark.Load() == 0 {
+			mark.Store(int32(p[0]))
+			p = p[1:]
+			switch mark.Load() {
+			case memberMark:
+				m.add(Asks, 0, 1)
+			case logMark:
+				m.add(Others, 0, 1)
+				var r *io.PipeReader
+				r, log = io.Pipe()
+				go m.read(r)
+			}
+			if len(p) == 0 {
+				return
+			}
+		}
+		switch {
+		case mark.Load() == memberMark:
+			m.add(Asks, ask.take(p), int64(len(p)))
+		case log != nil && len(p) == 0:
+			log.Close()
+		case log != nil:
+			_, _ = log.Write(p) // read until the end, whatever it says
+		default:
+			m.add(Unread, 0, int64(len(p)))
+		}
+	}
+	back = func(p []byte) {
+		switch mark.Load() {
+		case memberMark:
+			m.add(Answers, answer.take(p), int64(len(p)))
+		case logMark:
+			m.add(Replies, 0, int64(len(p)))
+		default:
+			m.add(Unread, 0, int64(len(p)))
+		}
+	}
+	return out, back
+}
+
+var _ faultnet.Tap = (&Meter{}).Tap
+
+// frames counts the framed messages of a link.
+type frames struct {
+	head []byte
+	left uint32
+}
+
+// take takes the next piece and says how many messages ended in it.
+func (f *frames) take(p []byte) (ended int64) {
+	for len(p) > 0 {
+		if f.left == 0 {
+			n := min(4-len(f.head), len(p))
+			f.head, p = append(f.head, p[:n]...), p[n:]
+			if len(f.head) < 4 {
+				return ended
+			}
+			f.left, f.head = binary.BigEndian.Uint32(f.head), f.head[:0]
+			continue
+		}
+		n := min(f.left, uint32(len(p)))
+		p, f.left = p[n:], f.left-n
+		if f.left == 0 {
+			ended++
+		}
+	}
+	return ended
+}
+
+// The log's library's kinds of request, by the byte before each (hashicorp/raft, net_transport.go).
+const (
+	rpcAppend byte = iota
+	rpcVote
+	rpcSnapshot
+	rpcHandOver
+	rpcPreVote
+)
+
+// read reads the requests of a stream of the log's library, to its end.
+func (m *Meter) read(from io.Reader) {
+	in := &counting{r: bufio.NewReader(from)}
+	dec := codec.NewDecoder(in, &codec.MsgpackHandle{})
+	for {
+		in.n = 0
+		kind, err := in.ReadByte()
+		if err != nil {
+			return
+		}
+		k, rest := Others, int64(0)
+		switch kind {
+		case rpcAppend:
+			var q raft.AppendEntriesRequest
+			switch err = dec.Decode(&q); {
+			case len(q.Entries) > 0:
+				k = Entries
+			case q.PrevLogEntry == 0 && q.LeaderCommitIndex == 0:
+				k = Beats
+			default:
+				k = Timeouts
+			}
+		case rpcVote:
+			err = dec.Decode(&raft.RequestVoteRequest{})
+		case rpcPreVote:
+			err = dec.Decode(&raft.RequestPreVoteRequest{})
+		case rpcHandOver:
+			err = dec.Decode(&raft.TimeoutNowRequest{})
+		case rpcSnapshot:
+			var q raft.InstallSnapshotRequest
+			err = dec.Decode(&q)
+			rest = q.Size
+		default:
+			err = io.ErrUnexpectedEOF
+		}
+		if err == nil {
+			_, err = io.CopyN(io.Discard, in, rest)
+		}
+		if err != nil {
+			m.add(Unread, 1, in.n)
+			n, _ := io.Copy(io.Discard, in.r)
+			m.add(Unread, 0, n)
+			return
+		}
+		m.add(k, 1, in.n)
+	}
+}
+
+// counting counts what is read of it, and reads no byte ahead.
+type counting struct {
+	r *bufio.Reader
+	n int64
+}
+
+func (c *counting) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
+
+func (c *counting) ReadByte() (byte, error) {
+	b, err := c.r.ReadByte()
+	if err == nil {
+		c.n++
+	}
+	return b, err
+}
--- /dev/null
+++ b/internal/lab/hollow/process.go
@@ -0,0 +1,126 @@
+package hollow
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Process is a real dispatcher.
+type Process struct {
+	Name    string
+	Address string // where it serves clients
+
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// serveWait bounds the time until a process serves, and the time that it has to end.
+const serveWait = 20 * time.Second
+
+// launch starts the program on a configuration and a script, which it writes into a folder. The lines of its log are
+// passed to heard. It returns when the process has a listener.
+func launch(program []string, env []string, dir, name string, conf, script []byte, heard io.Writer) (*Process, error) {
+	at, set := filepath.Join(dir, name+".json"), filepath.Join(dir, name+".star")
+	if err := errors.Join(os.WriteFile(at, conf, 0o600), os.WriteFile(set, script, 0o600)); err != nil {
+		return nil, err
+	}
+	args := append(append([]string(nil), program[1:]...), "serve", "--settings", set, "--log-format", "json")
+	p := &Process{Name: name, cmd: exec.Command(program[0], args...), ended: make(chan struct{})}
+	p.cmd.Env = append(append(os.Environ(), env...), "ROUTER_CONFIG="+at)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left where the laboratory dies
+	errs, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	serves := make(chan string, 1)
+	go func() {
+		defer close(p.ended)
+		var last []byte
+		for r := bufio.NewScanner(errs); r.Scan(); {
+			last = bytes.Clone(r.Bytes())
+			var e struct{ Event, Listen string }
+			if json.Unmarshal(last, &e) == nil && e.Event == "serving" {
+				serves <- e.Listen
+			}
+			_, _ = heard.Write(append(last, '\n'))
+		}
+		_ = p.cmd.Wait()
+		select {
+		case serves <- "":
+		default:
+		}
+	}()
+	select {
+	case p.Address = <-serves:
+	case <-time.After(serveWait):
+	}
+	if p.Address == "" {
+		p.Kill()
+		return nil, fmt.Errorf("%s did not serve", name)
+	}
+	return p, nil
+}
+
+// PID is the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends it a signal.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Kill ends it outright.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// Ended says whether it has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Cost is what a process has cost so far.
+type Cost struct {
+	CPU     time.Duration // user and system, in steps of 10 ms
+	Memory  int64         // bytes that are resident
+	Threads int64
+	Files   int // descriptors that are open
+}
+
+// tick is the kernel's unit of processor time in /proc (USER_HZ, which is 100 on Linux).
+const tick = 10 * time.Millisecond
+
+// CostOf reads what a process has cost, of this machine's /proc.
+func CostOf(pid int) (Cost, error) {
+	at := filepath.Join("/proc", strconv.Itoa(pid))
+	text, err := os.ReadFile(filepath.Join(at, "stat"))
+	if err != nil {
+		return Cost{}, err
+	}
+	_, after, ok := strings.Cut(string(text), ") ")
+	f := strings.Fields(after)
+	if !ok || len(f) < 22 {
+		return Cost{}, fmt.Errorf("%s/stat has %d fields", at, len(f))
+	}
+	n := func(i int) int64 { v, _ := strconv.ParseInt(f[i], 10, 64); return v } // 0 is the third field of proc(5)
+	files, err := os.ReadDir(filepath.Join(at, "fd"))
+	return Cost{CPU: time.Duration(n(11)+n(12)) * tick, Memory: n(21) * int64(os.Getpagesize()), Threads: n(17), Files: len(files)}, err
+}
--- /dev/null
+++ b/internal/lab/hollow/truth_test.go
@@ -0,0 +1,89 @@
+package hollow
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// program is the real one, built once.
+var program = sync.OnceValues(func() ([]string, error) {
+	dir, err := os.MkdirTemp("", "program")
+	if err != nil {
+		return nil, err
+	}
+	at := filepath.Join(dir, "tinsail")
+	return []string{at}, exec.Command("go", "build", "-buildvcs=false", "-o", at, "tinsail/cmd/tinsail").Run()
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if p, _ := program(); len(p) > 0 {
+		_ = os.RemoveAll(filepath.Dir(p[0]))
+	}
+	os.Exit(code)
+}
+
+func fleet(t *testing.T, p Plan) *Fleet {
+	var err error
+	p.Program, err = program()
+	require.NoError(t, err)
+	f, err := Launch(p)
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// TestHollowIsReal: a fleet whose dispatchers are hollow but for the voters costs the voters the messages and bytes of one
+// that is real, within a tenth: those of the members' links, and those between the voters. Both run at a time, so that what else
+// the machine does is the same for both. HOLLOW_SIZE is the fleet's size.
+func TestHollowIsReal(t *testing.T) {
+	n := 20
+	if text := os.Getenv("HOLLOW_SIZE"); text != "" {
+		var err error
+		n, err = strconv.Atoi(text)
+		require.NoError(t, err)
+	}
+	plan := Plan{Real: n, Lease: 900 * time.Millisecond, Workers: 6}
+	real := fleet(t, plan)
+	plan.Real, plan.Hollow = Regions, n-Regions
+	hollow := fleet(t, plan)
+	for _, f := range []*Fleet{real, hollow} {
+		require.NoError(t, f.AwaitServing(n, 1, time.Minute))
+	}
+	var a, b Counts
+	for play := 1; ; play++ { // an election in one of the two fleets alone, of a starved machine, is no difference of theirs
+		first, second := real.Counts(), hollow.Counts()
+		most := int64(n * 40) // asks of leases and shares that the real fleet's voters get meanwhile
+		require.NoError(t, real.Await("asks", 2*time.Minute, func() bool { return real.Counts().Since(first)[Asks].Messages >= most }))
+		a, b = real.Counts().Since(first), hollow.Counts().Since(second)
+		for k := range kinds {
+			t.Logf("%-18v real %6d of %8d bytes, hollow %6d of %8d bytes", k, a[k].Messages, a[k].Bytes, b[k].Messages, b[k].Bytes)
+		}
+		if a[Others].Messages+b[Others].Messages == 0 {
+			break
+		}
+		t.Logf("play %d: an election, played again", play)
+		require.Less(t, play, 3, "no play without an election")
+		for _, f := range []*Fleet{real, hollow} {
+			require.NoError(t, f.AwaitServing(n, 1, time.Minute))
+		}
+	}
+	assert.Zero(t, a[Unread].Bytes+b[Unread].Bytes)
+	same := func(what string, x, y int64) {
+		assert.InEpsilon(t, float64(x), float64(y), 0.1, what)
+	}
+	same("messages of asks", a[Asks].Messages, b[Asks].Messages)
+	same("bytes of asks", a[Asks].Bytes, b[Asks].Bytes)
+	same("messages of answers", a[Answers].Messages, b[Answers].Messages)
+	same("bytes of answers", a[Answers].Bytes, b[Answers].Bytes)
+	same("messages between the voters", a.Log().Messages, b.Log().Messages)
+	same("bytes between the voters", a.Log().Bytes, b.Log().Bytes)
+}
--- /dev/null
+++ b/internal/lab/hollow/workers.go
@@ -0,0 +1,70 @@
+package hollow
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"tinsail/internal/standin/platform"
+)
+
+// Accelerators is how many a fleet of workers has: 1,100 at 580, and in that proportion at others.
+func Accelerators(workers int) int { return workers * 1100 / 580 }
+
+// Workers are hollow workers in one process: each a listener that answers and a line of the director's list, with
+// its accelerators as its slots.
+type Workers struct {
+	director *platform.Director
+	mu       sync.Mutex
+	all      []*platform.Backend
+	slots    []int
+	news     int // that were told
+}
+
+// StartWorkers starts workers and lists them. Close ends them.
+func StartWorkers(d *platform.Director, n int) (*Workers, error) {
+	w := &Workers{director: d}
+	total := Accelerators(n)
+	for i := range n {
+		slots := total*(i+1)/n - total*i/n
+		b, err := platform.StartBackend(fmt.Sprintf("w-%03d", i), slots, func(string) time.Duration { return 20 * time.Millisecond })
+		if err != nil {
+			w.Close()
+			return nil, err
+		}
+		w.all, w.slots = append(w.all, b), append(w.slots, slots)
+		d.Set(b.Entry("fast", "here", i, "Ready"))
+	}
+	return w, nil
+}
+
+// Slots are the accelerators of all.
+func (w *Workers) Slots() (n int) {
+	for _, s := range w.slots {
+		n += s
+	}
+	return n
+}
+
+// Tell has the next worker in turn drain, or be ready again: one line of news.
+func (w *Workers) Tell() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.all) == 0 {
+		return
+	}
+	i := w.news / 2 % len(w.all)
+	status := "Terminating"
+	if w.news%2 == 1 {
+		status = "Ready"
+	}
+	w.news++
+	w.director.Set(w.all[i].Entry("fast", "here", i, status))
+}
+
+// Close ends them.
+func (w *Workers) Close() {
+	for _, b := range w.all {
+		b.Close()
+	}
+}
