--- a/internal/lab/hollow/dispatcher.go
+++ b/internal/lab/hollow/dispatcher.go
@@ -6,7 +6,6 @@
 package hollow
 
 import (
-	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -72,18 +71,14 @@
 	}
 }
 
-// join starts its part in the accord, as cmd/tinsail does for a dispatcher that is no voter.
+// join starts its part in the accord, as cmd/tinsail does. A voter keeps its log, too: it is a real one but for
+// its process, and what a voter costs a machine is measured on processes alone.
 func (d *Dispatcher) join(cfg *config.Config, set *settings.Settings, log io.Writer) error {
 	a := set.Accord
 	voters, err := accord.ParseVoters(a.Voters)
 	if err != nil {
 		return err
 	}
-	for _, v := range voters {
-		if v.Name == cfg.Name {
-			return fmt.Errorf("%s is a voter: no hollow dispatcher stands for one", cfg.Name)
-		}
-	}
 	logger := zerolog.Nop()
 	if log != nil {
 		logger = zerolog.New(log).With().Timestamp().Logger()
@@ -91,7 +86,10 @@
 	check := func(body []byte) error { _, err := policy.Read(body); return err }
 	c := accord.Config{Plan: leases.Plan{Lease: time.Duration(a.LeaseMS) * time.Millisecond, Drift: a.Drift, Keep: a.Keep()},
 		Name: cfg.Name, Epoch: uint64(time.Now().UnixNano()), Voters: voters, Check: check,
-		Enter: func(_ uint64, body []byte) error { return check(body) }, Log: logger}
+		Enter: func(_ uint64, body []byte) error { return check(body) }, Log: logger, Listen: a.Listen, Data: a.Data}
+	if set.Policy != nil {
+		c.First = policy.Policy(*set.Policy).Append(nil)
+	}
 	if d.budgets != nil {
 		c.Budget = d.plan
 	}
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -28,7 +28,7 @@
 	Program []string // what starts a real dispatcher, before its "serve"
 	Env     []string // of a real dispatcher, beside this process's
 
-	Real   int // dispatchers that are processes, the voters among them: 3 or more
+	Real   int // dispatchers that are processes, the voters among them; 0: the voters are in this process, too
 	Hollow int
 	Bare   bool // no accord and no budgets
 
@@ -93,8 +93,8 @@
 
 func (f *Fleet) launch() (err error) {
 	p := f.Plan
-	if p.Real < Regions && !p.Bare {
-		return fmt.Errorf("%d real dispatchers, want %d or more: the voters are real", p.Real, Regions)
+	if p.Real > 0 && p.Real < Regions || p.size() < Regions {
+		return fmt.Errorf("%d real and %d hollow dispatchers, want none or %d real ones, the voters, or more", p.Real, p.Hollow, Regions)
 	}
 	if f.dir, err = os.MkdirTemp("", "hollow"); err != nil {
 		return err
@@ -122,21 +122,18 @@
 		}
 	}
 	f.SetLag(p.Lag)
-	f.Real = make([]*Process, p.Real)
-	for i := range p.Real {
-		if err := f.Start(i); err != nil {
-			return err
+	f.Real, f.Hollow = make([]*Process, p.Real), make([]*Dispatcher, p.Hollow)
+	first := max(p.Real, Regions)
+	for i := range p.size() {
+		if i == first && !p.Bare { // a first version that came later would have all ask in step, too
+			if err := f.AwaitServing(first, 1, serveWait); err != nil {
+				return err
+			}
 		}
-	}
-	if !p.Bare { // a first version that came now would have all ask in step, too
-		if err := f.AwaitServing(p.Real, 1, serveWait); err != nil {
-			return err
+		if i >= first {
+			time.Sleep(rand.N(2*spread/time.Duration(p.size()-first) + 1))
 		}
-	}
-	f.Hollow = make([]*Dispatcher, p.Hollow)
-	for i := range p.Hollow {
-		time.Sleep(rand.N(2*spread/time.Duration(p.Hollow) + 1))
-		if err := f.Start(p.Real + i); err != nil {
+		if err := f.Start(i); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/lab/hollow/measure/change.go
@@ -0,0 +1,168 @@
+package measure
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/lab/capacity"
+	"tinsail/internal/lab/hollow"
+)
+
+// changed is what a change of the policy cost.
+type changed struct {
+	everywhere time.Duration // from its proposal until the last dispatcher serves by it
+	idle       time.Duration // mean over the dispatchers: from when each stopped until it served by the new one
+	nobody     time.Duration // from when the last stopped until the first served by the new one; 0 where those overlap
+	links      hollow.Tally  // of all members' links meanwhile
+	between    hollow.Tally
+}
+
+// change has the last dispatcher, which is hollow, propose a policy, and waits until n serve by it.
+func change(f *hollow.Fleet, n, nth, size int) (c changed, err error) {
+	proposer := f.Hollow[len(f.Hollow)-1].Accord
+	version, old := proposer.Held()
+	p, err := policy.Read(old)
+	if err != nil {
+		return c, err
+	}
+	p.Bans = bans(size, nth)
+	f.Events()
+	counts, begun := f.Counts(), time.Now()
+	if err := proposer.Propose(p.Append(nil)); err != nil {
+		return c, err
+	}
+	if err := f.AwaitServing(n, version+1, time.Minute); err != nil {
+		return c, err
+	}
+	after := f.Counts().Since(counts)
+	c.links, c.between = after.Members(), after.Log()
+	stopped := map[string]time.Time{}
+	var lastStop, firstServe, lastServe time.Time
+	served := 0
+	for _, e := range f.Events() {
+		switch {
+		case e.Step == "fenced" && e.Version == version:
+			stopped[e.Process] = e.At
+			lastStop = e.At
+		case e.Step == "serving" && e.Version == version+1:
+			if firstServe.IsZero() {
+				firstServe = e.At
+			}
+			if at, ok := stopped[e.Process]; ok {
+				c.idle += e.At.Sub(at)
+				served++
+			}
+			lastServe = e.At
+		}
+	}
+	if served < n {
+		return c, fmt.Errorf("%d of %d stopped and served again", served, n)
+	}
+	c.everywhere, c.idle, c.nobody = lastServe.Sub(begun), c.idle/time.Duration(served), max(0, firstServe.Sub(lastStop))
+	return c, nil
+}
+
+// changes makes changes at one fleet and adds the rows of each.
+func (r Run) changes(s *sheet, name string, x float64, p hollow.Plan, size int, before func(*hollow.Fleet) (n int)) error {
+	f, err := hollow.Launch(p)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	n := p.Real + p.Hollow
+	if err := f.AwaitServing(n, 1, time.Minute); err != nil {
+		return err
+	}
+	if err := f.Await("a leader", time.Minute, func() bool { return f.Leader() >= 0 }); err != nil {
+		return err
+	}
+	time.Sleep(r.Settle + p.Lease*3/2) // the leader's quiet time is over
+	for i := range r.Repeats {
+		live := n
+		if before != nil {
+			live = before(f)
+		}
+		c, err := change(f, live, i+1, size)
+		if err != nil {
+			return err
+		}
+		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+		s.add(name+"-in-force-everywhere", "ms", x, ms(c.everywhere), how(p))
+		s.add(name+"-stopped-each", "ms", x, ms(c.idle), how(p))
+		s.add(name+"-nobody-takes", "ms", x, ms(c.nobody), how(p))
+		s.add(name+"-link-bytes", "bytes a dispatcher", x, float64(c.links.Bytes)/float64(n), how(p))
+		s.add(name+"-link-messages", "messages a dispatcher", x, float64(c.links.Messages)/float64(n), how(p))
+		s.add(name+"-between-bytes", "bytes", x, float64(c.between.Bytes), how(p))
+		time.Sleep(p.Lease / 2)
+	}
+	return nil
+}
+
+// hollowPlan is one with the voters and a few more real, and the last hollow.
+func (r Run) hollowPlan(n int) hollow.Plan {
+	p := r.plan(n)
+	p.Real = min(p.Real, n-1)
+	p.Hollow = n - p.Real
+	return p
+}
+
+// Changes measures a change of the policy against dispatchers.
+func (r Run) Changes(sizes ...int) ([]capacity.Row, error) {
+	s := &sheet{against: "dispatchers", note: fmt.Sprintf("lease %v, %d names", r.Lease, r.Bans)}
+	for _, n := range sizes {
+		if err := r.changes(s, "change", float64(n), r.hollowPlan(n), r.Bans, nil); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// Sizes measures it against the names in a policy.
+func (r Run) Sizes(n int, sizes ...int) ([]capacity.Row, error) {
+	s := &sheet{against: "names in the policy", note: fmt.Sprintf("%d dispatchers, lease %v", n, r.Lease)}
+	for _, size := range sizes {
+		r.Bans = size
+		if err := r.changes(s, "change-size", float64(size), r.hollowPlan(n), size, nil); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// Distances measures it against the time that a piece travels between regions, one way.
+func (r Run) Distances(n int, lags ...time.Duration) ([]capacity.Row, error) {
+	s := &sheet{against: "ms between regions", note: fmt.Sprintf("%d dispatchers, lease %v, %d names", n, r.Lease, r.Bans)}
+	for _, l := range lags {
+		r.Lag = l
+		if err := r.changes(s, "change-lag", float64(l.Milliseconds()), r.hollowPlan(n), r.Bans, nil); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// Downs measures it against the lease, with a dispatcher killed just before each change: its lease has to be waited out.
+func (r Run) Downs(n int, leases ...time.Duration) ([]capacity.Row, error) {
+	s := &sheet{against: "s of lease", note: fmt.Sprintf("%d dispatchers, %d names, one killed just before", n, r.Bans)}
+	for _, l := range leases {
+		r.Lease = l
+		at := 0
+		err := r.changes(s, "change-down", l.Seconds(), r.hollowPlan(n), r.Bans, func(f *hollow.Fleet) int {
+			f.Stop(hollow.Regions + at)
+			at++
+			return n - at
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// median of durations that were measured.
+func median(d []time.Duration) time.Duration {
+	slices.Sort(d)
+	return d[len(d)/2]
+}
--- /dev/null
+++ b/internal/lab/hollow/measure/control.go
@@ -0,0 +1,209 @@
+// Package measure gives the slopes of the control plane with the accord and budgets on: rows for docs/capacity, from
+// fleets of package hollow.
+package measure
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"tinsail/internal/lab/capacity"
+	"tinsail/internal/lab/hollow"
+)
+
+// Run is how fleets are measured.
+type Run struct {
+	Program []string // of real dispatchers
+	Real    int      // most of a fleet that are real; the rest is hollow
+	Workers int
+	Lease   time.Duration
+	Lag     time.Duration
+	Bans    int // names in the policy
+
+	Settle, Window time.Duration
+	Repeats        int
+
+	Measuring func() func() // called as a window of a steady fleet begins, and what it returns as it ends; may be nil
+}
+
+// Teams is what the letter has; a policy that names as many stands for one that has a line for each team.
+const Teams = 310
+
+// bans are n names of the length of a team's line in a policy.
+func bans(n, change int) (all []string) {
+	for i := range n {
+		all = append(all, fmt.Sprintf("team-%03d-of-change-%06d", i, change))
+	}
+	return all
+}
+
+func (r Run) plan(n int) hollow.Plan {
+	p := hollow.Plan{Program: r.Program, Real: min(n, r.Real), Lease: r.Lease, Lag: r.Lag, Workers: r.Workers, Bans: bans(r.Bans, 0)}
+	p.Hollow = n - p.Real
+	return p
+}
+
+// how is how rows of a fleet were got.
+func how(p hollow.Plan) string {
+	if p.Hollow > 0 {
+		return capacity.Hollow
+	}
+	return capacity.Real
+}
+
+// sheet takes the rows of a part.
+type sheet struct {
+	against string
+	note    string
+	rows    []capacity.Row
+}
+
+func (s *sheet) add(slope, unit string, x, y float64, how string) {
+	s.rows = append(s.rows, capacity.Row{Slope: slope, Unit: unit, Against: s.against, X: x, Y: y, How: how, Note: s.note})
+	fmt.Fprintf(os.Stderr, "%-34s %8.4g %-24s %10.4g %s\n", slope, x, s.against, y, unit)
+}
+
+// costs are those of the real processes of a fleet.
+func costs(f *hollow.Fleet) ([]hollow.Cost, error) {
+	out := make([]hollow.Cost, len(f.Real))
+	for i, p := range f.Real {
+		var err error
+		if out[i], err = hollow.CostOf(p.PID()); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+const mb = 1 << 20
+
+// steady measures a fleet in which nothing changes, at the size x of the sheet; name is what the slopes' names begin with.
+func (r Run) steady(s *sheet, name string, x float64, p hollow.Plan) error {
+	f, err := hollow.Launch(p)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	n := p.Real + p.Hollow
+	if !p.Bare {
+		if err := f.AwaitServing(n, 1, time.Minute); err != nil {
+			return err
+		}
+	}
+	time.Sleep(r.Settle)
+	for range r.Repeats {
+		if err := r.window(f, s, name, x, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Run) window(f *hollow.Fleet, s *sheet, name string, x float64, p hollow.Plan) error {
+	if r.Measuring != nil {
+		defer r.Measuring()()
+	}
+	before, err := costs(f)
+	if err != nil {
+		return err
+	}
+	counts, asked, told, leads, begun := f.Counts(), f.Lists.AskedBytes.Load(), f.Lists.ToldBytes.Load(), f.Leader(), time.Now()
+	time.Sleep(r.Window)
+	secs := time.Since(begun).Seconds()
+	after, err := costs(f)
+	if err != nil {
+		return err
+	}
+	c := f.Counts().Since(counts)
+	n := float64(p.Real + p.Hollow)
+	if !p.Bare && (leads < 0 || f.Leader() != leads || c[hollow.Others].Messages > 0) {
+		return fmt.Errorf("%s at %v: the leader changed, nothing is measured", name, x)
+	}
+	cpu := func(i int) float64 { return 100 * (after[i].CPU - before[i].CPU).Seconds() / secs }
+	var own, mem, files float64
+	k := 0.0
+	for i := range after {
+		if i < hollow.Regions && !p.Bare {
+			continue
+		}
+		own, mem, files, k = own+cpu(i), mem+float64(after[i].Memory)/mb, files+float64(after[i].Files), k+1
+	}
+	if k > 0 {
+		s.add(name+"-dispatcher-cpu", "% of a core", x, own/k, how(p))
+		s.add(name+"-dispatcher-memory", "MB", x, mem/k, how(p))
+		s.add(name+"-dispatcher-descriptors", "descriptors", x, files/k, how(p))
+	}
+	s.add(name+"-dispatcher-list-bytes", "bytes a second", x, float64(f.Lists.AskedBytes.Load()-asked+f.Lists.ToldBytes.Load()-told)/n/secs, how(p))
+	if p.Bare {
+		return nil
+	}
+	other, otherMem := 0.0, 0.0
+	for i := range hollow.Regions {
+		if i != leads && p.Real > 0 {
+			other, otherMem = other+cpu(i)/2, otherMem+float64(after[i].Memory)/mb/2
+		}
+	}
+	if p.Real > 0 {
+		s.add(name+"-leader-cpu", "% of a core", x, cpu(leads), how(p))
+		s.add(name+"-leader-memory", "MB", x, float64(after[leads].Memory)/mb, how(p))
+		s.add(name+"-leader-descriptors", "descriptors", x, float64(after[leads].Files), how(p))
+		s.add(name+"-voter-cpu", "% of a core", x, other, how(p))
+		s.add(name+"-voter-memory", "MB", x, otherMem, how(p))
+	}
+	s.add(name+"-leader-bytes", "bytes a second", x, float64(c.Members().Bytes)/secs, how(p))
+	s.add(name+"-link-bytes", "bytes a second", x, float64(c.Members().Bytes)/secs/(n-1), how(p)) // the leader's own has no link
+	s.add(name+"-link-messages", "messages a second", x, float64(c.Members().Messages)/secs/(n-1), how(p))
+	s.add(name+"-between-bytes", "bytes a second", x, float64(c.Log().Bytes)/secs, how(p))
+	s.add(name+"-between-messages", "messages a second", x, 2*float64(c.Log().Messages)/secs, how(p)) // each is answered
+	s.add(name+"-between-heartbeats", "messages a second", x, float64(c[hollow.Beats].Messages)/secs, how(p))
+	s.add(name+"-between-commit-timeouts", "messages a second", x, float64(c[hollow.Timeouts].Messages)/secs, how(p))
+	return nil
+}
+
+// Voters measures dispatchers, leader, voters and what goes between them, against dispatchers.
+func (r Run) Voters(sizes ...int) ([]capacity.Row, error) {
+	s := &sheet{against: "dispatchers", note: fmt.Sprintf("lease %v, %d workers", r.Lease, r.Workers)}
+	for _, n := range sizes {
+		if err := r.steady(s, "accord", float64(n), r.plan(n)); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// Bare measures dispatchers without accord and budgets, against dispatchers; all are real.
+func (r Run) Bare(sizes ...int) ([]capacity.Row, error) {
+	s := &sheet{against: "dispatchers", note: fmt.Sprintf("%d workers", r.Workers)}
+	for _, n := range sizes {
+		p := r.plan(n)
+		p.Bare = true
+		if err := r.steady(s, "bare", float64(n), p); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// Leases measures the same against the lease, in seconds, at one count of dispatchers.
+func (r Run) Leases(n int, leases ...time.Duration) ([]capacity.Row, error) {
+	s := &sheet{against: "leases a second", note: fmt.Sprintf("%d dispatchers, %d workers", n, r.Workers)}
+	for _, l := range leases {
+		r.Lease = l
+		if err := r.steady(s, "lease", 1/l.Seconds(), r.plan(n)); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+// Lags measures the same against the time that a piece travels between regions, one way.
+func (r Run) Lags(n int, lags ...time.Duration) ([]capacity.Row, error) {
+	s := &sheet{against: "ms between regions", note: fmt.Sprintf("%d dispatchers, lease %v", n, r.Lease)}
+	for _, l := range lags {
+		r.Lag = l
+		if err := r.steady(s, "lag", float64(l.Milliseconds()), r.plan(n)); err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
