--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord capacity-page
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-fleet measure-hollow capacity-page
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -50,5 +50,14 @@
 capacity-page:
 	go run ./internal/lab/capacity/page
 
+# The slopes of docs/CAPACITY.md that need the accord, all or PART=name of them (accord, accord-bare, accord-lease, accord-lag,
+# rounds, change, change-size, change-lag, change-down, recovery, recovery-all); their rows go to docs/capacity. On a quiet machine.
+measure-fleet: build
+	go run ./internal/lab/hollow/run -part '$(PART)'
+
+# What hollow dispatchers cost the voters beside real ones, at 100.
+measure-hollow:
+	HOLLOW_SIZE=100 go test -count=1 -v -run HollowIsReal ./internal/lab/hollow
+
 run: build
 	exec bin/tinsail serve
--- a/internal/lab/hollow/measure/change.go
+++ b/internal/lab/hollow/measure/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"tinsail/internal/fleet/policy"
@@ -160,9 +159,3 @@
 	}
 	return s.rows, nil
 }
-
-// median of durations that were measured.
-func median(d []time.Duration) time.Duration {
-	slices.Sort(d)
-	return d[len(d)/2]
-}
--- /dev/null
+++ b/internal/lab/hollow/measure/rounds.go
@@ -0,0 +1,78 @@
+package measure
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/armon/go-metrics"
+
+	"tinsail/internal/lab/capacity"
+	"tinsail/internal/lab/hollow"
+)
+
+// rounds counts how often the log's library is asked to confirm that its leader leads, over all voters of this process.
+type rounds struct {
+	metrics.BlackholeSink
+	n atomic.Int64
+}
+
+func (r *rounds) IncrCounter(key []string, _ float32) {
+	if strings.HasSuffix(strings.Join(key, "."), "raft.verify_leader") {
+		r.n.Add(1)
+	}
+}
+
+func (r *rounds) IncrCounterWithLabels(key []string, v float32, _ []metrics.Label) {
+	r.IncrCounter(key, v)
+}
+
+// Rounds counts the rounds to confirm leadership against dispatchers, with the asks that they confirm and the heartbeats
+// that they take. The voters are in this process: counts alone are taken.
+func (r Run) Rounds(sizes ...int) ([]capacity.Row, error) {
+	s := &sheet{against: "dispatchers", note: fmt.Sprintf("lease %v, %v between regions", r.Lease, r.Lag)}
+	counted := &rounds{}
+	c := metrics.DefaultConfig("")
+	c.EnableHostname, c.EnableRuntimeMetrics = false, false
+	if _, err := metrics.NewGlobal(c, counted); err != nil {
+		return nil, err
+	}
+	name := "rounds"
+	if r.Lag > 0 {
+		name = fmt.Sprintf("rounds-lag-%d", r.Lag.Milliseconds())
+	}
+	for _, n := range sizes {
+		p := r.plan(n)
+		p.Real, p.Hollow = 0, n
+		f, err := hollow.Launch(p)
+		if err != nil {
+			return nil, err
+		}
+		if err = f.AwaitServing(n, 1, time.Minute); err == nil {
+			time.Sleep(r.Settle)
+			for range r.Repeats {
+				r.round(f, s, name, float64(n), counted)
+			}
+		}
+		f.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return s.rows, nil
+}
+
+func (r Run) round(f *hollow.Fleet, s *sheet, name string, x float64, counted *rounds) {
+	counts, n, begun := f.Counts(), counted.n.Load(), time.Now()
+	time.Sleep(r.Window)
+	secs := time.Since(begun).Seconds()
+	c, k := f.Counts().Since(counts), float64(counted.n.Load()-n)
+	own := float64(c[hollow.Asks].Messages) / (x - 1) // the leader's own member asks it without a relay
+	asks := float64(c[hollow.Asks].Messages) + own
+	s.add(name+"-a-second", "rounds a second", x, k/secs, capacity.Hollow)
+	s.add(name+"-asks", "asks a second", x, asks/secs, capacity.Hollow)
+	s.add(name+"-asks-each", "asks a round", x, asks/k, capacity.Hollow)
+	s.add(name+"-heartbeats", "messages a second", x, float64(c[hollow.Beats].Messages)/secs, capacity.Hollow)
+	s.add(name+"-bytes", "bytes a second", x, float64(c.Log().Bytes)/secs, capacity.Hollow)
+}
--- a/internal/lab/hollow/run/main.go
+++ b/internal/lab/hollow/run/main.go
@@ -37,7 +37,27 @@
 	"accord-lease": func(p []string) ([]capacity.Row, error) {
 		return with(steady, p).Leases(20, ms(300, 600, 1000, 3000, 9000)...)
 	},
-	"accord-lag":  func(p []string) ([]capacity.Row, error) { return with(steady, p).Lags(40, ms(0, 5, 25, 75, 150)...) },
+	"accord-lag": func(p []string) ([]capacity.Row, error) { return with(steady, p).Lags(40, ms(0, 5, 25, 75, 150)...) },
+	"rounds": func(p []string) ([]capacity.Row, error) {
+		r := with(steady, p)
+		rows, err := r.Rounds(3, 9, 20, 40, 80, 160, 300)
+		if err != nil {
+			return nil, err
+		}
+		r.Lag = 25 * time.Millisecond
+		more, err := r.Rounds(3, 9, 20, 40, 80, 160, 300)
+		return append(rows, more...), err
+	},
+	"recovery": func(p []string) ([]capacity.Row, error) {
+		r := with(steady, p)
+		r.Workers, r.Bans = 580, measure.Teams
+		return r.Recoveries(9, 20, 40, 80, 160)
+	},
+	"recovery-all": func(p []string) ([]capacity.Row, error) {
+		r := with(steady, p)
+		r.Workers, r.Bans, r.Real = 580, measure.Teams, 40
+		return r.Cold(9, 20, 40, 80)
+	},
 	"change":      func(p []string) ([]capacity.Row, error) { return with(changing, p).Changes(9, 20, 40, 80, 160, 300) },
 	"change-size": func(p []string) ([]capacity.Row, error) { return with(changing, p).Sizes(20, 0, 77, 155, 310, 620) },
 	"change-lag": func(p []string) ([]capacity.Row, error) {
