--- a/internal/lab/hollow/dispatcher.go
+++ b/internal/lab/hollow/dispatcher.go
@@ -81,7 +81,7 @@
 	}
 	logger := zerolog.Nop()
 	if log != nil {
-		logger = zerolog.New(log).With().Timestamp().Logger()
+		logger = zerolog.New(log)
 	}
 	check := func(body []byte) error { _, err := policy.Read(body); return err }
 	c := accord.Config{Plan: leases.Plan{Lease: time.Duration(a.LeaseMS) * time.Millisecond, Drift: a.Drift, Keep: a.Keep()},
--- a/internal/lab/hollow/process.go
+++ b/internal/lab/hollow/process.go
@@ -108,9 +108,12 @@
 // tick is the kernel's unit of processor time in /proc (USER_HZ, which is 100 on Linux).
 const tick = 10 * time.Millisecond
 
-// CostOf reads what a process has cost, of this machine's /proc.
+// CostOf reads what a process has cost, of this machine's /proc; -1 is this process.
 func CostOf(pid int) (Cost, error) {
 	at := filepath.Join("/proc", strconv.Itoa(pid))
+	if pid < 0 {
+		at = "/proc/self"
+	}
 	text, err := os.ReadFile(filepath.Join(at, "stat"))
 	if err != nil {
 		return Cost{}, err
--- /dev/null
+++ b/internal/lab/hollow/size/day.go
@@ -0,0 +1,281 @@
+// Package size plays the whole size on one machine, as a shortened day: real and hollow dispatchers in three regions around
+// three voters, hollow workers, a light load, changes of the policy, restarts, and a region that is cut off and comes back. What came
+// is judged by accordhistory, which shares nothing with what it judges; messages, bytes and memory are counted by role.
+package size
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"tinsail/internal/fleet/policy"
+	"tinsail/internal/lab/hollow"
+	history "tinsail/internal/standin/accordhistory"
+)
+
+// Day is what is played. It is bounded by its counts, and by Most in time.
+type Day struct {
+	Fleet    hollow.Plan
+	Teams    int           // names in the policy
+	Changes  int           // of the policy, one after another
+	Restarts int           // of dispatchers, spread over the changes, half of them within one; every third is a kill
+	Starts   int           // reqs a second, spread over the real dispatchers
+	Cut      time.Duration // how long a region is cut off, half way; 0: none
+	Slack    time.Duration // of the judge: how late a backend may see what a dispatcher sent
+	Most     time.Duration
+	Seed     uint64
+}
+
+// Report is what came of a day.
+type Report struct {
+	Took                time.Duration
+	Everywhere          []time.Duration // of each change: from its proposal until all that were up served by it
+	Nobody              []time.Duration // of each change: from when the last dispatcher stopped until the first served by it
+	CutChange           time.Duration   // of a change while a region was cut off, until the two others served by it
+	Back                time.Duration   // from the cut's end until all served by the version decided last
+	Withdrawn           int             // changes that were in force nowhere
+	Restarted, Killed   int
+	Asked, Served, Shed int // reqs; Shed: answered, and not with 200
+	Lost                int // reqs whose connection broke
+	Unjudged            int // lines of the accord that a process's log left out
+	Verdicts            []history.Verdict
+	Counts              hollow.Counts
+	ListBytes           int64
+	Real                []hollow.Cost // of the real processes at the end, the voters first
+	Own                 hollow.Cost   // of this process: hollow dispatchers, workers, relays, clients and judge
+}
+
+// Memory is that of all processes in bytes.
+func (r *Report) Memory() (sum int64) {
+	for _, c := range r.Real {
+		sum += c.Memory
+	}
+	return sum + r.Own.Memory
+}
+
+// day is one under way.
+type day struct {
+	Day
+	f     *hollow.Fleet
+	r     *rand.Rand
+	rep   *Report
+	lines []history.Line
+	load  *load
+	n     int
+	nth   int // of policies
+	due   int // restarts that were made
+}
+
+const settle = 30 * time.Second // the most that a change or a restart is waited for
+
+// Play plays a day. An error is a day that could not be played to its end; what was played of it is in the report.
+func Play(d Day) (*Report, error) {
+	rep := &Report{}
+	f, err := hollow.Launch(d.Fleet)
+	if err != nil {
+		return rep, err
+	}
+	defer f.Close()
+	p := &day{Day: d, f: f, r: rand.New(rand.NewPCG(d.Seed, 36)), rep: rep, n: d.Fleet.Real + d.Fleet.Hollow}
+	if err := f.AwaitServing(p.n, 1, time.Minute); err != nil {
+		return rep, err
+	}
+	begun := time.Now()
+	p.load = startLoad(f, d.Starts)
+	err = p.play(begun)
+	p.load.end()
+	rep.Took = time.Since(begun)
+	return rep, errors.Join(err, p.judge())
+}
+
+func (p *day) play(begun time.Time) error {
+	for i := range p.Changes {
+		if time.Since(begun) > p.Most {
+			return fmt.Errorf("%d of %d changes in %v", i, p.Changes, p.Most)
+		}
+		if p.Cut > 0 && i == p.Changes/2 {
+			if err := p.cut(); err != nil {
+				return err
+			}
+		}
+		for p.due < p.Restarts*i/p.Changes {
+			if err := p.restart(); err != nil {
+				return err
+			}
+		}
+		if err := p.change(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// propose has a dispatcher that is up propose the next policy. It is a hollow one of a region.
+func (p *day) propose(region int) (version uint64, err error) {
+	for range 1000 {
+		i := p.r.IntN(p.Fleet.Hollow)
+		d := p.f.Hollow[i]
+		if d == nil || (p.Fleet.Real+i)%hollow.Regions != region {
+			continue
+		}
+		held, body := d.Accord.Held()
+		q, err := policy.Read(body)
+		if err != nil {
+			continue // it holds none yet
+		}
+		p.nth++
+		q.Bans = nil
+		for t := range p.Teams {
+			q.Bans = append(q.Bans, fmt.Sprintf("team-%03d-of-change-%06d", t, p.nth))
+		}
+		return held + 1, d.Accord.Propose(q.Append(nil))
+	}
+	return 0, errors.New("nobody could propose")
+}
+
+// change makes a change and waits until it is in force everywhere. Where a dispatcher is restarted within it, a change may
+// be withdrawn: then it has to be in force nowhere, which the judge sees, and is proposed again.
+func (p *day) change(i int) error {
+	begun := time.Now()
+	for try := 1; ; try++ {
+		version, err := p.propose(p.r.IntN(hollow.Regions))
+		if err == nil {
+			within := p.Restarts > 0 && i%2 == 1 && p.due < p.Restarts*(i+1)/p.Changes
+			if within {
+				if err := p.restart(); err != nil {
+					return err
+				}
+			}
+			err = p.f.AwaitServing(p.n, version, settle)
+		}
+		if err == nil {
+			p.rep.Everywhere = append(p.rep.Everywhere, time.Since(begun))
+			return nil
+		}
+		if try == 3 {
+			return fmt.Errorf("change %d: %w", i, err)
+		}
+		p.rep.Withdrawn++
+	}
+}
+
+// restart ends a dispatcher that is no voter, or now and then a voter, and starts it again.
+func (p *day) restart() error {
+	p.due++
+	i := hollow.Regions + p.r.IntN(p.n-hollow.Regions)
+	if p.due%20 == 0 {
+		i = p.r.IntN(hollow.Regions)
+	}
+	p.load.leave(i)
+	if p.due%3 == 0 {
+		p.f.Stop(i)
+		p.rep.Killed++
+	} else {
+		p.f.Retire(i, 5*time.Second)
+		p.rep.Restarted++
+	}
+	if err := p.f.Start(i); err != nil {
+		return err
+	}
+	p.load.join(i)
+	return nil
+}
+
+// cut cuts a region off from the others, has the rest change the policy, and mends it.
+func (p *day) cut() error {
+	region := p.r.IntN(hollow.Regions)
+	members, rest := 0, (region+1)%hollow.Regions
+	p.rig(history.Fault, "")
+	for i := range p.n {
+		if i%hollow.Regions == region {
+			members++
+			p.rig(history.Cut, hollow.Name(i))
+		}
+	}
+	p.f.Cut(region, true)
+	begun := time.Now()
+	err := p.f.Await("a leader of the rest", settle, func() bool { return p.f.Leads(rest) || p.f.Leads((rest+1)%hollow.Regions) })
+	if err == nil {
+		changed := time.Now()
+		var version uint64
+		if version, err = p.propose(rest); err == nil {
+			err = p.f.AwaitServing(p.n-members, version, settle)
+		}
+		p.rep.CutChange = time.Since(changed)
+	}
+	time.Sleep(time.Until(begun.Add(p.Cut)))
+	p.f.Cut(region, false)
+	for i := range p.n {
+		if i%hollow.Regions == region {
+			p.rig(history.Mended, hollow.Name(i))
+		}
+	}
+	back := time.Now()
+	if err == nil {
+		err = p.f.AwaitServing(p.n, p.f.Decided(), settle)
+	}
+	p.rep.Back = time.Since(back)
+	p.rig(history.Over, "")
+	return err
+}
+
+func (p *day) rig(what, process string) { p.f.Tell(process, what) }
+
+// judge takes the history and what it cost.
+func (p *day) judge() error {
+	var err error
+	for _, q := range p.f.Real {
+		if q == nil {
+			continue
+		}
+		c, e := hollow.CostOf(q.PID())
+		err = errors.Join(err, e)
+		p.rep.Real = append(p.rep.Real, c)
+	}
+	own, e := hollow.CostOf(-1)
+	p.rep.Own, err = own, errors.Join(err, e)
+	p.rep.Counts = p.f.Counts()
+	p.rep.ListBytes = p.f.Lists.AskedBytes.Load() + p.f.Lists.ToldBytes.Load()
+	for _, e := range p.f.Events() {
+		side := history.Control
+		if e.Rig {
+			side = history.Rig
+		}
+		p.rep.Unjudged += e.LeftOut
+		p.lines = append(p.lines, history.Line{T: e.At.UnixNano(), Side: side, Process: e.Process, Event: e.Step, Version: e.Version, Change: e.Change, By: e.By, Why: e.Why})
+	}
+	p.lines = append(p.lines, p.load.history(p.rep)...)
+	p.lines = append(p.lines, starts(p.f)...)
+	p.rep.Nobody = nobody(p.lines)
+	lease := p.Fleet.Lease
+	p.rep.Verdicts = history.Judge(p.lines, history.Rules{Slack: p.Slack, Lease: lease, Settle: settle, Woken: 8})
+	return err
+}
+
+// nobody are the times in which, between two versions, no dispatcher took a req; 0 where some still took by the old one
+// when others took by the new: those that were cut off, which the judge looks at.
+func nobody(lines []history.Line) (out []time.Duration) {
+	first, stops := map[uint64]int64{}, map[uint64][]int64{}
+	for _, l := range lines {
+		switch {
+		case l.Side != history.Control:
+		case l.Event == "serving" && (first[l.Version] == 0 || l.T < first[l.Version]):
+			first[l.Version] = l.T
+		case l.Event == "fenced":
+			stops[l.Version] = append(stops[l.Version], l.T)
+		}
+	}
+	for v, at := range first {
+		last := int64(0)
+		for _, t := range stops[v-1] {
+			if t < at {
+				last = max(last, t)
+			}
+		}
+		if last > 0 {
+			out = append(out, time.Duration(at-last))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/hollow/size/load.go
@@ -0,0 +1,130 @@
+package size
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"tinsail/internal/lab/hollow"
+	history "tinsail/internal/standin/accordhistory"
+)
+
+// load sends reqs to the real dispatchers, each to the next that takes some.
+type load struct {
+	f    *hollow.Fleet
+	stop chan struct{}
+	all  sync.WaitGroup
+
+	mu    sync.Mutex
+	up    []int // real dispatchers that are asked
+	lines []history.Line
+	sent  int
+	by    map[int]int // answers by status; 0: the connection broke
+}
+
+func startLoad(f *hollow.Fleet, perSecond int) *load {
+	l := &load{f: f, stop: make(chan struct{}), by: map[int]int{}}
+	for i := range f.Real {
+		l.up = append(l.up, i)
+	}
+	if perSecond == 0 || len(l.up) == 0 {
+		return l
+	}
+	client := &http.Client{Timeout: settle, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second}}
+	l.all.Go(func() {
+		for t := time.NewTicker(time.Second / time.Duration(perSecond)); ; {
+			select {
+			case <-l.stop:
+				t.Stop()
+				return
+			case <-t.C:
+				l.all.Go(func() { l.ask(client) })
+			}
+		}
+	})
+	return l
+}
+
+// leave has a dispatcher asked no more; join has it asked again.
+func (l *load) leave(i int) {
+	l.mu.Lock()
+	l.up = slices.DeleteFunc(l.up, func(j int) bool { return i == j })
+	l.mu.Unlock()
+}
+
+func (l *load) join(i int) {
+	if i < len(l.f.Real) {
+		l.mu.Lock()
+		l.up = append(l.up, i)
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.all.Wait()
+}
+
+func (l *load) ask(client *http.Client) {
+	l.mu.Lock()
+	if len(l.up) == 0 {
+		l.mu.Unlock()
+		return
+	}
+	l.sent++
+	id := fmt.Sprintf("s-%d", l.sent)
+	to := l.up[l.sent%len(l.up)]
+	address := l.f.Address(to)
+	l.lines = append(l.lines, history.Line{T: time.Now().UnixNano(), Side: history.Client, Req: id, Dispatcher: hollow.Name(to), Asked: true})
+	l.mu.Unlock()
+	status := 0
+	r, err := http.NewRequest("POST", "http://"+address+"/photo/1", strings.NewReader("b"))
+	if err == nil {
+		r.Header.Set("X-Correlation-Id", id)
+		r.Header.Set("Idempotency-Key", id)
+		r.GetBody = nil // not to be sent again by itself
+		var answer *http.Response
+		if answer, err = client.Do(r); err == nil {
+			if _, err = io.Copy(io.Discard, answer.Body); err == nil {
+				status = answer.StatusCode
+			}
+			answer.Body.Close()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.by[status]++
+	l.lines = append(l.lines, history.Line{T: time.Now().UnixNano(), Side: history.Client, Req: id, Dispatcher: hollow.Name(to), Status: status})
+}
+
+// history is that of the clients, counted into a report.
+func (l *load) history(rep *Report) []history.Line {
+	rep.Asked = l.sent
+	for status, n := range l.by {
+		switch status {
+		case http.StatusOK:
+			rep.Served += n
+		case 0:
+			rep.Lost += n
+		default:
+			rep.Shed += n
+		}
+	}
+	return l.lines
+}
+
+// starts are the attempts that the workers saw.
+func starts(f *hollow.Fleet) (out []history.Line) {
+	for _, b := range f.Workers.All() {
+		for _, s := range b.Starts() {
+			v, _ := strconv.ParseUint(s.Version, 10, 64) // none: 0, which the checker refuses
+			out = append(out, history.Line{T: s.At.UnixNano(), Side: history.Backend, Backend: b.Name, Dispatcher: s.Dispatcher, Req: s.Req, Version: v, Started: true})
+		}
+	}
+	return out
+}
--- a/internal/lab/hollow/workers.go
+++ b/internal/lab/hollow/workers.go
@@ -38,6 +38,9 @@
 	return w, nil
 }
 
+// All are the backends that stand for them.
+func (w *Workers) All() []*platform.Backend { return w.all }
+
 // Slots are the accelerators of all.
 func (w *Workers) Slots() (n int) {
 	for _, s := range w.slots {
