--- a/internal/lab/hollow/measure/control.go
+++ b/internal/lab/hollow/measure/control.go
@@ -14,6 +14,7 @@
 // Run is how fleets are measured.
 type Run struct {
 	Program []string // of real dispatchers
+	Env     []string // of theirs, beside this process's
 	Real    int      // most of a fleet that are real; the rest is hollow
 	Workers int
 	Lease   time.Duration
@@ -22,8 +23,6 @@
 
 	Settle, Window time.Duration
 	Repeats        int
-
-	Measuring func() func() // called as a window of a steady fleet begins, and what it returns as it ends; may be nil
 }
 
 // Teams is what the letter has; a policy that names as many stands for one that has a line for each team.
@@ -38,7 +37,7 @@
 }
 
 func (r Run) plan(n int) hollow.Plan {
-	p := hollow.Plan{Program: r.Program, Real: min(n, r.Real), Lease: r.Lease, Lag: r.Lag, Workers: r.Workers, Bans: bans(r.Bans, 0)}
+	p := hollow.Plan{Program: r.Program, Env: r.Env, Real: min(n, r.Real), Lease: r.Lease, Lag: r.Lag, Workers: r.Workers, Bans: bans(r.Bans, 0)}
 	p.Hollow = n - p.Real
 	return p
 }
@@ -100,9 +99,6 @@
 }
 
 func (r Run) window(f *hollow.Fleet, s *sheet, name string, x float64, p hollow.Plan) error {
-	if r.Measuring != nil {
-		defer r.Measuring()()
-	}
 	before, err := costs(f)
 	if err != nil {
 		return err
--- a/internal/lab/hollow/measure/measure_test.go
+++ b/internal/lab/hollow/measure/measure_test.go
@@ -101,3 +101,14 @@
 		assert.GreaterOrEqual(t, of(t, rows, "rounds-lag-10-asks-each", n), 0.9)
 	}
 }
+
+// BenchmarkHollow is 300 dispatchers, all but the voters hollow, in which nothing changes: for a profile of what their processor
+// time goes on, beside the relays' that count.
+func BenchmarkHollow(b *testing.B) {
+	p, err := program()
+	require.NoError(b, err)
+	for b.Loop() {
+		_, err = Run{Program: p, Real: 3, Workers: 30, Lease: 3 * time.Second, Settle: time.Second, Window: 20 * time.Second, Repeats: 1}.Voters(300)
+		require.NoError(b, err)
+	}
+}
