--- a/internal/lab/hollow/dispatcher.go
+++ b/internal/lab/hollow/dispatcher.go
@@ -7,6 +7,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,8 @@
 	stop    chan struct{}
 }
 
+var reading sync.Mutex
+
 // Start starts a dispatcher from what a real one reads: its configuration and its settings script. Of the script it
 // takes accord(...), budgets(...) and policy(...); log may be nil. Close ends it.
 func Start(conf, script []byte, log io.Writer) (*Dispatcher, error) {
@@ -42,7 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
+	reading.Lock() // a script's limit of memory is the whole process's
 	set, err := settings.Parse("hollow.star", func(string) ([]byte, error) { return script, nil })
+	reading.Unlock()
 	if err != nil {
 		return nil, err
 	}
