--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual measure-capacity capacity-page
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual measure-capacity capacity-page measure-hollow measure-size
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -52,8 +52,9 @@
 	go run ./internal/lab/capacity/virtual -seeds $(or $(SEEDS),20) -rows docs/capacity/virtual.csv -plots docs/capacity lab/scenarios/size/quotas-greedy.star
 	go run ./internal/lab/capacity/virtual -seeds $(or $(SEEDS),4) -only lent -rows docs/capacity/virtual.csv -plots docs/capacity lab/scenarios/size/quotas-day.star
 
-# The slopes of docs/CAPACITY.md that need no accord, all or PART=name of them (list, agent, changes, tenants, flight, flight-4k,
-# flight-h2, most, few, memory, module, placements, restart, restart-all); their rows go to docs/capacity. To be run on a quiet machine.
+# The slopes of docs/CAPACITY.md, all or PART=name of them: without the accord list, agent, changes, tenants, flight, flight-4k,
+# flight-h2, most, module, placements, restart, restart-all; with it accord, accord-bare, accord-lease, accord-lag, rounds, change,
+# rounds-lag, change-size, change-lag, change-down, recovery, recovery-all. Their rows go to docs/capacity. To be run on a quiet machine.
 measure-capacity: build
 	go run ./internal/lab/capacity/run -part '$(PART)'
 
@@ -65,5 +66,15 @@
 measure-quota:
 	TINSAIL_QUOTA_PROCESSES=24 TINSAIL_QUOTA_SEED=$(or $(SEED),1) go test -count=1 -v -run QuotaFaults -timeout 15m ./cmd/tinsail
 
+# What hollow dispatchers cost the voters beside real ones, at 100, and what their processor time goes on, at 300.
+measure-hollow:
+	HOLLOW_SIZE=100 go test -count=1 -v -run HollowIsReal ./internal/lab/hollow
+	go test -run - -bench Hollow -benchtime 1x -cpuprofile bin/cpu.out -o bin/hollow.test ./internal/lab/hollow/measure
+	go tool pprof -top -cum bin/hollow.test bin/cpu.out | head -40
+
+# The whole size on one machine, as a shortened day of some minutes: under 12 GiB and 250 processes.
+measure-size:
+	HOLLOW_DAY=full go test -count=1 -v -timeout 20m -run TestDay ./internal/lab/hollow/size
+
 run: build
 	exec bin/tinsail serve
--- a/internal/lab/capacity/run/main.go
+++ b/internal/lab/capacity/run/main.go
@@ -1,4 +1,4 @@
-// Command run measures the slopes of docs/CAPACITY.md that need no accord, by parts, in the folder where it is started: rows go to
+// Command run measures the slopes of docs/CAPACITY.md, by parts, in the folder where it is started: rows go to
 // docs/capacity/PART.csv in place of those of the same slopes.
 package main
 
@@ -77,6 +77,7 @@
 	program := flag.String("program", "bin/tinsail", "the dispatcher")
 	folder := flag.String("folder", "docs/capacity", "where rows go")
 	flag.Parse()
+	maps.Copy(parts, accordParts)
 	names := slices.Sorted(maps.Keys(parts))
 	if *part != "" {
 		if parts[*part] == nil {
