--- /dev/null
+++ b/internal/lab/capacity/run/accord.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"time"
+
+	"tinsail/internal/lab/capacity"
+	"tinsail/internal/lab/capacity/measure"
+	hollow "tinsail/internal/lab/hollow/measure"
+)
+
+// mostReal is how many dispatchers are real at the most, so that a part stays under 250 processes and 12 GiB.
+const mostReal = 160
+
+// steady is a fleet in which nothing changes; changing is one that does.
+var (
+	steady   = hollow.Run{Real: mostReal, Workers: 30, Lease: 3 * time.Second, Settle: 2 * time.Second, Window: 8 * time.Second, Repeats: 2}
+	changing = hollow.Run{Real: 6, Workers: 6, Lease: 3 * time.Second, Bans: hollow.Teams, Repeats: 5}
+)
+
+func ms(n ...int) (all []time.Duration) {
+	for _, n := range n {
+		all = append(all, time.Duration(n)*time.Millisecond)
+	}
+	return all
+}
+
+// accordParts are the parts that need the accord.
+var accordParts = map[string]func(measure.Program) ([]capacity.Row, error){
+	"accord": func(p measure.Program) ([]capacity.Row, error) {
+		return with(steady, p).Voters(9, 20, 40, 80, 160, 300)
+	},
+	"accord-bare": func(p measure.Program) ([]capacity.Row, error) { return with(steady, p).Bare(3, 6, 9, 12) },
+	"accord-lease": func(p measure.Program) ([]capacity.Row, error) {
+		return with(steady, p).Leases(20, ms(1000, 1500, 3000, 9000)...)
+	},
+	"accord-lag": func(p measure.Program) ([]capacity.Row, error) {
+		return with(steady, p).Lags(40, ms(0, 5, 25, 75, 150)...)
+	},
+	"rounds": func(p measure.Program) ([]capacity.Row, error) {
+		return with(steady, p).Rounds(3, 9, 20, 40, 80, 160, 300)
+	},
+	"rounds-lag": func(p measure.Program) ([]capacity.Row, error) {
+		r := with(steady, p)
+		r.Lag = 25 * time.Millisecond
+		return r.Rounds(9, 20, 40, 80, 160, 300)
+	},
+	"recovery": func(p measure.Program) ([]capacity.Row, error) {
+		r := with(steady, p)
+		r.Workers, r.Bans, r.Real, r.Window = 580, hollow.Teams, 20, 3*time.Second
+		return r.Recoveries(9, 20, 40, 80)
+	},
+	"recovery-all": func(p measure.Program) ([]capacity.Row, error) {
+		r := with(steady, p)
+		r.Workers, r.Bans, r.Real = 580, hollow.Teams, 40
+		return r.Cold(9, 20, 40, 80)
+	},
+	"change": func(p measure.Program) ([]capacity.Row, error) {
+		return with(changing, p).Changes(9, 20, 40, 80, 160, 300)
+	},
+	"change-size": func(p measure.Program) ([]capacity.Row, error) {
+		return with(changing, p).Sizes(20, 1, 77, 155, 310, 620)
+	},
+	"change-lag": func(p measure.Program) ([]capacity.Row, error) {
+		return with(changing, p).Distances(20, ms(0, 5, 25, 75, 150)...)
+	},
+	"change-down": func(p measure.Program) ([]capacity.Row, error) {
+		return with(changing, p).Downs(20, ms(600, 1000, 2000, 3000)...)
+	},
+}
+
+func with(r hollow.Run, p measure.Program) hollow.Run {
+	r.Program, r.Env = p.Args, p.Env
+	return r
+}
--- a/internal/lab/sim/side.go
+++ b/internal/lab/sim/side.go
@@ -26,6 +26,7 @@
 	fronted bool                           // the front sends it clients
 	unready bool                           // the front has heard that it takes none
 	fence   *fence                         // nil without an accord
+	desk    *deskAt                        // nil without quotas
 }
 
 func newSide(w *world, at int, settings balance.Settings, p Policy) (s *side, err error) {
@@ -37,6 +38,11 @@
 			s.core.Versions = s.fence
 		}
 	}
+	if err == nil && w.quotas != nil {
+		if s.desk, err = newDesk(s); err == nil {
+			s.core.Quotas = s.desk
+		}
+	}
 	return s, err
 }
 
@@ -164,6 +170,9 @@
 	w.at(w.now+w.delay(), func() {
 		if t.n.out[t.id] != nil {
 			delete(t.n.out, t.id)
+			if w.runs != nil && t.n.cfg.Kind.OnCancel == fleet.DropAll {
+				w.runs.ended(t.id)
+			}
 			w.told(t.n, t.n.model.Cancel(w.now, t.id))
 		}
 	})
--- a/internal/network/fleet/accord/log.go
+++ b/internal/network/fleet/accord/log.go
@@ -25,6 +25,7 @@
 	snapshotsKept = 2
 	maxSnapshot   = 1 << 20 // bytes of one that is read back
 	lockWait      = 3 * time.Second
+	pastKept      = 64 // policies remembered after the next was decided: 240 are changed in a day
 )
 
 // machine applies the log's entries: raft.FSM.
@@ -34,6 +35,7 @@
 	mu    sync.Mutex
 	state accord.State
 	at    time.Time // when the last entry that decided was applied here
+	past  []Past    // oldest first
 }
 
 func (m *machine) State() accord.State {
@@ -50,9 +52,13 @@
 		panic(fmt.Sprintf("accord: entry %d of the log: %v", l.Index, err))
 	}
 	m.mu.Lock()
+	was := m.state
 	ok := m.state.Apply(d)
 	if ok {
 		m.at = time.Now()
+		if was.Version > 0 {
+			m.past = append(m.past[max(len(m.past)+1-pastKept, 0):], Past{was.Body, m.at})
+		}
 	}
 	m.mu.Unlock()
 	if ok {
@@ -103,12 +109,47 @@
 	return len(p), nil
 }
 
+// terms is a voter's store of its term and vote. The library answers heartbeats beside its own goroutines, and does not
+// wait for one of those when it is shut down: a term that came in that moment would find the store closed, and end the
+// process. Once closed, a write here never returns.
+type terms struct {
+	*raftboltdb.BoltStore
+	mu     sync.RWMutex
+	closed bool
+}
+
+func (t *terms) write(f func() error) error {
+	t.mu.RLock()
+	if t.closed {
+		t.mu.RUnlock()
+		select {}
+	}
+	defer t.mu.RUnlock()
+	return f()
+}
+
+func (t *terms) Set(key, value []byte) error {
+	return t.write(func() error { return t.BoltStore.Set(key, value) })
+}
+
+func (t *terms) SetUint64(key []byte, value uint64) error {
+	return t.write(func() error { return t.BoltStore.SetUint64(key, value) })
+}
+
+func (t *terms) Close() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	return t.BoltStore.Close()
+}
+
 // majority is the log and what it needs.
 type majority struct {
 	raft    *raft.Raft
 	machine *machine
-	store   *raftboltdb.BoltStore
+	store   *terms
 	turns   chan bool // leadership, each change of it
+	begins  bool      // there was no log in the folder
 }
 
 // openLog opens this voter's log in a folder and joins the others. The voters are those of the log's
@@ -127,11 +168,11 @@
 	c.NoLegacyTelemetry = true
 	m := &majority{machine: &machine{decided: decided}, turns: make(chan bool, 64)}
 	c.NotifyCh = m.turns
-	var err error
-	m.store, err = raftboltdb.New(raftboltdb.Options{Path: filepath.Join(cfg.Data, "log.db"), BoltOptions: &bbolt.Options{Timeout: lockWait}})
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(cfg.Data, "log.db"), BoltOptions: &bbolt.Options{Timeout: lockWait}})
 	if err != nil {
 		return nil, fmt.Errorf("the log in %s: %w", cfg.Data, err)
 	}
+	m.store = &terms{BoltStore: store}
 	fail := func(err error) (*majority, error) {
 		m.store.Close()
 		return nil, err
@@ -146,6 +187,7 @@
 		first.Servers = append(first.Servers, raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Address)})
 	}
 	known, err := raft.HasExistingState(m.store, m.store, snaps)
+	m.begins = !known
 	if err == nil && !known {
 		err = raft.BootstrapCluster(c, m.store, m.store, snaps, transport, first)
 	}
