--- a/cmd/tinsail/metrics.go
+++ b/cmd/tinsail/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
+
+	"tinsail/internal/guard"
 )
 
 // gauges are the counters that tell a level, a largest or a state, not a count that only grows.
@@ -55,6 +57,11 @@
 		desc := prometheus.NewDesc("tinsail_"+name, help, nil, nil)
 		out <- prometheus.MustNewConstMetric(desc, kind, float64(n))
 	}
+	violations := prometheus.NewDesc("tinsail_invariant_violations", "rules that were found broken at run time (docs/operators/invariants.md)", []string{"rule"}, nil)
+	for _, rule := range guard.Rules() {
+		out <- prometheus.MustNewConstMetric(violations, prometheus.CounterValue, float64(c.d.guard.Violations(rule)), rule.String())
+	}
 	c.d.count.Each(counterNames, each)
+	c.d.guard.Each(each)
 	c.d.further(each)
 }
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -18,6 +18,7 @@
 	"tinsail/internal/config"
 	"tinsail/internal/core"
 	"tinsail/internal/counters"
+	"tinsail/internal/guard"
 	"tinsail/internal/http2"
 	"tinsail/internal/logs"
 	"tinsail/internal/network"
@@ -65,6 +66,7 @@
 	sig.mind(minded{
 		reload: func() { cfg, set = d.reload(cfg, set, o.settings) },
 		stats:  d.tell,
+		trace:  d.guard.Dump,
 		drain:  d.drain,
 	}, o.every, d.service.Ended())
 	d.end()
@@ -93,6 +95,7 @@
 	set      *settings.Settings // as at the start
 	log      zerolog.Logger
 	count    *counters.Set
+	guard    *guard.Recorder
 	core     *core.Core
 	pool     *network.Pool
 	director *network.Director
@@ -122,7 +125,7 @@
 // assemble makes the parts and opens the listeners; nothing runs yet.
 // from is what another process of this dispatcher hands over; its zero value is nothing.
 func assemble(cfg *config.Config, set *settings.Settings, log zerolog.Logger, from handed) (*dispatcher, error) {
-	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}}
+	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}, guard: &guard.Recorder{Log: log}}
 	d.ready.begun = time.Now()
 	share := network.Share(network.Allowed(cfg.Sockets) - doorSockets(cfg))
 	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
@@ -135,7 +138,7 @@
 	if d.core, err = core.New(cfg.Settings, d.pool, d.director, d.count); err != nil {
 		return nil, err
 	}
-	d.core.Log = log
+	d.core.Log, d.core.Guard = log, d.guard
 	if d.listed = d.tellCore; cfg.Admin != "" || set.Accord != nil {
 		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
 		if cfg.Admin != "" {
@@ -145,7 +148,7 @@
 	}
 	d.director.Told = d.listed
 	d.clients = &network.Clients{Names: &cfg.Names, Count: d.count, Core: d.core, Most: share.Clients, Usual: share.Usual,
-		Held: cfg.Memory / 8, Longest: cfg.Longest(), Stats: d.stats, Log: log}
+		Held: cfg.Memory / 8, Longest: cfg.Longest(), Stats: d.stats, Log: log, Guard: d.guard}
 	if d.listener, err = from.listen(cfg, "http1", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -290,6 +293,7 @@
 func (d *dispatcher) stats() string {
 	var b strings.Builder
 	d.count.Print(&b, counterNames)
+	d.checks(func(name string, n int64) { fmt.Fprintf(&b, "counter %s %d\n", name, n) })
 	d.further(func(name string, n int64) { fmt.Fprintf(&b, "counter %s %d\n", name, n) })
 	return b.String()
 }
@@ -302,10 +306,23 @@
 			e.Int64(name, n)
 		}
 	})
+	d.checks(func(name string, n int64) {
+		if n != 0 {
+			e.Int64(name, n)
+		}
+	})
 	d.further(func(name string, n int64) { e.Int64(name, n) })
 	e.Msg("counters")
 }
 
+// checks calls f for each rule that is checked at run time, and each reason of closes, retries and refusals.
+func (d *dispatcher) checks(f func(name string, n int64)) {
+	for _, rule := range guard.Rules() {
+		f("invariant_violations_"+rule.String(), d.guard.Violations(rule))
+	}
+	d.guard.Each(f)
+}
+
 // further calls f for the counters of the parts that are on.
 func (d *dispatcher) further(f func(name string, n int64)) {
 	if d.sources != nil {
--- a/cmd/tinsail/signals.go
+++ b/cmd/tinsail/signals.go
@@ -19,8 +19,8 @@
 	return h
 }
 
-// minded is what the signals ask for. drain is called once, on a goroutine of its own.
-type minded struct{ reload, stats, drain func() }
+// minded is what the signals ask for. drain is called once, on a goroutine of its own; trace may be nil.
+type minded struct{ reload, stats, trace, drain func() }
 
 // mind does what signals ask for until ended is closed. It goes on listening during a shutdown:
 // a signal that comes then must not end the program early, and the director may move while reqs
@@ -44,6 +44,9 @@
 			m.reload()
 		case <-h.stats:
 			m.stats()
+			if m.trace != nil {
+				m.trace()
+			}
 		case <-h.end:
 			if !draining {
 				draining = true
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tinsail/internal/balance"
+	"tinsail/internal/guard"
 )
 
 // actions carries out what the module decides. It is called while the module handles an
@@ -20,6 +21,7 @@
 	if within != 0 {
 		until = min(until, now+within)
 	}
+	why := c.againFor(r)
 	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, before: r.latest.Load(), number: len(r.attempts), sent: now,
 		Until: c.clock.time(until)}
 	r.attempts = append(r.attempts, a)
@@ -34,6 +36,7 @@
 		return
 	}
 	c.count.Attempts.Add(1)
+	c.note(r, guard.AttemptSent, why)
 	a.stop = c.backends.Send(a)
 	c.timers.set(until, func() { c.cut(a, Overdue) })
 }
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -19,6 +19,7 @@
 	number  int
 	sent    float64
 	over    bool
+	ending  Ending       // once over
 	never   atomic.Bool  // proven never to have run
 	begun   atomic.Int64 // when MayBegin let it go, in nanoseconds after the clock's origin, and 1; 0: it has not
 	stopped atomic.Bool
@@ -39,7 +40,7 @@
 		a.core.Versions != nil && !a.core.mayStart(a.req) {
 		return false
 	}
-	a.begun.Store(int64(now.Sub(a.core.clock.origin)) + 1)
+	a.begun.Store(a.core.clock.stamp(now))
 	return true
 }
 
@@ -62,7 +63,7 @@
 			return false
 		}
 		begun := o.begun.Load()
-		if begun != 0 && int64(now.Sub(a.core.clock.origin))-(begun-1) >= int64(repeatPart*r.window*float64(time.Millisecond)) {
+		if begun != 0 && a.core.clock.stamp(now)-begun >= int64(repeatPart*r.window*float64(time.Millisecond)) {
 			return false
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 
 	"tinsail/internal/balance"
 	"tinsail/internal/counters"
+	"tinsail/internal/guard"
 )
 
 // Job is what passes through to a backend unchanged. Its slices belong to the front, which
@@ -71,12 +72,24 @@
 	Name    string
 	Address string
 	ready   atomic.Bool
-	core    *Core // nil in tests of what stands behind the core
+	drained atomic.Int64 // since when it is not ready, in nanoseconds after the clock's origin, and 1; 0: it is, or never was
+	core    *Core        // nil in tests of what stands behind the core
 }
 
 // Withheld says that operators have taken the backend out of use.
 func (b *Backend) Withheld() bool { return b.core != nil && b.core.withheld(b.ID) }
 
+// set notes whether the backend may be sent to.
+func (b *Backend) set(ready bool) {
+	was := b.ready.Swap(ready)
+	switch {
+	case ready:
+		b.drained.Store(0)
+	case was && b.core != nil:
+		b.drained.Store(b.core.clock.stamp(b.core.clock.read()))
+	}
+}
+
 // Entry is a line of the director's list.
 type Entry struct {
 	balance.Worker
@@ -93,6 +106,9 @@
 	window   balance.Millis // for repeats, where effect is Deduped
 	open     bool           // a final answer is owed
 	over     atomic.Bool    // it is not, or is not wanted any more: nothing of it may begin
+	scope    balance.Scope  // of the backends that drop repeats, where effect is Deduped
+	answered bool           // its final answer was given
+	goneAt   atomic.Int64   // when its client was known to have gone, in nanoseconds after the clock's origin, and 1; 0: it has not
 	version  uint64         // of the fleet's policy that it was taken by, 0 without Versions
 	began    atomic.Bool    // at a backend, or never will; told to Versions once
 	attempts []*Attempt
@@ -113,6 +129,8 @@
 	Versions Versions
 	// Quotas, where set before Run, says when there is room for a req.
 	Quotas Quotas
+	// Guard, where set before Run, checks the rules at run time and keeps the trace.
+	Guard *guard.Recorder
 
 	clock    clock
 	count    *counters.Set
@@ -125,14 +143,15 @@
 	waiting  []*req // for room, by versions; some wait no more
 	timers   timers
 	slack    float64
+	grace    time.Duration // in which sends to a draining backend end
 	classes  []balance.Class
 	guarded  bool // MayBegin holds the rule on duplicated effects too
 	// mayCancel says that the settings allow to call an attempt off.
 	mayCancel bool
-	ready     atomic.Int32 // backends that may be sent to
-	open      atomic.Int32 // reqs owed an answer
-	known     atomic.Bool  // a list of backends has come
-	held      atomic.Pointer[map[balance.WorkerID]struct{}]
+	ready     atomic.Int32                               // backends that may be sent to
+	open      atomic.Int32                               // reqs owed an answer
+	known     atomic.Bool                                // a list of backends has come
+	held      atomic.Pointer[map[balance.WorkerID]int64] // since when, as drained of a Backend
 
 	ids ids
 
@@ -160,7 +179,8 @@
 // program that serves has no use for it.
 func NewWith(read func() time.Time, policy func(balance.Settings, balance.Actions) (balance.Events, error),
 	s balance.Settings, b Backends, d Director, count *counters.Set) (*Core, error) {
-	c := &Core{clock: newClock(read), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack, classes: s.Classes, mayCancel: s.MayCancel,
+	c := &Core{clock: newClock(read), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack,
+		grace: time.Duration(s.Rules.DrainGrace * float64(time.Millisecond)), classes: s.Classes, mayCancel: s.MayCancel,
 		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
 		posted: make(chan struct{}, 1)}
 	var err error
@@ -173,15 +193,27 @@
 
 // Withhold names the backends that nothing may begin at from now on, whatever the list says. It
 // holds when it returns, and does not wait for what the core has yet to take. The map is the core's.
-func (c *Core) Withhold(ids map[balance.WorkerID]struct{}) { c.held.Store(&ids) }
+func (c *Core) Withhold(ids map[balance.WorkerID]struct{}) {
+	since := make(map[balance.WorkerID]int64, len(ids))
+	now := c.clock.stamp(c.clock.read())
+	for id := range ids {
+		since[id] = now
+		if before := c.withheldSince(id); before != 0 {
+			since[id] = before
+		}
+	}
+	c.held.Store(&since)
+}
+
+func (c *Core) withheld(id balance.WorkerID) bool { return c.withheldSince(id) != 0 }
 
-func (c *Core) withheld(id balance.WorkerID) bool {
+// withheldSince is since when a backend is withheld, 0 if it is not.
+func (c *Core) withheldSince(id balance.WorkerID) int64 {
 	ids := c.held.Load()
 	if ids == nil {
-		return false
+		return 0
 	}
-	_, ok := (*ids)[id]
-	return ok
+	return (*ids)[id]
 }
 
 // heir is a policy that shares the budget of cold backends with another process of this dispatcher.
@@ -297,6 +329,7 @@
 	if !r.open {
 		return
 	}
+	c.checkFinal(r, a)
 	c.close(r)
 	a.Free = r.out == 0 && !r.cut
 	switch a.Verdict {
@@ -342,7 +375,7 @@
 	if a.over {
 		return
 	}
-	a.over = true
+	a.over, a.ending = true, e
 	a.req.out--
 	c.count.Endings[e].Add(1)
 	res, ok := e.Result()
@@ -350,6 +383,7 @@
 		c.Log.Error().Stringer("ending", e).Msg("not an attempt's ending")
 		res = balance.Reset
 	}
+	c.note(a.req, guard.AttemptEnded, e)
 	a.never.Store(res == balance.Full || res == balance.ConnectFailed || res == balance.NotSent)
 	switch e {
 	case Served:
@@ -400,7 +434,7 @@
 			b = &Backend{ID: e.ID, Name: e.Name, Address: e.Address, core: c}
 			c.listed[e.ID] = b
 		}
-		b.ready.Store(e.State == balance.Ready)
+		b.set(e.State == balance.Ready)
 	}
 	if kind == balance.ListFull || kind == balance.ListCached {
 		for id, b := range c.listed {
@@ -421,7 +455,7 @@
 }
 
 func (c *Core) unlist(b *Backend) {
-	b.ready.Store(false)
+	b.set(false)
 	delete(c.listed, b.ID)
 	c.backends.HangUp(b)
 }
--- /dev/null
+++ b/internal/core/invariants.go
@@ -0,0 +1,111 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/guard"
+)
+
+// This file hands facts to package guard, which checks the rules: it decides nothing. What may begin is decided in
+// MayBegin, what is answered by the module.
+
+func (c *Core) note(r *req, step guard.Step, why fmt.Stringer) {
+	if c.Guard != nil {
+		c.Guard.Note(guard.Event{At: c.clock.read(), Request: r.job.ID, Step: step, Why: why})
+	}
+}
+
+// Began tells that the attempt's first byte has been written, at a time, and what the backend was told to be left to the
+// client. It may be called from any goroutine.
+func (a *Attempt) Began(at time.Time, told time.Duration) {
+	c, r := a.core, a.req
+	if c == nil || c.Guard == nil {
+		return
+	}
+	c.Guard.Note(guard.Event{At: at, Request: r.job.ID, Step: guard.AttemptBegan})
+	facts := guard.Begin{At: at, ClientGone: c.clock.at(r.goneAt.Load()), Drained: a.Backend.takesNothingSince(), Grace: c.grace,
+		Ended: c.Guard.Ended(), Deadline: c.clock.time(r.deadline), Told: told, Effect: r.effect,
+		Window: time.Duration(r.window * float64(time.Millisecond)), Earlier: c.earlier(a.before)}
+	for _, rule := range facts.Check() {
+		c.Guard.Violated(rule, 0, r.job.ID, fmt.Sprintf("attempt %d at %s, told %v, %v left", a.number, a.Backend.Name, told, facts.Deadline.Sub(at)))
+	}
+}
+
+// takesNothingSince is since when the backend is drained, gone or withheld; zero if it is not.
+func (b *Backend) takesNothingSince() time.Time {
+	if b.core == nil {
+		return time.Time{}
+	}
+	since := b.drained.Load()
+	if held := b.core.withheldSince(b.ID); held != 0 && (since == 0 || held < since) {
+		since = held
+	}
+	return b.core.clock.at(since)
+}
+
+// earlier are the facts of an attempt and those before it; nil, at no cost, where there is none.
+func (c *Core) earlier(a *Attempt) (out []guard.Earlier) {
+	for ; a != nil; a = a.before {
+		out = append(out, guard.Earlier{Began: c.clock.at(a.begun.Load()), Never: a.never.Load()})
+	}
+	return out
+}
+
+// checkFinal checks a request's final answer as it is decided.
+func (c *Core) checkFinal(r *req, a Answer) {
+	if c.Guard == nil {
+		return
+	}
+	now := c.clock.read()
+	var why fmt.Stringer
+	if a.Verdict != ResultOf {
+		why = c.refusedFor(r, now)
+	}
+	c.Guard.Note(guard.Event{At: now, Request: r.job.ID, Step: guard.RequestOver, Why: why})
+	facts := guard.Final{At: now, Deadline: c.clock.time(r.deadline), Refused: a.Verdict == Refusal, Effect: r.effect, Scope: r.scope,
+		Window: time.Duration(r.window * float64(time.Millisecond)), Again: r.answered, Attempts: c.earlier(r.latest.Load())}
+	r.answered = true
+	for _, rule := range facts.Check() {
+		c.Guard.Violated(rule, 0, r.job.ID, fmt.Sprintf("verdict %d after %d attempts, %v after its time", a.Verdict, len(r.attempts), now.Sub(facts.Deadline)))
+	}
+}
+
+// refusedFor is why a request gets an answer that is no result.
+func (c *Core) refusedFor(r *req, now time.Time) guard.Reason {
+	last := r.latest.Load()
+	switch {
+	case c.ready.Load() == 0:
+		return guard.NoBackend
+	case c.clock.millis(now) >= r.deadline:
+		return guard.OutOfTime
+	case last == nil:
+		return guard.NotTaken
+	case !last.never.Load() && last.begun.Load() != 0 && r.effect != balance.Safe:
+		return guard.MayHaveRun
+	case last.number > 0:
+		return guard.TriesSpent
+	}
+	return guard.Unclassified
+}
+
+// againFor is why a further attempt is sent; nil for a first one.
+func (c *Core) againFor(r *req) fmt.Stringer {
+	last := r.latest.Load()
+	switch {
+	case last == nil:
+		return nil
+	case !last.over:
+		return guard.SecondCopy
+	}
+	switch last.ending {
+	case Returned:
+		return guard.AfterReturned
+	case Unreached:
+		return guard.AfterUnreached
+	case Unsent:
+		return guard.AfterUnsent
+	}
+	return guard.AfterFailure
+}
--- /dev/null
+++ b/internal/core/invariants_test.go
@@ -0,0 +1,141 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/guard"
+)
+
+// TestGuardsSayNo: a driver that begins attempts without asking MayBegin, and a policy that refuses what may have run, are
+// found out by the checks at run time, each by its rule alone; one that keeps the rules is not.
+func TestGuardsSayNo(t *testing.T) {
+	const grace = 500 * time.Millisecond
+	pass := func(w *trial, d time.Duration) { w.now = w.now.Add(d) }
+	begin := func(w *trial, i int) { w.sent[i].begun.Store(w.core.clock.stamp(w.now)); w.sent[i].Began(w.now, time.Second) }
+	drain := func(w *trial) {
+		w.core.Listed(balance.ListDelta, []Entry{{Worker: balance.Worker{ID: 1, State: balance.Draining, Weight: 4}}})
+		w.core.step()
+	}
+	for name, c := range map[string]struct {
+		effect balance.Effect
+		do     func(*trial)
+		want   []guard.Rule
+	}{
+		"in order":         {balance.Unsafe, func(w *trial) { begin(w, 0) }, nil},
+		"drained, in time": {balance.Safe, func(w *trial) { drain(w); pass(w, grace); begin(w, 0) }, nil},
+		"drained":          {balance.Safe, func(w *trial) { drain(w); pass(w, grace+1); begin(w, 0) }, []guard.Rule{guard.BeginDrained}},
+		"drained, and listed as that again": {balance.Safe, func(w *trial) {
+			drain(w)
+			pass(w, grace)
+			drain(w)
+			pass(w, 1)
+			begin(w, 0)
+		}, []guard.Rule{guard.BeginDrained}},
+		"banned": {balance.Safe, func(w *trial) {
+			w.core.Withhold(map[balance.WorkerID]struct{}{1: {}})
+			pass(w, grace)
+			w.core.Withhold(map[balance.WorkerID]struct{}{1: {}, 2: {}}) // another one: the first has been banned for longer
+			pass(w, 1)
+			begin(w, 0)
+		}, []guard.Rule{guard.BeginDrained}},
+		"client gone": {balance.Safe, func(w *trial) {
+			w.ticket.Abandon(false, nil)
+			pass(w, guard.GoneGrace+1)
+			begin(w, 0)
+		}, []guard.Rule{guard.BeginClientGone}},
+		"after the end": {balance.Safe, func(w *trial) {
+			w.core.Guard.End(w.now)
+			pass(w, 1)
+			begin(w, 0)
+		}, []guard.Rule{guard.BeginEnded}},
+		"told more than is left": {balance.Safe, func(w *trial) {
+			w.sent[0].Began(w.now, time.Minute+guard.TimeSlack+1)
+		}, []guard.Rule{guard.TimeTold}},
+		"twice": {balance.Unsafe, func(w *trial) {
+			begin(w, 0)
+			w.dispatch()
+			begin(w, 1)
+		}, []guard.Rule{guard.RepeatUnsafe}},
+		"twice, after it was turned away": {balance.Unsafe, func(w *trial) {
+			begin(w, 0)
+			w.sent[0].Ended(Returned, "", nil)
+			w.core.step()
+			w.dispatch()
+			begin(w, 1)
+		}, nil},
+		"outside the window": {balance.Deduped, func(w *trial) {
+			begin(w, 0)
+			w.dispatch()
+			pass(w, time.Second+1)
+			begin(w, 1)
+		}, []guard.Rule{guard.RepeatWindow}},
+		"refused though it may have run": {balance.Unsafe, func(w *trial) {
+			begin(w, 0)
+			actions{w.core}.Refuse(1, 0)
+		}, []guard.Rule{guard.RefuseMayHaveRun}},
+		"answered late": {balance.Unsafe, func(w *trial) {
+			pass(w, time.Minute+guard.LateSlack+1)
+			actions{w.core}.Fail(1)
+		}, []guard.Rule{guard.AnswerLate}},
+		"answered twice": {balance.Unsafe, func(w *trial) {
+			r := w.core.reqs[1]
+			w.core.answer(r, Answer{Verdict: Failure})
+			r.open = true // a fault of the table's
+			w.core.open.Add(1)
+			w.core.answer(r, Answer{Verdict: Failure})
+		}, []guard.Rule{guard.AnswerTwice}},
+	} {
+		w := newTrial(t, balance.Class{Effect: c.effect, RepeatWindow: 1000})
+		w.core.Guard, w.core.grace = &guard.Recorder{}, grace
+		c.do(w)
+		var got []guard.Rule
+		for _, rule := range guard.Rules() {
+			for range w.core.Guard.Violations(rule) {
+				got = append(got, rule)
+			}
+		}
+		assert.Equal(t, c.want, got, name)
+	}
+}
+
+// TestWhyRefused: each answer that is no result has its reason, and each further attempt.
+func TestWhyRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(*trial)
+		want string
+	}{
+		"no backend": {func(w *trial) {
+			w.core.Listed(balance.ListFull, nil)
+			w.core.step()
+			actions{w.core}.Fail(1)
+		}, "refuse_no_backend"},
+		"out of time": {func(w *trial) { w.now = w.now.Add(time.Minute); actions{w.core}.Fail(1) }, "refuse_out_of_time"},
+		"tries spent": {func(w *trial) {
+			for range 2 {
+				w.sent[len(w.sent)-1].Ended(Returned, "", nil)
+				w.core.step()
+				w.dispatch()
+			}
+			w.sent[2].Ended(Returned, "", nil)
+			w.core.step()
+			actions{w.core}.Fail(1)
+		}, "refuse_tries_spent"},
+		"may have run": {func(w *trial) { w.sent[0].MayBegin(); actions{w.core}.Fail(1) }, "refuse_may_have_run"},
+		"second copy":  {func(w *trial) { w.dispatch() }, "again_second_copy"},
+		"turned away":  {func(w *trial) { w.sent[0].Ended(Returned, "", nil); w.core.step(); w.dispatch() }, "again_returned"},
+		"unreached":    {func(w *trial) { w.sent[0].Ended(Unreached, "", nil); w.core.step(); w.dispatch() }, "again_unreached"},
+		"unsent":       {func(w *trial) { w.sent[0].Ended(Unsent, "", nil); w.core.step(); w.dispatch() }, "again_unsent"},
+		"broken":       {func(w *trial) { w.sent[0].Ended(Broken, "", nil); w.core.step(); w.dispatch() }, "again_failure"},
+	} {
+		w := newTrial(t, balance.Class{Effect: balance.Deduped, RepeatWindow: 1000})
+		w.core.Guard = &guard.Recorder{}
+		c.do(w)
+		counts := map[string]int64{}
+		w.core.Guard.Each(func(name string, n int64) { counts[name] = n })
+		assert.Positive(t, counts[c.want], "%s: %v", name, counts)
+	}
+}
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -24,6 +24,17 @@
 	return c.unix + float64(t.Sub(c.origin))/float64(time.Millisecond)
 }
 
+// stamp is a time as one number that is never 0: nanoseconds after the clock's origin, and 1.
+func (c *clock) stamp(t time.Time) int64 { return int64(t.Sub(c.origin)) + 1 }
+
+// at is stamp the other way; the zero time for 0.
+func (c *clock) at(stamp int64) time.Time {
+	if stamp == 0 {
+		return time.Time{}
+	}
+	return c.origin.Add(time.Duration(stamp - 1))
+}
+
 // time is millis the other way.
 func (c *clock) time(at float64) time.Time {
 	return c.origin.Add(time.Duration((at - c.unix) * float64(time.Millisecond)))
--- a/internal/core/ticket.go
+++ b/internal/core/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tinsail/internal/balance"
+	"tinsail/internal/guard"
 )
 
 // Ticket stands for a req that was taken.
@@ -18,7 +19,8 @@
 func (c *Core) Take(q balance.Request, job *Job, came time.Time, left time.Duration, client Client) (Ticket, bool) {
 	r := &req{client: client, job: job, open: true}
 	if q.Class >= 0 && q.Class < len(c.classes) { // the module fails others
-		r.effect, r.window = c.classes[q.Class].Effect, c.classes[q.Class].RepeatWindow
+		class := &c.classes[q.Class]
+		r.effect, r.window, r.scope = class.Effect, class.RepeatWindow, class.Scope
 	}
 	if c.Versions != nil && !c.admit(r) {
 		return Ticket{c, r}, true
@@ -32,6 +34,7 @@
 	}
 	r.deadline = c.clock.millis(came.Add(left))
 	c.open.Add(1)
+	c.note(r, guard.RequestTaken, nil)
 	c.post(func() {
 		c.last++
 		r.id, q.ID = c.last, c.last
@@ -67,6 +70,9 @@
 // any more, from the core's goroutine; it must not block.
 func (t Ticket) Abandon(stop bool, over func()) {
 	t.r.over.Store(true)
+	if t.r.goneAt.CompareAndSwap(0, t.core.clock.stamp(t.core.clock.read())) {
+		t.core.note(t.r, guard.ClientGone, nil)
+	}
 	t.core.post(func() {
 		c, r := t.core, t.r
 		r.gone = over
--- /dev/null
+++ b/internal/guard/recorder.go
@@ -0,0 +1,109 @@
+package guard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Recorder counts violations and reasons and keeps the trace. A nil Recorder records nothing. Its methods may be called
+// from any goroutine.
+type Recorder struct {
+	Log zerolog.Logger
+
+	violations [rules]atomic.Int64
+	reasons    [reasons]atomic.Int64
+	ended      atomic.Pointer[time.Time]
+	trace      trace
+}
+
+// dumped is how many events of a request go into the log with a violation, and listed how many of all on demand.
+const (
+	dumped = 24
+	listed = 200
+)
+
+// Note adds an event to the trace, and counts its reason.
+func (r *Recorder) Note(e Event) {
+	if r == nil {
+		return
+	}
+	if why, ok := e.Why.(Reason); ok {
+		r.reasons[why].Add(1)
+	}
+	r.trace.add(e)
+}
+
+// End notes that the process has decided to end.
+func (r *Recorder) End(at time.Time) {
+	if r != nil {
+		r.ended.CompareAndSwap(nil, &at)
+	}
+}
+
+// Ended is when the process decided to end; zero if it has not.
+func (r *Recorder) Ended() time.Time {
+	if r == nil {
+		return time.Time{}
+	}
+	if at := r.ended.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Violated counts a broken rule and logs it with the last events of the request, or of the session where that is known.
+func (r *Recorder) Violated(rule Rule, session uint64, request, says string) {
+	if r == nil {
+		return
+	}
+	r.violations[rule].Add(1)
+	events := r.trace.last(dumped, func(e *Event) bool {
+		return request != "" && e.Request == request || session != 0 && e.Session == session
+	})
+	r.Log.Error().Stringer("rule", rule).Str("request", request).Uint64("session", session).Str("says", says).
+		Strs("trace", texts(events)).Msg("invariant violated")
+}
+
+// Violations is how often a rule was broken.
+func (r *Recorder) Violations(rule Rule) int64 {
+	if r == nil {
+		return 0
+	}
+	return r.violations[rule].Load()
+}
+
+// Each calls f for the count of every reason, by its name.
+func (r *Recorder) Each(f func(name string, n int64)) {
+	if r == nil {
+		return
+	}
+	for why := NoReason + 1; why < reasons; why++ {
+		kind := "close_"
+		switch {
+		case why >= NoBackend:
+			kind = "refuse_"
+		case why >= AfterReturned:
+			kind = "again_"
+		}
+		f(kind+why.String(), r.reasons[why].Load())
+	}
+}
+
+// Dump logs the newest events of the trace.
+func (r *Recorder) Dump() {
+	if r == nil {
+		return
+	}
+	r.Log.Info().Strs("trace", texts(r.trace.last(listed, func(*Event) bool { return true }))).Msg("trace")
+}
+
+// texts writes events with their times relative to the last one.
+func texts(events []Event) []string {
+	out := make([]string, len(events))
+	for i := range events {
+		out[i] = events[i].text(events[len(events)-1].At)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/guard/trace.go
@@ -0,0 +1,130 @@
+package guard
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Step is what happened to a session, a request or the process.
+type Step uint8
+
+// Steps.
+const (
+	SessionOpened Step = iota
+	SessionTold        // told to close, with a Reason
+	SessionLingers
+	SessionClosed // with the core's ending
+	RequestTaken
+	AttemptSent    // given to the pool; the reason says why a further one
+	AttemptBegan   // its first byte was written
+	AttemptEnded   // with the core's ending
+	RequestOver    // the final answer was decided, with a Reason where it was refused
+	RequestWritten // the final answer's last byte was written
+	ClientGone
+	BackendListed // with its state
+	ServiceState  // with the state
+	ListEnded     // a call for the list, with the core's ending
+	steps
+)
+
+var stepNames = [steps]string{"session opened", "session told to close", "session lingers", "session closed", "request taken",
+	"attempt sent", "attempt began", "attempt ended", "request over", "answer written", "client gone", "backend listed",
+	"service", "list call ended"}
+
+func (s Step) String() string { return stepNames[s] }
+
+// Reason is why a session was closed, an attempt followed another, or a request was refused.
+type Reason uint8
+
+// Reasons, by what they explain.
+const (
+	NoReason Reason = iota
+
+	// Why a session closes.
+	ClientAsked   // by Connection: close
+	ClientEnded   // the client went, or a write to it failed
+	ClientFaulty  // it sent what is not a request
+	ClientFlooded // it sent more behind a request than is kept
+	HalfRequest   // the rest of a request did not come
+	IdleTooLong
+	RoomWanted // its descriptor is needed
+	NoRoom     // turned away at the budget
+	ServiceEnds
+	HandedOver
+
+	// Why a further attempt is sent: how the one before it ended.
+	AfterReturned
+	AfterUnreached
+	AfterUnsent
+	AfterFailure // it may have run
+	SecondCopy   // the one before it is still out
+
+	// Why a request is refused or failed.
+	NoBackend    // none is listed as ready
+	NotTaken     // no attempt was sent: no room, or none would be in time
+	OutOfTime    // the client's time is over
+	TriesSpent   // all attempts that are allowed
+	MayHaveRun   // nothing may follow what may have run
+	Unclassified // none of these
+	reasons
+)
+
+var reasonNames = [reasons]string{"", "client_asked", "client_ended", "client_faulty", "client_flooded", "half_request", "idle",
+	"room_wanted", "no_room", "service_ends", "handed_over", "returned", "unreached", "unsent", "failure", "second_copy",
+	"no_backend", "not_taken", "out_of_time", "tries_spent", "may_have_run", "unclassified"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Event is one entry of the trace. Session is 0 and Request empty where it concerns none.
+type Event struct {
+	At      time.Time
+	Session uint64
+	Request string
+	Step    Step
+	Why     fmt.Stringer // a Reason, the core's Ending or a state; may be nil
+}
+
+func (e *Event) text(from time.Time) string {
+	why := ""
+	if e.Why != nil {
+		why = ": " + e.Why.String()
+	}
+	return fmt.Sprintf("%+.1fms session %d request %q %s%s", float64(e.At.Sub(from))/float64(time.Millisecond), e.Session, e.Request, e.Step, why)
+}
+
+// traced is how many events are kept: some seconds of a dispatcher's traffic, in some 150 KiB.
+const traced = 2048
+
+// trace keeps the last events.
+type trace struct {
+	mu   sync.Mutex
+	ring []Event
+	next int
+}
+
+func (t *trace) add(e Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.ring) < traced {
+		t.ring = append(t.ring, e)
+		return
+	}
+	t.ring[t.next] = e
+	t.next = (t.next + 1) % traced
+}
+
+// last are the newest events that match, oldest first, at most so many.
+func (t *trace) last(most int, match func(*Event) bool) (out []Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.ring) - 1; i >= 0 && len(out) < most; i-- {
+		if e := &t.ring[(t.next+i)%len(t.ring)]; match(e) {
+			out = append(out, *e)
+		}
+	}
+	for i, j := 0, len(out)-1; i < j; i, j = i+1, j-1 {
+		out[i], out[j] = out[j], out[i]
+	}
+	return out
+}
--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tinsail/internal/core"
+	"tinsail/internal/guard"
 	"tinsail/internal/platform"
 )
 
@@ -49,6 +50,7 @@
 	case !here || w.err != nil:
 		return core.ClientClosed, true
 	case w.closing || a.dropped > 0:
+		s.endsItself = closing || a.dropped > 0
 		return core.SessionDone, true
 	}
 	if s.in.Ahead() > 0 {
@@ -163,6 +165,7 @@
 	some, flooded := behind.lies()
 	closing = closing || flooded || !some && (s.clients.told().Close || t.isShed(&s.seat))
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
+	s.note(guard.RequestWritten, s.closes(closing, flooded, err))
 	closing = t.answered(&s.seat, true, closing || err != nil, long)
 	t.trim(s.clients.usual())
 	done <- written{a.Free, closing, err}
@@ -178,6 +181,7 @@
 		return
 	}
 	left := lingerMost
+	s.note(guard.SessionLingers, nil)
 	if c.table.linger(&s.seat, c.most()) {
 		wait := lingerWait
 		if c.told().Close {
--- a/internal/network/await_test.go
+++ b/internal/network/await_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tinsail/internal/core"
+	"tinsail/internal/guard"
 	"tinsail/internal/service"
 )
 
@@ -344,8 +345,8 @@
 			defer near.Close()
 			defer far.Close()
 			one := &seat{conn: near}
-			list.enter(one, 9)
-			list.shut(one, false)
+			list.enter(one, 9, nil)
+			list.shut(one, guard.ServiceEnds)
 			list.taken(one)
 			answering, closing := list.answering()
 			assert.Equal(t, []int{1, 1}, []int{answering, closing})
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -54,6 +54,7 @@
 	probe   bool // the body is a load report, not lines
 	id      string
 	may     func() bool
+	began   func(at time.Time, told time.Duration) // its first byte was written; nil for a probe
 	started func()
 	share   func(float64)
 	ended   func(core.Ending, string, []float32)
@@ -70,7 +71,7 @@
 
 // Send begins an attempt.
 func (p *Pool) Send(a *core.Attempt) func() {
-	x := &exchange{backend: a.Backend, body: a.Job.Body, until: a.Until, id: a.Job.ID, may: a.MayBegin,
+	x := &exchange{backend: a.Backend, body: a.Job.Body, until: a.Until, id: a.Job.ID, may: a.MayBegin, began: a.Began,
 		started: a.Started, share: a.Progress, ended: a.Ended}
 	x.head = func(left time.Duration) []byte {
 		var stamp *platform.Stamp
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -11,6 +11,7 @@
 
 	"tinsail/internal/core"
 	"tinsail/internal/counters"
+	"tinsail/internal/guard"
 	"tinsail/internal/platform"
 	"tinsail/internal/service"
 )
@@ -38,6 +39,7 @@
 	Stats   func() string
 	Members func() string // the list of backends for people; may be nil
 	Log     zerolog.Logger
+	Guard   *guard.Recorder // checks the rules at run time and keeps the trace; may be nil
 
 	orders atomic.Pointer[service.Orders] // nil stands for a dispatcher in service
 	gate   gate
@@ -90,8 +92,11 @@
 type session struct {
 	seat
 	clients *Clients
-	excess  bool // beyond the budget: turned away at its first req
-	answer  chan core.Answer
+	excess  bool   // beyond the budget: turned away at its first req
+	request string // the last that was taken, for the trace
+	// endsItself says that its client asked for the close or sent more than is kept: nothing behind the last answer counts.
+	endsItself bool
+	answer     chan core.Answer
 
 	// Touched by the reading goroutine alone.
 	in     platform.Requests
@@ -159,7 +164,7 @@
 func (c *Clients) enter(s *seat) (excess, room bool) {
 	c.Count.ClientSessions.Add(1)
 	most := c.most()
-	n, all, shed := c.table.enter(s, most)
+	n, all, shed := c.table.enter(s, most, c.Guard)
 	if room = all <= most+excessMost || c.waitRoom(most+excessMost); !room {
 		c.Count.SessionsRefused.Add(1)
 		return true, false
@@ -182,10 +187,12 @@
 	if e != core.ClientClosed {
 		s.linger()
 	}
+	s.checkOwed(e)
 	s.conn.Close()
 	s.release()
 	s.clients.Count.Endings[e].Add(1)
 	s.clients.table.leave(&s.seat)
+	s.note(guard.SessionClosed, e)
 }
 
 // serve reads reqs and has them answered, one at a time.
@@ -353,6 +360,7 @@
 	left := c.patience(w.Left, s.came)
 	s.until = s.came.Add(left)
 	c.table.taken(&s.seat)
+	s.request = w.ID
 	c.table.trim(c.usual()) // as soon as more are busy: the next client may find no connection left
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
 	ticket, fresh := c.Core.Take(w.Ask, job, s.came, left, s)
@@ -393,6 +401,9 @@
 		if !c.told().Ready || c.Core.Ready() == 0 || !c.Core.Serves() {
 			return 503, ""
 		}
+		if c.Guard != nil && !c.Core.Known() {
+			c.Guard.Violated(guard.ServeNotReady, 0, "", "ready without a list of backends")
+		}
 		return 200, ""
 	case path == "/health/live":
 		return 200, ""
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tinsail/internal/core"
+	"tinsail/internal/guard"
 	"tinsail/internal/http2"
 	"tinsail/internal/platform"
 )
@@ -144,12 +145,14 @@
 	s.conn.Close()
 	for _, st := range left {
 		if r, ok := st.Data.(*streamReq); ok {
+			s.checkOwed(r, e)
 			r.abandon()
 		}
 	}
 	s.front.open.Delete(s)
 	c.Count.Endings[e].Add(1)
 	c.table.leave(&s.seat)
+	s.note(guard.SessionClosed, e)
 }
 
 // read feeds the machine until the connection is over, or ends otherwise.
--- a/internal/network/http2_slow_test.go
+++ b/internal/network/http2_slow_test.go
@@ -145,7 +145,7 @@
 		near, far := net.Pipe()
 		t.Cleanup(func() { near.Close(); far.Close() })
 		busy := &seat{conn: near}
-		s.clients.table.enter(busy, s.clients.Most+excessMost)
+		s.clients.table.enter(busy, s.clients.Most+excessMost, nil)
 		s.clients.table.taken(busy)
 	}
 	sent := make(chan struct{})
--- a/internal/network/link.go
+++ b/internal/network/link.go
@@ -135,11 +135,19 @@
 	x.unhook = context.AfterFunc(x.ctx, func() { l.abort(x) })
 	l.mu.Unlock()
 
-	parts := net.Buffers{x.head(time.Until(x.until))}
+	wrote := time.Now()
+	left := x.until.Sub(wrote)
+	parts := net.Buffers{x.head(left)}
 	if len(x.body) > 0 {
 		parts = append(parts, x.body)
 	}
-	_, err := parts.WriteTo(l.conn)
+	n, err := parts.WriteTo(l.conn)
+	if n > 0 && x.began != nil {
+		if len(x.body) <= smallBody { // a longer one may have waited for the backend to take it
+			wrote = time.Now()
+		}
+		x.began(wrote, left)
+	}
 
 	l.mu.Lock()
 	l.writing = false
--- a/internal/network/service.go
+++ b/internal/network/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tinsail/internal/guard"
 	"tinsail/internal/service"
 )
 
@@ -126,6 +127,14 @@
 
 func (s *Service) look() { s.do(func(time.Time) {}) }
 
+// closeReason is why sessions close by these orders.
+func closeReason(o service.Orders) guard.Reason {
+	if o.Handed {
+		return guard.HandedOver
+	}
+	return guard.ServiceEnds
+}
+
 // do lets something happen and has the fronts follow.
 func (s *Service) do(f func(now time.Time)) {
 	s.mu.Lock()
@@ -155,7 +164,10 @@
 		}
 	}
 	if o.Close {
-		c.table.shutIdle(o.Rest)
+		c.table.shutIdle(o.Rest, closeReason(o))
+	}
+	if o.State != old.State {
+		c.Guard.Note(guard.Event{At: now, Step: guard.ServiceState, Why: o.State})
 	}
 	if o.State != old.State && s.Changed != nil {
 		s.Changed(old.State, o.State)
@@ -166,6 +178,7 @@
 			c.Count.HandoverLeft.Add(int64(all))
 		}
 		s.over = true
+		c.Guard.End(now)
 		close(s.ended)
 	case !s.m.Changing():
 	case s.timer == nil:
--- a/internal/network/table.go
+++ b/internal/network/table.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"tinsail/internal/guard"
 )
 
 // rank says what a session is good for, from the first to be shed when descriptors are short
@@ -35,6 +37,8 @@
 // for conn, which stays as it is.
 type seat struct {
 	conn  net.Conn
+	guard *guard.Recorder // may be nil; stays as it is from the entry on
+	id    uint64          // in the trace; stays too
 	rank  rank
 	place *linked.Element
 	born  time.Time // of connecting
@@ -54,6 +58,7 @@
 // the front of a list however many there are.
 type table struct {
 	mu    sync.Mutex
+	last  uint64 // id given to a session
 	rows  [ranks]linked.List
 	count int
 	// lingers is how many sessions stay for their last answer to be read, in whatever row.
@@ -66,9 +71,12 @@
 // enter seats a new session. Beyond most, one is shed if any may be: those that linger are not counted, as long as there is
 // room for them beyond most. They are the first to go for the new one's descriptor, and only then: their clients' bytes
 // may still be on their way.
-func (t *table) enter(s *seat, most int) (n, all int, shed bool) {
+func (t *table) enter(s *seat, most int, trace *guard.Recorder) (n, all int, shed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.last++
+	s.guard, s.id = trace, t.last
+	s.note(guard.SessionOpened, nil)
 	if t.left == nil {
 		t.left = make(chan struct{}, 1)
 	}
@@ -77,7 +85,7 @@
 		shed = t.shedOne(asked)
 	}
 	if e := t.rows[lingering].Front(); e != nil && t.count > most+lingerRoom {
-		t.shut(e.Value.(*seat), true)
+		t.shut(e.Value.(*seat), guard.RoomWanted)
 	}
 	s.born = time.Now()
 	s.since = s.born
@@ -289,7 +297,7 @@
 func (t *table) shedOne(from rank) bool {
 	for r := from; r < working; r++ {
 		if e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(0) {
-			t.shut(e.Value.(*seat), true)
+			t.shut(e.Value.(*seat), guard.RoomWanted)
 			return true
 		}
 	}
@@ -313,26 +321,26 @@
 		return
 	}
 	if e := t.rows[resting].Front(); e != nil && time.Since(e.Value.(*seat).since) >= restedFor {
-		t.shut(e.Value.(*seat), true)
+		t.shut(e.Value.(*seat), guard.RoomWanted)
 	}
 }
 
-// shut wakes a session's goroutine, which looks whether a req came after all, and closes. room says that its descriptor
-// is needed.
-func (t *table) shut(s *seat, room bool) {
+// shut wakes a session's goroutine, which looks whether a req came after all, and closes.
+func (t *table) shut(s *seat, why guard.Reason) {
 	t.move(s, leaving)
-	s.shed, s.room = true, s.room || room
+	s.note(guard.SessionTold, why)
+	s.shed, s.room = true, s.room || why == guard.RoomWanted
 	s.conn.SetReadDeadline(time.Now())
 }
 
 // shutIdle tells sessions to close that have been between reqs for so long, and new ones after a
 // while.
-func (t *table) shutIdle(rest time.Duration) {
+func (t *table) shutIdle(rest time.Duration, why guard.Reason) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for r := lingering; r < working; r++ {
 		for e := t.rows[r].Front(); e != nil && !e.Value.(*seat).spared(rest); e = t.rows[r].Front() {
-			t.shut(e.Value.(*seat), false)
+			t.shut(e.Value.(*seat), why)
 		}
 	}
 }
--- /dev/null
+++ b/internal/network/trace.go
@@ -0,0 +1,70 @@
+package network
+
+import (
+	"fmt"
+	"time"
+
+	"tinsail/internal/core"
+	"tinsail/internal/guard"
+)
+
+// This file hands what happens to sessions to package guard, for its trace and its check of what a close leaves unanswered.
+
+// note adds an event of the session to the trace.
+func (s *seat) note(step guard.Step, why fmt.Stringer) {
+	if s.guard != nil {
+		s.guard.Note(guard.Event{At: time.Now(), Session: s.id, Step: step, Why: why})
+	}
+}
+
+func (s *session) note(step guard.Step, why fmt.Stringer) {
+	if s.seat.guard != nil {
+		s.seat.guard.Note(guard.Event{At: time.Now(), Session: s.id, Request: s.request, Step: step, Why: why})
+	}
+}
+
+// closes is why a session ends with the answer that was written; nil where it goes on.
+func (s *session) closes(closing, flooded bool, err error) fmt.Stringer {
+	switch o := s.clients.told(); {
+	case err != nil:
+		return guard.ClientEnded
+	case !closing:
+		return nil
+	case flooded:
+		return guard.ClientFlooded
+	case o.Close:
+		return closeReason(*o)
+	case s.clients.table.isShed(&s.seat):
+		return guard.RoomWanted
+	}
+	return guard.ClientAsked
+}
+
+// checkOwed counts a session that is closed from here although a request that was read has no answer. The client that
+// went, asked for the close, sent what is no request or more than is kept, is owed nothing for what lies behind.
+func (s *session) checkOwed(e core.Ending) {
+	if s.seat.guard == nil {
+		return
+	}
+	t := &s.clients.table
+	t.mu.Lock()
+	owed := s.owed
+	t.mu.Unlock()
+	switch {
+	case e == core.ClientClosed:
+	case owed:
+		s.seat.guard.Violated(guard.CloseOwed, s.id, s.request, "closed before its answer")
+	case e == core.SessionShed || e == core.SessionDone && !s.endsItself:
+		if q, _ := s.in.Next(); q != nil && q.Method == "POST" {
+			s.seat.guard.Violated(guard.CloseOwed, s.id, "", "closed with a request read behind the last answer")
+		}
+	}
+}
+
+// checkOwed counts a connection that is closed from here, for no fault of its client's, with a request that was taken and
+// not answered.
+func (s *streams) checkOwed(r *streamReq, e core.Ending) {
+	if s.guard != nil && r.taken && e != core.ClientClosed && e != core.ClientBad {
+		s.guard.Violated(guard.CloseOwed, s.id, r.job.ID, "its connection was closed before its answer")
+	}
+}
--- /dev/null
+++ b/internal/network/trace_test.go
@@ -0,0 +1,38 @@
+package network
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/core"
+	"tinsail/internal/guard"
+)
+
+// TestCloseGuardSaysNo: a session that is closed from here with a request that was read and not answered is counted; one
+// whose client went, or asked for it, is not.
+func TestCloseGuardSaysNo(t *testing.T) {
+	whole := "POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: a\r\nContent-Length: 1\r\n\r\nb"
+	for name, c := range map[string]struct {
+		owed, itself bool
+		behind       string
+		ending       core.Ending
+		want         int64
+	}{
+		"nothing owed":              {ending: core.SessionShed},
+		"owed":                      {owed: true, ending: core.SessionDone, want: 1},
+		"owed, shed":                {owed: true, ending: core.SessionShed, want: 1},
+		"owed, its client gone":     {owed: true, ending: core.ClientClosed},
+		"read behind, shed":         {behind: whole, ending: core.SessionShed, want: 1},
+		"read behind, told to end":  {behind: whole, ending: core.SessionDone, want: 1},
+		"read behind its own close": {behind: whole, itself: true, ending: core.SessionDone},
+		"half read behind":          {behind: whole[:20], ending: core.SessionShed},
+		"a check of health behind":  {behind: "GET / HTTP/1.1\r\n\r\n", ending: core.SessionShed},
+	} {
+		r := &guard.Recorder{}
+		s := &session{seat: seat{guard: r, owed: c.owed}, clients: &Clients{}, endsItself: c.itself}
+		s.in.Filled(copy(s.in.Space(), c.behind))
+		s.checkOwed(c.ending)
+		assert.Equal(t, c.want, r.Violations(guard.CloseOwed), name)
+	}
+}
