A shutdown spares sessions that were answered within the last 100 ms

Cause: at closeAt the orders had Rest 0, so that shutIdle closed each idle session at once with a look of 5 ms for a further request, also one whose answer had just left its connection open. A client 10 ms away always lost that race; on a busy machine any did (TestRestartInUse). Change: Rest is lastRest (100 ms) for the first 100 ms from closeAt on; all answers say Connection: close by then. The end of the shutdown does not move: idle sessions are gone 0.5 s before the kill.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -15,6 +15,9 @@
 	lastReqs   = 400 * time.Millisecond // for the last reqs to be answered in: most take half of it
 	endSlack   = 500 * time.Millisecond // an answer that is later than its time by more is lost anyhow
 	quietLooks = 5                      // without a session, before the end
+	// An answer that went out before sessions are closed has left its connection open: the client's next request may be
+	// on its way for so long, a round trip and a busy client, before the connection is closed as an idle one.
+	lastRest = 100 * time.Millisecond
 )
 
 // Times of a process that has handed over, from then on. Its sessions close with their next
@@ -165,8 +168,11 @@
 		case o.State == Draining:
 			o.State = OutOfService
 		}
-		if age >= m.closeAt() {
+		switch {
+		case age >= m.closeAt()+lastRest:
 			o.Close, o.Rest = true, 0
+		case age >= m.closeAt() && !o.Close:
+			o.Close, o.Rest = true, lastRest
 		}
 	}
 	m.end(now, l, &o)
