--- /dev/null
+++ b/cmd/tinsail/arrival_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// slack is what the pages allow the time told to a backend beyond what the client has left.
+const slack = 150 * time.Millisecond
+
+// TestTimeInTheKernel: requests wait at the machine while the process does not run, on a connection that is not accepted yet, on
+// one that is open, and behind a request that is answered. What backends are told is what their clients have left, and a client
+// whose time went by meanwhile has its answer, and nothing begins for it.
+func TestTimeInTheKernel(t *testing.T) {
+	const left, stop = 3000 * time.Millisecond, 1200 * time.Millisecond
+	h := newHouse(t, "127.0.0.1:0")
+	h.script = filepath.Join(t.TempDir(), "s.star")
+	require.NoError(t, os.WriteFile(h.script, []byte(`http2(listen = "127.0.0.1:0")`), 0o600))
+	p := h.spawn()
+	serving := p.event(t, "serving")
+	h.clients, p.admin = serving["listen"].(string), serving["admin"].(string)
+	p.serves()
+	timed := func(id string, left time.Duration) string {
+		return req(id, fmt.Sprintf("X-Time-Left-Ms: %d\r\n", left.Milliseconds()))
+	}
+	open, short := h.connect(), h.connect()
+	for i, c := range []*conn{open, short} {
+		c.write(t, req(fmt.Sprint("before-", i)))
+		c.expect(t, nil, 200, fmt.Sprint("small before-", i))
+	}
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
+	stream := func(id string) (int, string) {
+		r, err := http.NewRequest("POST", "http://"+serving["http2"].(string)+"/photo/1", strings.NewReader("b"))
+		require.NoError(t, err)
+		r.Header.Set("X-Correlation-Id", id)
+		r.Header.Set("Idempotency-Key", id)
+		r.Header.Set("X-Time-Left-Ms", fmt.Sprint(left.Milliseconds()))
+		a, err := transport.RoundTrip(r)
+		require.NoError(t, err)
+		defer a.Body.Close()
+		body, err := io.ReadAll(a.Body)
+		require.NoError(t, err)
+		return a.StatusCode, string(body)
+	}
+	stream("before-h2")
+
+	p.stopped(t)
+	sent := map[string]time.Time{}
+	send := func(c *conn, id string, left time.Duration) {
+		sent[id] = time.Now()
+		c.write(t, timed(id, left))
+	}
+	queued := h.connect()
+	send(queued, "queued", left)
+	send(open, "open", left)
+	send(short, "short", stop/2)
+	sent["stream"] = time.Now()
+	streamed := make(chan struct{})
+	go func() {
+		defer close(streamed)
+		status, body := stream("stream")
+		assert.Equal(t, 200, status)
+		assert.Equal(t, "small stream", body)
+	}()
+	time.Sleep(stop)
+	p.signal(t, syscall.SIGCONT)
+	queued.expect(t, nil, 200, "small queued")
+	open.expect(t, nil, 200, "small open")
+	short.expect(t, nil, 503, "")
+	<-streamed
+	p.end(t)
+	for _, b := range h.backends {
+		for _, a := range b.Attempts() {
+			at, ours := sent[a.ID]
+			if !ours {
+				continue
+			}
+			assert.NotEqual(t, "short", a.ID, "its time was over")
+			has := left - a.Last.Sub(at)
+			assert.LessOrEqual(t, a.Told, has+slack, "%s was told more than its client had left", a.ID)
+		}
+	}
+}
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -31,10 +31,11 @@
 type Attempt struct {
 	ID      string // of the req; empty where the connection ended before it was told
 	Backend string
-	First   time.Time // its first byte came
-	Last    time.Time // its last byte came; zero: it never did, so the req never ran here
-	Never   bool      // turned away or handed back unstarted, and said so
-	Result  string    // that the backend made for it; empty: none
+	First   time.Time     // its first byte came
+	Last    time.Time     // its last byte came; zero: it never did, so the req never ran here
+	Told    time.Duration // that the dispatcher waits, as it told; negative: it did not tell
+	Never   bool          // turned away or handed back unstarted, and said so
+	Result  string        // that the backend made for it; empty: none
 }
 
 // mayHaveRun says whether the attempt counts and has not been proven never to have run.
--- a/internal/standin/platform/backend.go
+++ b/internal/standin/platform/backend.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -235,6 +236,15 @@
 	b.mu.Unlock()
 }
 
+// told is how long the dispatcher waits, as it says; negative where it does not say.
+func told(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get("X-Time-Left-Ms"))
+	if err != nil {
+		return -1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // tell tells that an attempt has come, and gives what tells its end, which is told once.
 func (b *Backend) tell(id string) (end func(Event)) {
 	if b.Told == nil || id == "" {
@@ -256,7 +266,7 @@
 	end := b.tell(id)
 	defer end(Aborted)
 	tap, f := tapOf(r), b.faulty()
-	a := &history.Attempt{ID: id, First: tap.begin()}
+	a := &history.Attempt{ID: id, First: tap.begin(), Told: told(r)}
 	b.note(a)
 	if f.Reset == BeforeLast {
 		tap.reset()
