A client's time runs from when its bytes came to this machine; one accept loop for all listeners

Cause: session.came and streamReq.came were the moment of our read, while bytes wait in the accept queue and the receive buffer as long as accepts fail, the process is held up or a core is busy; the whole of the client's time was then given to the backend again. Change: internal/network/arrival.go asks TCP_INFO (tcpi_last_data_recv) after a read; where a system does not answer, a connection accepted after failing accepts counts from the first of them. Deadlines, refusals, the time told and the cut of a shutdown rest on the same moment, on HTTP/2 as well. Left: of several HTTP/2 requests that waited on one connection the earlier count from the last one's bytes.

The four accept loops that slept 10 ms for any error are one (internal/network/accepting): errors of one queued connection cost no pause, others 1 to 20 ms, an error of the listener itself is logged as that, and failures are counted (accepts_failed).

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,7 +10,7 @@
 // Set holds all counters. Endings is indexed by the core's endings and HTTP2Abuse by the kinds of
 // package http2, which Each is told the names of.
 type Set struct {
-	ClientSessions, SessionsRefused, SessionsFlooded, BodiesShed atomic.Int64
+	AcceptsFailed, ClientSessions, SessionsRefused, SessionsFlooded, BodiesShed atomic.Int64
 	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated                   atomic.Int64
 	AnswersServed, AnswersRefused, AnswersFailed                 atomic.Int64
 	Attempts, Probes, BackendConnections, BackendRetired         atomic.Int64
@@ -34,7 +34,7 @@
 		name string
 		n    *atomic.Int64
 	}{
-		{"client_sessions", &s.ClientSessions}, {"sessions_refused", &s.SessionsRefused}, {"sessions_flooded", &s.SessionsFlooded},
+		{"accepts_failed", &s.AcceptsFailed}, {"client_sessions", &s.ClientSessions}, {"sessions_refused", &s.SessionsRefused}, {"sessions_flooded", &s.SessionsFlooded},
 		{"bodies_shed", &s.BodiesShed}, {"reqs_taken", &s.ReqsTaken}, {"reqs_bad", &s.ReqsBad}, {"reqs_repeated", &s.ReqsRepeated},
 		{"reqs_shed", &s.ReqsShed}, {"answers_served", &s.AnswersServed}, {"answers_refused", &s.AnswersRefused},
 		{"answers_failed", &s.AnswersFailed}, {"attempts", &s.Attempts}, {"probes", &s.Probes},
--- /dev/null
+++ b/internal/network/accepting/accepting_test.go
@@ -0,0 +1,78 @@
+package accepting
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+)
+
+// script is a listener whose accepts end as written.
+type script struct {
+	net.Listener
+	steps []any // an error, a connection, or how long to wait
+}
+
+func (s *script) Accept() (net.Conn, error) {
+	for len(s.steps) > 0 {
+		step := s.steps[0]
+		s.steps = s.steps[1:]
+		switch step := step.(type) {
+		case time.Duration:
+			time.Sleep(step)
+		case error:
+			return nil, step
+		case net.Conn:
+			return step, nil
+		}
+	}
+	return nil, net.ErrClosed
+}
+
+func fault(errno syscall.Errno) error {
+	return &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}
+}
+
+// TestAcceptFails: whatever an accept fails by, the next connections are admitted, within a pause that stays short; an error of
+// one connection costs no pause, and an empty queue is told.
+func TestAcceptFails(t *testing.T) {
+	for name, errno := range map[string]syscall.Errno{"ECONNABORTED": syscall.ECONNABORTED, "EMFILE": syscall.EMFILE, "ENFILE": syscall.ENFILE,
+		"ENOBUFS": syscall.ENOBUFS, "ENOMEM": syscall.ENOMEM, "EPERM": syscall.EPERM, "EPROTO": syscall.EPROTO, "ENETDOWN": syscall.ENETDOWN} {
+		synctest.Test(t, func(t *testing.T) {
+			steps := []any{&net.TCPConn{}}
+			for range 100 {
+				steps = append(steps, fault(errno))
+			}
+			steps = append(steps, &net.TCPConn{}, time.Second, &net.TCPConn{}, os.ErrDeadlineExceeded, fault(errno), &net.TCPConn{})
+			admitted, failed, paused, waited := 0, 0, 0, 0
+			loop := Loop{Admit: func(net.Conn) { admitted++ }, Failed: func(err error) { assert.ErrorIs(t, err, errno); failed++ },
+				Paused: func() { paused++ }, Waited: func() { waited++ }, Log: zerolog.Nop()}
+			begun := time.Now()
+			loop.Run(&script{steps: steps})
+			assert.Equal(t, 4, admitted, name)
+			assert.Equal(t, 101, failed, name)
+			assert.Equal(t, 1, paused, name)
+			assert.Equal(t, 1, waited, name)
+			took := time.Since(begun) - time.Second
+			if ofOneConnection(errno) {
+				assert.Zero(t, took, name)
+			} else {
+				assert.Greater(t, took, time.Second, "%s: it does not spin", name)
+				assert.LessOrEqual(t, took, 101*mostPause, name)
+			}
+		})
+	}
+}
+
+// TestBroken: an error of the listener itself is told from one that passes.
+func TestBroken(t *testing.T) {
+	assert.True(t, broken(fault(syscall.EBADF)))
+	assert.False(t, broken(fault(syscall.EMFILE)))
+	assert.False(t, broken(errors.New("x")))
+}
--- a/internal/network/admin/admin.go
+++ b/internal/network/admin/admin.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"tinsail/internal/door"
+	"tinsail/internal/network/accepting"
 )
 
 // Times of a caller.
@@ -80,22 +81,16 @@
 	s.mu.Lock()
 	s.left = make(chan struct{}, 1)
 	s.mu.Unlock()
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil { // out of descriptors, say: do not spin
-			s.Log.Warn().Err(err).Msg("accept at the door failed")
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		s.Count.Callers.Add(1)
-		conn.SetReadDeadline(time.Now().Add(callWait)) // before it can be sent away
-		c := s.enter(conn)
-		go s.serve(c)
-		s.makeRoom()
-	}
+	loop := accepting.Loop{Admit: s.admit, Log: s.Log, Name: "operators"}
+	loop.Run(l)
+}
+
+func (s *Server) admit(conn net.Conn) {
+	s.Count.Callers.Add(1)
+	conn.SetReadDeadline(time.Now().Add(callWait)) // before it can be sent away
+	c := s.enter(conn)
+	go s.serve(c)
+	s.makeRoom()
 }
 
 // enter seats a caller. Beyond the number, the one goes that has been unfinished for the longest
--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -103,7 +103,7 @@
 		first := a.in.Ahead() == 0
 		n, err := a.conn.Read(a.in.Space())
 		if n > 0 && first {
-			a.came = time.Now()
+			a.came = a.arrival.at(time.Now())
 		}
 		a.in.Filled(n)
 		return n, err
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -12,6 +12,7 @@
 	"tinsail/internal/core"
 	"tinsail/internal/counters"
 	"tinsail/internal/guard"
+	"tinsail/internal/network/accepting"
 	"tinsail/internal/platform"
 	"tinsail/internal/service"
 )
@@ -43,6 +44,7 @@
 
 	orders atomic.Pointer[service.Orders] // nil stands for a dispatcher in service
 	gate   gate
+	queue  acceptQueue
 	size   atomic.Pointer[Budget] // by Resize; nil for Most and Usual
 	held   atomic.Int64
 	turned atomic.Int32 // clients of both fronts that were turned away unread, and still linger
@@ -92,6 +94,7 @@
 type session struct {
 	seat
 	clients *Clients
+	arrival *arrival
 	excess  bool   // beyond the budget: turned away at its first req
 	request string // the last that was taken, for the trace
 	// endsItself says that its client asked for the close or sent more than is kept: nothing behind the last answer counts.
@@ -100,7 +103,7 @@
 
 	// Touched by the reading goroutine alone.
 	in     platform.Requests
-	came   time.Time // when the first byte came of what is being read
+	came   time.Time // when the first byte came to this machine of what is being read
 	read   time.Time // when the last byte came
 	turn   time.Time // when what was sent ahead had its turn: the rest of it is due from then on
 	looked bool      // its time is up, and this is the last look for a req
@@ -127,29 +130,19 @@
 
 func (c *Clients) accept(l net.Listener, admit func(net.Conn)) {
 	c.gate.add(l)
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.gate.wait()
-			continue
-		}
-		if err != nil { // out of descriptors, say: do not spin
-			c.Log.Warn().Err(err).Msg("accept failed")
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		admit(conn)
+	loop := accepting.Loop{Admit: admit, Paused: c.gate.wait, Waited: c.queue.empty, Log: c.Log, Name: "clients"}
+	loop.Failed = func(error) {
+		c.Count.AcceptsFailed.Add(1)
+		c.queue.failed(time.Now())
 	}
+	loop.Run(l)
 }
 
 // admit begins a session. The budget is kept by closing one that asks for nothing; where all
 // ask, a few are read so that they can be told, and the rest is told unread: to wait for them
 // would leave the usual clients in the kernel's queue behind those who fill it.
 func (c *Clients) admit(conn net.Conn) {
-	s := &session{seat: seat{conn: conn}, clients: c, answer: make(chan core.Answer, 1)}
+	s := &session{seat: seat{conn: conn}, clients: c, arrival: newArrival(conn, c.queue.from()), answer: make(chan core.Answer, 1)}
 	s.in.Admit = s.hold
 	excess, room := c.enter(&s.seat)
 	if s.excess = excess; !room {
@@ -260,7 +253,7 @@
 
 // filled takes in bytes. A req is there from its first byte on.
 func (s *session) filled(n int, partial bool) {
-	s.read = time.Now()
+	s.read = s.arrival.at(time.Now())
 	if !partial {
 		s.came = s.read
 	}
--- a/internal/network/fleet/accord/streams.go
+++ b/internal/network/fleet/accord/streams.go
@@ -1,13 +1,15 @@
 package accord
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
+	"github.com/rs/zerolog"
+
+	"tinsail/internal/network/accepting"
 )
 
 // The first byte of a connection says what it is.
@@ -48,22 +50,15 @@
 }
 
 func (p *port) accept() {
-	for {
-		conn, err := p.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil { // out of descriptors, say: do not spin
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
+	loop := accepting.Loop{Log: zerolog.Nop(), Name: "accord", Admit: func(conn net.Conn) {
 		select {
 		case p.seats <- struct{}{}:
 			go p.sort(conn)
 		default:
 			conn.Close()
 		}
-	}
+	}}
+	loop.Run(p.listener)
 }
 
 // sort reads the first byte of a connection. A stream leaves its seat when the log's library closes it.
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"tinsail/internal/handover"
+	"tinsail/internal/network/accepting"
 )
 
 // Server is the end of the process that serves. Its functions are called one at a time.
@@ -122,18 +123,12 @@
 
 func (s *Server) serve(l *net.UnixListener) {
 	var waiting unheard
-	for {
-		conn, err := l.AcceptUnix()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors, say
-			continue
-		}
+	loop := accepting.Loop{Log: s.Log, Name: "hand-over", Admit: func(c net.Conn) {
+		conn := c.(*net.UnixConn)
 		waiting.add(conn)
 		go s.take(&Link{conn: conn, in: handover.Reader{Most: handover.MaxHello}}, &waiting)
-	}
+	}}
+	loop.Run(l)
 }
 
 // take hears one process out.
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -55,9 +55,12 @@
 	limits *HTTP2Limits
 	excess bool
 
+	arrival *arrival // of the reading goroutine
+
 	mu     sync.Mutex
 	m      *http2.Conn
-	busy   bool // the table knows that there are streams
+	came   time.Time // when the last bytes that were read came to this machine
+	busy   bool      // the table knows that there are streams
 	over   bool
 	ending core.Ending // once over
 	out    bool        // the last byte is written, and the sending side closed
@@ -104,7 +107,7 @@
 func (f *HTTP2) admit(conn net.Conn) {
 	c, l := f.Clients, f.limits.Load()
 	s := &streams{seat: seat{conn: conn}, front: f, limits: l, wake: make(chan struct{}, 1),
-		flushed: make(chan struct{}), quit: make(chan struct{})}
+		flushed: make(chan struct{}), quit: make(chan struct{}), arrival: newArrival(conn, c.queue.from())}
 	window := int(min(max(c.Held/8, windowLeast), windowMost))
 	s.m = http2.New(http2.Config{Streams: l.Streams, HeaderBytes: l.HeaderBytes, FrameBytes: l.FrameBytes,
 		BodyBytes: platform.MaxBody, Window: window, Queue: int(c.Held / 4), BodyWait: reqWait, WholeWait: max(c.Longest, reqWait),
@@ -177,9 +180,12 @@
 			}
 			continue
 		}
+		now := time.Now()
+		came := s.arrival.at(now)
 		s.mu.Lock()
+		s.came = came
 		s.sort() // what was decided before these bytes were read is not lost by what they say
-		s.m.Filled(n, time.Now())
+		s.m.Filled(n, now)
 		if !begun { // bytes that make no preface are no reason to be kept longer than silence
 			s.front.Clients.table.begun(&s.seat)
 		}
--- a/internal/network/http2_reqs.go
+++ b/internal/network/http2_reqs.go
@@ -103,7 +103,7 @@
 		s.m.Reset(st.ID, http2.Refused)
 		return
 	}
-	r := &streamReq{s: s, id: st.ID, came: time.Now(), work: w}
+	r := &streamReq{s: s, id: st.ID, came: s.came, work: w}
 	r.job = core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey}
 	st.Data = r
 }
