Failing test: failures of this machine's own sockets are put on the backends

The one backend is struck at once, all attempts are spent within one instant and the request is refused beside a healthy backend; discovery counts failed calls.

--- a/internal/core/invariants_test.go
+++ b/internal/core/invariants_test.go
@@ -15,7 +15,10 @@
 func TestGuardsSayNo(t *testing.T) {
 	const grace = 500 * time.Millisecond
 	pass := func(w *trial, d time.Duration) { w.now = w.now.Add(d) }
-	begin := func(w *trial, i int) { w.sent[i].begun.Store(w.core.clock.stamp(w.now)); w.sent[i].Began(w.now, time.Second) }
+	begin := func(w *trial, i int) {
+		w.sent[i].begun.Store(w.core.clock.stamp(w.now))
+		w.sent[i].Began(w.now, time.Second)
+	}
 	drain := func(w *trial) {
 		w.core.Listed(balance.ListDelta, []Entry{{Worker: balance.Worker{ID: 1, State: balance.Draining, Weight: 4}}})
 		w.core.step()
--- /dev/null
+++ b/internal/network/localfault_test.go
@@ -0,0 +1,98 @@
+package network
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/core"
+)
+
+// failing has connections fail by an error for a while from now on.
+func failing(dial Dial, errno syscall.Errno, lasts time.Duration) Dial {
+	until := time.Now().Add(lasts)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if time.Now().Before(until) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+		}
+		return dial(ctx, address)
+	}
+}
+
+// localErrnos are errors that say nothing of the far side.
+var localErrnos = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH}
+
+// TestLocalFaultIsNoStrike: for 0.3 s this machine cannot make a connection. A request that comes meanwhile is served as soon as
+// it can, the backend rests for nothing, and the request after it goes there at once.
+func TestLocalFaultIsNoStrike(t *testing.T) {
+	for _, errno := range localErrnos {
+		t.Run(errno.Error(), func(t *testing.T) {
+			run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+				w.pool.Dial = failing(w.dial, errno, 300*time.Millisecond)
+				w.play("c1 send {req 9a x}")
+				time.Sleep(330 * time.Millisecond)
+				synctest.Wait()
+				w.mu.Lock()
+				made := w.made["s1"]
+				w.mu.Unlock()
+				assert.Equal(t, 1, made, "it is tried again until it comes up")
+				assert.Zero(t, w.count.Endings[core.Unreached].Load(), "the backend has failed nobody")
+				assert.Zero(t, w.count.AnswersRefused.Load())
+				if made == 0 {
+					return
+				}
+				w.play("s1/1 send {started 9a}{done 9a r}\nc1 expect 200 r")
+				begun := time.Now()
+				w.play("c2 send {req 9b x}\ns1/1 send {started 9b}{done 9b q}\nc2 expect 200 q")
+				assert.Less(t, time.Since(begun), 10*time.Millisecond)
+			})
+		})
+	}
+}
+
+// TestFaultOnOneWay: a network that only one backend's address lies in cannot be reached. Others are, and so that one is left for
+// them; it is not waited for until the request's time is over.
+func TestFaultOnOneWay(t *testing.T) {
+	run(t, list(balance.Ready, "s1", "s2"), 9, func(w *world) {
+		w.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if address == "s1" {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ENETUNREACH)}
+			}
+			return w.dial(ctx, address)
+		}
+		for i := range 4 {
+			w.play(fmt.Sprintf("c%d send {req 9%d x}", i, i))
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, 4, w.made["s2"], "all go to the other one")
+		assert.Positive(t, w.count.Endings[core.Unreached].Load())
+	})
+}
+
+// TestLocalFaultOfDiscovery: the same for calls to the director: none counts as failed, and the list is asked for as soon as a
+// connection comes up.
+func TestLocalFaultOfDiscovery(t *testing.T) {
+	for _, errno := range localErrnos {
+		run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+			w.watch.Dial = failing(w.dial, errno, 300*time.Millisecond)
+			w.watch.Subscribe()
+			time.Sleep(330 * time.Millisecond)
+			synctest.Wait()
+			w.mu.Lock()
+			made := w.made["d"]
+			w.mu.Unlock()
+			assert.Equal(t, 1, made, errno)
+			assert.EqualValues(t, 1, w.count.DirectorCalls.Load(), errno)
+			assert.Zero(t, w.count.Endings[core.ListUnanswered].Load(), errno)
+		})
+	}
+}
