Failures of this machine count against no backend and are tried again

Cause: Pool.run ended any error of Dial as Unreached, which the module strikes (0.36 to 0.6 s of rest, doubled each time); with all connects failing for a moment every backend rested and all attempts were spent at once. The director's pause grew by it too. Where others can be reached meanwhile, a fault of route, port or filter is that backend's after all (TestFaultOnOneWay). The window of a repeat, drains, bans and the client's end are judged at the first byte as before.

--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -288,7 +288,7 @@
 	}
 }
 
-var counterNames = counters.Names{Endings: core.Endings(), HTTP2Abuse: http2.AllAbuses()}
+var counterNames = counters.Names{Endings: core.Endings(), HTTP2Abuse: http2.AllAbuses(), LocalFaults: network.LocalFaults()}
 
 func (d *dispatcher) stats() string {
 	var b strings.Builder
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -44,6 +44,10 @@
 	return true
 }
 
+// Wanted says whether the attempt may still be of use: its request has no answer, its client is there, and it was not
+// stopped. It may be called from any goroutine, and changes nothing.
+func (a *Attempt) Wanted() bool { return !a.req.over.Load() && !a.stopped.Load() }
+
 // repeatPart is the part of the window for repeats that is used, as in the module: the rest is for what lies between a
 // look at the clock here and the arrival at a backend.
 const repeatPart = 0.9
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -8,25 +8,26 @@
 )
 
 // Set holds all counters. Endings is indexed by the core's endings and HTTP2Abuse by the kinds of
-// package http2, which Each is told the names of.
+// package http2, LocalFaults by those of package network, which Each is told the names of.
 type Set struct {
 	AcceptsFailed, ClientSessions, SessionsRefused, SessionsFlooded, BodiesShed atomic.Int64
-	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated                   atomic.Int64
-	AnswersServed, AnswersRefused, AnswersFailed                 atomic.Int64
-	Attempts, Probes, BackendConnections, BackendRetired         atomic.Int64
-	DirectorCalls, Overlooked, Reloads, ReloadsBad               atomic.Int64
-	DirectorSilent                                               atomic.Int64 // calls held for silent, another made beside them
-	HTTP2Sessions, HTTP2Resets                                   atomic.Int64
-	HandoverCut, HandoverLeft                                    atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
-	ReadyMS                                                      atomic.Int64 // from the process's start until it could serve, at least 1; 0: not yet
-	ReadyFromKnown, ReadyFromDirector                            atomic.Int64 // 1 for where the first backend to be sent to came from
-	ReadyFromHandover, ReadyFromSources                          atomic.Int64
-	Endings                                                      [32]atomic.Int64
-	HTTP2Abuse                                                   [32]atomic.Int64
+	ReqsTaken, ReqsBad, ReqsShed, ReqsRepeated                                  atomic.Int64
+	AnswersServed, AnswersRefused, AnswersFailed                                atomic.Int64
+	Attempts, Probes, BackendConnections, BackendRetired                        atomic.Int64
+	DirectorCalls, Overlooked, Reloads, ReloadsBad                              atomic.Int64
+	DirectorSilent                                                              atomic.Int64 // calls held for silent, another made beside them
+	HTTP2Sessions, HTTP2Resets                                                  atomic.Int64
+	HandoverCut, HandoverLeft                                                   atomic.Int64 // sessions closed with a part of a req, or open at the end, after a hand-over
+	ReadyMS                                                                     atomic.Int64 // from the process's start until it could serve, at least 1; 0: not yet
+	ReadyFromKnown, ReadyFromDirector                                           atomic.Int64 // 1 for where the first backend to be sent to came from
+	ReadyFromHandover, ReadyFromSources                                         atomic.Int64
+	Endings                                                                     [32]atomic.Int64
+	HTTP2Abuse                                                                  [32]atomic.Int64
+	LocalFaults                                                                 [8]atomic.Int64 // connections that failed for a reason of this machine's
 }
 
 // Names are those of the counters that are kept by number.
-type Names struct{ Endings, HTTP2Abuse []fmt.Stringer }
+type Names struct{ Endings, HTTP2Abuse, LocalFaults []fmt.Stringer }
 
 // Each calls f for every counter, in a fixed order, those that are kept by number last.
 func (s *Set) Each(names Names, f func(name string, n int64)) {
@@ -51,6 +52,9 @@
 	for i, name := range names.Endings {
 		f("ending_"+name.String(), s.Endings[i].Load())
 	}
+	for i, name := range names.LocalFaults {
+		f("local_fault_"+name.String(), s.LocalFaults[i].Load())
+	}
 	for i, name := range names.HTTP2Abuse {
 		f("http2_abuse_"+name.String(), s.HTTP2Abuse[i].Load())
 	}
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tinsail/internal/balance"
@@ -36,6 +37,8 @@
 	// of the fleet's policy that their req was taken by.
 	Stamp string
 
+	connected atomic.Pointer[time.Time] // when the last connection came up
+
 	mu   sync.Mutex
 	idle map[balance.WorkerID][]*link // the last used is last
 	open int
@@ -54,6 +57,7 @@
 	probe   bool // the body is a load report, not lines
 	id      string
 	may     func() bool
+	wanted  func() bool                            // no answer, no end of its client and no stop makes a connection needless
 	began   func(at time.Time, told time.Duration) // its first byte was written; nil for a probe
 	started func()
 	share   func(float64)
@@ -71,7 +75,7 @@
 
 // Send begins an attempt.
 func (p *Pool) Send(a *core.Attempt) func() {
-	x := &exchange{backend: a.Backend, body: a.Job.Body, until: a.Until, id: a.Job.ID, may: a.MayBegin, began: a.Began,
+	x := &exchange{backend: a.Backend, body: a.Job.Body, until: a.Until, id: a.Job.ID, may: a.MayBegin, wanted: a.Wanted, began: a.Began,
 		started: a.Started, share: a.Progress, ended: a.Ended}
 	x.head = func(left time.Duration) []byte {
 		var stamp *platform.Stamp
@@ -88,7 +92,8 @@
 
 // Probe asks a backend for its load.
 func (p *Pool) Probe(b *core.Backend, done func(core.Ending, []float32)) {
-	x := &exchange{backend: b, until: time.Now().Add(probeWait), probe: true, may: func() bool { return !b.Withheld() }}
+	x := &exchange{backend: b, until: time.Now().Add(probeWait), probe: true, may: func() bool { return !b.Withheld() },
+		wanted: func() bool { return !b.Withheld() }}
 	x.head = func(time.Duration) []byte { return platform.AppendGet(nil, "/stats", b.Address) }
 	var once sync.Once
 	end := func(e core.Ending, report []float32) { once.Do(func() { done(e, report) }) }
@@ -114,18 +119,19 @@
 		x.end(verdict{ending: core.Unsent})
 		return
 	}
-	ctx, cancel := context.WithTimeout(x.ctx, p.Connect)
-	if p.Gate != nil && p.Gate.Wait(ctx) != nil {
-		cancel()
+	if !p.pass(x.ctx) {
 		p.release()
 		x.end(verdict{ending: core.Unsent})
 		return
 	}
-	conn, err := p.Dial(ctx, x.backend.Address)
-	cancel()
-	if err != nil {
+	conn, rested, e := p.connect(x)
+	if conn == nil {
 		p.release()
-		x.end(verdict{ending: core.Unreached})
+		if rested != nil {
+			rested.send(x, false)
+		} else {
+			x.end(verdict{ending: e})
+		}
 		return
 	}
 	p.Count.BackendConnections.Add(1)
@@ -134,6 +140,56 @@
 	l.send(x, true)
 }
 
+// pass waits for the budget of new connections.
+func (p *Pool) pass(ctx context.Context) bool {
+	if p.Gate == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Connect)
+	defer cancel()
+	return p.Gate.Wait(ctx) == nil
+}
+
+// connect makes a connection for an exchange, past the faults of this machine: those count against no backend. Where a
+// connection to the backend comes to rest meanwhile, that one is claimed and returned. Where there is none, e is the ending.
+func (p *Pool) connect(x *exchange) (conn net.Conn, rested *link, e core.Ending) {
+	begun, elsewhere := time.Now(), false
+	d := dialling{dial: p.Dial, address: x.backend.Address, each: p.Connect, count: p.Count, between: func(kind localFault) bool {
+		if kind == descriptors { // one of ours that nobody uses is better used so
+			p.closeOldest()
+		}
+		rested = p.take(x.backend)
+		elsewhere = kind.ofOnePeer() && p.connectedSince(begun)
+		return rested != nil || elsewhere || !x.wanted()
+	}}
+	conn, local, err := d.do(x.ctx)
+	switch {
+	case err == nil:
+		now := time.Now()
+		p.connected.Store(&now)
+		return conn, nil, 0
+	case local != noFault && !elsewhere:
+		return nil, rested, core.Unsent
+	}
+	return nil, rested, core.Unreached
+}
+
+// connectedSince says whether some connection came up since then.
+func (p *Pool) connectedSince(then time.Time) bool {
+	at := p.connected.Load()
+	return at != nil && !at.Before(then)
+}
+
+// closeOldest closes the connection that has been idle for the longest time, if there is one.
+func (p *Pool) closeOldest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.oldest(); l != nil {
+		p.drop(l)
+		l.conn.Close()
+	}
+}
+
 func (x *exchange) end(v verdict) {
 	if x.unhook != nil {
 		x.unhook()
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -365,7 +365,8 @@
 func (d *Director) call(c *call, address string) (platform.List, core.Ending) {
 	if c.line == nil {
 		ctx, cancel := context.WithTimeout(c.ctx, d.Pace.Connect)
-		conn, err := d.Dial(ctx, address)
+		dial := dialling{dial: d.Dial, address: address, each: d.Pace.Connect, count: d.Count}
+		conn, _, err := dial.do(ctx)
 		cancel()
 		if err != nil {
 			return platform.List{}, core.ListUnanswered
