Starts and bans no longer rest on the wall clock; the file of bans is synced and tried again

Marks are on the core's clock now and cross to a file or another process as an age (maintenance.Moved); whether the list tells a later start goes by what it told when the ban began.

The file: written beside its place, synced, the generation before kept, renamed, the folder synced; after ENOSPC or EIO it is tried again every 0.1 to 2 s until it holds (bans_unkept, bans_keep_failures); a damaged or missing file falls back on the generation before; what a kill left half written goes. TestBanOverAWallStep, TestStartsByAWrongClock, TestFolderFails, TestKillDuringKeep. TestYesHolds now names both generations in place of counting one file; TestBadFile has a folder for each case, since a whole generation before a damaged one is used now.

--- a/cmd/tinsail/metrics.go
+++ b/cmd/tinsail/metrics.go
@@ -14,7 +14,7 @@
 // A counter named here nowhere else is a counter to Prometheus: a rate of it would be wrong.
 var gauges = map[string]bool{
 	"budget_connections_share": true, "budget_connections_fleet": true, "budget_connections_lent": true,
-	"banned": true, "service_state": true, "door_slowest_us": true, "handover_ready_ms": true,
+	"banned": true, "bans_unkept": true, "service_state": true, "door_slowest_us": true, "handover_ready_ms": true,
 	"handover_stage": true, "ready_after_ms": true,
 	"accord_version": true, "accord_ready": true, "accord_leads": true, "accord_leases": true, "accord_decided_ms": true,
 	"quota_held": true, "quota_in_use": true, "quota_waiting": true, "quota_lent": true, "quota_lent_root": true,
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -140,13 +140,13 @@
 	}
 	d.core.Log, d.core.Guard = log, d.guard
 	if d.listed = d.tellCore; cfg.Admin != "" || set.Accord != nil {
-		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Log: log}
+		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Now: d.core.Now, Log: log}
 		if cfg.Admin != "" {
 			d.desk.Path = keptPath(cfg, "bans")
 		}
 		d.listed = d.desk.Listed
 	}
-	d.director.Told = d.listed
+	d.director.Told, d.director.Heard = d.listed, d.core.Heard
 	d.clients = &network.Clients{Names: &cfg.Names, Count: d.count, Core: d.core, Most: share.Clients, Usual: share.Usual,
 		Held: cfg.Memory / 8, Longest: cfg.Longest(), Stats: d.stats, Log: log, Guard: d.guard}
 	if d.listener, err = from.listen(cfg, "http1", cfg.Listen); err != nil {
@@ -340,6 +340,7 @@
 	if d.door != nil {
 		d.door.Count.Each(f)
 		f("banned", int64(len(d.desk.Banned())))
+		d.desk.Each(f)
 		f("service_state", int64(d.service.State()))
 		d.handover.each(f)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,8 @@
 type Entry struct {
 	balance.Worker
 	Name, Address string
+	// Local says that Started is a time on this core's clock (see Now), not what the list told.
+	Local bool
 }
 
 // req is a request that is owed an answer, or has attempts out.
@@ -155,6 +157,9 @@
 
 	ids ids
 
+	starts starts
+	heard  int64 // when the director's last answer came, as the clock's stamp; 0: none has
+
 	mu     sync.Mutex
 	inbox  []func()
 	spare  []func()
@@ -182,7 +187,7 @@
 	c := &Core{clock: newClock(read), count: count, backends: b, director: d, slack: s.Rules.AnswerSlack,
 		grace: time.Duration(s.Rules.DrainGrace * float64(time.Millisecond)), classes: s.Classes, mayCancel: s.MayCancel,
 		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
-		posted: make(chan struct{}, 1)}
+		posted: make(chan struct{}, 1), starts: newStarts()}
 	var err error
 	c.mod, err = policy(s, actions{c})
 	return c, err
@@ -419,9 +424,14 @@
 func (c *Core) list(kind balance.ListKind, list []Entry) {
 	workers := make([]balance.Worker, len(list))
 	named := make(map[balance.WorkerID]bool, len(list))
+	read := c.clock.read()
+	stale := c.stale(kind, read)
 	for i := range list {
 		e := &list[i]
 		workers[i], named[e.ID] = e.Worker, true
+		if e.State != balance.Gone && !e.Local {
+			workers[i].Started = c.starts.take(e.ID, e.Started, c.clock.millis(read), stale)
+		}
 		b := c.listed[e.ID]
 		if b != nil && (b.Address != e.Address || e.State == balance.Gone) {
 			c.unlist(b)
@@ -456,6 +466,7 @@
 
 func (c *Core) unlist(b *Backend) {
 	b.set(false)
+	c.starts.forget(b.ID)
 	delete(c.listed, b.ID)
 	c.backends.HangUp(b)
 }
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -15,15 +15,29 @@
 type Backend struct {
 	balance.Worker
 	Name, Address string
+	Local         bool // Started is a mark's floor, not what the list told
 }
 
-// Mark is what operators last said of a backend; it is what outlives a process. Times are Unix ms.
+// Mark is what operators last said of a backend; it is what outlives a process. Times are Unix ms, At and Floor on the clock of
+// the process that holds the mark (see Moved), Seen as the list tells it.
 type Mark struct {
 	Name   string  `json:"name"`
 	Banned bool    `json:"banned"`
-	At     float64 `json:"at"`    // of the call
+	At     float64 `json:"at"`    // of the call; only the order of calls rests on it
 	Floor  float64 `json:"floor"` // it counts as started no earlier, unless the list tells of a later start than Seen
-	Seen   float64 `json:"seen"`  // the start that the list told when the ban ended
+	Seen   float64 `json:"seen"`  // the start that the list told when the ban began, or ended
+}
+
+// Moved are marks on another clock: here and there are what both clocks show at the same moment. A floor is as old there as
+// here, and never lies ahead; the order of calls stays as it is.
+func Moved(marks []Mark, here, there float64) []Mark {
+	out := slices.Clone(marks)
+	for i := range out {
+		if m := &out[i]; m.Floor > 0 {
+			m.Floor = there - max(here-m.Floor, 0)
+		}
+	}
+	return out
 }
 
 // Bounds on what is remembered of backends that no list names now: of those that are gone and not banned, whose ids are
@@ -76,7 +90,7 @@
 		if out.Started > e.mark.Seen { // the list tells better
 			e.mark.Floor = 0
 		} else {
-			out.Started = e.mark.Floor
+			out.Started, out.Local = e.mark.Floor, true
 		}
 	}
 	return out
@@ -154,7 +168,7 @@
 	if e.mark.Banned {
 		return nil, true
 	}
-	e.mark = Mark{Name: name, Banned: true, At: b.after(now, e)}
+	e.mark = Mark{Name: name, Banned: true, At: b.after(now, e), Seen: e.last.Started}
 	return e.change(), true
 }
 
@@ -169,7 +183,8 @@
 		return nil, true
 	}
 	mark := Mark{Name: name, At: b.after(now, e)}
-	if e.last.Started < e.mark.At {
+	// By the order of what the list told and not by clocks alone: the list's need not agree with this process's.
+	if e.last.Started <= e.mark.Seen || e.last.Started < e.mark.At {
 		mark.Floor, mark.Seen = now, e.last.Started
 	}
 	e.mark = mark
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -36,10 +36,10 @@
 	assert.Equal(t, []Backend{want}, b.List(balance.ListFull, []Backend{moved}), "dropped and listed again")
 	change, ok = b.Online(9000, "a")
 	require.True(t, ok)
-	moved.Started = 9000
+	moved.Started, moved.Local = 9000, true
 	assert.Equal(t, []Backend{moved}, change, "restarted meanwhile: cold, whatever the list still tells")
 	again := moved
-	again.Started = 5
+	again.Started, again.Local = 5, false
 	assert.Equal(t, []Backend{moved}, b.List(balance.ListDelta, []Backend{again}))
 	again.Started = 8000
 	assert.Equal(t, []Backend{again}, b.List(balance.ListDelta, []Backend{again}), "the list tells better")
@@ -170,7 +170,7 @@
 		for n, x := range source {
 			got := shown[n]
 			assert.GreaterOrEqual(t, got.Started, x.Started)
-			got.Started = x.Started
+			got.Started, got.Local = x.Started, false
 			assert.Equal(t, x, got)
 		}
 	})
--- a/internal/network/director.go
+++ b/internal/network/director.go
@@ -83,6 +83,7 @@
 	Dial    Dial
 	Stop    <-chan struct{} // ends the watch; may be nil
 	Told    func(balance.ListKind, []core.Entry)
+	Heard   func() // an answer was taken, after what it told; may be nil
 
 	// Touched by the watching goroutine alone.
 	index uint64
@@ -283,6 +284,9 @@
 		d.take(c.list)
 	}
 	d.taken = max(d.taken, c.number)
+	if d.Heard != nil {
+		d.Heard()
+	}
 	// One that asks for the whole list asks for what has just come, and is no watch. One that asks for changes
 	// where versions began anew may wait long for a version that is far off.
 	if len(d.out) > 0 && d.out[0].whole != d.whole {
--- a/internal/network/maintain/maintain.go
+++ b/internal/network/maintain/maintain.go
@@ -4,10 +4,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"io/fs"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -22,35 +18,49 @@
 // Desk lies between every source of backends and the core.
 type Desk struct {
 	Path     string // of the file; empty for none
+	Store    Store  // in place of a file at Path
 	Told     func(balance.ListKind, []core.Entry)
 	Withhold func(map[balance.WorkerID]struct{}) // the core's last gate; holds when it returns
 	HangUp   func(balance.WorkerID)              // closes idle connections
+	Now      func() float64                      // the core's clock, in Unix ms; nil for the wall clock
+	Wall     func() time.Time                    // nil for the system's
 	Log      zerolog.Logger
 
 	mu    sync.Mutex
 	bans  maintenance.Bans
 	out   bool
 	share func(maintenance.Mark) // tells another process; nil if there is none
+
+	unkept   bool // the store does not hold what holds here
+	failures int64
+	pause    time.Duration
+	retry    *time.Timer
 }
 
 // ErrUnknown says that no list ever named the backend.
 var ErrUnknown = errors.New("no backend of this name was ever listed")
 
-// Load reads the file that a process before this one left, if any. A bad one is told and left aside.
+// Load reads what a process before this one left, if any: the newest generation that is whole. Others are told and left aside.
 func (d *Desk) Load() (out bool) {
-	if d.Path == "" {
-		return false
-	}
-	text, err := os.ReadFile(d.Path)
-	if errors.Is(err, fs.ErrNotExist) {
+	s := d.store()
+	if s == nil {
 		return false
 	}
+	texts, err := s.Read()
 	var k maintenance.Kept
-	if err == nil {
-		k, err = maintenance.ReadKept(text)
+	found := false
+	for _, text := range texts {
+		var bad error
+		if k, bad = maintenance.ReadKept(text); bad == nil {
+			found = true
+			break
+		}
+		err = errors.Join(err, bad)
 	}
 	if err != nil {
-		d.Log.Error().Str("file", d.Path).Err(err).Msg("bans not read")
+		d.Log.Error().Str("file", d.Path).Bool("older_used", found).Err(err).Msg("bans not read")
+	}
+	if !found {
 		return false
 	}
 	d.mu.Lock()
@@ -79,7 +89,31 @@
 	return out
 }
 
-func unix() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+// now is the time of calls and of starts: the core's clock, which no step of the wall clock moves.
+func (d *Desk) now() float64 {
+	if d.Now == nil {
+		return d.wall()
+	}
+	return d.Now()
+}
+
+// wall is the system's wall clock, in Unix ms. Only what crosses to another process, by a message or the file, is told by it.
+func (d *Desk) wall() float64 {
+	read := time.Now
+	if d.Wall != nil {
+		read = d.Wall
+	}
+	return float64(read().UnixMicro()) / 1000
+}
+
+// outward are marks as another process of this machine takes them, by the wall clock; inward is the other way.
+func (d *Desk) outward(marks []maintenance.Mark) []maintenance.Mark {
+	return maintenance.Moved(marks, d.now(), d.wall())
+}
+
+func (d *Desk) inward(marks []maintenance.Mark) []maintenance.Mark {
+	return maintenance.Moved(marks, d.wall(), d.now())
+}
 
 // Offline bans a backend: when it returns, nothing more begins there. An error other than
 // ErrUnknown says that the ban holds here but would not outlive this process.
@@ -91,13 +125,13 @@
 func (d *Desk) call(name string, f func(float64, string) ([]maintenance.Backend, bool)) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	change, ok := f(unix(), name)
+	change, ok := f(d.now(), name)
 	if !ok {
 		return ErrUnknown
 	}
 	d.follow(change)
 	if d.share != nil {
-		d.share(d.bans.Mark(name))
+		d.share(d.outward([]maintenance.Mark{d.bans.Mark(name)})[0])
 	}
 	return d.keep()
 }
@@ -121,7 +155,7 @@
 func (d *Desk) Merge(marks []maintenance.Mark) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.follow(d.bans.Merge(marks))
+	d.follow(d.bans.Merge(d.inward(marks)))
 	if err := d.keep(); err != nil {
 		d.Log.Error().Err(err).Msg("bans not kept")
 	}
@@ -152,14 +186,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.share = tell
-	return d.bans.Marks()
+	return d.outward(d.bans.Marks())
 }
 
 // State is the list as the source has it, and all marks.
 func (d *Desk) State() ([]maintenance.Backend, []maintenance.Mark) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.bans.Listed(), d.bans.Marks()
+	return d.bans.Listed(), d.outward(d.bans.Marks())
 }
 
 // Banned lists the banned.
@@ -169,23 +203,63 @@
 	return d.bans.Banned()
 }
 
-// keep writes the file whole and renames it: a reader finds the old one or the new one. d.mu is held.
+// keep has the store hold all marks. What could not be kept is owed still: it is tried again until it is. d.mu is held.
 func (d *Desk) keep() error {
-	if d.Path == "" {
+	s := d.store()
+	if s == nil {
 		return nil
 	}
-	text := maintenance.Kept{Out: d.out, Marks: d.bans.Marks()}.Append(nil)
-	f, err := os.CreateTemp(filepath.Dir(d.Path), filepath.Base(d.Path)+".*")
-	if err != nil {
-		return fmt.Errorf("the file of bans: %w", err)
+	err := s.Write(maintenance.Kept{Out: d.out, Marks: d.outward(d.bans.Marks())}.Append(nil))
+	if err == nil {
+		d.unkept, d.pause = false, 0
+		return nil
 	}
-	_, err = f.Write(text)
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = os.Rename(f.Name(), d.Path)
+	d.failures++
+	d.pause = min(max(2*d.pause, leastKeepPause), mostKeepPause)
+	if !d.unkept {
+		d.unkept = true
+		d.Log.Error().Err(err).Msg("bans not kept, will be tried again")
 	}
-	if err != nil {
-		os.Remove(f.Name())
-		return fmt.Errorf("the file of bans: %w", err)
+	if d.retry == nil {
+		d.retry = time.AfterFunc(d.pause, d.keepAgain)
+	} else {
+		d.retry.Reset(d.pause)
+	}
+	return err
+}
+
+// Pauses between tries to keep what could not be kept, doubled from the first to the last.
+const (
+	leastKeepPause = 100 * time.Millisecond
+	mostKeepPause  = 2 * time.Second
+)
+
+func (d *Desk) keepAgain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unkept && d.keep() == nil {
+		d.Log.Info().Msg("bans kept")
+	}
+}
+
+func (d *Desk) store() Store {
+	switch {
+	case d.Store != nil:
+		return d.Store
+	case d.Path != "":
+		return fileStore{d.Path}
 	}
 	return nil
 }
+
+// Each calls f for the counters of what outlives the process.
+func (d *Desk) Each(f func(name string, n int64)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	unkept := int64(0)
+	if d.unkept {
+		unkept = 1
+	}
+	f("bans_unkept", unkept)
+	f("bans_keep_failures", d.failures)
+}
--- a/internal/network/maintain/maintain_test.go
+++ b/internal/network/maintain/maintain_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
@@ -54,9 +55,9 @@
 	assert.Contains(t, b.held, balance.WorkerID(platform.Hash("a")))
 	assert.Equal(t, balance.Draining, b.last["a"])
 	require.NoError(t, d.SetOut(true))
-	files, err := os.ReadDir(filepath.Dir(path))
+	files, err := filepath.Glob(filepath.Join(filepath.Dir(path), "*"))
 	require.NoError(t, err)
-	assert.Len(t, files, 1, "nothing half written is left")
+	assert.Equal(t, []string{path, path + oldSuffix}, files, "two generations, and nothing half written is left")
 
 	next, b2 := desk(path)
 	assert.True(t, next.Load(), "out of service, as the one before")
@@ -70,9 +71,9 @@
 
 // TestBadFile: nothing of a file that is damaged, of another version or cut off is used, and the next call writes a good one.
 func TestBadFile(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "bans")
 	good := maintenance.Kept{Out: true, Marks: []maintenance.Mark{{Name: "a", Banned: true, At: 1}}}.Append(nil)
 	for _, text := range []string{"", "x", string(good[:len(good)-2]), "tinsail-maintenance 9 00000000\n{}", string(good) + " "} {
+		path := filepath.Join(t.TempDir(), "bans") // with no generation before it
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		d, b := desk(path)
 		assert.False(t, d.Load())
@@ -100,3 +101,59 @@
 	assert.Len(t, told, 1)
 	assert.ErrorIs(t, d.Online("c"), ErrUnknown)
 }
+
+// TestBanOverAWallStep: the wall clock is stepped by an hour, either way, before or during a ban. The backend that is called back
+// counts as started at the call by the core's clock, in this process, in one that takes over and in one that reads the file.
+func TestBanOverAWallStep(t *testing.T) {
+	const hour = 3_600_000.0
+	for _, step := range []float64{hour, -hour} {
+		for _, during := range []bool{false, true} {
+			wall, mono := 1e12, 1e12
+			path := filepath.Join(t.TempDir(), "bans")
+			clocked := func(d *Desk, origin float64) {
+				d.Now = func() float64 { return mono + origin }
+				d.Wall = func() time.Time { return time.UnixMicro(int64(wall * 1000)) }
+			}
+			d, b := desk(path)
+			clocked(d, 0)
+			started := map[string]float64{}
+			told := d.Told
+			d.Told = func(kind balance.ListKind, list []core.Entry) {
+				told(kind, list)
+				for i := range list {
+					started[list[i].Name] = list[i].Started
+				}
+			}
+			d.Listed(balance.ListFull, ready("a"))
+			if !during {
+				wall += step
+			}
+			require.NoError(t, d.Offline("a"))
+			mono, wall = mono+5000, wall+5000
+			if during {
+				wall += step
+			}
+			require.NoError(t, d.Online("a"))
+			assert.Equal(t, balance.Ready, b.last["a"])
+			assert.Equal(t, mono, started["a"], "step %v", step)
+
+			mono, wall = mono+2000, wall+2000
+			next, _ := desk(path)
+			clocked(next, 777_000) // its process began by another wall clock
+			next.Told = func(_ balance.ListKind, list []core.Entry) {
+				for i := range list {
+					started[list[i].Name] = list[i].Started
+				}
+			}
+			next.Load()
+			next.Listed(balance.ListCached, ready("a"))
+			assert.InDelta(t, mono+777_000-2000, started["a"], 1, "by the file")
+			other, _ := desk("")
+			clocked(other, -5000)
+			other.Told = next.Told
+			other.Merge(d.Share(func(maintenance.Mark) {}))
+			other.Listed(balance.ListCached, ready("a"))
+			assert.InDelta(t, mono-5000-2000, started["a"], 1, "by a hand-over")
+		}
+	}
+}
--- /dev/null
+++ b/internal/network/maintain/store_test.go
@@ -0,0 +1,98 @@
+package maintain
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tinsail/internal/balance"
+	"tinsail/internal/maintenance"
+)
+
+// failingStore fails by err for a while.
+type failingStore struct {
+	err   error
+	until time.Time
+	tries int
+	text  []byte
+}
+
+func (s *failingStore) Write(text []byte) error {
+	if s.tries++; time.Now().Before(s.until) {
+		return s.err
+	}
+	s.text = text
+	return nil
+}
+
+func (s *failingStore) Read() ([][]byte, error) { return nil, s.err }
+
+// TestFolderFails: writes fail for a while. The ban holds and says that it would not outlive the process; that is told until it
+// does, which it comes to without a further call, and without a try more often than need be.
+func TestFolderFails(t *testing.T) {
+	for _, errno := range []error{syscall.ENOSPC, syscall.EIO} {
+		synctest.Test(t, func(t *testing.T) {
+			d, b := desk("")
+			s := &failingStore{err: errno, until: time.Now().Add(10 * time.Second)}
+			d.Store = s
+			counts := func() map[string]int64 {
+				all := map[string]int64{}
+				d.Each(func(name string, n int64) { all[name] = n })
+				return all
+			}
+			d.Listed(balance.ListFull, ready("a"))
+			assert.ErrorIs(t, d.Offline("a"), errno)
+			assert.Equal(t, balance.Draining, b.last["a"], "it holds here")
+			assert.EqualValues(t, 1, counts()["bans_unkept"])
+			time.Sleep(13 * time.Second)
+			synctest.Wait()
+			assert.Zero(t, counts()["bans_unkept"])
+			assert.LessOrEqual(t, s.tries, 11)
+			k, err := maintenance.ReadKept(s.text)
+			require.NoError(t, err)
+			assert.True(t, k.Marks[0].Banned)
+			tries := s.tries
+			time.Sleep(time.Minute)
+			assert.Equal(t, tries, s.tries, "it rests once it is kept")
+		})
+	}
+}
+
+// TestKillDuringKeep: whatever a kill leaves of a write, the next process finds the last generation that was whole, and what was
+// half written goes.
+func TestKillDuringKeep(t *testing.T) {
+	dead := exec.Command("/bin/true")
+	require.NoError(t, dead.Run())
+	for name, leave := range map[string]func(path string){
+		"before the rename": func(path string) {
+			require.NoError(t, os.WriteFile(fmt.Sprintf("%s.%d", path, dead.Process.Pid), []byte("half"), 0o600))
+		},
+		"a damaged file": func(path string) { require.NoError(t, os.WriteFile(path, []byte("half"), 0o600)) },
+		"an empty file":  func(path string) { require.NoError(t, os.WriteFile(path, nil, 0o600)) },
+		"no file":        func(path string) { require.NoError(t, os.Remove(path)) },
+	} {
+		path := filepath.Join(t.TempDir(), "bans")
+		d, _ := desk(path)
+		d.Listed(balance.ListFull, ready("a", "b"))
+		require.NoError(t, d.Offline("a"))
+		require.NoError(t, d.SetOut(true)) // the generation before holds the ban as well
+		leave(path)
+		next, b := desk(path)
+		next.Load()
+		assert.Equal(t, []string{"a"}, next.Banned(), name)
+		next.Listed(balance.ListFull, ready("a", "b"))
+		assert.Equal(t, balance.Draining, b.last["a"], name)
+		require.NoError(t, next.Online("a"))
+		files, err := filepath.Glob(path + "*")
+		require.NoError(t, err)
+		assert.ElementsMatch(t, []string{path, path + oldSuffix}, files, name)
+	}
+}
