--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual measure-capacity capacity-page measure-hollow measure-size
+.PHONY: build demo test lint run measure measure-members measure-door measure-lab measure-cost measure-accord measure-quota measure-virtual measure-capacity capacity-page measure-hollow measure-size soak
 
 # A fresh machine needs Go 1.26, make and gcc (cgo, the external linker, -race); modules come by go.mod and go.sum.
 
@@ -76,5 +76,11 @@
 measure-size:
 	HOLLOW_DAY=full go test -count=1 -v -timeout 20m -run TestDay ./internal/lab/hollow/size
 
+# Real processes under overlapping troubles, judged by what the far sides saw: SEEDS=1-200 MINUTES=15 SIDE=4; SHRINK=1 plays a
+# seed that fails again with fewer troubles. docs/operators/soak.md.
+soak: build
+	CGO_ENABLED=1 go build -buildvcs=false -ldflags=-linkmode=external -tags shim -o bin/tinsail-shim ./cmd/tinsail
+	go run ./internal/lab/soak/run -seeds $(or $(SEEDS),1-200) -minutes $(or $(MINUTES),15) -side $(or $(SIDE),4) $(if $(SHRINK),-shrink)
+
 run: build
 	exec bin/tinsail serve
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -128,21 +128,24 @@
 	d := &dispatcher{cfg: cfg, log: log, count: &counters.Set{}, guard: &guard.Recorder{Log: log}}
 	d.ready.begun = time.Now()
 	share := network.Share(network.Allowed(cfg.Sockets) - doorSockets(cfg))
-	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: network.TCP, Idle: cfg.ConnIdle * 7 / 10,
+	d.pool = &network.Pool{Names: &cfg.Names, Count: d.count, Most: share.Backends, Dial: system.dial, Idle: cfg.ConnIdle * 7 / 10,
 		Connect: time.Duration(cfg.Settings.ConnectTimeout * float64(time.Millisecond))}
-	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: network.TCP}
+	d.director = &network.Director{Names: &cfg.Names, Count: d.count, Address: cfg.Discovery, Dial: system.dial}
 	if d.director.Pace = network.Pushed().Within(time.Duration(cfg.Settings.Rules.DrainGrace * float64(time.Millisecond))); cfg.Settings.Subscribe {
 		d.director.Pace = network.Asked(time.Duration(cfg.Settings.Rules.AskEvery * float64(time.Millisecond)))
 	}
 	var err error
-	if d.core, err = core.New(cfg.Settings, d.pool, d.director, d.count); err != nil {
+	if d.core, err = core.NewAt(system.now, cfg.Settings, d.pool, d.director, d.count); err != nil {
 		return nil, err
 	}
 	d.core.Log, d.core.Guard = log, d.guard
 	if d.listed = d.tellCore; cfg.Admin != "" || set.Accord != nil {
-		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Now: d.core.Now, Log: log}
+		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Now: d.core.Now, Wall: system.now, Log: log}
 		if cfg.Admin != "" {
 			d.desk.Path = keptPath(cfg, "bans")
+			if system.store != nil {
+				d.desk.Store = system.store(maintain.File(d.desk.Path))
+			}
 		}
 		d.listed = d.desk.Listed
 	}
@@ -235,9 +238,9 @@
 
 // accept takes clients in.
 func (d *dispatcher) accept() {
-	go d.clients.Serve(d.listener)
+	go d.clients.Serve(system.listener(d.listener))
 	if d.http2 != nil {
-		go d.http2.Serve(d.listener2)
+		go d.http2.Serve(system.listener(d.listener2))
 	}
 }
 
--- a/internal/network/maintain/store.go
+++ b/internal/network/maintain/store.go
@@ -26,6 +26,9 @@
 // that was being written by a process that was killed has that process's number in its name, and goes with the next Read.
 type fileStore struct{ path string }
 
+// File keeps marks in a file at a path.
+func File(path string) Store { return fileStore{path} }
+
 const oldSuffix = ".old"
 
 func (s fileStore) Write(text []byte) error {
--- a/internal/standin/history/history.go
+++ b/internal/standin/history/history.go
@@ -17,6 +17,11 @@
 	Taken  time.Time // its last byte was written; zero: it never was whole, and nothing is owed
 	Until  time.Time // its client waits until then; zero: for good
 	Gone   bool      // its client went away before the answer
+	GoneAt time.Time // when; zero: not known
+	// Reused says that its connection had carried another: a close that crosses it, unread, is no breach, as its client
+	// sends it once more.
+	Reused bool
+	Window time.Duration // for repeats of a keyed class; zero: there is no bound
 }
 
 // Answer is a final answer that came whole.
@@ -52,6 +57,18 @@
 type Rules struct {
 	Stop time.Duration // sends to a draining backend end so long after it counted as told
 	Late time.Duration // an answer later than its time by more is lost
+	// The newest terms; a zero Told has them not judged.
+	Told    time.Duration // a backend may be told more than the client has left by so much
+	Gone    time.Duration // an attempt may begin so long after its client has gone
+	Machine time.Duration // for what lies between an event and its note here
+}
+
+// Newest are the published figures with the newest terms. machine is what the far sides' own clocks may be late by.
+func Newest(stopSending, machine time.Duration) Rules {
+	r := Published(stopSending)
+	r.Stop, r.Late = r.Stop+machine, r.Late+machine
+	r.Told, r.Gone, r.Machine = 150*time.Millisecond, 100*time.Millisecond, machine
+	return r
 }
 
 // Slack is what the page adds to each time limit on sockets.
@@ -64,7 +81,7 @@
 
 // Breach is a broken rule.
 type Breach struct {
-	Rule string // drain, twice, lost, answers, reset, refusal, forged
+	Rule string // drain, twice, lost, answers, reset, refusal, forged, told, gone, window
 	ID   string // of the req, where there is one
 	Says string
 }
@@ -158,6 +175,9 @@
 			}
 		}
 	}
+	if rules.Told > 0 {
+		judgeNewest(r, attempts, rules, say)
+	}
 	for _, a := range answers {
 		made, ran := false, false
 		for _, at := range attempts {
@@ -172,6 +192,7 @@
 	}
 	switch {
 	case r.Taken.IsZero() || r.Gone:
+	case reset != "" && r.Reused && len(attempts) == 0: // its client sends it once more
 	case reset != "":
 		say("reset", "its connection ended before its answer: %s", reset)
 	case len(answers) == 0:
@@ -185,6 +206,24 @@
 	return out
 }
 
+// judgeNewest judges what was told, what began for a client that had gone, and when a keyed request was repeated.
+func judgeNewest(r Req, attempts []*Attempt, rules Rules, say func(rule, form string, args ...any)) {
+	for i, a := range attempts {
+		if left := r.Until.Sub(a.First); !r.Until.IsZero() && a.Told > max(left, 0)+rules.Told+rules.Machine {
+			say("told", "%s was told %v where %v were left", a.Backend, a.Told, left)
+		}
+		if !r.GoneAt.IsZero() && a.First.Sub(r.GoneAt) > rules.Gone+rules.Machine {
+			say("gone", "it began at %s %v after its client had gone", a.Backend, a.First.Sub(r.GoneAt))
+		}
+		for _, b := range attempts[:i] {
+			first, second := inOrder(a, b)
+			if apart := second.First.Sub(first.First); r.Window > 0 && first.mayHaveRun() && apart > r.Window+rules.Machine {
+				say("window", "it began at %s, and %v later at %s", first.Backend, apart, second.Backend)
+			}
+		}
+	}
+}
+
 // inOrder puts two attempts in the order in which they began.
 func inOrder(a, b *Attempt) (first, second *Attempt) {
 	if b.First.Before(a.First) {
--- a/internal/standin/history/history_test.go
+++ b/internal/standin/history/history_test.go
@@ -55,6 +55,14 @@
 		"an empty result is none":  {[]string{"forged"}, func(h *History) { clean(h); h.answers[0].Body, h.attempts[0].Result = "", "" }},
 		"another req's result":     {[]string{"forged"}, func(h *History) { clean(h); h.attempts[0].ID = "z" }},
 		"a reset after the answer": {[]string{"reset"}, func(h *History) { clean(h); h.Reset("a", "cut inside its body") }},
+		"crossed a close unread":   {nil, func(h *History) { r := req; r.Reused = true; h.Asked(r); h.Reset("a", "EOF") }},
+		"crossed a close, and ran": {[]string{"reset"}, func(h *History) {
+			r := req
+			r.Reused = true
+			h.Asked(r)
+			h.Attempted(ran)
+			h.Reset("a", "EOF")
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &History{}
@@ -68,3 +76,38 @@
 		})
 	}
 }
+
+// TestNewestSaysNo: the newest terms, each up to its last millisecond.
+func TestNewestSaysNo(t *testing.T) {
+	const machine = 10 * time.Millisecond
+	req := Req{Node: "n", ID: "a", Taken: ms(0), Until: ms(1000), Window: 500 * time.Millisecond}
+	ran := Attempt{ID: "a", Backend: "b0", First: ms(100), Last: ms(101), Result: "small", Told: 900 * time.Millisecond}
+	for name, c := range map[string]struct {
+		change func(*Req, *Attempt, *Attempt)
+		want   []string
+	}{
+		"in order":             {func(*Req, *Attempt, *Attempt) {}, nil},
+		"told with slack":      {func(_ *Req, a, _ *Attempt) { a.Told = 1060 * time.Millisecond }, nil},
+		"told too much":        {func(_ *Req, a, _ *Attempt) { a.Told = 1061 * time.Millisecond }, []string{"told"}},
+		"told nothing":         {func(_ *Req, a, _ *Attempt) { a.Told = -1 }, nil},
+		"just gone":            {func(r *Req, _, _ *Attempt) { r.Gone, r.GoneAt = true, ms(190) }, nil},
+		"gone":                 {func(r *Req, _, _ *Attempt) { r.Gone, r.GoneAt = true, ms(189) }, []string{"gone"}},
+		"outside":              {func(_ *Req, _, b *Attempt) { b.First, b.Told = ms(611), 0 }, []string{"window"}},
+		"inside":               {func(_ *Req, _, b *Attempt) { b.First, b.Told = ms(610), 0 }, nil},
+		"outside, handed back": {func(_ *Req, a, b *Attempt) { a.Never, b.First, b.Told = true, ms(900), 0 }, nil},
+	} {
+		r, a, b := req, ran, ran
+		b.Backend, b.First, b.Last = "b1", ms(300), ms(301)
+		b.Told = 700 * time.Millisecond
+		c.change(&r, &a, &b)
+		h := &History{}
+		h.Asked(r)
+		h.Attempted(a, b)
+		h.Answered(Answer{ID: "a", At: ms(700), Status: 200, Body: "small"})
+		var got []string
+		for _, x := range h.Judge(Newest(500*time.Millisecond, machine)) {
+			got = append(got, x.Rule)
+		}
+		assert.Equal(t, c.want, got, name)
+	}
+}
