--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -156,11 +156,14 @@
 	c.history.Asked(r)
 	c.history.Answered(history.Answer{ID: id, At: time.Now(), Status: a.StatusCode, Body: string(body)})
 	c.judged.Add(1)
-	if c.used = true; a.Close {
+	if c.used = true; a.Close || c.rng.IntN(newConnectionEvery) == 0 {
 		c.drop()
 	}
 }
 
+// newConnectionEvery is after how many answers, on average, a client takes a new connection.
+const newConnectionEvery = 8
+
 // answerWait is how long after its time a client waits on, to tell a late answer from none.
 const answerWait = 3 * time.Second
 
--- a/internal/lab/soak/play.go
+++ b/internal/lab/soak/play.go
@@ -61,9 +61,18 @@
 	p.broken = append(p.broken, fmt.Sprintf(form, args...))
 }
 
-// machine is what the far sides may note too late on a busy machine; the page's hold-up comes on top, since every play may hold
-// processes up.
-const machine = 60*time.Millisecond + holdUp
+// machine is what the far sides may note too late on a busy machine. Where a play holds processes up, what the page grants for
+// that comes on top.
+const machine = 60 * time.Millisecond
+
+func (s *Schedule) slack() time.Duration {
+	for _, t := range s.Troubles {
+		if t.Kind == HoldUp {
+			return machine + holdUp
+		}
+	}
+	return machine
+}
 
 // Play plays a schedule and judges it. The folder is removed.
 func Play(s Schedule, with Programs) (*Result, error) {
@@ -136,7 +145,7 @@
 			}
 		}
 	}
-	for _, b := range p.history.Judge(history.Newest(stopSending, machine)) {
+	for _, b := range p.history.Judge(history.Newest(stopSending, p.slack())) {
 		r.Breaches = append(r.Breaches, b.String())
 	}
 	for _, n := range p.nodes {
--- a/internal/lab/soak/trouble.go
+++ b/internal/lab/soak/trouble.go
@@ -77,7 +77,7 @@
 	case CloseEach:
 		p.faults(b, platform.Faults{CloseEach: true}, t.For)
 	case Errno:
-		p.shim(n, []string{"EMFILE", "ENFILE", "ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "ECONNABORTED"}[t.Target%6], 300*time.Millisecond)
+		p.shim(n, []string{"EMFILE", "ENFILE", "ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "ECONNABORTED"}[t.Target%6], shortage)
 	case ShortIO:
 		p.shim(n, "short", t.For)
 	case Folder:
@@ -107,7 +107,10 @@
 	_ = os.WriteFile(name, nil, 0o600)
 }
 
-// shortOfDescriptors leaves a process no further descriptor for a while, three times in all.
+// shortage is how long a process is short of something at the system's border.
+const shortage = 400 * time.Millisecond
+
+// shortOfDescriptors leaves a process no further descriptor for a while, twice in all.
 func (p *play) shortOfDescriptors(l *life, lasts time.Duration) {
 	var old unix.Rlimit
 	if unix.Prlimit(l.cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &old) != nil {
@@ -115,9 +118,9 @@
 	}
 	for range 2 {
 		_ = unix.Prlimit(l.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 8, Max: old.Max}, nil)
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(shortage)
 		_ = unix.Prlimit(l.cmd.Process.Pid, unix.RLIMIT_NOFILE, &old, nil)
-		time.Sleep(max(lasts/2-300*time.Millisecond, 50*time.Millisecond))
+		time.Sleep(max(lasts/2-shortage, 50*time.Millisecond))
 	}
 }
 
