Rename: session state, shed rank, late reads, the manager of bans

The table's seat is a sessionState, its rank a shedRank (the order in which sessions are shed), ebb is reading late, maintain.Desk is a Manager: field terms in place of an earlier house style's. No behaviour changes.

--- a/cmd/tinsail/accord.go
+++ b/cmd/tinsail/accord.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	d.desk.Policy(p.Bans)
+	d.bans.Policy(p.Bans)
 	if d.quotas != nil {
 		d.quotas.enter(p)
 	}
--- a/cmd/tinsail/door.go
+++ b/cmd/tinsail/door.go
@@ -69,17 +69,17 @@
 	case door.OutOfService:
 		d.service.Out()
 		d.handover.tellOut(true)
-		return kept(d.desk.SetOut(true), "goes out of service: not ready, drains, and runs on")
+		return kept(d.bans.SetOut(true), "goes out of service: not ready, drains, and runs on")
 	case door.InService:
 		if !d.service.In() {
 			return no(503, "shutting down")
 		}
 		d.handover.tellOut(false)
-		return kept(d.desk.SetOut(false), "in service")
+		return kept(d.bans.SetOut(false), "in service")
 	case door.Offline:
-		return kept(d.desk.Offline(c.Backend), "nothing more goes to "+c.Backend)
+		return kept(d.bans.Offline(c.Backend), "nothing more goes to "+c.Backend)
 	case door.Online:
-		return kept(d.desk.Online(c.Backend), c.Backend+" is used again, if its source says that it is ready")
+		return kept(d.bans.Online(c.Backend), c.Backend+" is used again, if its source says that it is ready")
 	case door.Metrics:
 		text, err := d.metrics()
 		if err != nil {
--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -115,7 +115,7 @@
 	giving               chan struct{} // closed when there is no one to give to any more
 }
 
-// addHandover makes this process's part. d.service and d.desk are there.
+// addHandover makes this process's part. d.service and d.bans are there.
 func (d *dispatcher) addHandover(from handed) {
 	t := &takeover{d: d, from: from, have: d.cfg.Sockets, memory: d.cfg.Memory}
 	t.server = &handoff.Server{Path: keptPath(d.cfg, "sock"), Me: helloOf(d.cfg), Log: d.log,
@@ -135,10 +135,10 @@
 	if s.Out {
 		d.service.Out()
 	}
-	if err := d.desk.SetOut(s.Out); err != nil {
+	if err := d.bans.SetOut(s.Out); err != nil {
 		d.log.Error().Err(err).Msg("bans not kept")
 	}
-	d.desk.Merge(s.Marks)
+	d.bans.Merge(s.Marks)
 	for _, b := range s.List {
 		w := balance.Worker{ID: balance.WorkerID(platform.Hash(b.Name)), Started: b.Started, Kind: b.Kind, Cell: b.Cell, Zone: b.Zone, State: balance.State(b.State), Weight: b.Weight}
 		list = append(list, core.Entry{Worker: w, Name: b.Name, Address: b.Address})
@@ -228,7 +228,7 @@
 			t.d.resize(sockets, memory)
 		}
 	case n.Mark != nil:
-		t.d.desk.Merge([]maintenance.Mark{*n.Mark})
+		t.d.bans.Merge([]maintenance.Mark{*n.Mark})
 	case n.Out != nil:
 		t.d.setOut(*n.Out)
 	}
@@ -241,7 +241,7 @@
 	} else {
 		d.service.In()
 	}
-	if err := d.desk.SetOut(out); err != nil {
+	if err := d.bans.SetOut(out); err != nil {
 		d.log.Error().Err(err).Msg("bans not kept")
 	}
 }
@@ -251,7 +251,7 @@
 	t.mu.Lock()
 	t.peer = l
 	t.mu.Unlock()
-	for _, m := range t.d.desk.Share(func(m maintenance.Mark) { _ = l.Send(handover.News{Mark: &m}) }) {
+	for _, m := range t.d.bans.Share(func(m maintenance.Mark) { _ = l.Send(handover.News{Mark: &m}) }) {
 		_ = l.Send(handover.News{Mark: &m})
 	}
 }
@@ -280,7 +280,7 @@
 	}
 	t.mu.Unlock()
 	if alone {
-		t.d.desk.Share(nil)
+		t.d.bans.Share(nil)
 		t.d.resize(t.d.cfg.Sockets, t.d.cfg.Memory)
 		t.d.core.Retire(false) // the whole budget of cold backends is this process's again
 	}
@@ -304,7 +304,7 @@
 	d.resize(keep, memory)
 	d.core.Retire(true)
 	s := handover.State{Sockets: give, Memory: memory, Out: d.service.IsOut()}
-	list, marks := d.desk.State()
+	list, marks := d.bans.State()
 	s.Marks = marks
 	for _, b := range list {
 		s.List = append(s.List, handover.Backend{Name: b.Name, Address: b.Address, Kind: b.Kind, Zone: b.Zone, Cell: b.Cell,
@@ -360,7 +360,7 @@
 	t.peer, t.have, t.memory = nil, t.total, t.memory*2
 	sockets, memory := t.have, t.memory
 	t.mu.Unlock()
-	t.d.desk.Share(nil)
+	t.d.bans.Share(nil)
 	t.d.resize(sockets, memory)
 	t.d.core.Retire(false)
 	t.failed.Add(1)
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -102,7 +102,7 @@
 	clients  *network.Clients
 	service  *network.Service
 	listener net.Listener
-	desk     *maintain.Desk // bans; nil where there is no door and no accord
+	bans     *maintain.Manager // bans; nil where there is no door and no accord
 	listed   func(balance.ListKind, []core.Entry)
 	door     *admin.Server // nil where it is off
 	doorAt   net.Listener
@@ -141,14 +141,14 @@
 	d.core.Log, d.core.Guard = log, d.guard
 	d.core.StepWall(system.wallOff)
 	if d.listed = d.tellCore; cfg.Admin != "" || set.Accord != nil {
-		d.desk = &maintain.Desk{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Now: d.core.Now, Wall: system.wall, Log: log}
+		d.bans = &maintain.Manager{Told: d.tellCore, Withhold: d.core.Withhold, HangUp: d.pool.HangUpOn, Now: d.core.Now, Wall: system.wall, Log: log}
 		if cfg.Admin != "" {
-			d.desk.Path = keptPath(cfg, "bans")
+			d.bans.Path = keptPath(cfg, "bans")
 			if system.store != nil {
-				d.desk.Store = system.store(maintain.File(d.desk.Path))
+				d.bans.Store = system.store(maintain.File(d.bans.Path))
 			}
 		}
-		d.listed = d.desk.Listed
+		d.listed = d.bans.Listed
 	}
 	d.director.Told, d.director.Heard = d.listed, d.core.Heard
 	d.clients = &network.Clients{Names: &cfg.Names, Count: d.count, Core: d.core, Most: share.Clients, Usual: share.Usual,
@@ -200,7 +200,7 @@
 
 // start has all parts run, in the background.
 func (d *dispatcher) start() {
-	if d.desk != nil && d.desk.Load() && d.handover.from.link == nil {
+	if d.bans != nil && d.bans.Load() && d.handover.from.link == nil {
 		d.service.Out()
 	}
 	known := d.cfg.Known.Entries
@@ -343,8 +343,8 @@
 	}
 	if d.door != nil {
 		d.door.Count.Each(f)
-		f("banned", int64(len(d.desk.Banned())))
-		d.desk.Each(f)
+		f("banned", int64(len(d.bans.Banned())))
+		d.bans.Each(f)
 		f("service_state", int64(d.service.State()))
 		d.handover.each(f)
 	}
--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -15,16 +15,16 @@
 // one. It is read all the same: only who reads sees the end of a connection, and a close over unread bytes
 // resets it, which takes an answer that is not read yet with it.
 const (
-	aheadMost  = platform.MaxHead + platform.MaxBody // kept: one more req, as long as any may be
-	dropPiece  = 16 << 10                            // read at a time of what is not kept
-	dropFree   = 256 << 10                           // of what is not kept, before it is read with pauses
-	dropPause  = time.Millisecond                    // after each piece: a flood must not use up the processor
-	lingerMost = 1 << 20                             // bytes after the last answer
-	lingerWait = 500 * time.Millisecond              // for a client to read its last answer and to close
-	drainWait  = 150 * time.Millisecond              // the same where the process is about to end: some round trips
-	hereLook   = 200 * time.Microsecond              // for what has come already to be read, where a descriptor is waited for
-	ebbWait    = 30 * time.Millisecond               // for one of those to go, once a newcomer has waited for roomWait
-	ebbMost    = 100 * time.Millisecond              // for a client that sends on to end, where its descriptor is wanted and nobody waits for it in vain
+	aheadMost    = platform.MaxHead + platform.MaxBody // kept: one more req, as long as any may be
+	dropPiece    = 16 << 10                            // read at a time of what is not kept
+	dropFree     = 256 << 10                           // of what is not kept, before it is read with pauses
+	dropPause    = time.Millisecond                    // after each piece: a flood must not use up the processor
+	lingerMost   = 1 << 20                             // bytes after the last answer
+	lingerWait   = 500 * time.Millisecond              // for a client to read its last answer and to close
+	drainWait    = 150 * time.Millisecond              // the same where the process is about to end: some round trips
+	hereLook     = 200 * time.Microsecond              // for what has come already to be read, where a descriptor is waited for
+	lateReadWait = 30 * time.Millisecond               // for one of those to go, once a newcomer has waited for roomWait
+	lateReadMost = 100 * time.Millisecond              // for a client that sends on to end, where its descriptor is wanted and nobody waits for it in vain
 )
 
 // waste is space for bytes that nobody will read.
@@ -42,7 +42,7 @@
 		close(gone)
 		s.conn.Close() // an answer that is just being written ends by that
 	}
-	// The writer is done with the seat before that is given up, or it would be put back into the table.
+	// The writer is done with the session's state before that leaves the table, or it would be put back into the table.
 	w := <-done
 	a.release()
 	s.done(w.free)
@@ -55,9 +55,9 @@
 	}
 	if s.in.Ahead() > 0 {
 		s.turn = time.Now()
-		s.clients.table.begun(&s.seat)
+		s.clients.table.begun(&s.sessionState)
 	} else {
-		s.looked = s.clients.table.over(&s.seat)
+		s.looked = s.clients.table.over(&s.sessionState)
 	}
 	return 0, false
 }
@@ -76,7 +76,7 @@
 	t := &a.clients.table
 	if a.in.Ahead() > 0 { // sent with the req, and nothing wakes a read for it
 		a.came = a.session.read
-		if !t.sentAhead(&a.seat) {
+		if !t.sentAhead(&a.sessionState) {
 			return true
 		}
 	}
@@ -84,11 +84,11 @@
 		n, err := a.take()
 		switch {
 		case n > 0:
-			if !t.sentAhead(&a.seat) {
+			if !t.sentAhead(&a.sessionState) {
 				return true
 			}
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if !t.stillOwed(&a.seat) {
+			if !t.stillOwed(&a.sessionState) {
 				return true
 			}
 		default: // what it sent ahead is not for anybody any more
@@ -142,7 +142,7 @@
 	t := &a.clients.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return a.seat.ahead, a.flooded
+	return a.sessionState.ahead, a.flooded
 }
 
 func (s *session) done(free bool) {
@@ -163,10 +163,10 @@
 	}
 	t := &s.clients.table
 	some, flooded := behind.lies()
-	closing = closing || flooded || !some && (s.clients.told().Close || t.isShed(&s.seat))
+	closing = closing || flooded || !some && (s.clients.told().Close || t.isShed(&s.sessionState))
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
 	s.note(guard.RequestWritten, s.closes(closing, flooded, err))
-	closing = t.answered(&s.seat, true, closing || err != nil, long)
+	closing = t.answered(&s.sessionState, true, closing || err != nil, long)
 	t.trim(s.clients.usual())
 	done <- written{a.Free, closing, err}
 }
@@ -182,24 +182,24 @@
 	}
 	left := lingerMost
 	s.note(guard.SessionLingers, nil)
-	if c.table.linger(&s.seat, c.most()) {
+	if c.table.linger(&s.sessionState, c.most()) {
 		wait := lingerWait
 		if c.told().Close {
 			wait = drainWait
 		}
-		c.table.lingerUntil(&s.seat, time.Now().Add(wait))
+		c.table.lingerUntil(&s.sessionState, time.Now().Add(wait))
 		var over bool
-		if left, over = s.dropUntil(left); over || !c.table.isShed(&s.seat) {
+		if left, over = s.dropUntil(left); over || !c.table.isShed(&s.sessionState) {
 			return
 		}
 	}
-	s.ebb(left)
+	s.readLate(left)
 }
 
-// ebb reads on where the descriptor of a session that has had its last answer is wanted, before the close: what has come by
+// readLate reads on where the descriptor of a session that has had its last answer is wanted, before the close: what has come by
 // now, and what comes of a client that has sent on behind its last req, until that has read the answer and ends too. A
 // close while its bytes come would reset the connection, and the answer with it.
-func (s *session) ebb(left int) {
+func (s *session) readLate(left int) {
 	if left == lingerMost && !s.in.Partial() {
 		s.conn.SetReadDeadline(time.Now().Add(hereLook))
 		var over bool
@@ -207,7 +207,7 @@
 			return
 		}
 	}
-	s.clients.table.ebb(&s.seat, time.Now().Add(ebbMost))
+	s.clients.table.readLate(&s.sessionState, time.Now().Add(lateReadMost))
 	s.dropUntil(left)
 }
 
--- a/internal/network/await_test.go
+++ b/internal/network/await_test.go
@@ -300,7 +300,7 @@
 	return c.Conn.Close()
 }
 
-// TestGoneWhileAnswered: a client that goes in the instant in which its answer is written leaves nothing in the table. A seat
+// TestGoneWhileAnswered: a client that goes in the instant in which its answer is written leaves nothing in the table. A state
 // that came back would be taken for a session that can be shed.
 func TestGoneWhileAnswered(t *testing.T) {
 	s := serveReal(t, instant{"r"})
@@ -312,8 +312,8 @@
 	conn, err := l.Accept()
 	require.NoError(t, err)
 	held := &stuck{Conn: conn, writes: make(chan struct{}), closed: make(chan struct{}), given: func() bool { return s.clients.Open() == 0 }}
-	one := &session{seat: seat{conn: held}, clients: s.clients, answer: make(chan core.Answer, 1)}
-	s.clients.enter(&one.seat)
+	one := &session{sessionState: sessionState{conn: held}, clients: s.clients, answer: make(chan core.Answer, 1)}
+	s.clients.enter(&one.sessionState)
 	go one.run()
 	_, err = io.WriteString(client, photo("a", "", "z"))
 	require.NoError(t, err)
@@ -335,16 +335,16 @@
 // TestOwedUntilWritten: an answer that is decided and not yet written counts as owed in a shutdown, in whatever row its session
 // is: one that was told to close took a req that crossed that.
 func TestOwedUntilWritten(t *testing.T) {
-	for name, end := range map[string]func(*table, *seat){
-		"answered": func(t *table, s *seat) { t.answered(s, true, false, false) },
-		"gone":     func(t *table, s *seat) { t.leave(s) },
+	for name, end := range map[string]func(*table, *sessionState){
+		"answered": func(t *table, s *sessionState) { t.answered(s, true, false, false) },
+		"gone":     func(t *table, s *sessionState) { t.leave(s) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			var list table
 			near, far := net.Pipe()
 			defer near.Close()
 			defer far.Close()
-			one := &seat{conn: near}
+			one := &sessionState{conn: near}
 			list.enter(one, 9, nil)
 			list.shut(one, guard.ServiceEnds)
 			list.taken(one)
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -92,7 +92,7 @@
 // session is one client's connection. Its goroutine reads; the answer of a req is written by
 // another, so that a client that goes away meanwhile is noticed.
 type session struct {
-	seat
+	sessionState
 	clients *Clients
 	arrival *arrival
 	excess  bool   // beyond the budget: turned away at its first req
@@ -142,9 +142,9 @@
 // ask, a few are read so that they can be told, and the rest is told unread: to wait for them
 // would leave the usual clients in the kernel's queue behind those who fill it.
 func (c *Clients) admit(conn net.Conn) {
-	s := &session{seat: seat{conn: conn}, clients: c, arrival: newArrival(conn, c.queue.from()), answer: make(chan core.Answer, 1)}
+	s := &session{sessionState: sessionState{conn: conn}, clients: c, arrival: newArrival(conn, c.queue.from()), answer: make(chan core.Answer, 1)}
 	s.in.Admit = s.hold
-	excess, room := c.enter(&s.seat)
+	excess, room := c.enter(&s.sessionState)
 	if s.excess = excess; !room {
 		c.turnAway(s)
 		return
@@ -154,7 +154,7 @@
 
 // enter seats a session of either front. excess says that it is beyond the budget and all others
 // are owed an answer, room whether it can be read to be told so.
-func (c *Clients) enter(s *seat) (excess, room bool) {
+func (c *Clients) enter(s *sessionState) (excess, room bool) {
 	c.Count.ClientSessions.Add(1)
 	most := c.most()
 	n, all, shed := c.table.enter(s, most, c.Guard)
@@ -172,7 +172,7 @@
 	if t.waitBelow(n, roomWait) {
 		return true
 	}
-	return t.ebbing() != nil && (t.waitBelow(n, ebbWait) || t.cutEbb() && t.waitBelow(n, roomWait))
+	return t.lateReader() != nil && (t.waitBelow(n, lateReadWait) || t.cutLateReader() && t.waitBelow(n, roomWait))
 }
 
 func (s *session) run() {
@@ -184,7 +184,7 @@
 	s.conn.Close()
 	s.release()
 	s.clients.Count.Endings[e].Add(1)
-	s.clients.table.leave(&s.seat)
+	s.clients.table.leave(&s.sessionState)
 	s.note(guard.SessionClosed, e)
 }
 
@@ -259,7 +259,7 @@
 	}
 	s.in.Filled(n)
 	s.looked = false
-	s.clients.table.begun(&s.seat)
+	s.clients.table.begun(&s.sessionState)
 }
 
 // wait sets the time to wait for bytes. The first req has its time from connecting on, however
@@ -293,7 +293,7 @@
 		return core.ClientClosed
 	}
 	e := core.ClientSilent
-	if s.clients.table.isShed(&s.seat) {
+	if s.clients.table.isShed(&s.sessionState) {
 		e = core.SessionShed
 	}
 	switch {
@@ -352,7 +352,7 @@
 	}
 	left := c.patience(w.Left, s.came)
 	s.until = s.came.Add(left)
-	c.table.taken(&s.seat)
+	c.table.taken(&s.sessionState)
 	s.request = w.ID
 	c.table.trim(c.usual()) // as soon as more are busy: the next client may find no connection left
 	job := &core.Job{Method: q.Method, Target: q.Target, ID: w.ID, IdempotencyKey: w.IdempotencyKey, Body: q.Body}
@@ -382,7 +382,7 @@
 	if s.write(platform.AppendAnswer(nil, status, 0, closing, body)) != nil {
 		return core.ClientClosed, true
 	}
-	return core.SessionDone, c.table.answered(&s.seat, false, closing, false)
+	return core.SessionDone, c.table.answered(&s.sessionState, false, closing, false)
 }
 
 // look answers what asks how things are.
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -50,7 +50,7 @@
 // mu, which is never held while either waits. The core's goroutine only leaves its answers in
 // the mail.
 type streams struct {
-	seat
+	sessionState
 	front  *HTTP2
 	limits *HTTP2Limits
 	excess bool
@@ -106,7 +106,7 @@
 
 func (f *HTTP2) admit(conn net.Conn) {
 	c, l := f.Clients, f.limits.Load()
-	s := &streams{seat: seat{conn: conn}, front: f, limits: l, wake: make(chan struct{}, 1),
+	s := &streams{sessionState: sessionState{conn: conn}, front: f, limits: l, wake: make(chan struct{}, 1),
 		flushed: make(chan struct{}), quit: make(chan struct{}), arrival: newArrival(conn, c.queue.from())}
 	window := int(min(max(c.Held/8, windowLeast), windowMost))
 	s.m = http2.New(http2.Config{Streams: l.Streams, HeaderBytes: l.HeaderBytes, FrameBytes: l.FrameBytes,
@@ -115,12 +115,12 @@
 		Admit: c.hold, Release: func(n int) { c.held.Add(-int64(n)) },
 		Count: func(a http2.Abuse) { c.Count.HTTP2Abuse[a].Add(1) }}, time.Now())
 	c.Count.HTTP2Sessions.Add(1)
-	excess, room := c.enter(&s.seat)
+	excess, room := c.enter(&s.sessionState)
 	if s.excess = excess; !room {
 		s.m.End(http2.EnhanceYou, "too many clients")
 		s.conn.SetWriteDeadline(time.Now().Add(l.Stall))
 		s.conn.Write(s.m.Take(nil))
-		c.table.leave(&s.seat)
+		c.table.leave(&s.sessionState)
 		s.turnAway()
 		return
 	}
@@ -154,7 +154,7 @@
 	}
 	s.front.open.Delete(s)
 	c.Count.Endings[e].Add(1)
-	c.table.leave(&s.seat)
+	c.table.leave(&s.sessionState)
 	s.note(guard.SessionClosed, e)
 }
 
@@ -187,7 +187,7 @@
 		s.sort() // what was decided before these bytes were read is not lost by what they say
 		s.m.Filled(n, now)
 		if !begun { // bytes that make no preface are no reason to be kept longer than silence
-			s.front.Clients.table.begun(&s.seat)
+			s.front.Clients.table.begun(&s.sessionState)
 		}
 		s.events()
 		if s.front.Clients.told().Hint && s.m.Begun() { // it came too late for hint to find it
@@ -226,7 +226,7 @@
 // session is shed, or its client was silent for too long.
 func (s *streams) late() (core.Ending, bool) {
 	t := &s.front.Clients.table
-	shed := t.isShed(&s.seat)
+	shed := t.isShed(&s.sessionState)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -239,7 +239,7 @@
 		return 0, false
 	case !s.m.Begun():
 		return core.ClientSilent, true
-	case !t.over(&s.seat):
+	case !t.over(&s.sessionState):
 		return 0, false
 	default:
 		s.ending = core.ClientSilent
@@ -327,7 +327,7 @@
 	}
 	s.busy = false
 	t := &s.front.Clients.table
-	if t.answered(&s.seat, true, false, false) {
+	if t.answered(&s.sessionState, true, false, false) {
 		s.ending = core.SessionShed
 		s.m.Settle(time.Now())
 	}
--- a/internal/network/http2_end.go
+++ b/internal/network/http2_end.go
@@ -97,7 +97,7 @@
 	case core.SessionShed: // its descriptor is wanted
 		stay = shedLinger
 	case core.ClientBad:
-		if !c.table.linger(&s.seat, c.most()/8+1) {
+		if !c.table.linger(&s.sessionState, c.most()/8+1) {
 			stay = lastLook
 		}
 	}
@@ -122,7 +122,7 @@
 }
 
 // turnAway ends a connection that there was no room for, which has been told so. It is not waited for
-// here, has no seat any more, and lingers for its client only while few do.
+// here, is not in the table any more, and lingers for its client only while few do.
 func (s *streams) turnAway() {
 	s.over, s.ending = true, core.SessionShed
 	c := s.front.Clients
--- a/internal/network/http2_reqs.go
+++ b/internal/network/http2_reqs.go
@@ -80,7 +80,7 @@
 	st.Data = nil
 	if !s.busy {
 		s.busy = true
-		c.table.taken(&s.seat)
+		c.table.taken(&s.sessionState)
 	}
 	q := platform.Request{Method: st.Head.Method, Target: st.Head.Path, Fields: fields(st.Head.Fields)}
 	var err error
--- a/internal/network/http2_slow_test.go
+++ b/internal/network/http2_slow_test.go
@@ -144,7 +144,7 @@
 	for range s.clients.Most + excessMost { // sessions that are owed an answer
 		near, far := net.Pipe()
 		t.Cleanup(func() { near.Close(); far.Close() })
-		busy := &seat{conn: near}
+		busy := &sessionState{conn: near}
 		s.clients.table.enter(busy, s.clients.Most+excessMost, nil)
 		s.clients.table.taken(busy)
 	}
--- a/internal/network/http2_stop_test.go
+++ b/internal/network/http2_stop_test.go
@@ -39,7 +39,7 @@
 				f := s.streamsNow()[0]
 				f.mu.Lock()
 				defer f.mu.Unlock()
-				return early == 0 || f.m.Partial() && f.rank == half
+				return early == 0 || f.m.Partial() && f.shedRank == half
 			})
 			end := NewService(s.clients, s.http2)
 			end.Term()
@@ -211,7 +211,7 @@
 		f := s.streamsNow()[0]
 		s.clients.table.mu.Lock()
 		defer s.clients.table.mu.Unlock()
-		return f.rank == resting
+		return f.shedRank == resting
 	})
 	hold.Store(true)
 	c.post(3)
--- a/internal/network/linger_crossing_test.go
+++ b/internal/network/linger_crossing_test.go
@@ -93,7 +93,7 @@
 				time.Sleep(time.Millisecond)
 				synctest.Wait()
 			}
-		}, least: ebbMost, most: ebbMost + time.Millisecond},
+		}, least: lateReadMost, most: lateReadMost + time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, list(balance.Ready, "s1"), 1, func(w *world) {
@@ -175,10 +175,10 @@
 				answered = strings.HasPrefix(string(p.got), "HTTP/1.1 400")
 				p.mu.Unlock()
 			}
-			assert.LessOrEqual(t, time.Since(from), roomWait+ebbWait+2*time.Millisecond)
+			assert.LessOrEqual(t, time.Since(from), roomWait+lateReadWait+2*time.Millisecond)
 			assert.LessOrEqual(t, w.clients.Open(), 1+excessMost)
 		}
-		assert.LessOrEqual(t, time.Since(begun), 100*ebbMost/8)
+		assert.LessOrEqual(t, time.Since(begun), 100*lateReadMost/8)
 		assert.Zero(t, w.count.SessionsRefused.Load())
 	}, `
 		c3 send {req 9b x}
@@ -187,7 +187,7 @@
 		c1 expect 200 r`)
 }
 
-// TestTurnedAwayInTurn: clients that there is no seat for at all, and that never go, are each turned away in a bounded time. Two at
+// TestTurnedAwayInTurn: clients that there is no descriptor for at all, and that never go, are each turned away in a bounded time. Two at
 // a time linger, and each may send on until two others that came after it need their place.
 func TestTurnedAwayInTurn(t *testing.T) {
 	run(t, list(balance.Ready, "s1"), 1, "c1 send {req 9a x}", func(w *world) {
--- a/internal/network/maintain/maintain.go
+++ b/internal/network/maintain/maintain.go
@@ -15,8 +15,8 @@
 	"tinsail/internal/platform"
 )
 
-// Desk lies between every source of backends and the core.
-type Desk struct {
+// Manager lies between every source of backends and the core.
+type Manager struct {
 	Path     string // of the file; empty for none
 	Store    Store  // in place of a file at Path
 	Told     func(balance.ListKind, []core.Entry)
@@ -41,7 +41,7 @@
 var ErrUnknown = errors.New("no backend of this name was ever listed")
 
 // Load reads what a process before this one left, if any: the newest generation that is whole. Others are told and left aside.
-func (d *Desk) Load() (out bool) {
+func (d *Manager) Load() (out bool) {
 	s := d.store()
 	if s == nil {
 		return false
@@ -71,7 +71,7 @@
 }
 
 // Listed takes what a source says, in place of the core.
-func (d *Desk) Listed(kind balance.ListKind, list []core.Entry) {
+func (d *Manager) Listed(kind balance.ListKind, list []core.Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	in := make([]maintenance.Backend, len(list))
@@ -90,7 +90,7 @@
 }
 
 // now is the time of calls and of starts: the core's clock, which no step of the wall clock moves.
-func (d *Desk) now() float64 {
+func (d *Manager) now() float64 {
 	if d.Now == nil {
 		return d.wall()
 	}
@@ -98,7 +98,7 @@
 }
 
 // wall is the system's wall clock, in Unix ms. Only what crosses to another process, by a message or the file, is told by it.
-func (d *Desk) wall() float64 {
+func (d *Manager) wall() float64 {
 	read := time.Now
 	if d.Wall != nil {
 		read = d.Wall
@@ -107,22 +107,22 @@
 }
 
 // outward are marks as another process of this machine takes them, by the wall clock; inward is the other way.
-func (d *Desk) outward(marks []maintenance.Mark) []maintenance.Mark {
+func (d *Manager) outward(marks []maintenance.Mark) []maintenance.Mark {
 	return maintenance.Moved(marks, d.now(), d.wall())
 }
 
-func (d *Desk) inward(marks []maintenance.Mark) []maintenance.Mark {
+func (d *Manager) inward(marks []maintenance.Mark) []maintenance.Mark {
 	return maintenance.Moved(marks, d.wall(), d.now())
 }
 
 // Offline bans a backend: when it returns, nothing more begins there. An error other than
 // ErrUnknown says that the ban holds here but would not outlive this process.
-func (d *Desk) Offline(name string) error { return d.call(name, d.bans.Offline) }
+func (d *Manager) Offline(name string) error { return d.call(name, d.bans.Offline) }
 
 // Online ends a ban; the backend is used at once, if its source says that it is ready.
-func (d *Desk) Online(name string) error { return d.call(name, d.bans.Online) }
+func (d *Manager) Online(name string) error { return d.call(name, d.bans.Online) }
 
-func (d *Desk) call(name string, f func(float64, string) ([]maintenance.Backend, bool)) error {
+func (d *Manager) call(name string, f func(float64, string) ([]maintenance.Backend, bool)) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	change, ok := f(d.now(), name)
@@ -137,7 +137,7 @@
 }
 
 // follow has the core and the pool follow. d.mu is held.
-func (d *Desk) follow(change []maintenance.Backend) {
+func (d *Manager) follow(change []maintenance.Backend) {
 	held := map[balance.WorkerID]struct{}{}
 	for _, name := range d.bans.Withheld() {
 		held[balance.WorkerID(platform.Hash(name))] = struct{}{}
@@ -152,7 +152,7 @@
 }
 
 // Merge takes marks from another process or a file.
-func (d *Desk) Merge(marks []maintenance.Mark) {
+func (d *Manager) Merge(marks []maintenance.Mark) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.follow(d.bans.Merge(d.inward(marks)))
@@ -163,14 +163,14 @@
 
 // Policy takes the names that the fleet's policy bans, in place of those before: when it returns,
 // nothing more begins at them.
-func (d *Desk) Policy(names []string) {
+func (d *Manager) Policy(names []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.follow(d.bans.Policy(names))
 }
 
 // SetOut notes whether the dispatcher is out of service.
-func (d *Desk) SetOut(out bool) error {
+func (d *Manager) SetOut(out bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.out == out {
@@ -182,7 +182,7 @@
 
 // Share has every call told to another process too, from now on, by tell, which must not block for
 // long; nil for no more. It returns all marks so far.
-func (d *Desk) Share(tell func(maintenance.Mark)) []maintenance.Mark {
+func (d *Manager) Share(tell func(maintenance.Mark)) []maintenance.Mark {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.share = tell
@@ -190,21 +190,21 @@
 }
 
 // State is the list as the source has it, and all marks.
-func (d *Desk) State() ([]maintenance.Backend, []maintenance.Mark) {
+func (d *Manager) State() ([]maintenance.Backend, []maintenance.Mark) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.bans.Listed(), d.outward(d.bans.Marks())
 }
 
 // Banned lists the banned.
-func (d *Desk) Banned() []string {
+func (d *Manager) Banned() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.bans.Banned()
 }
 
 // keep has the store hold all marks. What could not be kept is owed still: it is tried again until it is. d.mu is held.
-func (d *Desk) keep() error {
+func (d *Manager) keep() error {
 	s := d.store()
 	if s == nil {
 		return nil
@@ -234,7 +234,7 @@
 	mostKeepPause  = 2 * time.Second
 )
 
-func (d *Desk) keepAgain() {
+func (d *Manager) keepAgain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unkept && d.keep() == nil {
@@ -242,7 +242,7 @@
 	}
 }
 
-func (d *Desk) store() Store {
+func (d *Manager) store() Store {
 	switch {
 	case d.Store != nil:
 		return d.Store
@@ -253,7 +253,7 @@
 }
 
 // Each calls f for the counters of what outlives the process.
-func (d *Desk) Each(f func(name string, n int64)) {
+func (d *Manager) Each(f func(name string, n int64)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	unkept := int64(0)
--- a/internal/network/maintain/maintain_test.go
+++ b/internal/network/maintain/maintain_test.go
@@ -23,9 +23,9 @@
 	last map[string]balance.State
 }
 
-func desk(path string) (*Desk, *bench) {
+func newManager(path string) (*Manager, *bench) {
 	b := &bench{last: map[string]balance.State{}}
-	return &Desk{Path: path, Log: zerolog.Nop(),
+	return &Manager{Path: path, Log: zerolog.Nop(),
 		Told: func(_ balance.ListKind, list []core.Entry) {
 			b.did = append(b.did, "told")
 			for i := range list {
@@ -46,7 +46,7 @@
 // TestYesHolds: when a call returns, the gate is shut, idle connections are closed and the file says so, in this order.
 func TestYesHolds(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "bans")
-	d, b := desk(path)
+	d, b := newManager(path)
 	assert.False(t, d.Load(), "no file yet")
 	d.Listed(balance.ListFull, ready("a", "b"))
 	b.did = nil
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, []string{path, path + oldSuffix}, files, "two generations, and nothing half written is left")
 
-	next, b2 := desk(path)
+	next, b2 := newManager(path)
 	assert.True(t, next.Load(), "out of service, as the one before")
 	assert.Contains(t, b2.held, balance.WorkerID(platform.Hash("a")))
 	next.Listed(balance.ListCached, ready("a", "b"))
@@ -75,12 +75,12 @@
 	for _, text := range []string{"", "x", string(good[:len(good)-2]), "tinsail-maintenance 9 00000000\n{}", string(good) + " "} {
 		path := filepath.Join(t.TempDir(), "bans") // with no generation before it
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-		d, b := desk(path)
+		d, b := newManager(path)
 		assert.False(t, d.Load())
 		d.Listed(balance.ListFull, ready("a"))
 		assert.Equal(t, balance.Ready, b.last["a"], text)
 		require.NoError(t, d.Offline("a"))
-		next, _ := desk(path)
+		next, _ := newManager(path)
 		next.Load()
 		assert.Equal(t, []string{"a"}, next.Banned())
 	}
@@ -88,7 +88,7 @@
 
 // TestShared: a call is told to the other process, and what that one tells is not told back.
 func TestShared(t *testing.T) {
-	d, _ := desk("")
+	d, _ := newManager("")
 	d.Listed(balance.ListFull, ready("a", "b"))
 	require.NoError(t, d.Offline("b"))
 	var told []maintenance.Mark
@@ -110,11 +110,11 @@
 		for _, during := range []bool{false, true} {
 			wall, mono := 1e12, 1e12
 			path := filepath.Join(t.TempDir(), "bans")
-			clocked := func(d *Desk, origin float64) {
+			clocked := func(d *Manager, origin float64) {
 				d.Now = func() float64 { return mono + origin }
 				d.Wall = func() time.Time { return time.UnixMicro(int64(wall * 1000)) }
 			}
-			d, b := desk(path)
+			d, b := newManager(path)
 			clocked(d, 0)
 			started := map[string]float64{}
 			told := d.Told
@@ -138,7 +138,7 @@
 			assert.Equal(t, mono, started["a"], "step %v", step)
 
 			mono, wall = mono+2000, wall+2000
-			next, _ := desk(path)
+			next, _ := newManager(path)
 			clocked(next, 777_000) // its process began by another wall clock
 			next.Told = func(_ balance.ListKind, list []core.Entry) {
 				for i := range list {
@@ -148,7 +148,7 @@
 			next.Load()
 			next.Listed(balance.ListCached, ready("a"))
 			assert.InDelta(t, mono+777_000-2000, started["a"], 1, "by the file")
-			other, _ := desk("")
+			other, _ := newManager("")
 			clocked(other, -5000)
 			other.Told = next.Told
 			other.Merge(d.Share(func(maintenance.Mark) {}))
--- a/internal/network/maintain/store_test.go
+++ b/internal/network/maintain/store_test.go
@@ -40,7 +40,7 @@
 func TestFolderFails(t *testing.T) {
 	for _, errno := range []error{syscall.ENOSPC, syscall.EIO} {
 		synctest.Test(t, func(t *testing.T) {
-			d, b := desk("")
+			d, b := newManager("")
 			s := &failingStore{err: errno, until: time.Now().Add(10 * time.Second)}
 			d.Store = s
 			counts := func() map[string]int64 {
@@ -80,12 +80,12 @@
 		"no file":        func(path string) { require.NoError(t, os.Remove(path)) },
 	} {
 		path := filepath.Join(t.TempDir(), "bans")
-		d, _ := desk(path)
+		d, _ := newManager(path)
 		d.Listed(balance.ListFull, ready("a", "b"))
 		require.NoError(t, d.Offline("a"))
 		require.NoError(t, d.SetOut(true)) // the generation before holds the ban as well
 		leave(path)
-		next, b := desk(path)
+		next, b := newManager(path)
 		next.Load()
 		assert.Equal(t, []string{"a"}, next.Banned(), name)
 		next.Listed(balance.ListFull, ready("a", "b"))
--- a/internal/network/maintain_test.go
+++ b/internal/network/maintain_test.go
@@ -15,9 +15,9 @@
 // its idle connections are closed, what runs there ends, and once it is called back it gets reqs
 // again, whatever was learned of it.
 func TestBan(t *testing.T) {
-	var desk *maintain.Desk
+	var desk *maintain.Manager
 	begin := func(w *world) {
-		desk = &maintain.Desk{Told: w.core.Listed, Withhold: w.core.Withhold, HangUp: w.pool.HangUpOn}
+		desk = &maintain.Manager{Told: w.core.Listed, Withhold: w.core.Withhold, HangUp: w.pool.HangUpOn}
 		desk.Listed(balance.ListCached, list(balance.Ready, "s1"))
 	}
 	offline := func(*world) { require.NoError(t, desk.Offline("s1")) }
@@ -63,9 +63,9 @@
 
 // TestBanAfterFaults: one that had failed before its ban is not kept out after it.
 func TestBanAfterFaults(t *testing.T) {
-	var desk *maintain.Desk
+	var desk *maintain.Manager
 	run(t, nil, 9, func(w *world) {
-		desk = &maintain.Desk{Told: w.core.Listed, Withhold: w.core.Withhold, HangUp: w.pool.HangUpOn}
+		desk = &maintain.Manager{Told: w.core.Listed, Withhold: w.core.Withhold, HangUp: w.pool.HangUpOn}
 		desk.Listed(balance.ListCached, list(balance.Ready, "s1"))
 	}, `
 		s1 close
--- a/internal/network/trace.go
+++ b/internal/network/trace.go
@@ -11,15 +11,15 @@
 // This file hands what happens to sessions to package guard, for its trace and its check of what a close leaves unanswered.
 
 // note adds an event of the session to the trace.
-func (s *seat) note(step guard.Step, why fmt.Stringer) {
+func (s *sessionState) note(step guard.Step, why fmt.Stringer) {
 	if s.guard != nil {
 		s.guard.Note(guard.Event{At: time.Now(), Session: s.id, Step: step, Why: why})
 	}
 }
 
 func (s *session) note(step guard.Step, why fmt.Stringer) {
-	if s.seat.guard != nil {
-		s.seat.guard.Note(guard.Event{At: time.Now(), Session: s.id, Request: s.request, Step: step, Why: why})
+	if s.sessionState.guard != nil {
+		s.sessionState.guard.Note(guard.Event{At: time.Now(), Session: s.id, Request: s.request, Step: step, Why: why})
 	}
 }
 
@@ -34,7 +34,7 @@
 		return guard.ClientFlooded
 	case o.Close:
 		return closeReason(*o)
-	case s.clients.table.isShed(&s.seat):
+	case s.clients.table.isShed(&s.sessionState):
 		return guard.RoomWanted
 	}
 	return guard.ClientAsked
@@ -43,7 +43,7 @@
 // checkOwed counts a session that is closed from here although a request that was read has no answer. The client that
 // went, asked for the close, sent what is no request or more than is kept, is owed nothing for what lies behind.
 func (s *session) checkOwed(e core.Ending) {
-	if s.seat.guard == nil {
+	if s.sessionState.guard == nil {
 		return
 	}
 	t := &s.clients.table
@@ -53,10 +53,10 @@
 	switch {
 	case e == core.ClientClosed:
 	case owed:
-		s.seat.guard.Violated(guard.CloseOwed, s.id, s.request, "closed before its answer")
+		s.sessionState.guard.Violated(guard.CloseOwed, s.id, s.request, "closed before its answer")
 	case e == core.SessionShed || e == core.SessionDone && !s.endsItself:
 		if q, _ := s.in.Next(); q != nil && q.Method == "POST" {
-			s.seat.guard.Violated(guard.CloseOwed, s.id, "", "closed with a request read behind the last answer")
+			s.sessionState.guard.Violated(guard.CloseOwed, s.id, "", "closed with a request read behind the last answer")
 		}
 	}
 }
--- a/internal/network/trace_test.go
+++ b/internal/network/trace_test.go
@@ -30,7 +30,7 @@
 		"a check of health behind":  {behind: "GET / HTTP/1.1\r\n\r\n", ending: core.SessionShed},
 	} {
 		r := &guard.Recorder{}
-		s := &session{seat: seat{guard: r, owed: c.owed}, clients: &Clients{}, endsItself: c.itself}
+		s := &session{sessionState: sessionState{guard: r, owed: c.owed}, clients: &Clients{}, endsItself: c.itself}
 		s.in.Filled(copy(s.in.Space(), c.behind))
 		s.checkOwed(c.ending)
 		assert.Equal(t, c.want, r.Violations(guard.CloseOwed), name)
--- a/internal/network/turned.go
+++ b/internal/network/turned.go
@@ -31,7 +31,7 @@
 func (c *Clients) turnAway(s *session) {
 	gone := func() {
 		s.conn.Close()
-		c.table.leave(&s.seat)
+		c.table.leave(&s.sessionState)
 	}
 	end, ok := s.conn.(interface{ CloseWrite() error })
 	if !ok {
