--- /dev/null
+++ b/internal/balance/further_attempts_test.go
@@ -0,0 +1,209 @@
+package balance
+
+import (
+	"testing"
+)
+
+// TestLegal walks through what may follow a first attempt that ended in each way.
+func TestLegal(t *testing.T) {
+	s := testSettings()
+	same := Worker{ID: 1, Zone: 1, Cell: 1, State: Ready, Weight: 1}
+	zone := Worker{ID: 2, Zone: 1, Cell: 2, State: Ready, Weight: 1}
+	far := Worker{ID: 3, Zone: 2, Cell: 3, State: Ready, Weight: 1}
+	cases := []struct {
+		class           int
+		result          Result
+		after           Millis
+		same, zone, far bool
+		refuse          bool
+	}{
+		{0, Error, 100, true, true, true, true},
+		{1, Error, 100, false, false, false, false},
+		{1, Reset, 100, false, false, false, false},
+		{1, Cancelled, 100, false, false, false, false},
+		{1, TimedOut, 100, false, false, false, false},
+		{1, Full, 100, true, true, true, true},
+		{1, ConnectFailed, 100, true, true, true, true},
+		{1, NotSent, 100, true, true, true, true},
+		{2, Error, 100, true, true, false, false},
+		{2, Error, 4999, false, false, false, false},
+		{2, Full, 4999, true, true, true, true},
+		{3, TimedOut, 100, true, false, false, false},
+		{4, TimedOut, 100, true, true, true, true},
+		{4, TimedOut, 5000, false, false, false, false},
+	}
+	for _, c := range cases {
+		d, _ := start(t, s, []Worker{same, zone, far})
+		first := d.index[1]
+		r := &request{Request: req(1, c.class), open: true, attempts: []attempt{{worker: first, zone: 1, cell: 1, sent: 10,
+			never: c.result == Full || c.result == ConnectFailed || c.result == NotSent}}}
+		for id, want := range map[WorkerID]bool{1: c.same, 2: c.zone, 3: c.far} {
+			if got := d.legal(10+c.after, r, &d.workers[d.index[id]]); got != want {
+				t.Errorf("class %d after result %d, %v ms, worker %d: legal %v, want %v",
+					c.class, c.result, c.after, id, got, want)
+			}
+		}
+		if got := d.mayRefuse(10+c.after, r); got != c.refuse {
+			t.Errorf("class %d after result %d, %v ms: refuse %v, want %v", c.class, c.result, c.after, got, c.refuse)
+		}
+	}
+}
+
+// TestGroupOutlivesItsWorker: a worker that is gone and forgotten leaves its place to
+// another, and a repeat must still keep to the first one's cell.
+func TestGroupOutlivesItsWorker(t *testing.T) {
+	s := testSettings()
+	d, rec := start(t, s, []Worker{{ID: 1, Zone: 1, Cell: 1, State: Ready, Weight: 1}})
+	d.Arrive(10, req(1, 3))
+	d.Workers(20, ListFull, nil)
+	d.Answer(30, Outcome{ID: 1, Worker: 1, Result: Reset})
+	d.Workers(40, ListFull, []Worker{{ID: 2, Zone: 1, Cell: 2, State: Ready, Weight: 1}})
+	for _, a := range rec.only("dispatch") {
+		if a.worker == 2 {
+			t.Error("a repeat left the cell that remembers its key")
+		}
+	}
+}
+
+func TestNoSecondCopyWhereNotAllowed(t *testing.T) {
+	s := testSettings()
+	s.MayDuplicate = false
+	d, _ := start(t, s, fleet(3))
+	r := &request{Request: req(1, 0), open: true, attempts: []attempt{{worker: 0, out: true, sent: 10}}}
+	if d.legal(20, r, &d.workers[1]) {
+		t.Error("a second attempt beside one in flight is called legal")
+	}
+}
+
+func TestSecondCopyOnlyWhereHarmless(t *testing.T) {
+	for class, want := range map[int]int{0: 1, 1: 0, 2: 1, 4: 1} {
+		d, rec := start(t, testSettings(), fleet(9))
+		d.copies = 1e6
+		sent(d, rec, 10, req(1, class))
+		d.Wake(10+d.patience(d.reqs[1]), 1<<8)
+		if a := rec.only("dispatch"); len(a) != want {
+			t.Errorf("class %d: %d second copies, want %d", class, len(a), want)
+		}
+	}
+}
+
+// TestRunningJobsAreNotCopied: where starts are not told, progress shows that a job runs,
+// and a copy would only take a slot from others.
+func TestRunningJobsAreNotCopied(t *testing.T) {
+	s := testSettings()
+	s.TellsStart = false
+	for _, running := range []bool{false, true} {
+		d, rec := start(t, s, fleet(9))
+		d.copies = 1e6
+		w := sent(d, rec, 10, req(1, 0))
+		now := 10 + d.patience(d.reqs[1])
+		if running {
+			d.Progressed(now-1, Progress{ID: 1, Worker: w, Done: 0.3})
+		}
+		d.Wake(now, 1<<8)
+		if a := rec.only("dispatch"); (len(a) == 1) == running {
+			t.Errorf("running %v: %d copies", running, len(a))
+		}
+	}
+}
+
+// TestStartedJobsWithoutProgressAreLeft: where backends tell starts but no progress, a started
+// job has nothing more to say. Its silence is no bad ending and no ground for a copy.
+func TestStartedJobsWithoutProgressAreLeft(t *testing.T) {
+	for progress, want := range map[Millis]int{0: 0, 1000: 1} {
+		s := testSettings()
+		s.ProgressEvery = progress
+		d, rec := start(t, s, fleet(9))
+		d.copies = 1e6
+		w := sent(d, rec, 10, req(1, 0))
+		d.Progressed(20, Progress{ID: 1, Worker: w, Started: true})
+		for _, a := range rec.only("wake") { // the only timers that a real host would call
+			d.Wake(20+a.in, a.token)
+		}
+		d.Wake(10+d.patience(d.reqs[1])+2500, 1<<8) // set when it was sent
+		if got := d.workers[d.index[w]].strikes; (got > 0) != (want > 0) {
+			t.Errorf("progress every %v: %d strikes", progress, got)
+		}
+		if a := rec.only("dispatch"); (len(a) > 0) != (want > 0) {
+			t.Errorf("progress every %v: %d copies", progress, len(a))
+		}
+	}
+}
+
+// TestLosingCopies: a copy that lost is cancelled, but where starts are told it is left: a
+// worker that does not stop it would look emptier than it is.
+func TestLosingCopies(t *testing.T) {
+	for _, tells := range []bool{true, false} {
+		s := testSettings()
+		s.TellsStart = tells
+		d, rec := start(t, s, fleet(9))
+		d.copies = 1e6
+		w := sent(d, rec, 10, req(1, 0))
+		d.Wake(5000, 1<<8)
+		rec.acts = rec.acts[:0]
+		d.Answer(5010, Outcome{ID: 1, Worker: w, Took: 5000, Closed: true})
+		if a := rec.only("cancel"); (len(a) == 0) != tells {
+			t.Errorf("starts told %v: %d cancels", tells, len(a))
+		}
+		if left := d.busy; left != 1 {
+			t.Errorf("starts told %v: %v slots counted with one attempt out", tells, left)
+		}
+	}
+}
+
+// TestWaitingCopyGoes: once one attempt has started, those that still wait in a queue are
+// called off: there is nothing to gain from running the job twice. One that runs is left.
+func TestWaitingCopyGoes(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		d, rec := start(t, testSettings(), fleet(9))
+		d.copies = 1e6
+		first := sent(d, rec, 10, req(1, 0))
+		d.Wake(10+d.patience(d.reqs[1]), 1<<8)
+		second := rec.only("dispatch")[0].worker
+		if running {
+			d.Progressed(300, Progress{ID: 1, Worker: first, Started: true})
+			rec.acts = rec.acts[:0]
+		}
+		d.Progressed(301, Progress{ID: 1, Attempt: 1, Worker: second, Started: true})
+		if a := rec.only("cancel"); (len(a) == 1 && a[0].n == 0) == running {
+			t.Errorf("first one running %v: cancelled %v", running, a)
+		}
+	}
+}
+
+// TestStretchedAimAllowsAWait: where the aim grows with a job's own work, a wait that takes
+// only a part of that is no crowd.
+func TestStretchedAimAllowsAWait(t *testing.T) {
+	for _, c := range []struct {
+		stretch float64
+		wait    Millis
+		crowd   bool
+	}{{0, 199, false}, {0, 201, true}, {2, 299, false}, {2, 301, true}} {
+		s := testSettings()
+		s.Classes[0].Stretch = c.stretch
+		d, rec := start(t, s, fleet(9))
+		d.runs[0] = 400
+		limit := d.limit
+		w := sent(d, rec, 10, req(1, 0))
+		d.Progressed(10+c.wait, Progress{ID: 1, Worker: w, Started: true})
+		if (d.limit < limit) != c.crowd {
+			t.Errorf("stretch %v, waited %v: limit %v, was %v", c.stretch, c.wait, d.limit, limit)
+		}
+	}
+}
+
+// TestNoCopyBehindAQueue: a second copy that would wait as well only makes the queues longer.
+func TestNoCopyBehindAQueue(t *testing.T) {
+	for _, free := range []float64{0, 1} {
+		d, rec := start(t, testSettings(), fleet(9))
+		d.copies, d.limit = 1e6, 1e6
+		sent(d, rec, 10, req(1, 0))
+		for i := range d.workers {
+			d.workers[i].own = d.workers[i].size - free
+		}
+		d.Wake(10+d.patience(d.reqs[1]), 1<<8)
+		if a := rec.only("dispatch"); len(a) != int(free) {
+			t.Errorf("%v slots free: %d copies", free, len(a))
+		}
+	}
+}
--- /dev/null
+++ b/internal/balance/health_test.go
@@ -0,0 +1,225 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+func TestDrainStopsAtOnce(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(2))
+	first := sent(d, rec, 10, req(1, 0))
+	other := WorkerID(2001) - first // the ids are 1000 and 1001
+	d.Workers(20, ListDelta, []Worker{{ID: other, State: Draining}})
+	rec.acts = rec.acts[:0]
+	d.Answer(30, Outcome{ID: 1, Worker: first, Result: Full})
+	for i := 2; i < 10; i++ {
+		d.Arrive(40, req(i, 0))
+	}
+	d.Workers(50, ListFull, nil)
+	for i := 10; i < 20; i++ {
+		d.Arrive(60, req(i, 0))
+	}
+	for _, a := range rec.only("dispatch") {
+		if a.worker == other || a.id >= 10 {
+			t.Errorf("request %d went to worker %d, which drains or is gone", a.id, a.worker)
+		}
+	}
+}
+
+func TestRestartDropsWhatWasLearned(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(1))
+	for i := 0; i < 3; i++ {
+		if w := sent(d, rec, float64(10+i*20000), withDeadline(req(i, 0), 1e6)); w != 0 {
+			d.Answer(float64(10+i*20000), Outcome{ID: RequestID(i), Worker: w, Result: ConnectFailed})
+		}
+	}
+	w := &d.workers[0]
+	if w.strikes == 0 {
+		t.Fatal("failed connections left no strike")
+	}
+	again := fleet(1)
+	again[0].Started = 70000
+	d.Workers(71000, ListDelta, again)
+	if w.strikes != 0 || w.until != 0 {
+		t.Errorf("after a restart %d strikes are left, rest until %v", w.strikes, w.until)
+	}
+	if got := d.warmth(70000, w); got != 0.2 {
+		t.Errorf("warmth at the start is %v, want the start capacity 0.2", got)
+	}
+}
+
+// TestColdBudget lets many dispatchers, each with a trickle, share one cold worker among
+// warm ones, and checks the sum of what they send to it over every window.
+func TestColdBudget(t *testing.T) {
+	for _, crowd := range []float64{0, 8} { // with all others crowded, the cold worker is the emptiest by far
+		coldBudget(t, crowd)
+	}
+}
+
+func coldBudget(t *testing.T, crowd float64) {
+	t.Helper()
+	for _, n := range []int{2, 40, 300} {
+		s := testSettings()
+		s.Instances, s.Zones = n, 1
+		list := oneZone(8)
+		list[0].Started = 100000
+		var at []Millis
+		rng := rand.New(rand.NewPCG(9, 9))
+		ds, recs := make([]*Dispatcher, n), make([]*recorder, n)
+		for k := range ds {
+			s.Self, s.Seed = k, uint64(k)
+			ds[k], recs[k] = start(t, s, list)
+		}
+		id := 0
+		for now := 100000.0; now < 112000; now += 12.5 { // 80 jobs a second: all that 8 workers of 4 can do
+			k := rng.IntN(n)
+			for i := range ds[k].workers[1:] {
+				ds[k].learnCrowd(now, &ds[k].workers[i+1], crowd, 0 > crowd)
+			}
+			id++
+			w := sent(ds[k], recs[k], now, Request{ID: RequestID(id), Deadline: now + 9000, Slots: 1})
+			if w == list[0].ID {
+				at = append(at, now)
+			}
+			if w != 0 {
+				ds[k].Answer(now+400, Outcome{ID: RequestID(id), Worker: w, Took: 400, Closed: true})
+			}
+		}
+		for i, from := range at {
+			j, warm := i, 0.2+0.8*min(1, (from-100000)/10000)
+			for j < len(at) && at[j] < from+1000 {
+				j++
+			}
+			if sentIn, most := float64(j-i), 3*warm*4/0.4+1; from+1000 < 110000 && sentIn > most {
+				t.Errorf("%d dispatchers: %v jobs in a second to a worker that is %.2f warm, want at most %.1f",
+					n, sentIn, warm, most)
+			}
+		}
+		if len(at) == 0 {
+			t.Errorf("%d dispatchers: the cold worker got nothing in 12 s", n)
+		}
+	}
+}
+
+// With half of a large fleet cold and the rest crowded, the cold ones get a good part of what
+// they can do, though each dispatcher's part of a worker is far less than a job.
+func TestManyColdWorkersAreUsed(t *testing.T) {
+	const n, size = 100, 200
+	s := testSettings()
+	s.Instances, s.Zones = n, 1
+	list := fleet(size)
+	for i := range list {
+		list[i].Zone = 0
+		if i%2 == 0 {
+			list[i].Started = 100000
+		}
+	}
+	ds, recs := make([]*Dispatcher, n), make([]*recorder, n)
+	for k := range ds {
+		s.Self, s.Seed = k, uint64(k)
+		ds[k], recs[k] = start(t, s, list)
+	}
+	rng, cold, id := rand.New(rand.NewPCG(9, 9)), 0.0, 0
+	for now := 100000.0; now < 103000; now += 0.5 { // ten jobs a second for each worker
+		k := rng.IntN(n)
+		for i := 1; i < size; i += 2 {
+			ds[k].learnCrowd(now, &ds[k].workers[i], 8, false)
+		}
+		id++
+		w := sent(ds[k], recs[k], now, Request{ID: RequestID(id), Deadline: now + 9000, Slots: 1})
+		if w != 0 {
+			ds[k].Answer(now+400, Outcome{ID: RequestID(id), Worker: w, Took: 400, Closed: true})
+			cold += float64(1 - w%2)
+		}
+	}
+	// four slots, jobs of 400 ms, on average 0.3 warm: nine jobs each in three seconds
+	if able := 9.0 * size / 2; cold < able/3 || cold > able {
+		t.Errorf("%v jobs went to cold workers, want a third to all of the %v that they can do", cold, able)
+	}
+}
+
+// TestQuickErrorsDoNotWin: a worker that fails at once keeps a low count.
+func TestQuickErrorsDoNotWin(t *testing.T) {
+	for _, result := range []Result{Error, ConnectFailed, Full, Reset} {
+		d, rec := start(t, testSettings(), fleet(6))
+		bad, hits := WorkerID(1000), 0
+		for i := 0; i < 200; i++ {
+			now := float64(10 + i*5)
+			w := sent(d, rec, now, req(i, 0))
+			if w == bad {
+				hits++
+				d.Answer(now+1, Outcome{ID: RequestID(i), Worker: w, Result: result})
+			}
+		}
+		if hits > 20 {
+			t.Errorf("result %d: the broken worker got %d of 200 jobs", result, hits)
+		}
+	}
+}
+
+// TestEvidenceAgainstAllIsDoubted: a fault of all workers must not leave nobody.
+// A hall cut off is left after a few failed connections, not after one for each of its workers.
+func TestUnreachableZoneIsLeft(t *testing.T) {
+	s := testSettings()
+	s.Zone = 1
+	d, rec := start(t, s, fleet(600))
+	failed := 0
+	for n := 1; n <= 100; n++ {
+		q := withDeadline(req(n, 0), 1e6)
+		id := sent(d, rec, Millis(n), q)
+		for k := 0; id != 0 && d.reqs[q.ID] != nil; k++ {
+			o := Outcome{ID: q.ID, Attempt: k, Worker: id, Result: OK, Took: 100, Closed: true}
+			if (id-1000)%3 == 1 {
+				o.Result, o.Closed = ConnectFailed, false
+				failed++
+			}
+			rec.acts = rec.acts[:0]
+			d.Answer(Millis(n), o)
+			if a := rec.only("dispatch"); len(a) == 1 {
+				id = a[0].worker
+			}
+		}
+	}
+	if failed > 60 {
+		t.Errorf("%d connections to the unreachable zone, want at most 60", failed)
+	}
+}
+
+func TestEvidenceAgainstAllIsDoubted(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(3))
+	for i := range d.workers {
+		d.strike(10, &d.workers[i], "test")
+	}
+	if w := sent(d, rec, 11, req(1, 0)); w == 0 {
+		t.Error("with every worker struck nothing was sent")
+	}
+}
+
+// TestSlowWorkersAreLeft: a worker that has become far slower than its kind has a short queue
+// and long waits. It gets one job at a time, with rests, until it has recovered.
+func TestSlowWorkersAreLeft(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(1))
+	w, now := &d.workers[0], Millis(10)
+	for _, c := range []struct {
+		pace, own float64
+		want      bool
+	}{{1.5, 3, true}, {2.5, 0, true}, {2.5, 1, false}} {
+		w.pace, w.own = c.pace, c.own
+		if got := d.trusted(now, w, 1); got != c.want {
+			t.Errorf("pace %v with %v slots out: trusted %v", c.pace, c.own, got)
+		}
+	}
+	w.pace, w.own = 4, 0
+	for id := 1; id <= 40; id++ {
+		sent(d, rec, now, Request{ID: RequestID(id), Deadline: now + 9000, Slots: 1})
+		d.Progressed(now, Progress{ID: RequestID(id), Worker: w.ID, Started: true})
+		d.Answer(now+400, Outcome{ID: RequestID(id), Worker: w.ID, Took: 400, Closed: true})
+		if rests := w.until > now+400; rests != (w.pace >= ill) {
+			t.Errorf("job %d, pace %v: rests %v", id, w.pace, rests)
+		}
+		now = max(now+400, w.until)
+	}
+	if w.pace >= ill || !d.trusted(now, w, 1) {
+		t.Errorf("after 40 jobs of the usual time its pace is %v", w.pace)
+	}
+}
--- /dev/null
+++ b/internal/balance/limits_test.go
@@ -0,0 +1,200 @@
+package balance
+
+import (
+	"testing"
+)
+
+func TestHeldRequestsAreAnsweredInTime(t *testing.T) {
+	d, rec := start(t, testSettings(), nil)
+	d.Arrive(10, req(1, 1))
+	wakes := rec.only("wake")
+	if len(wakes) == 0 {
+		t.Fatal("a held request set no timer")
+	}
+	now := 10 + wakes[0].in
+	if now > 9000 {
+		t.Fatalf("the timer falls at %v, after the deadline at 9000", now)
+	}
+	d.Wake(now, wakes[0].token)
+	if a := rec.only("refuse"); len(a) != 1 {
+		t.Errorf("got %d refusals at %v, want 1", len(a), now)
+	}
+	d.Arrive(now, withDeadline(req(2, 1), 30000))
+	rec.acts = rec.acts[:0]
+	d.Workers(now+10, ListFull, fleet(1))
+	if a := rec.only("dispatch"); len(a) != 1 {
+		t.Errorf("got %d dispatches when a worker came, want 1", len(a))
+	}
+	if len(d.held) != 0 {
+		t.Errorf("%d requests are still held", len(d.held))
+	}
+}
+
+func TestRefusedClientsAreToldAPause(t *testing.T) {
+	for most, want := range map[Millis]Millis{0: 0, 100: 100, 9000: 400} {
+		s := testSettings()
+		s.MaxPause = most
+		d, rec := start(t, s, nil)
+		d.Arrive(10, req(1, 0))
+		d.Wake(9000, 1<<8|holdTimer)
+		if a := rec.only("refuse"); len(a) != 1 || a[0].in != want {
+			t.Errorf("clients obey up to %v: refusals %v, want one with a pause of %v", most, a, want)
+		}
+	}
+}
+
+func TestDeadlineTimeOutIsAnswered(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(3))
+	w := sent(d, rec, 10, req(1, 1))
+	d.Answer(9000, Outcome{ID: 1, Worker: w, Result: TimedOut, Took: 8990})
+	if a := rec.only("fail"); len(a) != 1 {
+		t.Errorf("got %d failures after the time-out at the deadline, want 1", len(a))
+	}
+	if len(d.reqs) != 0 {
+		t.Errorf("%d requests are still remembered", len(d.reqs))
+	}
+}
+
+func TestNothingAfterClosing(t *testing.T) {
+	d, rec := start(t, testSettings(), fleet(3))
+	w := sent(d, rec, 10, req(1, 0))
+	d.Abandoned(20, 1)
+	d.Answer(30, Outcome{ID: 1, Worker: w, Result: Error, Closed: true})
+	d.Wake(40, 1<<8)
+	if a := rec.only("dispatch"); len(a) != 0 {
+		t.Errorf("%d dispatches after the client left", len(a))
+	}
+	d.Answer(50, Outcome{ID: 1, Worker: w, Result: Error}) // late and unknown: ignored
+	d.Abandoned(60, 1)
+}
+
+// At a node with few slots to its name, neither the chance of arrivals nor waits by which
+// no job of a class that still earns late turns late may lead to refusals.
+func TestLimitLeavesRoomForChance(t *testing.T) {
+	s := testSettings()
+	s.Instances = 240
+	s.Classes[1].LateWorth, s.Classes[1].Stretch = 0.5, 2
+	d, rec := start(t, s, fleet(600)) // ten slots are the node's part
+	for n := 1; n <= 9; n++ {         // the least that a class is left is six tenths
+		if sent(d, rec, 2, withDeadline(req(n, 1), 1e6)) == 0 {
+			t.Fatalf("request %d was held, want nine in flight at once", n)
+		}
+	}
+	before := d.limit
+	for n := 1; n <= 9; n++ { // waits of less than half the aim and half of twice a run, 600 ms
+		d.Progressed(590, Progress{ID: RequestID(n), Started: true})
+	}
+	if d.limit < before {
+		t.Errorf("short waits lowered the limit from %v to %v", before, d.limit)
+	}
+	before = d.limit
+	sent(d, rec, 600, withDeadline(req(10, 0), 1e6))
+	d.Progressed(850, Progress{ID: 10, Started: true}) // nothing earned late here: half the aim is 200 ms
+	if d.limit >= before {
+		t.Errorf("a long wait left the limit at %v", d.limit)
+	}
+}
+
+// Where slots are not told the limit starts far too low: it rises by one for each job until
+// the first crowd, and slowly from then on.
+func TestLimitRisesFastWhereSlotsAreNotTold(t *testing.T) {
+	for _, c := range []struct {
+		weight WeightMeaning
+		least  float64
+	}{{WeightNone, 15}, {WeightSize, 1}} {
+		s := testSettings()
+		s.Weight = c.weight
+		d, _ := start(t, s, fleet(60))
+		rise := func() float64 {
+			before := d.limit
+			for n := 0; n < 16; n++ {
+				d.busy = d.limit
+				d.learnCrowd(10, &d.workers[n], 0, false)
+			}
+			return d.limit - before
+		}
+		if got := rise(); got < c.least || got > c.least+2 {
+			t.Errorf("weight %d: 16 free jobs raised the limit by %v, want about %v", c.weight, got, c.least)
+		}
+		d.learnCrowd(20, &d.workers[0], 9, true)
+		if got := rise(); got > 3 {
+			t.Errorf("weight %d: after a crowd 16 free jobs raised the limit by %v, want 2", c.weight, got)
+		}
+	}
+}
+
+// Work beyond shares may fill six tenths of the limit and a little more: where there are
+// shares, that alone must not raise it, or a burst of one tenant makes room for itself.
+func TestWorkBeyondSharesDoesNotRaiseTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		tenants []Tenant
+		used    float64
+		rises   bool
+	}{{nil, 0.65, true}, {[]Tenant{{1, 100}}, 0.65, false}, {[]Tenant{{1, 100}}, 0.8, true}, {nil, 0.5, false}} {
+		s := testSettings()
+		s.Tenants, s.Weight = c.tenants, WeightSize
+		d, _ := start(t, s, fleet(60))
+		before := d.limit
+		d.busy = c.used * before
+		d.learnCrowd(10, &d.workers[0], 0, false)
+		if d.limit > before != c.rises {
+			t.Errorf("%d tenants, %v of the limit in use: it went from %v to %v", len(c.tenants), c.used, before, d.limit)
+		}
+	}
+}
+
+// TestBurstDoesNotRaiseItsOwnShare: the part of all traffic that scales a quota must not
+// hold the burst, or tenants within their shares pay for it.
+func TestBurstDoesNotRaiseItsOwnShare(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Share: 0.5, QuotaPerS: 20}, {Share: 0.5, QuotaPerS: 20}}
+	d, _ := start(t, s, fleet(6))
+	over := [2]int{}
+	for i := 0; i < 2000; i++ {
+		r := &request{Request: req(i, 0)}
+		if i%9 == 0 {
+			r.Tenant = 1
+		}
+		if d.meter(float64(10+i*6), r); r.over && i > 500 {
+			over[r.Tenant]++
+		}
+	}
+	if share := float64(over[0]) / 1333; share < 0.8 || over[1] > 17 {
+		t.Errorf("%.2f of a burst and %d of 167 requests within their share are called over", share, over[1])
+	}
+}
+
+func TestOverShareIsRefusedFirst(t *testing.T) {
+	s := testSettings()
+	s.Tenants = []Tenant{{Share: 0.5, QuotaPerS: 20}, {Share: 0.5, QuotaPerS: 20}}
+	d, rec := start(t, s, fleet(6))
+	refused, asked := [2]int{}, [2]int{}
+	out := []act{}
+	for i := 0; i < 2000; i++ {
+		now, q := float64(10+i*5), req(i, 1)
+		q.Deadline = now + 9000
+		if i%10 == 0 {
+			q.Tenant = 1
+		}
+		asked[q.Tenant]++
+		rec.acts = rec.acts[:0]
+		d.Arrive(now, q)
+		for _, a := range rec.acts {
+			switch a.verb {
+			case "refuse":
+				refused[q.Tenant]++
+			case "dispatch":
+				out = append(out, a)
+			}
+		}
+		if len(out) > 20 { // 20 slots at a time, and whoever waits meets a crowd
+			d.Answer(now, Outcome{ID: out[0].id, Worker: out[0].worker, Took: 100, Closed: true})
+			d.learnCrowd(now, &d.workers[0], 4, true)
+			out = out[1:]
+		}
+	}
+	over, within := float64(refused[0])/float64(asked[0]), float64(refused[1])/float64(asked[1])
+	if over < 0.2 || within > over/4 {
+		t.Errorf("refused %.2f of a tenant at nine times its share, %.2f of one within it", over, within)
+	}
+}
--- /dev/null
+++ b/internal/balance/random_days_test.go
@@ -0,0 +1,288 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// checker watches events and actions and judges the rules by their wording, with its own
+// records: it shares no code with the module.
+type checker struct {
+	set    Settings
+	now    Millis
+	reqs   map[RequestID]*checked
+	states map[WorkerID]State
+	infos  map[WorkerID]Worker
+	faults []string
+}
+
+type checked struct {
+	q        Request
+	answered int
+	closed   bool
+	attempts []checkedAttempt
+}
+
+type checkedAttempt struct {
+	to   WorkerID
+	sent Millis
+	res  Result
+	done bool
+}
+
+func (a checkedAttempt) mayHaveRun() bool {
+	return !a.done || a.res != Full && a.res != ConnectFailed && a.res != NotSent
+}
+
+func (c *checker) fault(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf("at %v: ", c.now)+fmt.Sprintf(format, args...))
+}
+
+func (c *checker) action(a act) {
+	r := c.reqs[a.id]
+	switch a.verb {
+	case "dispatch":
+		c.dispatch(r, a)
+	case "refuse", "fail":
+		if r.closed {
+			c.fault("request %d answered after closing", a.id)
+		}
+		if a.verb == "refuse" {
+			c.refuse(r)
+		}
+		r.answered++
+		r.closed = true
+	}
+}
+
+func (c *checker) dispatch(r *checked, a act) {
+	class, to := c.set.Classes[r.q.Class], c.infos[a.worker]
+	if r.closed {
+		c.fault("request %d dispatched after closing", a.id)
+	}
+	if c.states[a.worker] != Ready {
+		c.fault("request %d sent to worker %d in state %d", a.id, a.worker, c.states[a.worker])
+	}
+	if class.Kind >= 0 && class.Kind != to.Kind {
+		c.fault("request %d sent to the wrong kind", a.id)
+	}
+	if len(r.attempts) >= c.set.MaxAttempts {
+		c.fault("request %d: too many attempts", a.id)
+	}
+	for _, b := range r.attempts {
+		if !b.mayHaveRun() || class.Effect == Safe {
+			continue
+		}
+		from := c.infos[b.to]
+		if class.Effect == Unsafe || c.now-b.sent > class.RepeatWindow ||
+			class.Scope == ScopeZone && from.Zone != to.Zone || class.Scope == ScopeCell && from.Cell != to.Cell {
+			c.fault("request %d may run twice", a.id)
+		}
+	}
+	r.attempts = append(r.attempts, checkedAttempt{to: a.worker, sent: c.now})
+}
+
+func (c *checker) refuse(r *checked) {
+	class := c.set.Classes[r.q.Class]
+	for _, b := range r.attempts {
+		if b.mayHaveRun() && (class.Effect == Unsafe || class.Effect == Deduped && class.Scope != ScopeAll) {
+			c.fault("request %d refused though it may have run", r.q.ID)
+		}
+	}
+}
+
+// timer is a wake-up that was asked for.
+type timer struct {
+	at    Millis
+	token uint64
+}
+
+// day plays a seeded random day and returns all actions and the checker.
+func day(t *testing.T, seed uint64, spoil func(act) act) ([]act, *checker) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 5))
+	s := testSettings()
+	s.Instances, s.Seed, s.TellsStart = 1+rng.IntN(20), seed, rng.IntN(2) == 0
+	s.Tenants = []Tenant{{Share: 0.6, QuotaPerS: 60}, {Share: 0.4, QuotaPerS: 40}}
+	s.MayDuplicate = rng.IntN(4) > 0
+	list := fleet(12)
+	rec := &recorder{}
+	d, err := New(s, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &checker{set: s, reqs: map[RequestID]*checked{}, states: map[WorkerID]State{}, infos: map[WorkerID]Worker{}}
+	var all []act
+	var timers []timer
+	var due []*checked // requests in order of arrival
+	settle := func() {
+		acts := append([]act(nil), rec.acts...)
+		rec.acts = rec.acts[:0]
+		for _, a := range acts {
+			if spoil != nil {
+				a = spoil(a)
+			}
+			all = append(all, a)
+			if a.verb == "wake" {
+				timers = append(timers, timer{c.now + a.in, a.token})
+			} else {
+				c.action(a)
+			}
+		}
+	}
+	tell := func(kind ListKind, entries []Worker) {
+		for _, w := range entries {
+			c.states[w.ID], c.infos[w.ID] = w.State, w
+		}
+		d.Workers(c.now, kind, entries)
+		settle()
+	}
+	c.now = 5
+	tell(ListCached, list)
+	for step := 0; step < 6000; step++ {
+		c.now += 5
+		for i := 0; i < len(timers); i++ {
+			if tm := timers[i]; tm.at <= c.now {
+				timers = append(timers[:i], timers[i+1:]...)
+				i--
+				d.Wake(c.now, tm.token)
+				settle()
+			}
+		}
+		if rng.IntN(2) == 0 && step < 4000 {
+			q := Request{ID: RequestID(step + 1), Class: rng.IntN(len(s.Classes)), Tenant: rng.IntN(2),
+				Deadline: c.now + 200 + rng.Float64()*5000, Slots: float64(1 + rng.IntN(3)), Key: uint64(rng.IntN(3))}
+			r := &checked{q: q}
+			c.reqs[q.ID], due = r, append(due, r)
+			d.Arrive(c.now, q)
+			settle()
+		}
+		if rng.IntN(60) == 0 {
+			w := &list[rng.IntN(len(list))]
+			switch rng.IntN(3) {
+			case 0:
+				w.State = Draining
+			case 1:
+				w.State = Gone
+			default:
+				w.State, w.Started = Ready, c.now
+			}
+			tell(ListDelta, []Worker{*w})
+		}
+		for _, r := range due {
+			for k := range r.attempts {
+				a := &r.attempts[k]
+				late := c.now >= r.q.Deadline
+				if a.done || !late && rng.IntN(80) > 0 {
+					continue
+				}
+				a.done, a.res = true, Result(rng.IntN(8))
+				if rng.IntN(2) == 0 {
+					a.res = OK
+				}
+				if late {
+					a.res = TimedOut
+				}
+				if a.res == OK && !r.closed {
+					r.answered++
+					r.closed = true
+				}
+				d.Answer(c.now, Outcome{ID: r.q.ID, Attempt: k, Worker: a.to, Result: a.res,
+					Took: c.now - a.sent, Closed: r.closed})
+				settle()
+			}
+			if !r.closed && rng.IntN(4000) == 0 { // the client leaves
+				r.closed = true
+				r.answered++
+				d.Abandoned(c.now, r.q.ID)
+				settle()
+			}
+			if !r.closed && c.now > r.q.Deadline+s.Rules.AnswerSlack {
+				c.fault("request %d has no answer %v ms after its deadline", r.q.ID, c.now-r.q.Deadline)
+				r.closed = true
+			}
+		}
+		for len(due) > 0 && due[0].closed && allDone(due[0]) {
+			due = due[1:]
+		}
+	}
+	if len(d.reqs) > 0 || math.Abs(d.busy) > 1e-9 {
+		c.fault("%d requests and %v slots are never let go", len(d.reqs), d.busy)
+	}
+	return all, c
+}
+
+func allDone(r *checked) bool {
+	for _, a := range r.attempts {
+		if !a.done {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRulesOnRandomDays(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		acts, c := day(t, seed, nil)
+		if len(acts) < 2000 {
+			t.Errorf("day %d: %d actions only", seed, len(acts))
+		}
+		for i, f := range c.faults {
+			if i < 5 {
+				t.Errorf("day %d: %s", seed, f)
+			}
+		}
+	}
+}
+
+// TestCheckerFindsBrokenRules spoils single actions: a checker that finds nothing then
+// would be worth nothing.
+func TestCheckerFindsBrokenRules(t *testing.T) {
+	worker := func(a act) act { // every dispatch goes to one worker, whatever its state
+		if a.verb == "dispatch" {
+			a.worker = 1000
+		}
+		return a
+	}
+	fail := func(a act) act { // failures are told as refusals
+		if a.verb == "fail" {
+			a.verb = "refuse"
+		}
+		return a
+	}
+	lose := func(a act) act { // final answers are lost
+		if a.verb == "fail" || a.verb == "refuse" {
+			a.verb = "log"
+		}
+		return a
+	}
+	for name, c := range map[string]struct {
+		spoil func(act) act
+		want  string
+	}{"drain": {worker, "in state"}, "refuse": {fail, "refused though"}, "lose": {lose, "no answer"}} {
+		var faults []string
+		for seed := uint64(1); seed <= 4; seed++ { // not every day drains the one worker
+			_, chk := day(t, seed, c.spoil)
+			faults = append(faults, chk.faults...)
+		}
+		if !strings.Contains(strings.Join(faults, "\n"), c.want) {
+			t.Errorf("%s: the checker did not find %q in %d faults", name, c.want, len(faults))
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	a, _ := day(t, 4, nil)
+	b, _ := day(t, 4, nil)
+	if !reflect.DeepEqual(a, b) {
+		t.Error("two runs of one day differ")
+	}
+	c, _ := day(t, 5, nil)
+	if reflect.DeepEqual(a, c) {
+		t.Error("days of different seeds are the same")
+	}
+}
--- /dev/null
+++ b/internal/balance/rig_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"testing"
+)
+
+// act is one action as recorded.
+type act struct {
+	verb   string
+	id     RequestID
+	worker WorkerID
+	n      int
+	in     Millis
+	token  uint64
+}
+
+// recorder keeps the actions of a dispatcher.
+type recorder struct{ acts []act }
+
+func (r *recorder) Dispatch(id RequestID, to WorkerID, _ Millis) {
+	r.acts = append(r.acts, act{verb: "dispatch", id: id, worker: to})
+}
+
+func (r *recorder) Refuse(id RequestID, p Millis) {
+	r.acts = append(r.acts, act{verb: "refuse", id: id, in: p})
+}
+
+func (r *recorder) Fail(id RequestID) { r.acts = append(r.acts, act{verb: "fail", id: id}) }
+
+func (r *recorder) Cancel(id RequestID, k int) {
+	r.acts = append(r.acts, act{verb: "cancel", id: id, n: k})
+}
+
+func (r *recorder) HangUp(to WorkerID) { r.acts = append(r.acts, act{verb: "hang up", worker: to}) }
+
+func (r *recorder) Probe(to WorkerID) { r.acts = append(r.acts, act{verb: "probe", worker: to}) }
+
+func (r *recorder) Wake(in Millis, token uint64) {
+	r.acts = append(r.acts, act{verb: "wake", in: in, token: token})
+}
+
+func (r *recorder) Subscribe() { r.acts = append(r.acts, act{verb: "subscribe"}) }
+
+func (r *recorder) Log(string) { r.acts = append(r.acts, act{verb: "log"}) }
+
+// only returns the recorded actions of one verb and forgets all.
+func (r *recorder) only(verb string) (out []act) {
+	for _, a := range r.acts {
+		if a.verb == verb {
+			out = append(out, a)
+		}
+	}
+	r.acts = r.acts[:0]
+	return out
+}
+
+func testSettings() Settings {
+	return Settings{
+		Seed: 1, Instances: 1, Zones: 3, Kinds: 2, MaxAttempts: 3, MayDuplicate: true, MayCancel: true,
+		ConnectTimeout: 200, Tick: 5, TellsStart: true, ProgressEvery: 1000, OverShareWorth: 0.1,
+		Mix: Mix{Whole: 0.7, WorstClass: 0.3},
+		Classes: []Class{
+			{Worth: 5, Aim: 400, Deadline: 10000, Kind: -1},
+			{Worth: 3, Aim: 400, Deadline: 10000, Kind: -1, Effect: Unsafe},
+			{Worth: 3, Aim: 400, Deadline: 10000, Kind: -1, Effect: Deduped, Scope: ScopeZone, RepeatWindow: 5000},
+			{Worth: 3, Aim: 400, Deadline: 10000, Kind: -1, Effect: Deduped, Scope: ScopeCell, RepeatWindow: 5000},
+			{Worth: 3, Aim: 400, Deadline: 10000, Kind: -1, Effect: Deduped, Scope: ScopeAll, RepeatWindow: 5000},
+			{Worth: 1, Aim: 400, Deadline: 10000, Kind: 1},
+		},
+		Rules: Rules{AnswerSlack: 20, AskEvery: 10000, FallMultiple: 3, FallWindow: 1000,
+			StartCapacity: 0.2, WarmAfter: 10000, DrainGrace: 500},
+	}
+}
+
+// fleet makes n ready workers: kinds, zones and cells go round.
+func fleet(n int) []Worker {
+	list := make([]Worker, n)
+	for i := range list {
+		list[i] = Worker{ID: WorkerID(1000 + i), Kind: i % 2, Zone: i % 3, Cell: i % 4, State: Ready, Weight: 4}
+	}
+	return list
+}
+
+// oneZone makes n ready workers, all in zone 0.
+func oneZone(n int) []Worker {
+	list := fleet(n)
+	for i := range list {
+		list[i].Zone = 0
+	}
+	return list
+}
+
+func start(t testing.TB, s Settings, list []Worker) (*Dispatcher, *recorder) {
+	t.Helper()
+	rec := &recorder{}
+	d, err := New(s, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Workers(1, ListCached, list)
+	return d, rec
+}
+
+func req(id int, class int) Request {
+	return Request{ID: RequestID(id), Class: class, Deadline: 9000, Slots: 1}
+}
+
+// sent hands over a request and returns the worker it went to, or 0.
+func sent(d *Dispatcher, rec *recorder, now Millis, q Request) WorkerID {
+	rec.acts = rec.acts[:0]
+	d.Arrive(now, q)
+	if a := rec.only("dispatch"); len(a) == 1 {
+		return a[0].worker
+	}
+	return 0
+}
+
+func withDeadline(q Request, at Millis) Request { q.Deadline = at; return q }
+
+// nothing takes actions and forgets them.
+type nothing struct{}
+
+// printer prints dispatches; a real node would put them on the network.
+type printer struct{ nothing }
--- /dev/null
+++ b/internal/network/director_test.go
@@ -0,0 +1,152 @@
+package network
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/balance"
+)
+
+// TestDirector: the watch goes on at once after each answer, from the version it has; a list
+// that cannot be read changes nothing.
+func TestDirector(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9, `
+		wait 2600ms
+		d/1 expect GET /registry/instances?since=41&timeout_ms=2500
+		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":43,"snapshot":false,"endpoints":[]}
+		d/1 expect GET /registry/instances?since=43&timeout_ms=2500
+		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{"in
+		wait 1s
+		d/1 expect closed
+		d/2 expect GET /registry/instances?since=43&timeout_ms=2500
+		c1 send GET /health/ready HTTP/1.1\r\n\r\n
+		c1 expect 200
+		d/2 send HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n{"index":44,"snapshot":true,"endpoints":[]}
+		c1 send GET /health/ready HTTP/1.1\r\n\r\n
+		c1 expect 503
+		d/2 expect GET /registry/instances?since=44&timeout_ms=2500
+		d/2 send HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n{"index":2,"snapshot":false,"endpoints":[]}
+		d/2 expect GET /registry/instances
+		wait 4s
+		d/3 expect GET /registry/instances`)
+}
+
+// TestRedirect: a new address of the director cuts what is under way at the old one, whether
+// a call, a connection in the making or a pause, and is asked for the whole list until it has
+// told it. What the old one still says changes nothing.
+func TestRedirect(t *testing.T) {
+	to := func(address string) func(*world) { return func(w *world) { w.watch.Redirect(address) } }
+	const whole = `HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n{"index":7,"snapshot":true,"endpoints":[]}`
+	for name, parts := range map[string][]any{
+		"while a call waits": {`
+			wait 2600ms
+			d/1 expect GET /registry/instances?since=41&timeout_ms=2500`, to("e"), `
+			d/1 expect closed
+			e/1 expect GET /registry/instances
+			e/1 send HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n
+			wait 1s
+			e/2 expect GET /registry/instances
+			e/2 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":99,"snapshot":false,"endpoints":[]}
+			wait 1s
+			e/3 expect GET /registry/instances
+			e/3 send ` + whole + `
+			e/3 expect GET /registry/instances?since=7&timeout_ms=2500
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 503`},
+		"while a connection is made": {"d wait 900ms\nwait 2600ms", to("e"), "e/1 expect GET /registry/instances"},
+		"twice, and to the same one": {"wait 2600ms", to("e"), "e/1 expect GET /registry/instances", to("d"), `
+			e/1 expect closed
+			d/2 expect GET /registry/instances`, to("d"), "d/2 expect nothing"},
+		"in a pause after a failure": {"d close\nwait 8s", to("e"), "e/1 expect GET /registry/instances"},
+		"before the first call":      {to("e"), "wait 2600ms\ne/1 expect GET /registry/instances\nd/1 expect no connection"},
+		"in the midst of an answer": {`
+			wait 2600ms
+			d/1 send HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n{"index":44,"snapshot":true,`, to("e"), `
+			d/1 expect GET /registry/instances?since=41&timeout_ms=2500
+			d/1 expect closed
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 200`},
+	} {
+		t.Run(name, func(t *testing.T) { run(t, list(balance.Ready, "s1"), 9, parts...) })
+	}
+}
+
+// TestAfresh: a process that was handed a list asks for the whole one first: versions are of an address, and its own may be
+// another.
+func TestAfresh(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9,
+		func(w *world) { w.watch.Afresh() }, `
+		wait 3s
+		d/1 expect GET /registry/instances
+		d/1 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":2,"snapshot":true,"endpoints":[]  }
+		d/1 expect GET /registry/instances?since=2&timeout_ms=2500`)
+}
+
+// TestSilentWatch: a watch that says nothing past its wait is held for silent, and another is made beside it in time for
+// a drain that counts as told 6 s after the silence began; what the silent one says after all is still heard.
+func TestSilentWatch(t *testing.T) {
+	begin := `
+		wait 2600ms
+		d/1 expect GET /registry/instances?since=41&timeout_ms=2500
+		wait 2s
+		d/1 expect nothing
+		d/2 expect GET /registry/instances?since=41&timeout_ms=2500
+		c1 send GET /health/ready HTTP/1.1\r\n\r\n
+		c1 expect 200`
+	for name, rest := range map[string]string{
+		"the new one tells": `
+			d/2 send ` + drained + `
+			d/1 expect closed
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 503
+			d/2 expect GET /registry/instances?since=44&timeout_ms=2500`,
+		"the old one was only late": `
+			d/1 send ` + drained + `
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 503
+			d/2 expect nothing
+			d/2 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":44,"snapshot":false,"endpoints":[]}
+			d/2 expect GET /registry/instances?since=44&timeout_ms=2500`,
+		"the old one says what is past": `
+			d/2 send HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n{"index":45,"snapshot":false,"endpoints":[]}
+			d/1 expect closed
+			d/2 expect GET /registry/instances?since=45&timeout_ms=2500
+			c1 send GET /health/ready HTTP/1.1\r\n\r\n
+			c1 expect 200`,
+		"both are silent": `
+			wait 4s
+			d/1 expect closed
+			d/3 expect GET /registry/instances?since=41&timeout_ms=2500
+			d/3 send ` + drained + `
+			d/2 expect closed`,
+	} {
+		t.Run(name, func(t *testing.T) { run(t, list(balance.Ready, "s1"), 9, begin, rest) })
+	}
+}
+
+// TestSilentAgent: an agent that pushes lists is asked again several times a second while it is silent, and no more often;
+// once it speaks, the watch is one and the same again. The settings give no time for asking there.
+func TestSilentAgent(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+		w.watch.mu.Lock() // which the watch takes before it looks
+		w.watch.Pace = Pushed()
+		w.watch.mu.Unlock()
+	}, `
+		wait 3s
+		d/1 expect GET /registry/instances?since=41&timeout_ms=1000`,
+		func(w *world) {
+			time.Sleep(10 * time.Second)
+			calls := w.count.DirectorCalls.Load()
+			assert.InDelta(t, 33, calls, 8, "calls in 10 s of silence")
+			w.t.Logf("calls in 10 s of silence: %d", calls)
+			w.mu.Lock()
+			w.refuse["d"] = true
+			w.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			calls = w.count.DirectorCalls.Load() - calls
+			assert.InDelta(t, 65, calls, 30, "calls in 10 s of refusals")
+			w.t.Logf("calls in 10 s of refusals: %d", calls)
+		})
+}
--- /dev/null
+++ b/internal/network/table_test.go
@@ -0,0 +1,146 @@
+package network
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"tinsail/internal/balance"
+)
+
+// TestBudgets: the idlest session makes room for a new one. Where all are busy, a client is
+// told to come back; where all connections to backends are, its req is refused.
+func TestBudgets(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 1, `
+		c1 send GET /health/live HTTP/1.1\r\n\r\n
+		c1 expect 200
+		c2 send {req 9b x}
+		wait 10ms
+		c1 expect closed
+		s1/1 expect POST /ingest?v=1 9b k9b 2000 x
+		c3 send {req 9c x}
+		c3 expect 503 after 0.500 close 503: too many clients
+		s1/1 send {started 9b}{done 9b r}
+		c2 expect 200 r`)
+}
+
+// TestShare: under any limit that the configuration lets pass, all budgets fit.
+func TestShare(t *testing.T) {
+	for _, limit := range []int{64, 160, 1024} {
+		b := Share(limit)
+		assert.LessOrEqual(t, b.Clients+b.Backends+kept, limit)
+		assert.GreaterOrEqual(t, b.Backends, b.Clients)
+		assert.Positive(t, b.Clients)
+		assert.Less(t, b.Usual, limit/3)
+	}
+}
+
+// TestWhoGoesFirst: beyond the budget those go that ask for nothing, and a usual client's
+// session last. One that has just connected is not silent yet; its first req, which no client
+// repeats by itself, is on its way.
+func TestWhoGoesFirst(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 4, `
+		c1 send {req 9a x}
+		s1/1 send {started 9a}{done 9a r}
+		c1 expect 200 r
+		c2 send POST /ingest HTTP/1.1\r\n
+		c3 send
+		c4 send GET /health/live HTTP/1.1\r\n\r\n
+		c4 expect 200
+		wait 800ms
+		c5 send
+		wait 6ms
+		c4 expect closed
+		c3 expect nothing
+		c6 send
+		wait 6ms
+		c3 expect closed
+		c2 expect nothing
+		c7 send
+		wait 6ms
+		c2 expect 503 after 0.500 close
+		c2 expect closed
+		c1 expect nothing
+		c8 send
+		wait 6ms
+		c1 expect closed
+		c5 expect nothing
+		c9 send {req 9c x}
+		c9 expect 503 after 0.500 close 503: too many clients
+		c5 send {req 9d x}
+		s1/1 expect POST /ingest?v=1 9a k9a 2000 x
+		s1/1 expect POST /ingest?v=1 9d k9d 2000 x
+		wait 250ms
+		cA send
+		wait 6ms
+		c6 expect closed
+		c7 expect nothing`)
+}
+
+// TestUsualSessionsStayFew: usual clients can hold only so many sessions. Where their idle ones
+// add up, the one idle for longest is closed before they run out, but none that was just used.
+func TestUsualSessionsStayFew(t *testing.T) {
+	serve := func(c, id, conn string) string {
+		return fmt.Sprintf("%s send {req %s x}\n%s send {started %s}{done %s r}\n%s expect 200 r\n", c, id, conn, id, id, c)
+	}
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) { w.clients.Usual = 2 },
+		serve("c1", "9a", "s1/1")+"wait 50ms\n"+serve("c2", "9b", "s1/1")+serve("c3", "9c", "s1/1")+`
+		wait 6ms
+		c1 expect nothing
+		wait 50ms
+		`+serve("c3", "9d", "s1/1")+`
+		wait 6ms
+		c1 expect closed
+		c2 expect nothing
+		`+serve("c2", "9e", "s1/1")+`
+		wait 150ms
+		c4 send {req 9f x}
+		wait 6ms
+		c3 expect closed
+		c4 expect nothing`)
+}
+
+// TestFull: where all sessions are owed an answer, new ones are told at once, and accepting
+// goes on.
+func TestFull(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 1, "c1 send {req 9a x}", func(w *world) {
+		for i := range excessMost + 1 {
+			w.play(fmt.Sprintf("cx%d send", i))
+		}
+	}, `
+		cx16 expect 503 after 0.500 close
+		cx16 expect closed
+		cx15 expect nothing
+		cx15 send {req 9b x}
+		cx15 expect 503 after 0.500 close 503: too many clients
+		s1/1 send {started 9a}{done 9a r}
+		c1 expect 200 r`,
+		func(w *world) { assert.Equal(t, int64(1), w.count.SessionsRefused.Load()) })
+}
+
+// late is a connection whose bytes lie there when the time to read is up.
+type late struct {
+	net.Conn
+	up bool
+}
+
+func (l *late) Read(p []byte) (int, error) {
+	if !l.up {
+		l.up = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	return l.Conn.Read(p)
+}
+
+// TestLastLook: a req that is there when its session is to be closed is answered first.
+func TestLastLook(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+		go w.clients.admit(&late{Conn: w.pipe("c1")})
+		go w.peers["c1"].conn.Write([]byte(expand("{req 9b x}")))
+	}, `
+		s1/1 send {started 9b}{done 9b r}
+		c1 expect 200 r`)
+}
