--- a/internal/lab/soak/trouble.go
+++ b/internal/lab/soak/trouble.go
@@ -210,6 +210,9 @@
 			return time.Time{}
 		}
 		a.Body.Close()
+		if a.StatusCode != http.StatusOK && a.StatusCode != http.StatusInternalServerError { // which says that it holds in this process
+			return time.Time{}
+		}
 		return time.Now()
 	}
 	from := call("offline") // whether it would outlive the process or not, it holds in this one
