A voter whose store fails waits for it in place of ending the process

The log's library ends the process where a term or a vote cannot be written, and with it all requests that the dispatcher has taken. The store's wrapper (now terms.go) tries such a write again, as a transaction of its own, every 0.05 to 1 s; the library's goroutine waits meanwhile, so that the voter neither votes nor leads nor has anything verified. Before the log has begun an error is one of the start, as it was. Closing does not wait for the library while its store fails: a SIGTERM must not hang on a full disk.

--- a/internal/network/fleet/accord/log.go
+++ b/internal/network/fleet/accord/log.go
@@ -109,40 +109,6 @@
 	return len(p), nil
 }
 
-// terms is a voter's store of its term and vote. The library answers heartbeats beside its own goroutines, and does not
-// wait for one of those when it is shut down: a term that came in that moment would find the store closed, and end the
-// process. Once closed, a write here never returns.
-type terms struct {
-	*raftboltdb.BoltStore
-	mu     sync.RWMutex
-	closed bool
-}
-
-func (t *terms) write(f func() error) error {
-	t.mu.RLock()
-	if t.closed {
-		t.mu.RUnlock()
-		select {}
-	}
-	defer t.mu.RUnlock()
-	return f()
-}
-
-func (t *terms) Set(key, value []byte) error {
-	return t.write(func() error { return t.BoltStore.Set(key, value) })
-}
-
-func (t *terms) SetUint64(key []byte, value uint64) error {
-	return t.write(func() error { return t.BoltStore.SetUint64(key, value) })
-}
-
-func (t *terms) Close() error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.closed = true
-	return t.BoltStore.Close()
-}
-
 // majority is the log and what it needs.
 type majority struct {
 	raft    *raft.Raft
@@ -172,7 +138,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("the log in %s: %w", cfg.Data, err)
 	}
-	m.store = &terms{BoltStore: store}
+	m.store = &terms{BoltStore: store, stable: store, log: cfg.Log}
 	fail := func(err error) (*majority, error) {
 		m.store.Close()
 		return nil, err
@@ -194,6 +160,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	m.store.patient.Store(true) // from here on an error would end the process
 	if m.raft, err = raft.NewRaft(c, m.machine, m.store, m.store, snaps, transport); err != nil {
 		return fail(err)
 	}
@@ -224,7 +191,22 @@
 	return true
 }
 
+// close ends the log. The library's goroutines are not waited for while one of them waits for a store that fails.
 func (m *majority) close() {
-	m.raft.Shutdown().Error()
+	ended := make(chan struct{})
+	go func() {
+		m.raft.Shutdown().Error()
+		close(ended)
+	}()
+	tick := time.NewTicker(leastStorePause)
+	defer tick.Stop()
+	for waits := true; waits; {
+		select {
+		case <-ended:
+			waits = false
+		case <-tick.C:
+			waits = !m.store.failing.Load()
+		}
+	}
 	m.store.Close()
 }
