The trace keeps copies of ids and three events a request; TCP_INFO asks for what is used

The trace held the ids as they came, which may be slices of whole heads (16 KiB each), took six events a request with a look at the clock each, and the whole of tcp_info was read into fresh memory.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -36,7 +36,9 @@
 		return
 	}
 	c.count.Attempts.Add(1)
-	c.note(r, guard.AttemptSent, why)
+	if why != nil {
+		c.note(c.clock.time(now), r, guard.AttemptSent, why)
+	}
 	a.stop = c.backends.Send(a)
 	c.timers.set(until, func() { c.cut(a, Overdue) })
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -388,7 +388,9 @@
 		c.Log.Error().Stringer("ending", e).Msg("not an attempt's ending")
 		res = balance.Reset
 	}
-	c.note(a.req, guard.AttemptEnded, e)
+	if e != Served { // which the request's end says as well
+		c.note(c.clock.read(), a.req, guard.AttemptEnded, e)
+	}
 	a.never.Store(res == balance.Full || res == balance.ConnectFailed || res == balance.NotSent)
 	switch e {
 	case Served:
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -11,9 +11,10 @@
 // This file hands facts to package guard, which checks the rules: it decides nothing. What may begin is decided in
 // MayBegin, what is answered by the module.
 
-func (c *Core) note(r *req, step guard.Step, why fmt.Stringer) {
+// note adds an event of a request to the trace.
+func (c *Core) note(at time.Time, r *req, step guard.Step, why fmt.Stringer) {
 	if c.Guard != nil {
-		c.Guard.Note(guard.Event{At: c.clock.read(), Request: r.job.ID, Step: step, Why: why})
+		c.Guard.Note(guard.Event{At: at, Request: r.job.ID, Step: step, Why: why})
 	}
 }
 
--- a/internal/core/ticket.go
+++ b/internal/core/ticket.go
@@ -34,7 +34,7 @@
 	}
 	r.deadline = c.clock.millis(came.Add(left))
 	c.open.Add(1)
-	c.note(r, guard.RequestTaken, nil)
+	c.note(came, r, guard.RequestTaken, nil)
 	c.post(func() {
 		c.last++
 		r.id, q.ID = c.last, c.last
@@ -71,7 +71,7 @@
 func (t Ticket) Abandon(stop bool, over func()) {
 	t.r.over.Store(true)
 	if t.r.goneAt.CompareAndSwap(0, t.core.clock.stamp(t.core.clock.read())) {
-		t.core.note(t.r, guard.ClientGone, nil)
+		t.core.note(t.core.clock.read(), t.r, guard.ClientGone, nil)
 	}
 	t.core.post(func() {
 		c, r := t.core, t.r
--- a/internal/guard/recorder.go
+++ b/internal/guard/recorder.go
@@ -32,7 +32,7 @@
 	if why, ok := e.Why.(Reason); ok {
 		r.reasons[why].Add(1)
 	}
-	r.trace.add(e)
+	r.trace.add(&e)
 }
 
 // End notes that the process has decided to end.
@@ -59,8 +59,8 @@
 		return
 	}
 	r.violations[rule].Add(1)
-	events := r.trace.last(dumped, func(e *Event) bool {
-		return request != "" && e.Request == request || session != 0 && e.Session == session
+	events := r.trace.last(dumped, func(e *entry) bool {
+		return request != "" && e.request() == request[:min(len(request), mostID)] || session != 0 && e.session == session
 	})
 	r.Log.Error().Stringer("rule", rule).Str("request", request).Uint64("session", session).Str("says", says).
 		Strs("trace", texts(events)).Msg("invariant violated")
@@ -96,14 +96,14 @@
 	if r == nil {
 		return
 	}
-	r.Log.Info().Strs("trace", texts(r.trace.last(listed, func(*Event) bool { return true }))).Msg("trace")
+	r.Log.Info().Strs("trace", texts(r.trace.last(listed, func(*entry) bool { return true }))).Msg("trace")
 }
 
 // texts writes events with their times relative to the last one.
-func texts(events []Event) []string {
+func texts(events []entry) []string {
 	out := make([]string, len(events))
 	for i := range events {
-		out[i] = events[i].text(events[len(events)-1].At)
+		out[i] = events[i].text(events[len(events)-1].at)
 	}
 	return out
 }
--- a/internal/guard/rule_test.go
+++ b/internal/guard/rule_test.go
@@ -98,7 +98,7 @@
 	assert.EqualValues(t, 1, counts["again_returned"])
 	assert.Contains(t, counts, "close_room_wanted")
 	assert.Contains(t, counts, "refuse_out_of_time")
-	assert.Len(t, r.trace.last(traced+100, func(*Event) bool { return true }), traced)
+	assert.Len(t, r.trace.last(traced+100, func(*entry) bool { return true }), traced)
 	assert.Zero(t, r.Ended())
 	r.End(at(1))
 	r.End(at(2))
--- a/internal/guard/trace.go
+++ b/internal/guard/trace.go
@@ -85,37 +85,59 @@
 	Why     fmt.Stringer // a Reason, the core's Ending or a state; may be nil
 }
 
-func (e *Event) text(from time.Time) string {
+// mostID is how much of a request's id the trace keeps. The id itself may be a slice of a whole head, which is not to be
+// held for its sake.
+const mostID = 40
+
+// entry is an Event as the trace keeps it.
+type entry struct {
+	at      time.Time
+	session uint64
+	why     fmt.Stringer
+	id      [mostID]byte
+	length  uint8
+	step    Step
+}
+
+func (e *entry) take(v *Event) {
+	e.at, e.session, e.why, e.step = v.At, v.Session, v.Why, v.Step
+	e.length = uint8(copy(e.id[:], v.Request))
+}
+
+func (e *entry) request() string { return string(e.id[:e.length]) }
+
+func (e *entry) text(from time.Time) string {
 	why := ""
-	if e.Why != nil {
-		why = ": " + e.Why.String()
+	if e.why != nil {
+		why = ": " + e.why.String()
 	}
-	return fmt.Sprintf("%+.1fms session %d request %q %s%s", float64(e.At.Sub(from))/float64(time.Millisecond), e.Session, e.Request, e.Step, why)
+	return fmt.Sprintf("%+.1fms session %d request %q %s%s", float64(e.at.Sub(from))/float64(time.Millisecond), e.session, e.request(), e.step, why)
 }
 
-// traced is how many events are kept: some seconds of a dispatcher's traffic, in some 150 KiB.
+// traced is how many events are kept: some seconds of a dispatcher's traffic, in 208 KiB.
 const traced = 2048
 
 // trace keeps the last events.
 type trace struct {
 	mu   sync.Mutex
-	ring []Event
+	ring []entry
 	next int
 }
 
-func (t *trace) add(e Event) {
+func (t *trace) add(e *Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.ring) < traced {
-		t.ring = append(t.ring, e)
+		t.ring = append(t.ring, entry{})
+		t.ring[len(t.ring)-1].take(e)
 		return
 	}
-	t.ring[t.next] = e
+	t.ring[t.next].take(e)
 	t.next = (t.next + 1) % traced
 }
 
 // last are the newest events that match, oldest first, at most so many.
-func (t *trace) last(most int, match func(*Event) bool) (out []Event) {
+func (t *trace) last(most int, match func(*entry) bool) (out []entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := len(t.ring) - 1; i >= 0 && len(out) < most; i-- {
--- a/internal/network/arrival.go
+++ b/internal/network/arrival.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -19,9 +20,18 @@
 	raw    syscall.RawConn // nil where the system tells nothing
 	queued time.Time       // it may have waited to be accepted since then; zero: it did not
 	last   time.Duration   // scratch of ask
+	info   tcpInfo         // scratch of ask
 	ask    func(fd uintptr)
 }
 
+// tcpInfo is the beginning of the kernel's struct tcp_info, as far as it is used (linux/tcp.h): the whole of it would cost half
+// as much again for each read.
+type tcpInfo struct {
+	_            [8]uint8
+	_            [11]uint32 // rto to last_data_sent, last_ack_sent
+	LastDataRecv uint32
+}
+
 // newArrival is for a connection that was just accepted.
 func newArrival(conn net.Conn, queued time.Time) *arrival {
 	a := &arrival{queued: queued}
@@ -30,8 +40,11 @@
 	}
 	a.ask = func(fd uintptr) {
 		a.last = -1
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			a.last = time.Duration(info.Last_data_recv) * time.Millisecond
+		size := uint32(unsafe.Sizeof(a.info))
+		_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, unix.TCP_INFO,
+			uintptr(unsafe.Pointer(&a.info)), uintptr(unsafe.Pointer(&size)), 0)
+		if errno == 0 && size == uint32(unsafe.Sizeof(a.info)) {
+			a.last = time.Duration(a.info.LastDataRecv) * time.Millisecond
 		}
 	}
 	return a
--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -165,7 +165,9 @@
 	some, flooded := behind.lies()
 	closing = closing || flooded || !some && (s.clients.told().Close || t.isShed(&s.sessionState))
 	err := s.write(platform.AppendFinal(make([]byte, 0, 128+len(a.Result)), a, closing))
-	s.note(guard.RequestWritten, s.closes(closing, flooded, err))
+	if closing || err != nil {
+		s.note(guard.RequestWritten, s.closes(closing, flooded, err))
+	}
 	closing = t.answered(&s.sessionState, true, closing || err != nil, long)
 	t.trim(s.clients.usual())
 	done <- written{a.Free, closing, err}
