Two processes of a hand-over keep the bans side by side

The generation before is linked under a name of the process's own and renamed; the name is removed after that, since a rename between two links of one file leaves both, and writing there next would have cut the kept generation. TestTwoProcessesKeep.

TestUpgrades counted two files in the folder; it names the three that belong there now: bans, the generation before, the socket.

--- a/cmd/tinsail/upgrade_test.go
+++ b/cmd/tinsail/upgrade_test.go
@@ -266,7 +266,10 @@
 	assert.EqualValues(t, answered.Load(), ran)
 	left, err := filepath.Glob(filepath.Join(h.folder, "*"))
 	require.NoError(t, err)
-	assert.Len(t, left, 2, "one socket and one file of bans, and nothing of those that have ended: %v", left)
+	for i := range left {
+		left[i] = filepath.Ext(left[i])
+	}
+	assert.Equal(t, []string{".bans", ".old", ".sock"}, left, "one socket, two generations of bans, and nothing of those that have ended")
 	old.end(t)
 	assert.NoFileExists(t, h.socket())
 }
--- a/internal/network/maintain/store.go
+++ b/internal/network/maintain/store.go
@@ -32,16 +32,17 @@
 const oldSuffix = ".old"
 
 func (s fileStore) Write(text []byte) error {
+	// Two processes may write at a time, while one hands over to the other: each under a name of its own, and by renames alone.
 	next := fmt.Sprintf("%s.%d", s.path, os.Getpid())
-	if err := writeSynced(next, text); err != nil {
-		os.Remove(next)
-		return fmt.Errorf("the file of bans: %w", err)
+	os.Remove(next)
+	err := s.keepOld(next)
+	if err == nil {
+		err = writeSynced(next, text)
 	}
-	if err := s.keepOld(); err != nil {
-		os.Remove(next)
-		return fmt.Errorf("the file of bans: %w", err)
+	if err == nil {
+		err = os.Rename(next, s.path)
 	}
-	if err := os.Rename(next, s.path); err != nil {
+	if err != nil {
 		os.Remove(next)
 		return fmt.Errorf("the file of bans: %w", err)
 	}
@@ -49,8 +50,8 @@
 }
 
 // keepOld has what is at the place be the generation before as well: a link, not a rename, so that there is always something at
-// the place. What is damaged takes no whole one's place.
-func (s fileStore) keepOld() error {
+// the place. What is damaged takes no whole one's place. name is one that nobody else uses.
+func (s fileStore) keepOld(name string) error {
 	text, err := os.ReadFile(s.path)
 	if err == nil {
 		_, err = maintenance.ReadKept(text)
@@ -58,8 +59,14 @@
 	if err != nil {
 		return nil
 	}
-	os.Remove(s.path + oldSuffix)
-	return os.Link(s.path, s.path+oldSuffix)
+	if err := os.Link(s.path, name); err != nil {
+		return err
+	}
+	err = os.Rename(name, s.path+oldSuffix)
+	// Where both are the same file already, a rename leaves both names (rename(2)): what is written next under this one must not be
+	// the generation that is kept.
+	os.Remove(name)
+	return err
 }
 
 // writeSynced writes a file whole. A sync that failed once must not be followed by one that hides it: the caller begins anew.
--- a/internal/network/maintain/store_test.go
+++ b/internal/network/maintain/store_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -96,3 +98,33 @@
 		assert.ElementsMatch(t, []string{path, path + oldSuffix}, files, name)
 	}
 }
+
+// TestTwoProcessesKeep: the two processes of a hand-over keep at the same time. Neither fails for the other, and what is left is whole.
+func TestTwoProcessesKeep(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bans")
+	for _, name := range []string{"a", "b"} { // another process's name for what is being written
+		require.NoError(t, os.WriteFile(fmt.Sprintf("%s.%d", path, os.Getpid()+1), []byte("half"), 0o600))
+		d, _ := newManager(path)
+		d.Listed(balance.ListFull, ready("a", "b"))
+		require.NoError(t, d.Offline(name))
+	}
+	texts, err := fileStore{path}.Read()
+	require.NoError(t, err)
+	require.Len(t, texts, 2)
+	for _, text := range texts {
+		_, err := maintenance.ReadKept(text)
+		assert.NoError(t, err)
+	}
+	next := fileStore{path}
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() {
+			for range 200 {
+				name := fmt.Sprintf("%s.%d", path, rand.Int64())
+				assert.NoError(t, next.keepOld(name))
+				assert.NoFileExists(t, name, "what is written there next is no kept generation")
+			}
+		})
+	}
+	both.Wait()
+}
