--- a/internal/guard/rule.go
+++ b/internal/guard/rule.go
@@ -26,7 +26,7 @@
 	AnswerLate                   // a final answer was decided more than LateSlack after the client's time
 	RefuseMayHaveRun             // a request was refused though it may have run, and a repeat is not harmless
 	CloseOwed                    // a session was closed from here with a request that was read and not answered
-	ServeNotReady                // the check of health said yes without a backend, or after the end
+	ServeNotReady                // the check of health said yes after the process had decided to end
 	rules
 )
 
--- a/internal/network/await.go
+++ b/internal/network/await.go
@@ -147,6 +147,7 @@
 
 func (s *session) done(free bool) {
 	s.in.Done(free)
+	s.request = "" // a slice of its head, which is not to be held while the session rests
 	s.release()
 }
 
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -394,8 +394,8 @@
 		if !c.told().Ready || c.Core.Ready() == 0 || !c.Core.Serves() {
 			return 503, ""
 		}
-		if c.Guard != nil && !c.Core.Known() {
-			c.Guard.Violated(guard.ServeNotReady, 0, "", "ready without a list of backends")
+		if !c.Guard.Ended().IsZero() && !c.told().Handed { // else another process serves in the dispatcher's name
+			c.Guard.Violated(guard.ServeNotReady, 0, "", "ready after the process had decided to end")
 		}
 		return 200, ""
 	case path == "/health/live":
--- a/internal/network/localfault.go
+++ b/internal/network/localfault.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"syscall"
 	"time"
 
@@ -46,36 +45,28 @@
 // ofOnePeer says that the fault may be on the way to one address alone: where others can be reached meanwhile, it is.
 func (f localFault) ofOnePeer() bool { return f == ports || f == route || f == denied }
 
-var localErrors = map[localFault][]syscall.Errno{
-	descriptors: {syscall.EMFILE, syscall.ENFILE},
-	memory:      {syscall.ENOBUFS, syscall.ENOMEM},
-	ports:       {syscall.EADDRNOTAVAIL, syscall.EAGAIN},
-	route:       {syscall.ENETUNREACH, syscall.ENETDOWN},
-	denied:      {syscall.EACCES, syscall.EPERM},
+var localErrors = map[syscall.Errno]localFault{
+	syscall.EMFILE: descriptors, syscall.ENFILE: descriptors,
+	syscall.ENOBUFS: memory, syscall.ENOMEM: memory,
+	syscall.EADDRNOTAVAIL: ports, syscall.EAGAIN: ports,
+	syscall.ENETUNREACH: route, syscall.ENETDOWN: route,
+	syscall.EACCES: denied, syscall.EPERM: denied,
 }
 
 // localFaultOf says whether a connection failed for a reason of this machine's. due is when the attempt's own time-out was
 // over, now when it was heard of.
 func localFaultOf(err error, due, now time.Time) localFault {
-	for kind, list := range localErrors {
-		for _, errno := range list {
-			if errors.Is(err, errno) {
-				return kind
-			}
-		}
+	var errno syscall.Errno
+	if errors.As(err, &errno) { // the system's own word; ETIMEDOUT is the far side's silence
+		return localErrors[errno]
 	}
-	timedOut := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || isTimeout(err)
-	if timedOut && now.Sub(due) > heldUpAfter {
+	var ours net.Error
+	if errors.As(err, &ours) && ours.Timeout() && now.Sub(due) > heldUpAfter {
 		return heldUp
 	}
 	return noFault
 }
 
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout() && !errors.Is(err, syscall.ETIMEDOUT)
-}
-
 // heldUpAfter is how much later than it was due a time-out comes of a process that was not run meanwhile; timers of one
 // that runs come within some milliseconds.
 const heldUpAfter = 50 * time.Millisecond
--- a/internal/network/trace_test.go
+++ b/internal/network/trace_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"tinsail/internal/balance"
 	"tinsail/internal/core"
 	"tinsail/internal/guard"
 )
@@ -36,3 +38,17 @@
 		assert.Equal(t, c.want, r.Violations(guard.CloseOwed), name)
 	}
 }
+
+// TestServeGuardSaysNo: a check of health that is answered by yes after the process had decided to end is counted.
+func TestServeGuardSaysNo(t *testing.T) {
+	run(t, list(balance.Ready, "s1"), 9, func(w *world) {
+		r := &guard.Recorder{}
+		w.clients.Guard = r
+		status, _ := w.clients.look("GET", "/health/ready")
+		assert.Equal(t, 200, status)
+		assert.Zero(t, r.Violations(guard.ServeNotReady))
+		r.End(time.Now()) // and its orders do not say so
+		_, _ = w.clients.look("GET", "/health/ready")
+		assert.EqualValues(t, 1, r.Violations(guard.ServeNotReady))
+	})
+}
