--- a/review/cases/group/main.go
+++ b/review/cases/group/main.go
@@ -59,7 +59,9 @@
 		}
 		id := rig.NewID("g")
 		a := rig.Send(client, p.Listen, rig.Request{ID: id, Class: "photo-ingest", Key: "key-" + id, Query: query, TimeLeft: 5 * time.Second})
-		r.Logf("client: %s%s answered %d %v", id, query, a.Status, a.Err)
+		if query != "?ms=30" {
+			r.Logf("the connection of %s is reset once its job has run; its client got %d %v", id, a.Status, a.Err)
+		}
 	}
 	runs := map[string][]rig.Job{} // by idempotency key
 	for _, b := range backends {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -46,6 +46,7 @@
 		os.Exit(NotRun)
 	}
 	r := &Rig{Root: root, Trouble: os.Getenv("TROUBLE") != "0", started: time.Now()}
+	current = r
 	if r.record, err = os.Create(filepath.Join(root, "review", folder, "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(NotRun)
@@ -96,6 +97,18 @@
 	fmt.Print(line)
 }
 
+// current is the play of this process.
+var current *Rig
+
+// note writes a line to the record alone: what was sent, answered or run.
+func note(format string, args ...any) {
+	r := current
+	line := fmt.Sprintf("%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = r.record.WriteString(line)
+}
+
 // Must ends the play as one that could not run if err is not nil.
 func Must(err error) {
 	if err != nil {
--- a/review/rig/standins.go
+++ b/review/rig/standins.go
@@ -17,13 +17,11 @@
 	Backend, ID, Key string
 	Start, End       time.Time // End is zero while it runs
 	Reset            bool      // its connection was reset once it had run
-	Version          string    // of the policy under which the dispatcher took it, if it says so
 }
 
-// Backend is a stand-in of a backend. It begins each job on its last byte, says so, and runs it for the time that
-// the query of its path names (?ms=), but no longer than the dispatcher said that it waits. A job whose connection is
-// lost runs on, as the pages say of some days. With reset in the query the connection of a job's first attempt is reset
-// once it has run.
+// Backend is a stand-in of a backend, a group of its own. It begins each job on its last byte, when a slot is free, says so,
+// runs it for the time that the query of its path names (?ms=), and drops repeats of a key. A job that runs goes on where
+// its connection is lost. With reset in the query the connection of a job's first attempt is reset once it has run.
 type Backend struct {
 	Name, Address string
 
@@ -41,13 +39,16 @@
 	if slots > 0 {
 		b.slots = make(chan struct{}, slots)
 	}
-	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
+	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: idleTimeout}
 	go func() { _ = b.server.Serve(l) }()
 	return b
 }
 
 func (b *Backend) serve(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Correlation-Id")
+	if q.Method == "GET" && (q.URL.Path == "/health/live" || q.URL.Path == "/stats") { // a probe
+		return
+	}
 	if q.Method != "POST" || id == "" {
 		http.NotFound(w, q)
 		return
@@ -56,8 +57,11 @@
 		return
 	}
 	ms, _ := strconv.Atoi(q.URL.Query().Get("ms"))
-	if left, err := strconv.Atoi(q.Header.Get("X-Time-Left-Ms")); err == nil {
-		ms = min(ms, max(left-endBefore, 0))
+	key := q.Header.Get("Idempotency-Key")
+	if b.dropsRepeat(key) { // it has the result of the job that ran before
+		note("backend %s: %s, key %s, a repeat that is dropped", b.Name, id, key)
+		fmt.Fprintf(w, "{\"id\":%q,\"from\":%q,\"state\":\"done\",\"result\":\"made %s\"}\n", id, b.Name, id)
+		return
 	}
 	if b.slots != nil {
 		select {
@@ -67,7 +71,7 @@
 			return
 		}
 	}
-	j := &Job{Backend: b.Name, ID: id, Key: q.Header.Get("Idempotency-Key"), Version: q.Header.Get("X-Policy-Version"), Start: time.Now()}
+	j := &Job{Backend: b.Name, ID: id, Key: key, Start: time.Now()}
 	if q.URL.Query().Get("reset") != "" {
 		_, again := begunBefore.LoadOrStore(id, true)
 		j.Reset = !again
@@ -75,12 +79,14 @@
 	b.mu.Lock()
 	b.jobs = append(b.jobs, j)
 	b.mu.Unlock()
+	note("backend %s: %s, key %s, begins", b.Name, id, key)
 	fmt.Fprintf(w, "{\"id\":%q,\"from\":%q,\"state\":\"started\"}\n", id, b.Name)
 	_ = http.NewResponseController(w).Flush()
 	time.Sleep(time.Duration(ms) * time.Millisecond)
 	b.mu.Lock()
 	j.End = time.Now()
 	b.mu.Unlock()
+	note("backend %s: %s, key %s, has run, reset %v", b.Name, id, key, j.Reset)
 	if j.Reset {
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
 			_ = conn.(*net.TCPConn).SetLinger(0)
@@ -101,8 +107,24 @@
 	return all
 }
 
-// endBefore is how many milliseconds before the dispatcher's time is over a backend ends a job.
-const endBefore = 60
+// repeatWindow is for how long a backend drops a repeat of a key, and idleTimeout when it closes a connection that rests; both
+// are those of PlatformSettings.
+const (
+	repeatWindow = 7500 * time.Millisecond
+	idleTimeout  = 10 * time.Second
+)
+
+// dropsRepeat reports whether a job of a key has run here within repeatWindow.
+func (b *Backend) dropsRepeat(key string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, j := range b.jobs {
+		if key != "" && j.Key == key && !j.End.IsZero() && time.Since(j.Start) < repeatWindow {
+			return true
+		}
+	}
+	return false
+}
 
 // begunBefore has the ids of jobs that ask for a reset and have begun at any backend.
 var begunBefore sync.Map
@@ -133,7 +155,7 @@
 }
 
 // Send sends a request to a dispatcher and waits for its answer, for half a second more than its time at most.
-func Send(c *http.Client, address string, r Request) Answer {
+func Send(c *http.Client, address string, r Request) (answer Answer) {
 	q, err := http.NewRequest("POST", "http://"+address+"/"+r.Class+"/7f3a9c21e0b4d655"+r.Query, bytes.NewReader(r.Body))
 	if err != nil {
 		return Answer{Err: err}
@@ -148,6 +170,8 @@
 		q.Header.Set("X-Account", r.Account)
 	}
 	q.GetBody = nil // the id of a request is sent once
+	note("client: %s key %s sent to %s, %s%s, %v left, %d bytes", r.ID, r.Key, address, r.Class, r.Query, r.TimeLeft, len(r.Body))
+	defer func() { note("client: %s answered %d %v", r.ID, answer.Status, answer.Err) }()
 	timeout := *c
 	timeout.Timeout = r.TimeLeft + 500*time.Millisecond
 	a, err := timeout.Do(q)
