core, network: a body is let go of when its request is answered

Cause: each request and each attempt added a timer at its deadline that was never stopped and referred to the request, so every body lived until its deadline however early it was answered, while the count of buffered bytes said that it was free. The same on related paths: an outstanding attempt of a request that is over, a written exchange that waits for its reply, a session's buffer after an answer with another attempt out, an HTTP/2 stream whose client reads nothing or has reset it.

Evidence: the tests look through weak references whether a body can be collected.

Change: Core.close drops the job and the client and cancels the timer; an attempt's timer is cancelled as it ends. An Attempt has no Job: Backends.Send is given it, and the pool drops it once it is written.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -22,7 +22,7 @@
 		until = min(until, now+within)
 	}
 	reason := c.retryReason(r)
-	a := &Attempt{Job: r.job, Backend: c.listed[to], core: c, req: r, previous: r.latest.Load(), number: len(r.attempts), sentAt: now,
+	a := &Attempt{Backend: c.listed[to], core: c, req: r, previous: r.latest.Load(), number: len(r.attempts), sentAt: now,
 		Deadline: c.clock.fromMillis(until)}
 	r.attempts = append(r.attempts, a)
 	r.latest.Store(a)
@@ -39,8 +39,8 @@
 	if reason != nil {
 		c.trace(c.clock.fromMillis(now), r, guard.AttemptSent, reason)
 	}
-	a.stop = c.backends.Send(a)
-	c.timers.add(until, func() { c.stopAttempt(a, Overdue) })
+	a.stop = c.backends.Send(a, r.job)
+	a.timer = c.timers.add(until, func() { c.stopAttempt(a, Overdue) })
 }
 
 func (x actions) Refuse(id balance.RequestID, retryAfter balance.Millis) {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -10,7 +10,6 @@
 
 // Attempt is one sending of a request to a backend.
 type Attempt struct {
-	Job       *Job
 	Backend   *Backend
 	Deadline  time.Time // when the dispatcher stops waiting
 	core      *Core
@@ -23,7 +22,8 @@
 	neverRan  atomic.Bool  // proven never to have run
 	startedAt atomic.Int64 // stamp of when MayStart last allowed it; 0 if it never did
 	stopped   atomic.Bool
-	stop      func()
+	stop      func() // nil before it is sent and once it has ended
+	timer     *timer // stops it at its deadline
 
 	jobStartReported atomic.Bool   // JobStarted was called
 	progress         atomic.Uint64 // newest progress, as the bits of a float64
@@ -73,6 +73,9 @@
 // Version returns the version of the fleet's policy under which the request was admitted; 0 if there is none.
 func (a *Attempt) Version() uint64 { return a.req.policyVersion }
 
+// RequestID returns the ID of the attempt's request, as given by the client.
+func (a *Attempt) RequestID() string { return a.req.correlationID }
+
 // Number returns the index of the attempt among those of its request, from 0.
 func (a *Attempt) Number() int { return a.number }
 
--- a/internal/core/clock.go
+++ b/internal/core/clock.go
@@ -43,40 +43,69 @@
 
 // timer is an action due at a time. Timers with the same time run in the order in which they were added.
 type timer struct {
-	at  float64
-	seq uint64
-	run func()
+	at    float64
+	seq   uint64
+	run   func()
+	index int // in the list; notPending once it has run or was cancelled
 }
 
+// notPending is the index of a timer that will not run any more.
+const notPending = -1
+
+// timers are the pending timers, as a heap with the earliest one first.
 type timers struct {
-	list    []timer
+	list    []*timer
 	lastSeq uint64
 }
 
 func (t *timers) Len() int { return len(t.list) }
 func (t *timers) Less(i, j int) bool {
-	a, b := &t.list[i], &t.list[j]
+	a, b := t.list[i], t.list[j]
 	return a.at < b.at || a.at == b.at && a.seq < b.seq
 }
-func (t *timers) Swap(i, j int) { t.list[i], t.list[j] = t.list[j], t.list[i] }
-func (t *timers) Push(x any)    { t.list = append(t.list, x.(timer)) }
+func (t *timers) Swap(i, j int) {
+	t.list[i], t.list[j] = t.list[j], t.list[i]
+	t.list[i].index = i
+	t.list[j].index = j
+}
+func (t *timers) Push(x any) {
+	added := x.(*timer)
+	added.index = len(t.list)
+	t.list = append(t.list, added)
+}
 func (t *timers) Pop() any {
 	last := len(t.list) - 1
-	x := t.list[last]
-	t.list[last] = timer{} // releases the closure
+	removed := t.list[last]
+	t.list[last] = nil
 	t.list = t.list[:last]
-	return x
+	removed.index = notPending
+	return removed
 }
 
-func (t *timers) add(at float64, do func()) {
+// add starts a timer. Whoever adds one for a request cancels it when the request or the attempt that it is for has ended:
+// until then the timer holds what its action refers to.
+func (t *timers) add(at float64, do func()) *timer {
 	t.lastSeq++
-	heap.Push(t, timer{at, t.lastSeq, do})
+	added := &timer{at: at, seq: t.lastSeq, run: do}
+	heap.Push(t, added)
+	return added
+}
+
+// cancel stops a timer, if it is still pending, and drops its action. The timer may be nil.
+func (t *timers) cancel(stopped *timer) {
+	if stopped == nil {
+		return
+	}
+	if stopped.index != notPending {
+		heap.Remove(t, stopped.index)
+	}
+	stopped.run = nil
 }
 
-// popDue removes and returns the earliest timer if it is due.
+// popDue removes the earliest timer if it is due, and returns its action.
 func (t *timers) popDue(now float64) func() {
 	if len(t.list) == 0 || t.list[0].at > now {
 		return nil
 	}
-	return heap.Pop(t).(timer).run
+	return heap.Pop(t).(*timer).run
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,7 +20,9 @@
 )
 
 // Job is the part of a request that reaches the backend unchanged. Its slices belong to the front, which must not modify them
-// until the request's Answer has JobReleased set.
+// until the request's Answer has JobReleased set. Whoever holds a Job lets go of it as soon as no attempt can need it any more:
+// a front once it has submitted it, the core when the request is answered or abandoned, a backend pool when an attempt is
+// written or has ended. Otherwise bodies of requests that are over would fill the memory.
 type Job struct {
 	Method, Target string
 	ID             string // request ID as given by the client
@@ -52,8 +54,8 @@
 // Backends performs the module's actions on backends. No method may block, or call back before it returns.
 type Backends interface {
 	// Send starts an attempt and returns a function that stops it. The implementation calls the attempt's Ended method
-	// once, unless the attempt was stopped.
-	Send(a *Attempt) (stop func())
+	// once, unless the attempt was stopped. It keeps no reference to the job once it has sent it or the attempt has ended.
+	Send(a *Attempt, job *Job) (stop func())
 	// Probe asks a backend for a load report and calls done once.
 	Probe(b *Backend, done func(Ending, []float32))
 	// CloseIdle closes idle connections to a backend.
@@ -99,9 +101,11 @@
 // req is a request that is unanswered or has attempts outstanding.
 type req struct {
 	id             balance.RequestID
-	client         Client
-	job            *Job
+	correlationID  string // ID as given by the client
+	client         Client // nil once the request is answered or abandoned
+	job            *Job   // nil once the request is answered or abandoned
 	deadline       float64
+	timer          *timer // ends the request if nothing else does; cancelled when it is answered or abandoned
 	effect         balance.Effect
 	repeatWindow   balance.Millis // for how long backends drop repeats, where effect is Deduped
 	open           bool           // a final answer is still due
@@ -318,10 +322,14 @@
 	}
 }
 
-// close records that a request is answered, or that its client is gone.
+// close records that a request is answered, or that its client is gone. The request may stay in the table for as long as an
+// attempt is outstanding, but it holds neither its job nor its client any more.
 func (c *Core) close(r *req) {
 	r.open = false
 	r.closed.Store(true)
+	r.job, r.client = nil, nil
+	c.timers.cancel(r.timer)
+	r.timer = nil
 	c.openCount.Add(-1)
 	if c.Versions != nil {
 		c.reportStart(r)
@@ -334,6 +342,7 @@
 		return
 	}
 	c.checkFinal(r, a)
+	client := r.client
 	c.close(r)
 	a.JobReleased = r.outstanding == 0 && !r.attemptStopped
 	switch a.Kind {
@@ -344,7 +353,9 @@
 	case Failure:
 		c.count.AnswersFailed.Add(1)
 	}
-	r.client.Answer(a)
+	if client != nil { // nil only for a second answer, which checkFinal has reported
+		client.Answer(a)
+	}
 }
 
 // forget drops a request that is answered and has no attempt outstanding.
@@ -354,7 +365,7 @@
 	}
 	if c.reqs[r.id] == r {
 		delete(c.reqs, r.id)
-		c.ids.release(r.job.ID, c.clock.read())
+		c.ids.release(r.correlationID, c.clock.read())
 	}
 	if release := r.releaseQuota; release != nil {
 		r.releaseQuota = nil
@@ -380,6 +391,8 @@
 		return
 	}
 	a.done, a.ending = true, e
+	c.timers.cancel(a.timer)
+	a.timer, a.stop = nil, nil
 	a.req.outstanding--
 	c.count.Endings[e].Add(1)
 	res, ok := e.Result()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -20,7 +20,7 @@
 	answers []Answer
 }
 
-func (b *fixture) Send(a *Attempt) func() {
+func (b *fixture) Send(a *Attempt, _ *Job) func() {
 	b.sent = append(b.sent, a)
 	return func() { b.stopped++ }
 }
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -14,7 +14,7 @@
 // trace adds an event of a request to the trace.
 func (c *Core) trace(at time.Time, r *req, step guard.Step, reason fmt.Stringer) {
 	if c.Guard != nil {
-		c.Guard.Record(guard.Event{At: at, Request: r.job.ID, Step: step, Reason: reason})
+		c.Guard.Record(guard.Event{At: at, Request: r.correlationID, Step: step, Reason: reason})
 	}
 }
 
@@ -25,12 +25,12 @@
 	if c == nil || c.Guard == nil {
 		return
 	}
-	c.Guard.Record(guard.Event{At: at, Request: r.job.ID, Step: guard.AttemptStarted})
+	c.Guard.Record(guard.Event{At: at, Request: r.correlationID, Step: guard.AttemptStarted})
 	facts := guard.AttemptStart{At: at, ClientGone: c.clock.fromStamp(r.clientGoneAt.Load()), Drained: a.Backend.unavailableSince(), Grace: c.drainGrace,
 		ShutdownAt: c.Guard.ShutdownTime(), Deadline: c.clock.fromMillis(r.deadline), SentTimeLeft: timeLeft, Effect: r.effect,
 		Window: time.Duration(r.repeatWindow * float64(time.Millisecond)), Prior: c.earlierAttempts(a.previous)}
 	for _, rule := range facts.Check() {
-		c.Guard.ReportViolation(rule, 0, r.job.ID, fmt.Sprintf("attempt %d at %s: backend told %v, %v left", a.number, a.Backend.Name, timeLeft, facts.Deadline.Sub(at)))
+		c.Guard.ReportViolation(rule, 0, r.correlationID, fmt.Sprintf("attempt %d at %s: backend told %v, %v left", a.number, a.Backend.Name, timeLeft, facts.Deadline.Sub(at)))
 	}
 }
 
@@ -64,12 +64,12 @@
 	if a.Kind != Result {
 		reason = c.refusalReason(r, now)
 	}
-	c.Guard.Record(guard.Event{At: now, Request: r.job.ID, Step: guard.RequestDecided, Reason: reason})
+	c.Guard.Record(guard.Event{At: now, Request: r.correlationID, Step: guard.RequestDecided, Reason: reason})
 	facts := guard.FinalAnswer{At: now, Deadline: c.clock.fromMillis(r.deadline), Refused: a.Kind == Refusal, Effect: r.effect, Scope: r.dedupScope,
 		Window: time.Duration(r.repeatWindow * float64(time.Millisecond)), Duplicate: r.answered, Attempts: c.earlierAttempts(r.latest.Load())}
 	r.answered = true
 	for _, rule := range facts.Check() {
-		c.Guard.ReportViolation(rule, 0, r.job.ID, fmt.Sprintf("answer kind %d after %d attempts, %v past the deadline", a.Kind, len(r.attempts), now.Sub(facts.Deadline)))
+		c.Guard.ReportViolation(rule, 0, r.correlationID, fmt.Sprintf("answer kind %d after %d attempts, %v past the deadline", a.Kind, len(r.attempts), now.Sub(facts.Deadline)))
 	}
 }
 
--- a/internal/core/quotas.go
+++ b/internal/core/quotas.go
@@ -42,7 +42,7 @@
 	r.releaseQuota = c.Quotas.Acquire(q.Tenant, q.Class, c.clock.fromMillis(until), func(from time.Time, retryAfter time.Duration, ok bool) {
 		c.post(func() { c.quotaDecided(r, q, from, retryAfter, ok) })
 	})
-	c.timers.add(until+toMillis(quotaMargin)/2, func() {
+	r.timer = c.timers.add(until+toMillis(quotaMargin)/2, func() {
 		if r.queued {
 			c.refuse(r, quotaRetryAfter)
 		}
@@ -60,6 +60,8 @@
 		return
 	}
 	r.queued = false
+	c.timers.cancel(r.timer)
+	r.timer = nil
 	switch {
 	case r.closed.Load(): // its client is gone; the event that Abandon posted releases the quota
 	case !ok:
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -17,7 +17,7 @@
 // timeLeft is how long its client waits from then. If another request has the same ID, Submit returns false and no answer
 // is due, because backends would confuse the two.
 func (c *Core) Submit(q balance.Request, job *Job, arrived time.Time, timeLeft time.Duration, client Client) (Handle, bool) {
-	r := &req{client: client, job: job, open: true}
+	r := &req{correlationID: job.ID, client: client, job: job, open: true}
 	if q.Class >= 0 && q.Class < len(c.classes) { // the module fails a request of any other class
 		class := &c.classes[q.Class]
 		r.effect, r.repeatWindow, r.dedupScope = class.Effect, class.RepeatWindow, class.Scope
@@ -53,7 +53,7 @@
 	r.inModule, q.Deadline = true, r.deadline
 	// The module is expected to answer by the deadline. If it doesn't, the core fails the request so that the client isn't
 	// left without an answer.
-	c.timers.add(r.deadline+c.answerSlack, func() {
+	r.timer = c.timers.add(r.deadline+c.answerSlack, func() {
 		if r.open {
 			c.count.Overlooked.Add(1)
 			c.answer(r, Answer{Kind: Failure})
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -27,10 +27,11 @@
 		r.policyVersion = version
 		return true
 	}
-	r.open = false
+	client := r.client
+	r.open, r.job, r.client = false, nil, nil
 	c.post(func() {
 		c.count.AnswersRefused.Add(1)
-		r.client.Answer(Answer{Kind: Refusal, RetryAfter: retryAfter, JobReleased: true})
+		client.Answer(Answer{Kind: Refusal, RetryAfter: retryAfter, JobReleased: true})
 	})
 	return false
 }
--- a/internal/lab/sim/dispatcher.go
+++ b/internal/lab/sim/dispatcher.go
@@ -135,16 +135,18 @@
 	jobID      uint64
 	core       *core.Attempt
 	ended      bool
+	// idempotencyKey is the key of the attempt's job.
+	idempotencyKey string
 	// neverRan is what the dispatcher was told, started is what happened at the backend.
 	neverRan, started bool
 }
 
 // Send sends an attempt to the modelled backend and returns the function that cancels it.
-func (d *dispatcher) Send(sending *core.Attempt) func() {
+func (d *dispatcher) Send(sending *core.Attempt, sentJob *core.Job) func() {
 	w := d.world
 	w.lastJobID++
-	a := &attempt{dispatcher: d, backend: w.backendsByID[sending.Backend.ID], jobID: w.lastJobID, core: sending}
-	c := w.clientsByTry[sending.Job.ID]
+	a := &attempt{dispatcher: d, backend: w.backendsByID[sending.Backend.ID], jobID: w.lastJobID, core: sending, idempotencyKey: sentJob.IdempotencyKey}
+	c := w.clientsByTry[sending.RequestID()]
 	c.attempts = append(c.attempts, a)
 	w.result.Attempts++
 	wait := w.delay()
@@ -160,7 +162,7 @@
 			return
 		}
 		a.ended = true
-		w.record(judge.Event{Kind: judge.AttemptEnded, Node: d.index, Req: sending.Job.ID, Attempt: sending.Number()})
+		w.record(judge.Event{Kind: judge.AttemptEnded, Node: d.index, Req: sending.RequestID(), Attempt: sending.Number()})
 		a.cancel()
 	}
 }
@@ -209,12 +211,12 @@
 	if w.leader != nil && a.core.Version() < w.leader.state.Version {
 		w.result.Accord.OutdatedStarts++
 	}
-	c := w.clientsByTry[a.core.Job.ID]
+	c := w.clientsByTry[a.core.RequestID()]
 	work := c.Work
 	if spread := c.class().AttemptSpread; spread > 0 {
 		work *= math.Exp(spread*w.attemptRand.NormFloat64() - spread*spread/2)
 	}
-	sent := judge.Event{Kind: judge.AttemptSent, Node: d.index, Req: a.core.Job.ID, Key: a.core.Job.IdempotencyKey, Attempt: a.core.Number(), Backend: a.backend.name,
+	sent := judge.Event{Kind: judge.AttemptSent, Node: d.index, Req: a.core.RequestID(), Key: a.idempotencyKey, Attempt: a.core.Number(), Backend: a.backend.name,
 		Group: a.backend.config.Pod, Work: c.Work}
 	if capacity := a.backend.model.Capacity(w.now); capacity < 1 {
 		sent.Capacity = capacity * a.backend.config.Kind.Cores * a.backend.config.Kind.Speed
@@ -223,7 +225,7 @@
 	w.result.AttemptsByBackend[a.backend.name]++
 	a.backend.attempts[a.jobID], w.unstartedAttempts[a.jobID] = a, a
 	job := fleet.Job{ID: a.jobID, Work: work, Slots: c.Slots}
-	if key := a.core.Job.IdempotencyKey; key != "" {
+	if key := a.idempotencyKey; key != "" {
 		job.Key = hashText(key)
 	}
 	response, events := a.backend.model.Offer(w.now, job, connect)
@@ -249,7 +251,7 @@
 			return
 		}
 		a.ended, a.neverRan = true, ending == core.Returned || ending == core.Unreached
-		w.record(judge.Event{Kind: judge.AttemptEnded, Node: d.index, Req: a.core.Job.ID, Attempt: a.core.Number(), NeverRan: a.neverRan})
+		w.record(judge.Event{Kind: judge.AttemptEnded, Node: d.index, Req: a.core.RequestID(), Attempt: a.core.Number(), NeverRan: a.neverRan})
 		d.markDirty()
 		a.core.Ended(ending, "", w.loadReport(a.backend))
 	})
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -400,7 +400,7 @@
 	a := w.unstartedAttempts[job]
 	delete(w.unstartedAttempts, job)
 	a.started = true
-	c := w.clientsByTry[a.core.Job.ID]
+	c := w.clientsByTry[a.core.RequestID()]
 	c.starts++
 	if w.tenants != nil {
 		w.tenants.handleStart(job, c)
--- a/internal/network/await_test.go
+++ b/internal/network/await_test.go
@@ -29,7 +29,7 @@
 	return manualBackends{attempts: make(chan *core.Attempt, 64)}
 }
 
-func (b manualBackends) Send(a *core.Attempt) func() {
+func (b manualBackends) Send(a *core.Attempt, _ *core.Job) func() {
 	b.attempts <- a
 	return func() {}
 }
@@ -162,7 +162,7 @@
 				serveAttempt(a, "ra")
 				for _, id := range []string{"b", "c"} {
 					next := b.nextAttempt(t)
-					assert.Equal(t, id, next.Job.ID)
+					assert.Equal(t, id, next.RequestID())
 					serveAttempt(next, "r"+id)
 				}
 				for _, id := range []string{"a", "b", "c"} {
--- a/internal/network/backend_conn.go
+++ b/internal/network/backend_conn.go
@@ -144,8 +144,10 @@
 		parts = append(parts, x.body)
 	}
 	n, err := parts.WriteTo(c.conn)
+	longBody := len(x.body) > smallBody
+	x.dropRequest() // the reply may take long, and the request is not sent again
 	if n > 0 && x.onStarted != nil {
-		if len(x.body) <= smallBody { // a longer one may have waited for the backend to read it
+		if !longBody { // a longer one may have waited for the backend to read it
 			wrote = time.Now()
 		}
 		x.onStarted(wrote, left)
--- a/internal/network/backends.go
+++ b/internal/network/backends.go
@@ -49,9 +49,9 @@
 	backend      *core.Backend
 	ctx          context.Context
 	cancel       context.CancelFunc
-	stopAbort    func() bool // stops the abort that follows a cancel of ctx
-	makeHead     func(left time.Duration) []byte
-	body         []byte
+	stopAbort    func() bool                     // stops the abort that follows a cancel of ctx
+	makeHead     func(left time.Duration) []byte // nil once the request is written
+	body         []byte                          // nil once the request is written
 	deadline     time.Time
 	probe        bool // the reply's body is a load report, not lines
 	id           string
@@ -73,15 +73,15 @@
 }
 
 // Send starts an attempt and returns the function that stops it.
-func (p *Pool) Send(a *core.Attempt) func() {
-	x := &exchange{backend: a.Backend, body: a.Job.Body, deadline: a.Deadline, id: a.Job.ID, mayStart: a.MayStart, stillWanted: a.Wanted, onStarted: a.Started,
+func (p *Pool) Send(a *core.Attempt, job *core.Job) func() {
+	x := &exchange{backend: a.Backend, body: job.Body, deadline: a.Deadline, id: job.ID, mayStart: a.MayStart, stillWanted: a.Wanted, onStarted: a.Started,
 		onJobStarted: a.JobStarted, onProgress: a.Progress, onEnded: a.Ended}
 	x.makeHead = func(left time.Duration) []byte {
 		var stamp *platform.PolicyStamp
 		if p.DispatcherName != "" {
 			stamp = &platform.PolicyStamp{Version: a.Version(), Dispatcher: p.DispatcherName}
 		}
-		return platform.AppendJob(make([]byte, 0, 384), a.Job, a.Backend.Address, left, stamp)
+		return platform.AppendJob(make([]byte, 0, 384), job, a.Backend.Address, left, stamp)
 	}
 	return p.startExchange(x)
 }
@@ -190,6 +190,9 @@
 	}
 }
 
+// dropRequest lets go of what was to be written. It is called by the goroutine that writes the request.
+func (x *exchange) dropRequest() { x.makeHead, x.body = nil, nil }
+
 func (x *exchange) end(v outcome) {
 	if x.stopAbort != nil {
 		x.stopAbort()
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -81,7 +81,7 @@
 	id        uint32
 	arrivedAt time.Time
 	work      platform.JobRequest
-	job       core.Job
+	job       *core.Job // nil once it is submitted: the stream may live on long after the answer
 	taken     bool
 	handle    core.Handle
 }
--- a/internal/network/http2_client_test.go
+++ b/internal/network/http2_client_test.go
@@ -54,7 +54,7 @@
 	return &holdingBackends{attempts: make(chan *core.Attempt, 256)}
 }
 
-func (h *holdingBackends) Send(a *core.Attempt) func() {
+func (h *holdingBackends) Send(a *core.Attempt, _ *core.Job) func() {
 	a.JobStarted()
 	h.attempts <- a
 	return func() {}
--- a/internal/network/http2_real_test.go
+++ b/internal/network/http2_real_test.go
@@ -31,7 +31,7 @@
 // instantBackends serve every job at once, so that only what lies in front of the backends is measured or tested.
 type instantBackends struct{ result string }
 
-func (b instantBackends) Send(a *core.Attempt) func() {
+func (b instantBackends) Send(a *core.Attempt, _ *core.Job) func() {
 	a.JobStarted()
 	a.Ended(core.Served, b.result, nil)
 	return func() {}
--- a/internal/network/http2_reqs.go
+++ b/internal/network/http2_reqs.go
@@ -104,7 +104,7 @@
 		return
 	}
 	r := &streamReq{session: s, id: st.ID, arrivedAt: s.lastByteAt, work: work}
-	r.job = core.Job{Method: q.Method, Target: q.Target, ID: work.ID, IdempotencyKey: work.IdempotencyKey}
+	r.job = &core.Job{Method: q.Method, Target: q.Target, ID: work.ID, IdempotencyKey: work.IdempotencyKey}
 	st.Data = r
 }
 
@@ -126,10 +126,11 @@
 		s.refuse(st, d)
 		return
 	}
-	r.job.Body = st.Body
+	job := r.job
+	job.Body, r.job = st.Body, nil
 	r.taken = true // before its answer can come
 	var fresh bool
-	if r.handle, fresh = c.Core.Submit(r.work.Request, &r.job, r.arrivedAt, c.timeLeft(r.work.TimeLeft, r.arrivedAt), r); !fresh {
+	if r.handle, fresh = c.Core.Submit(r.work.Request, job, r.arrivedAt, c.timeLeft(r.work.TimeLeft, r.arrivedAt), r); !fresh {
 		r.taken = false
 		s.refuse(st, &platform.RequestError{Status: 409, Reason: "this X-Correlation-Id has been used"})
 		return
--- a/internal/network/versions_bench_test.go
+++ b/internal/network/versions_bench_test.go
@@ -19,7 +19,7 @@
 	dispatcher string
 }
 
-func (x stampingBackends) Send(a *core.Attempt) func() {
+func (x stampingBackends) Send(a *core.Attempt, job *core.Job) func() {
 	if !a.MayStart() {
 		a.Ended(core.Unsent, "", nil)
 		return func() {}
@@ -28,8 +28,8 @@
 	if x.dispatcher != "" {
 		stamp = &platform.PolicyStamp{Version: a.Version(), Dispatcher: x.dispatcher}
 	}
-	platform.AppendJob(make([]byte, 0, 384), a.Job, "127.0.0.1:1", time.Second, stamp)
-	return x.instantBackends.Send(a)
+	platform.AppendJob(make([]byte, 0, 384), job, "127.0.0.1:1", time.Second, stamp)
+	return x.instantBackends.Send(a, job)
 }
 
 // BenchmarkVersion measures the additional cost of a request where the fleet agrees on a policy. It sends the same requests
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -169,11 +169,13 @@
 }
 
 // Done records that the last request is answered. If free is set, its bytes are no longer in use
-// and the buffer is reused.
+// and the buffer is reused; otherwise the buffer is left to whoever still uses them.
 func (m *RequestParser) Done(free bool) {
 	if free {
 		m.rewind()
+		return
 	}
+	m.grow(minReadSpace)
 }
 
 func badRequest(reason string) error { return &RequestError{Status: 400, Reason: reason} }
--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -254,3 +256,33 @@
 		m.Done(true)
 	}
 }
+
+// An idle session holds no long body, whether its buffer is free or left to an attempt that still uses it
+// (2026-12-04-held-bodies).
+func TestDoneLetsGoOfBody(t *testing.T) {
+	for _, free := range []bool{true, false} {
+		m := &RequestParser{}
+		body := readLongBody(t, m)
+		m.Done(free)
+		runtime.GC()
+		assert.Nil(t, body.Value(), free)
+		assert.LessOrEqual(t, len(m.data), minReadSpace, free)
+		assert.False(t, m.Partial(), free)
+	}
+}
+
+// readLongBody passes a request to the parser and returns a reference to its body that doesn't keep it.
+func readLongBody(t *testing.T, m *RequestParser) weak.Pointer[byte] {
+	rest := []byte(fmt.Sprintf("POST /photo HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", MaxBody, strings.Repeat("y", MaxBody)))
+	for {
+		n := copy(m.Space(), rest)
+		m.Filled(n)
+		rest = rest[n:]
+		q, err := m.Next()
+		require.NoError(t, err)
+		if q != nil {
+			require.Len(t, q.Body, MaxBody)
+			return weak.Make(&q.Body[0])
+		}
+	}
+}
