budgets: the dispatcher that keeps the leases can be upgraded

Cause: the address was bound as the parts were put together, before anything is handed over, and no part owned it. Read on the way: while two processes serve, each spent the dispatcher's whole share, as the keeper counts two leases under one name once.

Change: budgets.KeeperRole owns keeper_at. The old process frees it as it stops accepting, the new one binds it then or when the old one is gone, and the old one takes it back if the new one dies. While two processes serve, each spends half (Limiter.SetPart). Also where the old process's messages cannot be read.

--- a/cmd/tinsail/budgets.go
+++ b/cmd/tinsail/budgets.go
@@ -19,7 +19,7 @@
 	limiter     *budgets.Limiter
 	fixedShare  *budgets.FixedShare // nil if there is a keeper
 	holder      *budgets.Holder     // nil without a keeper
-	keeper      *budgets.Keeper     // nil unless this dispatcher is the keeper
+	keeper      *budgets.KeeperRole // nil unless this dispatcher is the keeper
 	leaderShare *leaderShare        // nil unless the accord's leader grants the leases
 	share       budgets.Sharer
 	fleetSize   atomic.Int64                     // the fleet's size as this dispatcher estimates it
@@ -82,8 +82,8 @@
 
 // addBudgets starts the budgets of the settings and limits the pool's new connections to the share of this dispatcher. Without a
 // keeper the share is the total divided by the fleet's size as configured; with one, it is leased over UDP
-// (docs/design/budget.md).
-func (d *dispatcher) addBudgets(set *settings.Settings) error {
+// (docs/design/budget.md). besideOther says that another process of this dispatcher serves: it may have the keeper's address.
+func (d *dispatcher) addBudgets(set *settings.Settings, besideOther bool) error {
 	b := set.Budgets
 	if b == nil {
 		return nil
@@ -107,13 +107,11 @@
 			return settings.Faults{set.Fault("budgets.keeper_at", err.Error())}
 		}
 		if d.cfg.Name == b.Keeper {
-			conn, err := net.ListenUDP("udp", at)
-			if err != nil {
-				return fmt.Errorf("budgets.keeper_at: %w", err)
-			}
-			if f.keeper, err = budgets.NewKeeper(conn, plan); err != nil {
-				conn.Close()
-				return err
+			f.keeper = budgets.NewKeeperRole(at, plan, d.log)
+			if !besideOther { // otherwise keepBudgets acquires it later
+				if err := f.keeper.Acquire(); err != nil {
+					return fmt.Errorf("budgets.keeper_at: %w", err)
+				}
 			}
 		}
 		conn, err := net.DialUDP("udp", nil, at)
@@ -182,19 +180,40 @@
 	return f.holder.Replan(plan)
 }
 
+// keepBudgets begins to grant the leases, if this dispatcher is the keeper and its other process has released them.
+func (d *dispatcher) keepBudgets() {
+	if d.budgets != nil && d.budgets.keeper != nil {
+		d.budgets.keeper.AcquireWhenFree()
+	}
+}
+
+// releaseBudgets leaves the leases to the other process of this dispatcher.
+func (d *dispatcher) releaseBudgets() {
+	if d.budgets != nil && d.budgets.keeper != nil {
+		d.budgets.keeper.Release()
+	}
+}
+
+// setBudgetPart sets which part of this dispatcher's shares this process spends.
+func (d *dispatcher) setBudgetPart(p budgets.Part) {
+	if d.budgets != nil {
+		d.budgets.limiter.SetPart(p)
+	}
+}
+
 // close ends this dispatcher's use of leased budgets.
 func (f *fleetBudgets) close() {
 	if f.holder != nil {
 		f.holder.Close()
 	}
 	if f.keeper != nil {
-		f.keeper.Close()
+		f.keeper.Release()
 	}
 }
 
 // each calls c for each counter of the budgets.
 func (f *fleetBudgets) each(c func(name string, n int64)) {
-	c("budget_connections_share", int64(f.share.Share()))
+	c("budget_connections_share", int64(f.limiter.Share()))
 	c("budget_connections_fleet", f.fleetSize.Load())
 	c("budget_connections_granted", f.limiter.Passed.Load())
 	c("budget_connections_waited", f.limiter.Waited.Load())
@@ -205,7 +224,7 @@
 		}
 	}
 	if f.keeper != nil {
-		c("budget_connections_lent", int64(f.keeper.Lent("connections")))
+		c("budget_connections_lent", int64(f.keeper.Lent()))
 		c("budget_bad_messages", int64(f.keeper.BadDatagrams()))
 	}
 }
--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -19,6 +19,7 @@
 	"tinsail/internal/core"
 	"tinsail/internal/handover"
 	"tinsail/internal/maintenance"
+	"tinsail/internal/network/budgets"
 	"tinsail/internal/network/handoff"
 	"tinsail/internal/platform"
 	"tinsail/internal/service"
@@ -30,8 +31,13 @@
 	state handover.State
 	stage handover.NewProcess
 	files []*os.File // in the order of state.Listeners
+	// unread says that there is such a process, and that its messages could not be read.
+	unread bool
 }
 
+// besideOther reports whether another process of this dispatcher serves.
+func (h handoverData) besideOther() bool { return h.link != nil || h.unread }
+
 func (h handoverData) closeFiles() {
 	for _, f := range h.files {
 		f.Close()
@@ -75,6 +81,7 @@
 		return handoverData{}, fmt.Errorf("hand-over: %w", err)
 	default:
 		log.Error().Err(err).Msg("hand-over: nothing taken over, serves beside the other process")
+		return handoverData{unread: true}, nil
 	}
 	return handoverData{}, nil
 }
@@ -150,6 +157,9 @@
 func (t *processHandover) start(d *dispatcher) {
 	if t.from.link == nil {
 		d.accept()
+		if t.from.unread {
+			d.keepBudgets()
+		}
 		t.listenForNext()
 		return
 	}
@@ -175,6 +185,7 @@
 		for !t.serves() {
 			time.Sleep(service.PollInterval)
 		}
+		d.keepBudgets()
 		t.listenForNext()
 		t.readyMS.Store(time.Since(startedAt).Milliseconds())
 		d.log.Info().Stringer("stage", t.currentStage()).Dur("after_ms", time.Since(startedAt)).Msg("hand-over: serves")
@@ -284,6 +295,7 @@
 		t.dispatcher.bans.ShareWith(nil)
 		t.dispatcher.resize(t.dispatcher.cfg.Sockets, t.dispatcher.cfg.MemoryBytes)
 		t.dispatcher.core.SetOverlap(false) // the whole budget for cold backends is this process's again
+		t.dispatcher.setBudgetPart(budgets.Whole)
 	}
 	t.dispatcher.log.Info().Stringer("stage", stage).AnErr("link", err).Msg("hand-over: the old process is gone")
 }
@@ -307,6 +319,7 @@
 	t.mu.Unlock()
 	d.resize(keep, memory)
 	d.core.SetOverlap(true)
+	d.setBudgetPart(budgets.Remaining)
 	s := handover.State{MaxSockets: give, MemoryBytes: memory, OutOfService: d.service.IsOutOfService()}
 	list, marks := d.bans.State()
 	s.Marks = marks
@@ -329,6 +342,7 @@
 // stopAccepting stops accepting connections, and gives up more descriptors as sessions end.
 func (t *processHandover) stopAccepting() {
 	t.dispatcher.service.HandOver()
+	t.dispatcher.releaseBudgets()
 	t.given.Add(1)
 	t.mu.Lock()
 	link, total, nextGone := t.peer, t.totalSockets, t.nextGone
@@ -368,8 +382,10 @@
 	t.dispatcher.bans.ShareWith(nil)
 	t.dispatcher.resize(sockets, memory)
 	t.dispatcher.core.SetOverlap(false)
+	t.dispatcher.setBudgetPart(budgets.Whole)
 	t.failed.Add(1)
 	if accept {
 		t.dispatcher.service.ResumeAfterHandOver()
+		t.dispatcher.keepBudgets()
 	}
 }
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -23,6 +23,7 @@
 	"tinsail/internal/logs"
 	"tinsail/internal/network"
 	"tinsail/internal/network/admin"
+	"tinsail/internal/network/budgets"
 	"tinsail/internal/network/fleet/accord"
 	"tinsail/internal/network/maintain"
 	"tinsail/internal/service"
@@ -169,7 +170,7 @@
 		d.closeListeners()
 		return nil, err
 	}
-	if err := d.addBudgets(set); err != nil {
+	if err := d.addBudgets(set, from.besideOther()); err != nil {
 		d.closeListeners()
 		return nil, err
 	}
@@ -209,6 +210,7 @@
 		known = d.adoptState()
 		d.director.RequestFullList()
 		d.core.StartOverlapped()
+		d.setBudgetPart(budgets.Incoming)
 	} else {
 		d.director.SetIndex(d.cfg.KnownBackends.Index)
 	}
--- a/internal/network/budgets/limiter.go
+++ b/internal/network/budgets/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -33,6 +34,7 @@
 // burst b and a rate share − b).
 type Limiter struct {
 	share   Sharer
+	part    atomic.Int32 // a Part
 	mu      sync.Mutex
 	limiter *rate.Limiter
 	Passed  atomic.Int64 // units allowed, at once or after waiting
@@ -40,6 +42,38 @@
 	Refused atomic.Int64 // units refused, as they could not be allowed within the time given
 }
 
+// Part is which part of the dispatcher's share a process spends.
+type Part int32
+
+// Parts. While two processes serve as one dispatcher, as in an upgrade, they divide its share.
+const (
+	Whole     Part = iota // this process is alone
+	Remaining             // half, rounded down: the process that hands over
+	Incoming              // half, rounded up: the process that takes over
+)
+
+// SetPart sets which part of the share is spent from the next unit on. Incoming begins without a burst, as the other process
+// may have spent its own a moment ago.
+func (l *Limiter) SetPart(p Part) {
+	if Part(l.part.Swap(int32(p))) != p && p == Incoming {
+		l.mu.Lock()
+		l.limiter.AllowN(time.Now(), l.limiter.Burst())
+		l.mu.Unlock()
+	}
+}
+
+// Share returns what this process may spend now, in units per second.
+func (l *Limiter) Share() int {
+	share := max(l.share.Share(), 0)
+	switch Part(l.part.Load()) {
+	case Remaining:
+		return share / 2
+	case Incoming:
+		return share - share/2
+	}
+	return share
+}
+
 // NewLimiter returns a limiter to a share.
 func NewLimiter(share Sharer) *Limiter {
 	limit, burst := limitAndBurst(share.Share())
@@ -59,7 +93,7 @@
 // Wait takes one unit and waits until it is allowed or ctx is done. It fails at once if the unit would be allowed
 // only after ctx's deadline.
 func (l *Limiter) Wait(ctx context.Context) error {
-	limit, burst := limitAndBurst(l.share.Share())
+	limit, burst := limitAndBurst(l.Share())
 	l.mu.Lock()
 	if l.limiter.Limit() != limit || l.limiter.Burst() != burst {
 		l.limiter.SetLimit(limit)
