--- a/internal/network/await_test.go
+++ b/internal/network/await_test.go
@@ -82,7 +82,24 @@
 // waitNoSessions waits until the dispatcher has no client session.
 func (s *testServer) waitNoSessions(t *testing.T) {
 	t.Helper()
-	require.Eventually(t, func() bool { return s.clients.OpenSessions() == 0 }, 20*time.Second, time.Millisecond)
+	if !assert.Eventually(t, func() bool { return s.clients.OpenSessions() == 0 }, 20*time.Second, time.Millisecond) {
+		require.Fail(t, "sessions are left", s.clients.table.describe())
+	}
+}
+
+// describe returns a line for each session of the table: whose it is, and what holds it open.
+func (t *table) describe() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var b strings.Builder
+	for rank := range t.byRank {
+		for e := t.byRank[rank].Front(); e != nil; e = e.Next() {
+			s := e.Value.(*sessionState)
+			fmt.Fprintf(&b, "session %d of %v: rank %d, connected %v ago, had answer %v, served job %v, told to close %v, answer pending %v, pipelined %v, lingering %v\n",
+				s.id, s.conn.RemoteAddr(), rank, time.Since(s.connectedAt), s.hadAnswer, s.servedJob, s.closeRequested, s.answerPending, s.pipelined, s.isLingering)
+		}
+	}
+	return b.String()
 }
 
 // TestClientCloseDetectedWhileWaiting: a client that closes while its request waits is noticed whatever it sent after the
