membership: hold_ms holds for a second silence as well

Cause: a source has one hold timer, and setTimer keeps the earlier time. The timer of the first silence was dropped when it came, as the source had answered since, and none was set for the second one.

Change: when any timer comes, a silent source whose time is not over yet gets its timer (checkHold).

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -404,17 +404,28 @@
 		}
 	}
 	for _, src := range s.sources {
-		if src.silent && !src.expired && src.rules.Hold > 0 && now.Sub(src.answeredAt) >= src.rules.Hold {
-			src.expired = true
-			for name := range src.list {
-				s.dirty[name] = true
-			}
-		}
+		s.checkHold(now, src)
 		s.checkPanic(now, src)
 	}
 	s.mergeDirty(now)
 }
 
+// checkHold stops believing a source that has been silent for too long. The timer that has led here may be that of an
+// earlier silence: one that is still to come gets its own.
+func (s *Set) checkHold(now time.Time, src *source) {
+	if !src.silent || src.expired || src.rules.Hold == 0 {
+		return
+	}
+	if now.Sub(src.answeredAt) < src.rules.Hold {
+		s.setHoldTimer(src)
+		return
+	}
+	src.expired = true
+	for name := range src.list {
+		s.dirty[name] = true
+	}
+}
+
 // Changes returns the backends that changed since the last call, each in its current state. The caller owns the slice.
 func (s *Set) Changes() []Member {
 	out := s.changed
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -139,6 +139,17 @@
 			expect a b
 			wait 1s
 			expect`,
+		"a second silence is held no longer than the first": `
+			x send =a b
+			x send fails
+			wait 2s
+			x send same
+			wait 8s
+			x send fails
+			wait 31s
+			expect a b
+			wait 1s
+			expect`,
 		"a backend missing during a silence is doubted from the source's return": `
 			x send =a b c
 			x send =a b
