membership: a panic brings back no backend that was critical before it

Cause: in a panic every backend that had ever been passing kept the state ready, not only those that fell with the panic.

Change: only those are doubted that went down within the panic's window or during the panic (panicDoubts). The scenario "a panic brings back none that was critical before it" failed before: a was ready with b, c and d.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -9,7 +9,7 @@
 //     removal is doubted) and is then gone.
 //  3. The last reports of a source that falls silent stay in force, for as long as its rules say.
 //  4. If too large a part of a source's backends turns critical or vanishes together, the source itself is considered
-//     wrong (panic) and those backends keep their state.
+//     wrong (panic) and those backends keep their state. One that was critical before stays out of use.
 //  5. A backend that keeps changing (flaps) is not ready until it has been passing for a while.
 //  6. Of the sources that name a backend, the one with the highest rank describes it. What it doesn't tell is taken from the
 //     next one in rank that names the backend at the same address and tells it.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -185,6 +185,14 @@
 			wait 11s
 			x send c!
 			expect a* b* c* d`,
+		"a panic brings back none that was critical before it": `
+			x send =a b c d e
+			x send a!
+			wait 11s
+			x send b! c! d!
+			expect a* b c d e
+			wait 30s
+			expect a* b* c* d* e`,
 		"a panic hides no drain": `
 			x send =a b c d
 			x send a! b! c!
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -21,7 +21,7 @@
 	if src.expired {
 		return Gone, "its source has been silent for too long"
 	}
-	if !src.panicSince.IsZero() && e.isDown(src) && e.wasPassing {
+	if e.isDown(src) && e.wasPassing && src.panicDoubts(e) {
 		return Ready, "kept: too many fell at once to be believed"
 	}
 	if !e.missingSince.IsZero() {
@@ -56,6 +56,11 @@
 	return Ready, "its checks pass"
 }
 
+// panicDoubts reports whether the source is panicking and the backend went down with those that caused the panic, or later.
+func (src *source) panicDoubts(e *entry) bool {
+	return !src.panicSince.IsZero() && src.panicSince.Sub(e.downSince) < src.rules.PanicWindow
+}
+
 // downWhenNamed reports whether a missing backend was down when the source last named it.
 func (e *entry) downWhenNamed(src *source) bool {
 	return e.reported.Health == Critical || e.reported.Health == Warning && src.rules.WarningDrains
