consul: the fuzz target expects Unknown where an instance tells no group

It asked for a group of 0 or more, which an untold one was before. Its seeds told a group, so no run showed it; a seed that tells none is added (it fails against the old expectation). A told group is still 0 or more.

--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -292,6 +292,7 @@
 // FuzzEntries: no entry makes the parser panic or produce an invalid backend.
 func FuzzEntries(f *testing.F) {
 	f.Add("p1", "127.0.0.1", 80, "4", "7")
+	f.Add("p1", "127.0.0.1", 80, "", "")
 	f.Add("", "", -1, "NaN", "1e99")
 	f.Fuzz(func(t *testing.T, id, address string, port int, weight, group string) {
 		a := entry(id, address, port, map[string]string{"weight": weight, "group": group})
@@ -301,7 +302,11 @@
 			assert.NotEmpty(t, b.Name)
 			assert.True(t, printable(b.Name) && printable(b.Address))
 			assert.GreaterOrEqual(t, b.Weight, 0.0)
-			assert.GreaterOrEqual(t, b.Group, 0)
+			if group == "" {
+				assert.Equal(t, membership.Unknown, b.Group)
+			} else {
+				assert.GreaterOrEqual(t, b.Group, 0)
+			}
 		}
 	})
 }
