serve: a new process asks for a list where further sources tell none

Cause: start took the old process's list for the one that the module begins with, but with further sources it is not given to the core; the module asks only once it has a list.

Change: startWithList reports a usable list only if the core gets it. TestUpgradeWithFurtherSources, two real processes: 60 s without serving before, passes now with backends(director = True) and with an agent that does not answer.

--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -214,12 +214,7 @@
 	} else {
 		d.director.SetIndex(d.cfg.KnownBackends.Index)
 	}
-	// The decision module derives its capacity from its first list. A list without a ready backend would leave it with capacity
-	// for a few jobs until their answers show that there is more.
-	listUsable := hasReadyBackend(known)
-	if inherited := d.handover != nil && d.handover.from.link != nil; d.sources == nil && (listUsable || inherited && len(known) > 0) {
-		d.handleList(balance.ListCached, known)
-	}
+	listUsable := d.startWithList(known)
 	go d.core.Run(nil)
 	d.startSources(d.settings)
 	// With a usable list the decision module makes its first call after a random delay. Without a ready backend the process must
@@ -240,6 +235,22 @@
 	d.handover.start(d)
 }
 
+// startWithList gives the core the list of backends as last known, if that is of use, and reports whether the decision module has
+// a usable list to begin with. With further sources it begins with what those tell: of the lists as last known that is the
+// configuration's, which startSources gives to the director's source.
+func (d *dispatcher) startWithList(known []core.Entry) (usable bool) {
+	if d.sources != nil {
+		return usesDirector(d.settings) && hasReadyBackend(d.cfg.KnownBackends.Entries)
+	}
+	// The decision module derives its capacity from its first list. A list without a ready backend would leave it with capacity
+	// for a few jobs until their answers show that there is more.
+	usable = hasReadyBackend(known)
+	if inherited := d.handover != nil && d.handover.from.link != nil; usable || inherited && len(known) > 0 {
+		d.handleList(balance.ListCached, known)
+	}
+	return usable
+}
+
 // accept starts accepting clients.
 func (d *dispatcher) accept() {
 	go d.clients.Serve(hostOS.wrapListener(d.listener))
--- a/cmd/tinsail/upgrade_test.go
+++ b/cmd/tinsail/upgrade_test.go
@@ -368,6 +368,23 @@
 	assert.Equal(t, 30, h.jobCount())
 }
 
+// Guards against a new process that never asks for a list, and so never serves, where the settings name further sources and
+// none but the director names a backend (2026-12-04-list-not-asked).
+func TestUpgradeWithFurtherSources(t *testing.T) {
+	for _, script := range []string{"backends(director = True)\n", "consul(address = [\"127.0.0.1:1\"], service = \"photo\")\n"} {
+		h := newDeployment(t, "127.0.0.1:0")
+		h.scriptPath = filepath.Join(t.TempDir(), "s.star")
+		require.NoError(t, os.WriteFile(h.scriptPath, []byte(script), 0o600))
+		old := h.start()
+		waitFor(t, "the first process serves", func() bool { return old.call(door.Ready, "") })
+		next := h.start()
+		waitFor(t, "the new process serves", func() bool { return next.call(door.Ready, "") })
+		old.terminate(t)
+		assert.Equal(t, 200, h.sendJob())
+		next.terminate(t)
+	}
+}
+
 // TestBansAcrossUpgrade: a ban set before, during or after an upgrade, at either process, holds in both.
 func TestBansAcrossUpgrade(t *testing.T) {
 	h := newDeployment(t, "127.0.0.1:0")
