consul: in an upgrade only the process that serves writes to the entry

Cause: both processes register under one id, and neither EnterMaintenance nor Deregister asked whether this process still stands for the dispatcher. Nobody ended maintenance that a killed process had left.

Change: Registration owns the entry from Start to Release or Deregister. The old process releases it as it stops accepting, the new one starts it with its yes, the old one takes it back if the new one dies. Who registers ends maintenance whose reason is ours. The stand-in of an agent keeps the reason and answers /agent/checks.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -185,13 +185,25 @@
 		for !t.serves() {
 			time.Sleep(service.PollInterval)
 		}
-		d.keepBudgets()
+		d.takeOverRoles()
 		t.listenForNext()
 		t.readyMS.Store(time.Since(startedAt).Milliseconds())
 		d.log.Info().Stringer("stage", t.currentStage()).Dur("after_ms", time.Since(startedAt)).Msg("hand-over: serves")
 	}()
 }
 
+// takeOverRoles takes what only the serving process of the dispatcher may have, beside its listeners.
+func (d *dispatcher) takeOverRoles() {
+	d.keepBudgets()
+	d.startRegistration()
+}
+
+// releaseRoles leaves it to the other process.
+func (d *dispatcher) releaseRoles() {
+	d.releaseBudgets()
+	d.releaseRegistration()
+}
+
 // each calls f for each counter of hand-overs.
 func (t *processHandover) each(f func(name string, n int64)) {
 	f("handovers_taken", t.taken.Load())
@@ -342,7 +354,7 @@
 // stopAccepting stops accepting connections, and gives up more descriptors as sessions end.
 func (t *processHandover) stopAccepting() {
 	t.dispatcher.service.HandOver()
-	t.dispatcher.releaseBudgets()
+	t.dispatcher.releaseRoles()
 	t.given.Add(1)
 	t.mu.Lock()
 	link, total, nextGone := t.peer, t.totalSockets, t.nextGone
@@ -386,6 +398,6 @@
 	t.failed.Add(1)
 	if accept {
 		t.dispatcher.service.ResumeAfterHandOver()
-		t.dispatcher.keepBudgets()
+		t.dispatcher.takeOverRoles()
 	}
 }
--- a/cmd/tinsail/sources.go
+++ b/cmd/tinsail/sources.go
@@ -123,8 +123,22 @@
 	}
 	s.static.ReplaceAll(staticBackends(set.Backends))
 	d.watchConsul(set.Consul)
-	if s.registration != nil {
-		s.registration.Start()
+	if d.handover == nil || d.handover.from.link == nil { // otherwise takeOverRoles starts it
+		d.startRegistration()
+	}
+}
+
+// startRegistration registers this dispatcher in Consul, if the settings want that.
+func (d *dispatcher) startRegistration() {
+	if d.sources != nil && d.sources.registration != nil {
+		d.sources.registration.Start()
+	}
+}
+
+// releaseRegistration leaves this dispatcher's entry in Consul to its other process.
+func (d *dispatcher) releaseRegistration() {
+	if d.sources != nil && d.sources.registration != nil {
+		d.sources.registration.Release()
 	}
 }
 
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -289,6 +289,57 @@
 	state("")
 }
 
+// TestOneOwnerOfAnEntry: of two processes that share an entry only the one that owns it writes to it, and one that starts ends
+// the maintenance that another has left, but not an operator's.
+func TestOneOwnerOfAnEntry(t *testing.T) {
+	a, err := standin.Start()
+	require.NoError(t, err)
+	defer a.Close()
+	newProcess := func() *Registration {
+		r := &Registration{Config: Config{Addresses: []string{a.Address}, Scheme: "http", MaxBodyBytes: 1 << 20}, Name: "tinsail", ID: "tinsail-1",
+			Address: "127.0.0.1:8081", TTL: 60 * time.Millisecond}
+		require.NoError(t, r.Init())
+		return r
+	}
+	status := func() string { return a.ServiceStatuses()["tinsail-1"] }
+	await := func(want string) {
+		t.Helper()
+		require.Eventually(t, func() bool { return status() == want }, 30*time.Second, time.Millisecond, want)
+	}
+	old, next := newProcess(), newProcess()
+	old.Start()
+	await("passing")
+	old.EnterMaintenance()
+	require.Equal(t, "maintenance", status())
+	old.Release()
+	require.Equal(t, "passing", status(), "the maintenance that it had begun is ended")
+	next.Start()
+	old.EnterMaintenance()
+	old.Deregister()
+	old.Release()
+	assert.Contains(t, []string{"passing", "critical"}, status(), "what does not own the entry writes nothing to it")
+	await("passing")
+
+	next.EnterMaintenance()
+	next.stop() // killed
+	<-next.done
+	last := newProcess()
+	last.Start()
+	await("passing")
+	last.stop()
+	<-last.done
+	a.SetMaintenance("tinsail-1", true)
+	again, before := newProcess(), a.Calls()
+	again.Start()
+	again.Start()
+	const callsUntilPassed = 4 // it registers, asks for the checks, passes its own, and passes it again
+	require.Eventually(t, func() bool { return a.Calls() >= before+callsUntilPassed }, 30*time.Second, time.Millisecond)
+	assert.Equal(t, "maintenance", status(), "an operator's maintenance stays")
+	again.Deregister()
+	again.Deregister()
+	assert.Empty(t, status())
+}
+
 // FuzzEntries: no entry makes the parser panic or produce an invalid backend.
 func FuzzEntries(f *testing.F) {
 	f.Add("p1", "127.0.0.1", 80, "4", "7")
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -18,8 +18,8 @@
 
 // Check is a health check of a service, encoded as in Consul's API.
 type Check struct {
-	Node, CheckID, Name, Status, Output string
-	ServiceID, ServiceName              string
+	Node, CheckID, Name, Status, Output, Notes string
+	ServiceID, ServiceName                     string
 }
 
 // Weights are the load balancing weights of a service, by the status of its checks.
@@ -143,8 +143,23 @@
 	})
 }
 
-// SetMaintenance puts a service into maintenance, or ends it.
-func (a *Agent) SetMaintenance(id string, on bool) {
+// SetMaintenance puts a service into maintenance, or ends it, as an operator does.
+func (a *Agent) SetMaintenance(id string, on bool) { a.setMaintenance(id, on, "") }
+
+// checks returns all checks by ID, as GET /agent/checks does.
+func (a *Agent) checks() map[string]Check {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := map[string]Check{}
+	for _, i := range a.instances {
+		for _, c := range i.Checks {
+			all[c.CheckID] = c
+		}
+	}
+	return all
+}
+
+func (a *Agent) setMaintenance(id string, on bool, reason string) {
 	a.update(func() {
 		i := a.instances[id]
 		if i == nil {
@@ -152,7 +167,7 @@
 		}
 		i.Checks = i.Checks[:1]
 		if on {
-			i.Checks = append(i.Checks, Check{Node: "node-1", CheckID: "_service_maintenance:" + id, Status: "critical", ServiceID: id, ServiceName: i.Service.Service})
+			i.Checks = append(i.Checks, Check{Node: "node-1", CheckID: "_service_maintenance:" + id, Status: "critical", Notes: reason, ServiceID: id, ServiceName: i.Service.Service})
 		}
 	})
 }
@@ -265,7 +280,9 @@
 			http.Error(w, "unknown service", http.StatusNotFound)
 			return
 		}
-		a.SetMaintenance(name, r.URL.Query().Get("enable") == "true")
+		a.setMaintenance(name, r.URL.Query().Get("enable") == "true", r.URL.Query().Get("reason"))
+	case path == "agent/checks" && r.Method == "GET":
+		_ = json.NewEncoder(w).Encode(a.checks())
 	case strings.HasPrefix(path, "agent/service/") && r.Method == "GET":
 		a.mu.Lock()
 		i := a.instances[name]
