consul: a process that is ending registers in maintenance, whenever it takes the entry

Cause: EnterMaintenance at a process that does not own the entry did nothing and left no trace. An old process that had SIGTERM after the yes, and whose successor then died, would register as passing while it ends; a new one with SIGTERM before its yes as well.

Change: the wish for maintenance is kept whoever owns the entry, and holds from Start; Release ends the entry's maintenance and keeps the wish.

Measured: TestOneOwnerOfAnEntry with its new steps failed before (never in maintenance in 30 s), passes twice under -race now; TestRegistrationAcrossUpgrade passes. The whole suite was not run again.

--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -320,6 +320,14 @@
 	assert.Contains(t, []string{"passing", "critical"}, status(), "what does not own the entry writes nothing to it")
 	await("passing")
 
+	next.Release()
+	old.Start() // the next process has died, and this one is about to end
+	await("maintenance")
+	old.Release()
+	require.Equal(t, "passing", status())
+	next.Start()
+	await("passing")
+
 	next.EnterMaintenance()
 	next.stop() // killed
 	<-next.done
--- a/internal/consul/register.go
+++ b/internal/consul/register.go
@@ -144,13 +144,14 @@
 }
 
 // EnterMaintenance puts the instance into maintenance mode at every agent that can be reached; only the agent
-// that has the registration acts on it. It returns within a second. It does nothing if this process doesn't own the entry.
+// that has the registration acts on it. It returns within a second. A process that doesn't own the entry changes it when
+// it takes it over, if it ever does.
 func (r *Registration) EnterMaintenance() {
 	r.calls.Lock()
 	defer r.calls.Unlock()
 	r.mu.Lock()
 	owned := r.stop != nil
-	r.inMaintenance = owned
+	r.inMaintenance = true
 	r.mu.Unlock()
 	if !owned {
 		return
@@ -165,9 +166,6 @@
 func (r *Registration) Release() {
 	r.end(func() {
 		if r.wantsMaintenance() {
-			r.mu.Lock()
-			r.inMaintenance = false
-			r.mu.Unlock()
 			r.forEachAgent(func(a *api.Agent, q *api.QueryOptions) error { return a.DisableServiceMaintenanceOpts(r.ID, q) })
 		}
 	})
