--- a/review/kit2/kit2.go
+++ b/review/kit2/kit2.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -76,9 +77,13 @@
 		body(c)
 		ended <- ""
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	reason := ""
 	select {
 	case reason = <-ended:
+	case s := <-signals:
+		reason = "ended by a signal: " + s.String()
 	case <-time.After(limit):
 		reason = "the case took longer than its limit"
 	}
