--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,17 +1,13 @@
-// Case 10: requests that a client sends at once are dropped unanswered, because other clients hold the memory for bodies.
+// Case 10: an upgrade after a round of maintenance over all photo workers ends with two processes that both serve.
 package main
 
 import (
-	"bufio"
-	"context"
-	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
+	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,100 +16,97 @@
 )
 
 const (
-	badClients = 430    // that stop in the middle of a request and stay
-	badBody    = 60_000 // bytes that each of them announces; the limit of a body is 64 KiB
-	batch      = 24     // requests that a client sends at once
-	bodyBytes  = 700    // of each of them
-	patience   = 2500 * time.Millisecond
-	slack      = 550 * time.Millisecond // an answer up to half a second late is not lost, and 50 ms on sockets
-	span       = 15 * time.Second
+	banned       = 40                     // taken offline right after the upgrade
+	grace        = 550 * time.Millisecond // of the settings, and 50 ms on sockets
+	photoWorkers = 600                    // the pages have up to 3,200
 )
 
-func main() { kit2.Run(100*time.Second, play) }
+func main() { kit2.Run(115*time.Second, play) }
 
 func play(c *kit2.Case) {
 	director, err := platform.StartDirector()
 	c.Must(err)
 	c.Cleanup(director.Close)
 	var workers []*kit2.Worker
-	for i := range 3 {
-		w := c.StartWorker(fmt.Sprintf("b%d", i), 20*time.Millisecond, 100)
+	for i := range photoWorkers {
+		w := c.StartWorker(fmt.Sprintf("s-%08x", i), 20*time.Millisecond, 100)
 		workers = append(workers, w)
-		director.Set(w.Entry("Ready", i))
+		director.Set(w.Entry("Ready", i/4))
 	}
-	listen, admin := c.FreeAddress(), c.FreeAddress()
-	class := kit2.Class{Name: "photo", Effect: "read_like", AimMs: 500, HardLimitMs: 3000}
+	listen, temp := c.FreeAddress(), c.Folder("tmp")
+	class := kit2.Class{Name: "photo", Effect: "non_idempotent", AimMs: 120, HardLimitMs: 3000}
 	config := c.Write("config.json", kit2.Config{Name: "n0", Listen: listen, Discovery: director.Address, Classes: []kit2.Class{class}}.Text())
-	p := c.Start("n0", config, "", c.Folder("tmp"), admin)
-	if !c.AwaitYes(p, admin, 10*time.Second) {
-		c.Cannot("the dispatcher did not become ready")
+	adminOld, adminNew := c.FreeAddress(), c.FreeAddress()
+	old := c.Start("old", config, "", temp, adminOld)
+	if !c.AwaitYes(old, adminOld, 10*time.Second) {
+		c.Cannot("the first process did not become ready")
 	}
-	time.Sleep(500 * time.Millisecond)
-	ctx, stop := context.WithCancel(context.Background())
-	var all sync.WaitGroup
 	if c.Trouble {
-		c.Note("%d clients announce a body of %d bytes, send half of it and stay", badClients, badBody)
-		for i := range badClients {
-			all.Go(func() { kit2.Stay(ctx, listen, "photo", i, badClients, badBody) })
+		c.Note("every photo worker in turn is taken offline and online again")
+		for _, w := range workers {
+			for _, call := range []string{"offline", "online"} {
+				if status, text := c.Call(old, adminOld, "POST", "/control/photo-workers/"+w.Name+"/"+call); status != 200 {
+					c.Cannot("%s %s got %d %s", w.Name, call, status, text)
+				}
+			}
 		}
-		time.Sleep(3 * time.Second)
 	}
-	sent, lost, resets := 0, 0, 0
-	for i, end := 0, time.Now().Add(span); time.Now().Before(end); i++ {
-		answers, err := sendBatch(listen, fmt.Sprintf("batch%d-%d", i, os.Getpid()))
-		if err != nil && answers == nil {
-			c.Note("batch %d: not sent: %v", i, err)
-			time.Sleep(100 * time.Millisecond)
-			continue
-		}
-		sent += batch
-		// Of a connection that was reset something may have been left unread; what then had no answer is not counted.
-		if reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE); reset {
-			resets++
-		} else {
-			lost += batch - len(answers)
-		}
-		c.Note("batch %d: %d of %d answered: %v, then %v", i, len(answers), batch, answers, err)
-		time.Sleep(50 * time.Millisecond)
-	}
-	stop()
-	all.Wait()
-	c.Note("%d requests sent in batches, %d without an answer, %d connections reset", sent, lost, resets)
-	for _, w := range workers {
-		c.Note("%s ran %d jobs", w.Name, w.Jobs())
+	var ended atomic.Bool
+	var clients sync.WaitGroup
+	for i := range 6 {
+		clients.Go(func() { client(c, i, listen, &ended) })
 	}
-	if lost > 0 {
-		c.Break("%d of %d requests were written whole to an accepted connection, and the dispatcher ended it without answering them", lost, sent)
-	}
-}
+	defer clients.Wait()
+	defer ended.Store(true)
+	time.Sleep(time.Second)
 
-// sendBatch sends a batch at once on a new connection, and returns the answers that came. answers is nil where the connection
-// was closed before the first answer, as a dispatcher may do that has no place for a client.
-func sendBatch(listen, name string) (answers []string, err error) {
-	conn, err := net.DialTimeout("tcp", listen, time.Second)
-	if err != nil {
-		return nil, err
+	next := c.Start("new", config, "", temp, adminNew)
+	if !c.AwaitYes(next, adminNew, 20*time.Second) {
+		c.Cannot("the second process did not say yes")
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patience + slack))
-	var text strings.Builder
-	for i := range batch {
-		fmt.Fprintf(&text, "POST /photo/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s-%d\r\nX-Service-Class: photo\r\nX-Time-Left-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-			name, i, patience.Milliseconds(), bodyBytes, strings.Repeat("y", bodyBytes))
+	oldStatus, oldText := c.Call(old, adminOld, "GET", "/control/ready")
+	old.Signal(syscall.SIGTERM) // as the page on upgrades has it: after the new process's yes
+	if oldStatus == 200 {
+		c.Break("the new process said yes (no other process serves in its place), and the old one says it still serves: %s", strings.TrimSpace(oldText))
 	}
-	if _, err := io.WriteString(conn, text.String()); err != nil {
-		return nil, err
+	// The operators take those offline that are in use.
+	jobs := map[*kit2.Worker]int{}
+	for _, w := range workers {
+		jobs[w] = w.Jobs()
 	}
-	r := bufio.NewReader(conn)
-	for len(answers) < batch {
-		a, err := http.ReadResponse(r, nil)
-		if err != nil {
-			return answers, err
+	sort.Slice(workers, func(i, j int) bool { return jobs[workers[i]] > jobs[workers[j]] })
+	var yes []time.Time
+	for _, w := range workers[:banned] {
+		if status, text := c.Call(next, adminNew, "POST", "/control/photo-workers/"+w.Name+"/offline"); status != 200 {
+			c.Cannot("%s offline got %d %s", w.Name, status, text)
 		}
-		if _, err := io.ReadAll(a.Body); err != nil {
-			return answers, err
+		yes = append(yes, time.Now())
+	}
+	time.Sleep(3 * time.Second)
+	late := 0
+	for i, w := range workers[:banned] {
+		for id, at := range w.Starts() {
+			if after := at.Sub(yes[i]); after > grace {
+				c.Note("%s got %s %v after the yes to offline", w.Name, id, after)
+				late++
+			}
+		}
+	}
+	if late > 0 {
+		c.Break("%d photo workers were taken offline with a yes, and got %d jobs more than %v later", banned, late, grace)
+	}
+}
+
+// client sends one job after another on a kept connection.
+func client(c *kit2.Case, number int, listen string, ended *atomic.Bool) {
+	k := &kit2.Client{Address: listen}
+	defer k.Close()
+	for i := 0; !ended.Load(); i++ {
+		id := fmt.Sprintf("c%d-%d-%d", number, i, os.Getpid())
+		status, _, err := k.Do("photo", id, "", "", "x", 2*time.Second)
+		if err != nil || status != 200 {
+			c.Note("client %d: %s: %d %v", number, id, status, err)
 		}
-		answers = append(answers, a.Status)
+		time.Sleep(40 * time.Millisecond)
 	}
-	return answers, nil
 }
