--- a/review/10/main.go
+++ b/review/10/main.go
@@ -83,6 +83,7 @@
 		yes = append(yes, time.Now())
 	}
 	time.Sleep(3 * time.Second)
+	c.NoteRuns(workers)
 	late := 0
 	for i, w := range workers[:banned] {
 		for id, at := range w.Starts() {
@@ -104,9 +105,7 @@
 	for i := 0; !ended.Load(); i++ {
 		id := fmt.Sprintf("c%d-%d-%d", number, i, os.Getpid())
 		status, _, err := k.Do("photo", id, "", "", "x", 2*time.Second)
-		if err != nil || status != 200 {
-			c.Note("client %d: %s: %d %v", number, id, status, err)
-		}
+		c.Note("client %d: %s: %d %v", number, id, status, err)
 		time.Sleep(40 * time.Millisecond)
 	}
 }
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -88,6 +88,7 @@
 	k.Close()
 	stop()
 	all.Wait()
+	c.NoteRuns(workers)
 	c.Note("outcomes: %v", counts)
 	if lost > 0 {
 		c.Break("%d jobs were taken on the HTTP/2 front and ran to their end, and their client got no answer: %v", lost, counts)
--- a/review/kit2/config.go
+++ b/review/kit2/config.go
@@ -49,7 +49,7 @@
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"settings": map[string]any{
 			"Allowed": map[string]any{"Cancel": true, "ConnIdleMs": 10000, "ConnectTimeoutMs": 120, "MaxAttempts": 5, "MaxRetryAfterMs": 2000,
-				"MayDuplicate": true, "Probes": true, "RetryAfter": true},
+				"MayDuplicate": true, "Probes": false, "RetryAfter": true},
 			"Balancers": max(f.Balancers, 1), "Classes": classes, "FamilyInfo": map[string]any{"TellsStart": true}, "GranularityMs": 2,
 			"Models": []string{"fast", "std"}, "Parties": parties, "RegistryMode": mode, "Weights": "nominal", "Zones": zones,
 			"Obligations": map[string]any{"AnswerSlackMs": 8, "AskEveryMs": 10000, "FallMs": 2000, "FallMultiple": 3, "StartCapacity": 0.31,
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -24,12 +24,32 @@
 	done  map[string]time.Time
 }
 
+// idleTimeout is the settings' ConnIdleMs: a photo worker closes a connection that has been idle for so long.
+const idleTimeout = 10 * time.Second
+
+// NoteRuns records every attempt that began at the workers, and when the result of its job was sent.
+func (c *Case) NoteRuns(workers []*Worker) {
+	for _, w := range workers {
+		w.mu.Lock()
+		for id, times := range w.began {
+			for _, at := range times {
+				done := "not to its end"
+				if t := w.done[id]; !t.IsZero() {
+					done = fmt.Sprintf("result sent at %.3f", t.Sub(c.start).Seconds())
+				}
+				c.Note("%s ran %s: began at %.3f, %s", w.Name, id, at.Sub(c.start).Seconds(), done)
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
 // StartWorker starts a worker on a free port.
 func (c *Case) StartWorker(name string, duration time.Duration, resultBytes int) *Worker {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Must(err)
 	w := &Worker{Name: name, Address: l.Addr().String(), Duration: duration, ResultBytes: resultBytes, began: map[string][]time.Time{}, done: map[string]time.Time{}}
-	server := &http.Server{Handler: http.HandlerFunc(w.serve)}
+	server := &http.Server{Handler: http.HandlerFunc(w.serve), IdleTimeout: idleTimeout}
 	go func() { _ = server.Serve(l) }()
 	c.Cleanup(func() { server.Close() })
 	return w
