--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -163,12 +163,13 @@
 		t.listenForNext()
 		return
 	}
-	t.handleJoined(t.from.link)
 	startedAt := time.Now()
 	go func() {
 		err := t.from.link.Read(t.handleUpdate)
+		t.from.link.Close()
 		t.handleOldGone(err)
 	}()
+	t.handleJoined(t.from.link)
 	go func() {
 		// Clients are not accepted before the fleet's policy in force is known either. If this process is already shutting
 		// down, it leaves the clients to the old process as long as that is connected, as the old one would otherwise drain.
@@ -252,7 +253,7 @@
 			t.dispatcher.resize(sockets, memory)
 		}
 	case n.Mark != nil:
-		t.dispatcher.bans.Merge([]maintenance.Mark{*n.Mark})
+		t.dispatcher.bans.MergeUpdate(*n.Mark)
 	case n.OutOfService != nil:
 		t.dispatcher.setOutOfService(*n.OutOfService)
 	}
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -231,11 +231,14 @@
 	return Mark{}
 }
 
+// IsNewer reports whether a mark from elsewhere is of a later call than the mark held for its backend.
+func (b *Bans) IsNewer(m Mark) bool { return m.Name != "" && m.At > b.Mark(m.Name).At }
+
 // Merge adds marks from elsewhere: a file, or another process of this dispatcher. Of two marks on one backend the later
 // call wins. It returns what to pass on.
 func (b *Bans) Merge(marks []Mark) (change []Backend) {
 	for _, m := range marks {
-		if m.Name == "" || m.At <= 0 {
+		if !b.IsNewer(m) {
 			continue
 		}
 		if b.all[m.Name] == nil {
@@ -244,10 +247,9 @@
 			}
 			b.unlistedCount++
 		}
-		if e := b.entry(m.Name); m.At > e.mark.At {
-			e.mark = m
-			change = append(change, e.change()...)
-		}
+		e := b.entry(m.Name)
+		e.mark = m
+		change = append(change, e.change()...)
 	}
 	return change
 }
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -155,7 +155,7 @@
 	s.mu.Unlock()
 	if refused != "" {
 		s.Log.Warn().Str("why", refused).Msg("hand-over refused")
-		_ = l.send(handover.State{Version: handover.Version, Refused: refused, Busy: busy}, nil)
+		_ = l.sendFirst(handover.State{Version: handover.Version, Refused: refused, Busy: busy}, nil, handover.StateTimeout)
 		return
 	}
 	err = s.handOver(l)
@@ -180,7 +180,7 @@
 		return err
 	}
 	state.Version = handover.Version
-	if err := l.send(state, rights); err != nil {
+	if err := l.sendFirst(state, rights, handover.StateTimeout); err != nil {
 		return err
 	}
 	l.reader.MaxBytes = handover.MaxStatusUpdate
--- a/internal/network/maintain/maintain.go
+++ b/internal/network/maintain/maintain.go
@@ -164,6 +164,17 @@
 	}
 }
 
+// MergeUpdate adds a mark that another process sends after its state. One that is known already costs no write: as two processes
+// meet, each sends all its marks.
+func (m *Manager) MergeUpdate(mark maintenance.Mark) {
+	m.mu.Lock()
+	isNewer := m.bans.IsNewer(mark)
+	m.mu.Unlock()
+	if isNewer {
+		m.Merge([]maintenance.Mark{mark})
+	}
+}
+
 // SetPolicyBans replaces the bans that come from the fleet's policy. When it returns, no further attempt is started at
 // the named backends.
 func (m *Manager) SetPolicyBans(names []string) {
@@ -183,8 +194,8 @@
 	return m.save()
 }
 
-// ShareWith makes every later change go to another process too, by send, which must not block for
-// long; nil ends that. It returns all marks so far.
+// ShareWith makes every later change go to another process too, by send, which must not block;
+// nil ends that. It returns all marks so far.
 func (m *Manager) ShareWith(send func(maintenance.Mark)) []maintenance.Mark {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/network/maintain/store_test.go
+++ b/internal/network/maintain/store_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+// A mark that is known already costs no write: the two processes of an upgrade send each other all that they hold.
+func TestKnownMarksAreNotWritten(t *testing.T) {
+	d, _ := newManager("")
+	s := &failingStore{}
+	d.Store = s
+	d.HandleList(balance.ListFull, ready("a", "b"))
+	require.NoError(t, d.Offline("a"))
+	for _, mark := range d.ShareWith(func(maintenance.Mark) {}) {
+		d.MergeUpdate(mark)
+	}
+	assert.Equal(t, 1, s.tries)
+	d.MergeUpdate(maintenance.Mark{Name: "b", Banned: true, At: 1})
+	assert.Equal(t, 2, s.tries)
+	assert.Equal(t, []string{"a", "b"}, d.Banned())
+}
+
 // TestKillDuringWrite: whatever a kill leaves of a write, the next process finds the last valid generation, and the
 // incomplete file is removed.
 func TestKillDuringWrite(t *testing.T) {
