handover: a process given up by the old one ends, in place of serving beside it

Cause: after handover.ReadyTimeout the old process closes the link, and the new one takes any end of the link for the old process's own.

Change: the old process sends given_up (a new optional key of a status update) and closes once that has room; the new one accepts nothing more, answers what it has and ends with exit code 1. It does the same where it closed the link itself. Only a close by the other end without that word counts as its end.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -113,6 +113,7 @@
 	mu           sync.Mutex
 	stage        handover.NewProcess
 	peer         *handoff.Link // to the other process; nil if there is none
+	fault        error         // why the old process, which serves on, has no use for this one
 	maxSockets   int           // how many descriptors this process may hold
 	maxMemory    int64         // how many bytes of memory it may hold
 	totalSockets int           // maxSockets before some were given to the next process
@@ -167,13 +168,21 @@
 	go func() {
 		err := t.from.link.Read(t.handleUpdate)
 		t.from.link.Close()
-		t.handleOldGone(err)
+		if !errors.Is(err, handoff.ErrPeerClosed) { // closed by this process: the old one takes it for gone, and serves
+			t.handleGivenUp(err)
+		}
+		if !t.isGivenUp() {
+			t.handleOldGone(err)
+		}
 	}()
 	t.handleJoined(t.from.link)
 	go func() {
 		// Clients are not accepted before the fleet's policy in force is known either. If this process is already shutting
 		// down, it leaves the clients to the old process as long as that is connected, as the old one would otherwise drain.
 		for !d.core.HasList() || !d.core.Serves() || d.service.State() == service.ShuttingDown && t.currentStage() == handover.Connected {
+			if t.isGivenUp() {
+				return
+			}
 			time.Sleep(service.PollInterval)
 		}
 		d.accept()
@@ -184,6 +193,9 @@
 			_ = t.from.link.Send(handover.StatusUpdate{Ready: true}) // an error means that the old process is gone, and need not be notified
 		}
 		for !t.serves() {
+			if t.isGivenUp() {
+				return
+			}
 			time.Sleep(service.PollInterval)
 		}
 		d.takeOverRoles()
@@ -227,6 +239,9 @@
 	return t.stage.Stage()
 }
 
+// isGivenUp reports whether the old process serves on, and this one ends.
+func (t *processHandover) isGivenUp() bool { return t.currentStage() == handover.GivenUp }
+
 // serves reports whether this process may answer that the dispatcher serves.
 func (t *processHandover) serves() bool {
 	t.mu.Lock()
@@ -237,6 +252,8 @@
 // handleUpdate applies a status update of the other process. Both ends of a link use it.
 func (t *processHandover) handleUpdate(n handover.StatusUpdate) {
 	switch {
+	case n.GivenUp:
+		t.handleGivenUp(errGivenUp)
 	case n.StoppedAccepting:
 		t.mu.Lock()
 		t.stage.HandleStopAccepting()
@@ -313,6 +330,40 @@
 	t.dispatcher.log.Info().Stringer("stage", stage).AnErr("link", err).Msg("hand-over: the old process is gone")
 }
 
+// errGivenUp is the error of a new process that the old one has given up.
+var errGivenUp = errors.New("hand-over: the old process serves on, as this one did not accept in time")
+
+// handleGivenUp ends this process, as the old one serves in its place: it accepts no more connections, and answers what it has.
+func (t *processHandover) handleGivenUp(reason error) {
+	t.mu.Lock()
+	before := t.stage.Stage()
+	ends := t.stage.HandleGivenUp()
+	if ends {
+		t.fault = reason
+	}
+	t.mu.Unlock()
+	if !ends {
+		return
+	}
+	t.dispatcher.log.Error().Stringer("stage", before).Err(reason).Msg("hand-over: given up, ends")
+	if before == handover.HandedOver {
+		t.server.LeavePath()
+		t.dispatcher.releaseRoles()
+	}
+	t.dispatcher.service.HandOver()
+	t.dispatcher.service.BeginShutdown()
+}
+
+// endReason returns why this process ends without a signal, or nil. t may be nil.
+func (t *processHandover) endReason() error {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fault
+}
+
 // reservedDescriptors returns how many descriptors a process needs besides sessions and connections to backends.
 func (t *processHandover) reservedDescriptors() int { return 32 + doorDescriptors(t.dispatcher.cfg) }
 
--- a/cmd/tinsail/serve.go
+++ b/cmd/tinsail/serve.go
@@ -73,6 +73,9 @@
 	}, o.countersEvery, d.service.Ended())
 	d.stopParts()
 	d.logCounters()
+	if err := d.handover.endReason(); err != nil {
+		return err
+	}
 	log.Info().Msg("ended on a signal")
 	return nil
 }
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -60,11 +60,12 @@
 
 // StatusUpdate is a later message from either process. Each message carries one update.
 type StatusUpdate struct {
-	Ready            bool              `json:"ready,omitempty"`   // from the new process: it accepts connections
-	StoppedAccepting bool              `json:"taken,omitempty"`   // from the old process: it no longer accepts
-	MaxSockets       int               `json:"sockets,omitempty"` // from the old process: descriptors that the new one may hold from now on
-	Mark             *maintenance.Mark `json:"mark,omitempty"`    // from either
-	OutOfService     *bool             `json:"out,omitempty"`     // from either: taken out of service, or returned
+	Ready            bool              `json:"ready,omitempty"`    // from the new process: it accepts connections
+	StoppedAccepting bool              `json:"taken,omitempty"`    // from the old process: it no longer accepts
+	MaxSockets       int               `json:"sockets,omitempty"`  // from the old process: descriptors that the new one may hold from now on
+	Mark             *maintenance.Mark `json:"mark,omitempty"`     // from either
+	OutOfService     *bool             `json:"out,omitempty"`      // from either: taken out of service, or returned
+	GivenUp          bool              `json:"given_up,omitempty"` // from the old process: it serves on, and the new one has to end
 }
 
 // AppendMessage encodes a message and appends it to b.
--- a/internal/handover/stages.go
+++ b/internal/handover/stages.go
@@ -22,9 +22,10 @@
 	Connected               // old: a new process has the state; new: it has the state and does not serve yet
 	Ready                   // new: it accepts, and the old process may still accept too
 	HandedOver              // old: it no longer accepts; new: it alone accepts
+	GivenUp                 // new: the old process serves on, and this one ends
 )
 
-var stageNames = [...]string{"alone", "connected", "ready", "handed"}
+var stageNames = [...]string{"alone", "connected", "ready", "handed", "given up"}
 
 func (s Stage) String() string { return stageNames[s] }
 
@@ -112,8 +113,22 @@
 }
 
 // HandleDisconnect records that the old process is gone: all descriptors and memory are this
-// process's.
-func (n *NewProcess) HandleDisconnect() { n.stage = Idle }
+// process's, unless the old one serves on.
+func (n *NewProcess) HandleDisconnect() {
+	if n.stage != GivenUp {
+		n.stage = Idle
+	}
+}
+
+// HandleGivenUp records that the old process serves on without this one. It reports whether this process is to end: false if the old
+// process is gone already, or was told of before.
+func (n *NewProcess) HandleGivenUp() (ends bool) {
+	if n.stage == Idle || n.stage == GivenUp {
+		return false
+	}
+	n.stage = GivenUp
+	return true
+}
 
 // MayReportServing reports whether this process may state that it serves for the dispatcher: the
 // old process has stopped accepting, is gone, or has not confirmed within StopAcceptingTimeout. In
--- a/internal/network/handoff/link.go
+++ b/internal/network/handoff/link.go
@@ -19,7 +19,8 @@
 // errQueueFull says that the other process reads nothing, and that no more updates are kept for it.
 var errQueueFull = errors.New("the other process does not read its status updates")
 
-// ErrPeerClosed says that the other process has closed the link, as it does when it ends.
+// ErrPeerClosed says that the other process has closed the link, as it does when it ends,
+// or after it has said that it gave this process up.
 var ErrPeerClosed = errors.New("the other process has closed the hand-over")
 
 // Link is the connection between the two processes of a hand-over. After the hello and the state, either end sends status updates
@@ -32,6 +33,7 @@
 	mu         sync.Mutex
 	queue      []byte // messages not yet given to the socket
 	writing    bool   // a goroutine writes the queue
+	closing    bool   // the link closes once the queue is written, and takes no more updates
 	writeError error  // why the link was closed by this end
 }
 
@@ -46,14 +48,25 @@
 	if l.writeError == nil && len(l.queue)+len(text) > maxQueuedBytes {
 		l.fail(errQueueFull)
 	}
-	if l.writeError != nil {
+	switch {
+	case l.writeError != nil:
 		return l.writeError
+	case l.closing:
+		return net.ErrClosed
 	}
 	l.queue = append(l.queue, text...)
 	l.startWriting()
 	return nil
 }
 
+// CloseAfterSending closes the link once the other process has room for all that is queued, or has ended.
+func (l *Link) CloseAfterSending() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closing = true
+	l.startWriting()
+}
+
 // startWriting has a goroutine write the queue. l.mu is held.
 func (l *Link) startWriting() {
 	if !l.writing {
@@ -77,6 +90,9 @@
 		}
 	}
 	l.writing = false
+	if l.closing {
+		l.conn.Close()
+	}
 }
 
 // fail closes the link for this reason. l.mu is held.
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -43,6 +43,13 @@
 	return s.listen()
 }
 
+// LeavePath leaves the path to another process.
+func (s *Server) LeavePath() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pathTaken = true
+}
+
 // listen is Listen, also used again after another process had the path. s.mu is held.
 func (s *Server) listen() error {
 	if s.closed {
@@ -132,7 +139,7 @@
 
 // handle reads a process's hello and hands over to it, or refuses.
 func (s *Server) handle(l *Link, pending *pendingHellos) {
-	defer l.Close()
+	defer l.CloseAfterSending()
 	l.conn.SetReadDeadline(time.Now().Add(handover.HelloTimeout))
 	text, files, err := l.message(nil)
 	pending.remove(l.conn)
@@ -159,6 +166,7 @@
 		return
 	}
 	err = s.handOver(l)
+	_ = l.Send(handover.StatusUpdate{GivenUp: true}) // it may still run; an error means that it does not
 	s.mu.Lock()
 	accept := s.stage.HandleDisconnect()
 	if accept && !s.closed { // the path belonged to the process that is gone
@@ -185,8 +193,8 @@
 	}
 	l.reader.MaxBytes = handover.MaxStatusUpdate
 	s.Log.Info().Int("sockets", state.MaxSockets).Int("backends", len(state.List)).Int("marks", len(state.Marks)).Msg("hand-over: state told")
-	s.OnJoined(l)
 	l.conn.SetReadDeadline(time.Now().Add(handover.ReadyTimeout)) // until it accepts
+	s.OnJoined(l)
 	return l.Read(func(n handover.StatusUpdate) {
 		if n.Ready {
 			s.mu.Lock()
