http2: an answer has room whatever other clients hold; unread ones give way

Cause: an answer over 1 KiB reserves room in the total for bodies, in the session's inbox and again in the state machine. Checked: with that total reserved by hand, 5 of 5 results of a client that reads are dropped. On the same path, clients that read nothing can fill any total, so room of their own alone would not mend it.

Change: answers have a quarter more than bodies; where that is full, the connection with answers to which nothing was sent for longest loses them, on a goroutine of its own. The inbox's reservation passes to the state machine.

--- a/internal/http2/conn.go
+++ b/internal/http2/conn.go
@@ -47,11 +47,13 @@
 	MaxQueuedBytes   int           // bytes of answers that may wait for the client's flow control windows
 	StallTimeout     time.Duration // how long an answer waits for the client's window
 	DrainTimeout     time.Duration // how long Drain waits for the client's acknowledgement
-	// Admit is called before n more bytes of bodies or of longer answers are held, and Release
-	// when they no longer are. If Admit refuses a body, the stream is refused unprocessed; if it
-	// refuses an answer, the stream is reset.
-	Admit   func(n int) bool
-	Release func(n int)
+	// Admit is called before n more bytes of bodies are held, AdmitAnswer before those of a longer
+	// answer are, and Release when they no longer are. If Admit refuses a body, the stream is refused
+	// unprocessed; if AdmitAnswer refuses an answer, the stream is reset. An answer is owed, so
+	// AdmitAnswer must have room where Admit has none; if it is nil, Admit stands for it.
+	Admit       func(n int) bool
+	AdmitAnswer func(n int) bool
+	Release     func(n int)
 	// OnAbuse, if set, is called for each occurrence of abuse.
 	OnAbuse func(Abuse)
 }
@@ -164,6 +166,9 @@
 
 // New returns a connection that began at the given time. The client sends first.
 func New(cfg Config, now time.Time) *Conn {
+	if cfg.AdmitAnswer == nil {
+		cfg.AdmitAnswer = cfg.Admit
+	}
 	c := &Conn{cfg: cfg, now: now, lastProgress: now, streams: map[uint32]*Stream{}, sendWindow: defaultWindow,
 		initialSendWindow: defaultWindow, maxSendFrame: maxDataFrame, recvWindow: defaultWindow}
 	c.framer = http2.NewFramer(writer{c}, &c.frameSource)
--- a/internal/http2/send.go
+++ b/internal/http2/send.go
@@ -1,6 +1,8 @@
 package http2
 
 import (
+	"time"
+
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 )
@@ -114,3 +116,28 @@
 	s.closed = true
 	c.closeStream(s)
 }
+
+// UnreadAnswers returns how many bytes of longer answers wait for the client to read, and since when nothing was sent to it: at the
+// earliest since the first of them came.
+func (c *Conn) UnreadAnswers() (bytes int, since time.Time) {
+	for _, s := range c.streams {
+		if s.reservedAnswer > 0 && (since.IsZero() || s.lastProgress.Before(since)) {
+			since = s.lastProgress
+		}
+	}
+	if c.queuedBytes > 0 && c.lastProgress.After(since) {
+		since = c.lastProgress
+	}
+	return c.queuedBytes, since
+}
+
+// DropUnreadAnswers resets the streams whose longer answers wait for the client to read.
+func (c *Conn) DropUnreadAnswers() {
+	for _, s := range c.streams {
+		if s.reservedAnswer > 0 && !c.ended {
+			c.reportAbuse(UnreadOutput)
+			s.answerPending = false
+			c.resetStream(s, EnhanceYourCalm)
+		}
+	}
+}
--- a/internal/http2/stream.go
+++ b/internal/http2/stream.go
@@ -36,7 +36,7 @@
 	status         string
 	retryAfter     string
 	unsent         string // rest of the answer's body
-	reservedAnswer int    // bytes granted by Admit for the answer
+	reservedAnswer int    // bytes granted by AdmitAnswer for the answer
 	nextFree       *Stream
 }
 
@@ -334,7 +334,7 @@
 	}
 	// Limits the bytes of answers that the client does not read.
 	if len(body) > smallAnswer {
-		if c.queuedBytes+len(body) > c.cfg.MaxQueuedBytes || !c.cfg.Admit(len(body)) {
+		if c.queuedBytes+len(body) > c.cfg.MaxQueuedBytes || !c.cfg.AdmitAnswer(len(body)) {
 			c.reportAbuse(UnreadOutput)
 			c.resetStream(s, EnhanceYourCalm)
 			return true
--- a/internal/network/clients.go
+++ b/internal/network/clients.go
@@ -35,7 +35,7 @@
 	Core             *core.Core
 	MaxSessions      int   // until Resize; beyond it an idle one is closed, or if there is none a few new clients are refused
 	MaxJobSessions   int   // of sessions that serve jobs, until Resize; beyond it the one idle for longest is closed
-	MaxBufferedBytes int64 // bytes of bodies and answers that may be buffered for all sessions together
+	MaxBufferedBytes int64 // bytes of bodies and answers that may be buffered for all sessions together, before bodies are refused
 	LongestDeadline  time.Duration
 	Stats            func() string
 	Members          func() string // the list of backends in a readable form; may be nil
@@ -247,6 +247,23 @@
 	return true
 }
 
+// Bytes of answers that may be held beyond MaxBufferedBytes, in parts of it. An answer is owed to its client, whatever other
+// clients hold: bodies never take this room.
+const (
+	answerHeadroom   = 4 // while nobody else has to make room
+	evictionHeadroom = 2 // while answers that their clients do not read are being dropped
+	evictionTarget   = 8 // what is left once enough of them are dropped
+)
+
+// reserveAnswer reserves n bytes for an answer, with a part of MaxBufferedBytes beyond that.
+func (c *Clients) reserveAnswer(n int, headroom int64) bool {
+	if c.bufferedBytes.Add(int64(n)) > c.MaxBufferedBytes+c.MaxBufferedBytes/headroom {
+		c.bufferedBytes.Add(-int64(n))
+		return false
+	}
+	return true
+}
+
 func (s *session) release() {
 	s.clients.bufferedBytes.Add(-s.bufferedBytes)
 	s.bufferedBytes = 0
--- a/internal/network/http2.go
+++ b/internal/network/http2.go
@@ -19,7 +19,8 @@
 type HTTP2 struct {
 	Clients  *Clients
 	limits   atomic.Pointer[HTTP2Limits]
-	sessions sync.Map // its keys are the *http2Session of this front; for announceDrain
+	sessions sync.Map    // its keys are the *http2Session of this front; for announceDrain and evictUnread
+	evicting atomic.Bool // evictUnread runs
 	listener atomic.Pointer[net.Listener]
 }
 
@@ -67,9 +68,11 @@
 	inbox struct {
 		sync.Mutex
 		items, spare  []inboxItem
-		bufferedBytes int  // bytes of answers reserved in the total of Clients
-		closed        bool // nobody reads it any more
+		bufferedBytes int       // bytes of answers reserved in the total of Clients
+		since         time.Time // when the first of the items came
+		closed        bool      // nobody reads it any more
 	}
+	inboxBytes int           // bytes reserved for items that processInbox passes on; guarded by mu
 	wakeWriter chan struct{} // wakes the writer; holds one signal
 	flushed    chan struct{} // closed by the writer after the last byte
 	readerDone chan struct{} // closed by the reader when the connection is closed
@@ -110,7 +113,7 @@
 	s.machine = http2.New(http2.Config{MaxStreams: l.MaxStreams, MaxHeaderBytes: l.MaxHeaderBytes, MaxFrameBytes: l.MaxFrameBytes,
 		MaxBodyBytes: platform.MaxBody, ConnectionWindow: window, MaxQueuedBytes: int(c.MaxBufferedBytes / 4), BodyIdleTimeout: reqTimeout, BodyTimeout: max(c.LongestDeadline, reqTimeout),
 		StallTimeout: l.StallTimeout, DrainTimeout: l.DrainTimeout,
-		Admit: c.reserveBytes, Release: func(n int) { c.bufferedBytes.Add(-int64(n)) },
+		Admit: c.reserveBytes, AdmitAnswer: s.admitAnswer, Release: func(n int) { c.bufferedBytes.Add(-int64(n)) },
 		OnAbuse: func(a http2.Abuse) { c.Count.HTTP2Abuse[a].Add(1) }}, time.Now())
 	c.Count.HTTP2Sessions.Add(1)
 	excess, admitted := c.register(&s.sessionState)
--- a/internal/network/http2_inbox.go
+++ b/internal/network/http2_inbox.go
@@ -32,13 +32,16 @@
 		return
 	}
 	if n := len(item.answer.Result); n > smallAnswer {
-		if s.inbox.bufferedBytes+n > int(c.MaxBufferedBytes/4) || !c.reserveBytes(n) {
+		if s.inbox.bufferedBytes+n > int(c.MaxBufferedBytes/4) || !s.front.reserveAnswer(n) {
 			item.dropped, item.answer.Result = true, ""
 		} else {
 			item.bufferedBytes = n
 			s.inbox.bufferedBytes += n
 		}
 	}
+	if len(s.inbox.items) == 0 {
+		s.inbox.since = time.Now()
+	}
 	s.inbox.items = append(s.inbox.items, item)
 	s.inbox.Unlock()
 	s.signalWriter()
@@ -52,6 +55,16 @@
 	s.inbox.closed, s.inbox.bufferedBytes, s.inbox.items, s.inbox.spare = true, 0, nil, nil
 }
 
+// admitAnswer reserves the bytes of an answer for the state machine: from the inbox's reservation, where it comes from there. s.mu is
+// held.
+func (s *http2Session) admitAnswer(n int) bool {
+	if n <= s.inboxBytes {
+		s.inboxBytes -= n
+		return true
+	}
+	return s.front.reserveAnswer(n)
+}
+
 // processInbox passes the items of the inbox to the state machine. s.mu is held.
 func (s *http2Session) processInbox() {
 	c := s.front.Clients
@@ -62,7 +75,7 @@
 		return
 	}
 	s.inbox.items = s.inbox.spare[:0]
-	c.bufferedBytes.Add(-int64(s.inbox.bufferedBytes)) // the state machine reserves what it keeps
+	s.inboxBytes = s.inbox.bufferedBytes // the state machine keeps its part of the reservation
 	s.inbox.bufferedBytes = 0
 	s.inbox.Unlock()
 	now := time.Now()
@@ -82,6 +95,8 @@
 			s.machine.Answer(item.streamID, 502, 0, "", now)
 		}
 	}
+	c.bufferedBytes.Add(-int64(s.inboxBytes))
+	s.inboxBytes = 0
 	clear(items)
 	if s.inbox.spare = items; cap(items) > 1024 {
 		s.inbox.spare = nil
