core: at most 1,024 requests wait for the core's goroutine

Cause: events for the core are queued without limit, and a client that closes its connection is rid of the bound that its connection was. Checked: one client on one connection at full speed does no harm (slowest sound answer 64 ms); the churn of connections is what counts.

Change: Submit waits while 1,024 requests are queued (submissionQueue); sessions get their turn in order. No limit without Run, for the simulator.

TestSubmitWaitsForTheCore fails before (3,072 submitted, 1,024 wanted). internal/core, internal/network and internal/lab/sim pass under -race.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,6 +133,8 @@
 	inbox      []func()
 	spareInbox []func()
 	posted     chan struct{}
+
+	submitted submissionQueue
 }
 
 // New makes a core for the settings, on the system clock.
@@ -156,7 +158,7 @@
 	c := &Core{clock: newClock(read), count: count, backends: b, director: d, answerSlack: s.Rules.AnswerSlack,
 		drainGrace: time.Duration(s.Rules.DrainGrace * float64(time.Millisecond)), classes: s.Classes, mayCancel: s.MayCancel,
 		reqs: map[balance.RequestID]*req{}, listed: map[balance.WorkerID]*Backend{},
-		posted: make(chan struct{}, 1), startTimes: newStartTimes()}
+		posted: make(chan struct{}, 1), startTimes: newStartTimes(), submitted: newSubmissionQueue()}
 	var err error
 	c.module, err = policy(s, actions{c})
 	return c, err
@@ -209,6 +211,8 @@
 
 // Run handles events until stop is closed.
 func (c *Core) Run(stop <-chan struct{}) {
+	c.submitted.open()
+	defer c.submitted.close()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -15,7 +15,7 @@
 
 // Submit accepts a request: one final answer is due from now on. arrived is the earliest known time of its arrival, and
 // timeLeft is how long its client waits from then. If another request has the same ID, Submit returns false and no answer
-// is due, because backends would confuse the two.
+// is due, because backends would confuse the two. It waits while more requests come than the core handles.
 func (c *Core) Submit(q balance.Request, job *Job, arrived time.Time, timeLeft time.Duration, client Client) (Handle, bool) {
 	r := &req{correlationID: job.ID, client: client, job: job, open: true}
 	if q.Class >= 0 && q.Class < len(c.classes) { // the module fails a request of any other class
@@ -35,7 +35,11 @@
 	r.deadline = c.clock.millis(arrived.Add(timeLeft))
 	c.openCount.Add(1)
 	c.trace(arrived, r, guard.RequestAccepted, nil)
+	queued := c.submitted.enter()
 	c.post(func() {
+		if queued {
+			c.submitted.leave()
+		}
 		c.lastID++
 		r.id, q.ID = c.lastID, c.lastID
 		c.reqs[r.id] = r
