core: an id whose request may have run is not pushed out by requests that never ran

README promises 409 for 10 s.

Cause: the last 8,192 ids that were over were remembered, whatever became of their requests; requests that are taken back cost their client nothing.

Change: ids that may have run have a list of their own, of 131,072 entries; the others keep 8,192. TestIDsStayReserved checked the bound of the one list; it checks both, and what is held once the time is over.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -304,6 +304,16 @@
 	}
 }
 
+// mayHaveRun reports whether some attempt of the request may have begun at a backend.
+func (r *req) mayHaveRun() bool {
+	for _, a := range r.attempts {
+		if a.startedAt.Load() != 0 && !a.neverRan.Load() {
+			return true
+		}
+	}
+	return false
+}
+
 // forget drops a request that is answered and has no attempt outstanding.
 func (c *Core) forget(r *req) {
 	if r.open || r.outstanding > 0 {
@@ -311,7 +321,7 @@
 	}
 	if c.reqs[r.id] == r {
 		delete(c.reqs, r.id)
-		c.ids.release(r.correlationID, c.clock.read())
+		c.ids.release(r.correlationID, r.mayHaveRun(), c.clock.read())
 	}
 	if release := r.releaseQuota; release != nil {
 		r.releaseQuota = nil
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,11 +192,18 @@
 		b.after(idRetention)
 		assert.True(t, submit("a"))
 		assert.Equal(t, int64(3), b.core.count.ReqsRepeated.Load())
-		for range maxReleasedIDs + 2 { // the number of reserved IDs is bounded
-			b.core.ids.release("x", time.Now())
+		for i := range maxBegunIDs + 2 { // the number of reserved IDs is bounded
+			id := strconv.Itoa(i)
+			assert.True(t, b.core.ids.claim(id, time.Now()))
+			b.core.ids.release(id, i >= maxNeverSentIDs+2, time.Now())
 		}
 		b.core.ids.claim("y", time.Now())
-		assert.LessOrEqual(t, len(b.core.ids.released), maxReleasedIDs)
+		assert.LessOrEqual(t, len(b.core.ids.neverSent), maxNeverSentIDs)
+		assert.LessOrEqual(t, len(b.core.ids.begun), maxBegunIDs)
+		assert.LessOrEqual(t, len(b.core.ids.reserved), maxNeverSentIDs+maxBegunIDs+2, "with the two that are open")
+		b.after(idRetention)
+		b.core.ids.claim("z", time.Now())
+		assert.Equal(t, 2+1, len(b.core.ids.reserved), "y, z and the second request of a")
 	})
 }
 
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -1,54 +1,99 @@
 package core
 
 import (
-	"strings"
+	"crypto/sha256"
+	"encoding/binary"
 	"sync"
 	"time"
 )
 
 // The ID of a request stays reserved for a while after the request is over, for two reasons. A late message of a backend
-// about the old request must not be taken for one about a new request. And a client that reuses another client's ID must
-// not be served just because that client's answer went out a moment before.
+// about the old request must not be taken for one about a new request. And a client that reuses an ID must not have its request
+// run a second time, or be served just because another client's answer went out a moment before.
 const (
-	idRetention    = 10 * time.Second
-	maxReleasedIDs = 8192 // of requests that are over
+	idRetention     = 10 * time.Second
+	maxBegunIDs     = 1 << 17 // of requests that are over and may have run: more than a process can have run in idRetention
+	maxNeverSentIDs = 8192    // of requests that are over and began at no backend: a client alone can make any number of them
 )
 
+// IDKey stands for the ID of a request. IDs with the same key cannot be found for an ID that somebody else uses.
+type IDKey uint64
+
+func keyOf(id string) IDKey {
+	sum := sha256.Sum256([]byte(id))
+	return IDKey(binary.BigEndian.Uint64(sum[:]))
+}
+
 // ids holds the IDs of requests that are open, have attempts outstanding, or ended recently. Fronts use it from many
 // goroutines.
 type ids struct {
-	mu       sync.Mutex
-	reserved map[string]struct{}
-	released []releasedID // oldest first
+	mu        sync.Mutex
+	reserved  map[IDKey]int // how many requests and released entries hold it
+	begun     releasedIDs
+	neverSent releasedIDs
+	origin    time.Time // from which times are counted
 }
 
+// releasedIDs are IDs of requests that are over, oldest first.
+type releasedIDs []releasedID
+
 type releasedID struct {
-	id string
-	at time.Time
+	key IDKey
+	at  time.Duration // since origin
 }
 
 // claim reserves an ID and returns whether it was free.
 func (s *ids) claim(id string, now time.Time) bool {
+	key := keyOf(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.released) > 0 && (len(s.released) > maxReleasedIDs || now.Sub(s.released[0].at) >= idRetention) {
-		delete(s.reserved, s.released[0].id)
-		s.released[0] = releasedID{}
-		s.released = s.released[1:]
-	}
-	if _, taken := s.reserved[id]; taken {
+	s.prune(now)
+	if s.reserved[key] > 0 {
 		return false
 	}
-	if s.reserved == nil {
-		s.reserved = map[string]struct{}{}
-	}
-	s.reserved[strings.Clone(id)] = struct{}{} // a copy, so that the request head which id may point into can be freed
+	s.count(key, 1)
 	return true
 }
 
-// release records that the request with this ID is over.
-func (s *ids) release(id string, now time.Time) {
+// release records that the request with this ID is over. begun says that it may have run at a backend.
+func (s *ids) release(id string, begun bool, now time.Time) {
+	key := keyOf(id)
 	s.mu.Lock()
-	s.released = append(s.released, releasedID{strings.Clone(id), now})
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	entry := releasedID{key, s.since(now)}
+	if begun {
+		s.begun = append(s.begun, entry)
+	} else {
+		s.neverSent = append(s.neverSent, entry)
+	}
+}
+
+func (s *ids) count(key IDKey, change int) {
+	if s.reserved == nil {
+		s.reserved = map[IDKey]int{}
+	}
+	if s.reserved[key] += change; s.reserved[key] <= 0 {
+		delete(s.reserved, key)
+	}
+}
+
+func (s *ids) since(now time.Time) time.Duration {
+	if s.origin.IsZero() {
+		s.origin = now
+	}
+	return now.Sub(s.origin)
+}
+
+// prune forgets the IDs whose time is over, and the oldest ones beyond the limits. s.mu is held.
+func (s *ids) prune(now time.Time) {
+	s.begun = s.pruneList(s.begun, maxBegunIDs, now)
+	s.neverSent = s.pruneList(s.neverSent, maxNeverSentIDs, now)
+}
+
+func (s *ids) pruneList(list releasedIDs, most int, now time.Time) releasedIDs {
+	for len(list) > 0 && (len(list) > most || s.since(now)-list[0].at >= idRetention) {
+		s.count(list[0].key, -1)
+		list = list[1:]
+	}
+	return list
 }
