handoff: a failed write is the other process's close, and its last updates are read

Cause: since status updates are queued, a write that fails as the other process closes the link closed this end with the write's error. The new process took that for a close of its own and ended; and a word that it was given up, which lay in the buffer, was lost.

Change: a failed write only ends the sending; the reader goes on to the end of what the other process sent, and says that it has closed.

--- a/internal/network/handoff/link.go
+++ b/internal/network/handoff/link.go
@@ -34,7 +34,7 @@
 	queue      []byte // messages not yet given to the socket
 	writing    bool   // a goroutine writes the queue
 	closing    bool   // the link closes once the queue is written, and takes no more updates
-	writeError error  // why the link was closed by this end
+	writeError error  // why nothing more can be sent
 }
 
 // Send queues a status update for the other process. An error means that the link is closed.
@@ -85,8 +85,8 @@
 		l.mu.Unlock()
 		_, err := l.conn.Write(batch)
 		l.mu.Lock()
-		if err != nil {
-			l.fail(err)
+		if err != nil && l.writeError == nil { // closed by the other process, whose last updates are still to be read
+			l.writeError, l.queue = errors.Join(ErrPeerClosed, err), nil
 		}
 	}
 	l.writing = false
@@ -97,10 +97,7 @@
 
 // fail closes the link for this reason. l.mu is held.
 func (l *Link) fail(err error) {
-	if l.writeError == nil {
-		l.writeError = err
-	}
-	l.queue = nil
+	l.writeError, l.queue = err, nil
 	l.conn.Close()
 }
 
@@ -141,7 +138,7 @@
 	}
 }
 
-// readError returns why a read failed: the reason of this end's own close, if there is one.
+// readError returns why a read failed: the reason of this end's own close, if it has closed.
 func (l *Link) readError(err error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/network/handoff/link_test.go
+++ b/internal/network/handoff/link_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 
@@ -74,3 +76,30 @@
 	_, err = a.conn.Write([]byte("x"))
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// Guards against a new process that ends, or does not read that it was given up, as it was sending when the old one closed the link
+// (2026-12-06-two-processes-serve).
+func TestPeerClosesWhileThisEndSends(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		a, b := linkPair(t)
+		if givenUp {
+			require.NoError(t, a.Send(handover.StatusUpdate{GivenUp: true}))
+		}
+		var err error
+		for range 1000 { // more than the socket's buffer holds
+			require.NoError(t, b.Send(handover.StatusUpdate{Mark: &maintenance.Mark{Name: strings.Repeat("x", 4096), At: 1}}))
+		}
+		a.CloseAfterSending()
+		for err == nil { // until the write has failed
+			runtime.Gosched()
+			err = b.Send(handover.StatusUpdate{MaxSockets: 1})
+		}
+		assert.ErrorIs(t, err, ErrPeerClosed)
+		updates := 0
+		assert.ErrorIs(t, b.Read(func(n handover.StatusUpdate) {
+			assert.True(t, n.GivenUp)
+			updates++
+		}), ErrPeerClosed)
+		assert.Equal(t, givenUp, updates == 1)
+	}
+}
