handover: the processes of an upgrade refuse each other's request ids

Cause: the ids in use and just over were no part of a hand-over. Checked: the same ids at one process get 409.

An id that comes at both within the time of such a message still runs at both.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -113,6 +113,7 @@
 	mu           sync.Mutex
 	stage        handover.NewProcess
 	peer         *handoff.Link // to the other process; nil if there is none
+	ids          *idSharer     // shares request IDs with it; nil if there is none
 	fault        error         // why the old process, which serves on, has no use for this one
 	maxSockets   int           // how many descriptors this process may hold
 	maxMemory    int64         // how many bytes of memory it may hold
@@ -147,6 +148,7 @@
 		d.log.Error().Err(err).Msg("bans not stored")
 	}
 	d.bans.Merge(s.Marks)
+	d.core.ReserveIDs(decodeIDKeys(s.IDs))
 	for _, b := range s.List {
 		w := balance.Worker{ID: balance.WorkerID(platform.Hash(b.Name)), Started: b.Started, Kind: b.Kind, Cell: b.Cell, Zone: b.Zone, State: balance.State(b.State), Weight: b.Weight}
 		list = append(list, core.Entry{Worker: w, Name: b.Name, Address: b.Address})
@@ -175,6 +177,7 @@
 			t.handleOldGone(err)
 		}
 	}()
+	t.shareIDs()
 	t.handleJoined(t.from.link)
 	go func() {
 		// Clients are not accepted before the fleet's policy in force is known either. If this process is already shutting
@@ -269,6 +272,8 @@
 		if grows {
 			t.dispatcher.resize(sockets, memory)
 		}
+	case n.IDs != nil:
+		t.dispatcher.core.ReserveIDs(decodeIDKeys(n.IDs))
 	case n.Mark != nil:
 		t.dispatcher.bans.MergeUpdate(*n.Mark)
 	case n.OutOfService != nil:
@@ -288,10 +293,26 @@
 	}
 }
 
+// shareIDs collects the request IDs that this process uses from now on for the other process, and returns those in use.
+func (t *processHandover) shareIDs() []core.IDKey {
+	sharer := &idSharer{}
+	t.mu.Lock()
+	t.ids = sharer
+	t.mu.Unlock()
+	return t.dispatcher.core.ShareIDs(sharer.add)
+}
+
+// stopSharing ends what is sent to the other process, which is gone.
+func (t *processHandover) stopSharing() {
+	t.dispatcher.bans.ShareWith(nil)
+	t.dispatcher.core.ShareIDs(nil)
+}
+
 // handleJoined sends operators' marks to the other process: from now on each new one, and those set since the state was sent.
 func (t *processHandover) handleJoined(l *handoff.Link) {
 	t.mu.Lock()
 	t.peer = l
+	t.ids.attach(l)
 	t.mu.Unlock()
 	for _, m := range t.dispatcher.bans.ShareWith(func(m maintenance.Mark) { _ = l.Send(handover.StatusUpdate{Mark: &m}) }) {
 		_ = l.Send(handover.StatusUpdate{Mark: &m})
@@ -322,7 +343,7 @@
 	}
 	t.mu.Unlock()
 	if alone {
-		t.dispatcher.bans.ShareWith(nil)
+		t.stopSharing()
 		t.dispatcher.resize(t.dispatcher.cfg.Sockets, t.dispatcher.cfg.MemoryBytes)
 		t.dispatcher.core.SetOverlap(false) // the whole budget for cold backends is this process's again
 		t.dispatcher.setBudgetPart(budgets.Whole)
@@ -384,7 +405,7 @@
 	d.resize(keep, memory)
 	d.core.SetOverlap(true)
 	d.setBudgetPart(budgets.Remaining)
-	s := handover.State{MaxSockets: give, MemoryBytes: memory, OutOfService: d.service.IsOutOfService()}
+	s := handover.State{MaxSockets: give, MemoryBytes: memory, OutOfService: d.service.IsOutOfService(), IDs: encodeIDKeys(t.shareIDs())}
 	list, marks := d.bans.State()
 	s.Marks = marks
 	for _, b := range list {
@@ -443,7 +464,7 @@
 	t.peer, t.maxSockets, t.maxMemory = nil, t.totalSockets, t.maxMemory*2
 	sockets, memory := t.maxSockets, t.maxMemory
 	t.mu.Unlock()
-	t.dispatcher.bans.ShareWith(nil)
+	t.stopSharing()
 	t.dispatcher.resize(sockets, memory)
 	t.dispatcher.core.SetOverlap(false)
 	t.dispatcher.setBudgetPart(budgets.Whole)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -193,6 +193,13 @@
 	})
 }
 
+// ShareIDs has share called with the ID of each request that begins or is over, from now on, and returns the IDs that are held. share
+// must not block; nil ends it. Another process of this dispatcher refuses them by ReserveIDs.
+func (c *Core) ShareIDs(share func(IDKey)) []IDKey { return c.ids.shareWith(share, c.clock.read()) }
+
+// ReserveIDs refuses IDs that another process of this dispatcher uses, for as long as if they had been used here.
+func (c *Core) ReserveIDs(keys []IDKey) { c.ids.reserve(keys, c.clock.read()) }
+
 // HasList reports whether a list that names any backend has arrived.
 func (c *Core) HasList() bool { return c.hasList.Load() }
 
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -16,7 +16,8 @@
 	maxNeverSentIDs = 8192    // of requests that are over and began at no backend: a client alone can make any number of them
 )
 
-// IDKey stands for the ID of a request. IDs with the same key cannot be found for an ID that somebody else uses.
+// IDKey stands for the ID of a request. Keys are the same in all processes, so that they can be shared; IDs with the same key cannot
+// be found for an ID that somebody else uses.
 type IDKey uint64
 
 func keyOf(id string) IDKey {
@@ -31,7 +32,8 @@
 	reserved  map[IDKey]int // how many requests and released entries hold it
 	begun     releasedIDs
 	neverSent releasedIDs
-	origin    time.Time // from which times are counted
+	origin    time.Time   // from which times are counted
+	share     func(IDKey) // called for each ID that is claimed or released, with mu held; may be nil
 }
 
 // releasedIDs are IDs of requests that are over, oldest first.
@@ -51,7 +53,7 @@
 	if s.reserved[key] > 0 {
 		return false
 	}
-	s.count(key, 1)
+	s.hold(key)
 	return true
 }
 
@@ -66,6 +68,40 @@
 	} else {
 		s.neverSent = append(s.neverSent, entry)
 	}
+	if s.share != nil {
+		s.share(key)
+	}
+}
+
+// reserve holds IDs that another process of this dispatcher uses, or used a moment ago.
+func (s *ids) reserve(keys []IDKey, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range keys {
+		s.count(key, 1)
+		s.begun = append(s.begun, releasedID{key, s.since(now)})
+	}
+	s.prune(now)
+}
+
+// shareWith has share called for each ID from now on, and returns those that are held.
+func (s *ids) shareWith(share func(IDKey), now time.Time) (held []IDKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prune(now)
+	s.share = share
+	for key := range s.reserved {
+		held = append(held, key)
+	}
+	return held
+}
+
+// hold counts an ID once more, and shares it. s.mu is held.
+func (s *ids) hold(key IDKey) {
+	s.count(key, 1)
+	if s.share != nil {
+		s.share(key)
+	}
 }
 
 func (s *ids) count(key IDKey, change int) {
--- a/internal/core/ids_test.go
+++ b/internal/core/ids_test.go
@@ -22,3 +22,27 @@
 	assert.False(t, s.claim("ran", now.Add(idRetention-1)))
 	assert.True(t, s.claim("ran", now.Add(idRetention)))
 }
+
+// An ID that is shared is refused by the other process from its claim until some time after its end, and by the one that shares it
+// as before.
+func TestSharedIDs(t *testing.T) {
+	var one, other ids
+	now := time.Now()
+	assert.True(t, one.claim("open", now))
+	assert.True(t, one.claim("over", now))
+	one.release("over", true, now)
+	other.reserve(one.shareWith(func(key IDKey) { other.reserve([]IDKey{key}, now) }, now), now)
+	assert.True(t, one.claim("later", now))
+	for _, id := range []string{"open", "over", "later"} {
+		assert.False(t, other.claim(id, now), id)
+		assert.False(t, one.claim(id, now), id)
+	}
+	now = now.Add(idRetention - time.Second)
+	one.release("open", true, now) // shared again
+	now = now.Add(2 * time.Second)
+	assert.False(t, other.claim("open", now), "its request was over a moment ago")
+	assert.True(t, other.claim("over", now))
+	one.shareWith(nil, now)
+	assert.True(t, one.claim("alone", now))
+	assert.True(t, other.claim("alone", now))
+}
