core: ids of the other process push out none of this one's

Cause: ids that the other process of an upgrade shares went into the list of those that ran here, so that a flood there (each id comes twice, whether or not it ran) could push out what ran here within 10 s. Found in a last look at the diff; no process was seen to do it.

Change: shared ids have a list of their own, of the same bound.

Measured: TestSharedIDsPushOutNoneOfThisProcess fails before (the id that ran is free), passes now; internal/core passes under -race.

--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -32,6 +32,7 @@
 	reserved  map[IDKey]int // how many requests and released entries hold it
 	begun     releasedIDs
 	neverSent releasedIDs
+	shared    releasedIDs // of another process, which cannot push out this one's
 	origin    time.Time   // from which times are counted
 	share     func(IDKey) // called for each ID that is claimed or released, with mu held; may be nil
 }
@@ -79,7 +80,7 @@
 	defer s.mu.Unlock()
 	for _, key := range keys {
 		s.count(key, 1)
-		s.begun = append(s.begun, releasedID{key, s.since(now)})
+		s.shared = append(s.shared, releasedID{key, s.since(now)})
 	}
 	s.prune(now)
 }
@@ -124,6 +125,7 @@
 func (s *ids) prune(now time.Time) {
 	s.begun = s.pruneList(s.begun, maxBegunIDs, now)
 	s.neverSent = s.pruneList(s.neverSent, maxNeverSentIDs, now)
+	s.shared = s.pruneList(s.shared, maxBegunIDs, now)
 }
 
 func (s *ids) pruneList(list releasedIDs, most int, now time.Time) releasedIDs {
--- a/internal/core/ids_test.go
+++ b/internal/core/ids_test.go
@@ -46,3 +46,20 @@
 	assert.True(t, one.claim("alone", now))
 	assert.True(t, other.claim("alone", now))
 }
+
+// Guards against ids of the other process of an upgrade that push out what ran here (2026-12-06-id-runs-twice).
+func TestSharedIDsPushOutNoneOfThisProcess(t *testing.T) {
+	var s ids
+	now := time.Now()
+	assert.True(t, s.claim("ran", now))
+	s.release("ran", true, now)
+	keys := make([]IDKey, maxBegunIDs+1)
+	for i := range keys {
+		keys[i] = keyOf(strconv.Itoa(i))
+	}
+	s.reserve(keys, now)
+	assert.False(t, s.claim("ran", now))
+	assert.True(t, s.claim("0", now), "the oldest beyond the limit")
+	assert.False(t, s.claim("1", now))
+	assert.Equal(t, maxBegunIDs, len(s.shared))
+}
