core: the key of a request's id is worked out once

Change: the request holds its key; claim and release take it. Tests pass keyOf(id) in place of the id, all expectations as they were.

Measured: internal/core, TestIDAcrossUpgrade, TestIDOfNewProcess and TestLateProcessEnds pass under -race. Processor time was not measured.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,7 @@
 type req struct {
 	id             balance.RequestID
 	correlationID  string // ID as given by the client
+	idKey          IDKey  // of correlationID
 	client         Client // nil once the request is answered or abandoned
 	job            *Job   // nil once the request is answered or abandoned
 	deadline       float64
@@ -328,7 +329,7 @@
 	}
 	if c.reqs[r.id] == r {
 		delete(c.reqs, r.id)
-		c.ids.release(r.correlationID, r.mayHaveRun(), c.clock.read())
+		c.ids.release(r.idKey, r.mayHaveRun(), c.clock.read())
 	}
 	if release := r.releaseQuota; release != nil {
 		r.releaseQuota = nil
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -194,15 +194,15 @@
 		assert.Equal(t, int64(3), b.core.count.ReqsRepeated.Load())
 		for i := range maxBegunIDs + 2 { // the number of reserved IDs is bounded
 			id := strconv.Itoa(i)
-			assert.True(t, b.core.ids.claim(id, time.Now()))
-			b.core.ids.release(id, i >= maxNeverSentIDs+2, time.Now())
+			assert.True(t, b.core.ids.claim(keyOf(id), time.Now()))
+			b.core.ids.release(keyOf(id), i >= maxNeverSentIDs+2, time.Now())
 		}
-		b.core.ids.claim("y", time.Now())
+		b.core.ids.claim(keyOf("y"), time.Now())
 		assert.LessOrEqual(t, len(b.core.ids.neverSent), maxNeverSentIDs)
 		assert.LessOrEqual(t, len(b.core.ids.begun), maxBegunIDs)
 		assert.LessOrEqual(t, len(b.core.ids.reserved), maxNeverSentIDs+maxBegunIDs+2, "with the two that are open")
 		b.after(idRetention)
-		b.core.ids.claim("z", time.Now())
+		b.core.ids.claim(keyOf("z"), time.Now())
 		assert.Equal(t, 2+1, len(b.core.ids.reserved), "y, z and the second request of a")
 	})
 }
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -46,8 +46,7 @@
 }
 
 // claim reserves an ID and returns whether it was free.
-func (s *ids) claim(id string, now time.Time) bool {
-	key := keyOf(id)
+func (s *ids) claim(key IDKey, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prune(now)
@@ -59,8 +58,7 @@
 }
 
 // release records that the request with this ID is over. begun says that it may have run at a backend.
-func (s *ids) release(id string, begun bool, now time.Time) {
-	key := keyOf(id)
+func (s *ids) release(key IDKey, begun bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := releasedID{key, s.since(now)}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -17,7 +17,7 @@
 // timeLeft is how long its client waits from then. If another request has the same ID, Submit returns false and no answer
 // is due, because backends would confuse the two. It waits while more requests come than the core handles.
 func (c *Core) Submit(q balance.Request, job *Job, arrived time.Time, timeLeft time.Duration, client Client) (Handle, bool) {
-	r := &req{correlationID: job.ID, client: client, job: job, open: true}
+	r := &req{correlationID: job.ID, idKey: keyOf(job.ID), client: client, job: job, open: true}
 	if q.Class >= 0 && q.Class < len(c.classes) { // the module fails a request of any other class
 		class := &c.classes[q.Class]
 		r.effect, r.repeatWindow, r.dedupScope = class.Effect, class.RepeatWindow, class.Scope
@@ -25,7 +25,7 @@
 	if c.Versions != nil && !c.admit(r) {
 		return Handle{c, r}, true
 	}
-	if !c.ids.claim(job.ID, c.clock.read()) {
+	if !c.ids.claim(r.idKey, c.clock.read()) {
 		c.count.ReqsRepeated.Add(1)
 		if c.Versions != nil {
 			c.reportStart(r)
