handover: keys of ids are a message's type, and their sender is a driver

A new process that is given up between its yes and its Listen could still take the path.

Change: handover.IDKeys with its text form (the same bytes), handoff.IDSharer; core.IDKey is an alias of uint64, so that no list is copied. LeavePath stops the server.

Measured: TestIDKeys holds the form, round trips and errors. internal/handover, handoff, core and the tests of ids, given-up, dying and upgraded processes pass under -race.

--- a/cmd/tinsail/handover.go
+++ b/cmd/tinsail/handover.go
@@ -110,7 +110,7 @@
 		d.log.Error().Err(err).Msg("bans not stored")
 	}
 	d.bans.Merge(s.Marks)
-	d.core.ReserveIDs(decodeIDKeys(s.IDs))
+	d.core.ReserveIDs(s.IDs)
 	for _, b := range s.List {
 		w := balance.Worker{ID: balance.WorkerID(platform.Hash(b.Name)), Started: b.Started, Kind: b.Kind, Cell: b.Cell, Zone: b.Zone, State: balance.State(b.State), Weight: b.Weight}
 		list = append(list, core.Entry{Worker: w, Name: b.Name, Address: b.Address})
@@ -130,7 +130,7 @@
 	d.resize(keep, memory)
 	d.core.SetOverlap(true)
 	d.setBudgetPart(budgets.Remaining)
-	s := handover.State{MaxSockets: give, MemoryBytes: memory, OutOfService: d.service.IsOutOfService(), IDs: encodeIDKeys(t.shareIDs())}
+	s := handover.State{MaxSockets: give, MemoryBytes: memory, OutOfService: d.service.IsOutOfService(), IDs: t.shareIDs()}
 	list, marks := d.bans.State()
 	s.Marks = marks
 	for _, b := range list {
--- a/cmd/tinsail/handover_process.go
+++ b/cmd/tinsail/handover_process.go
@@ -22,12 +22,12 @@
 
 	mu           sync.Mutex
 	stage        handover.NewProcess
-	peer         *handoff.Link // to the other process; nil if there is none
-	ids          *idSharer     // shares request IDs with it; nil if there is none
-	fault        error         // why the old process, which serves on, has no use for this one
-	maxSockets   int           // how many descriptors this process may hold
-	maxMemory    int64         // how many bytes of memory it may hold
-	totalSockets int           // maxSockets before some were given to the next process
+	peer         *handoff.Link     // to the other process; nil if there is none
+	ids          *handoff.IDSharer // shares request IDs with it; nil if there is none
+	fault        error             // why the old process, which serves on, has no use for this one
+	maxSockets   int               // how many descriptors this process may hold
+	maxMemory    int64             // how many bytes of memory it may hold
+	totalSockets int               // maxSockets before some were given to the next process
 
 	taken, given, failed atomic.Int64  // hand-overs: from the process before, to the next one, and those to a next one that ended
 	readyMS              atomic.Int64  // time from the start of this process, after it received the state, until it served
@@ -164,7 +164,7 @@
 			t.dispatcher.resize(sockets, memory)
 		}
 	case n.IDs != nil:
-		t.dispatcher.core.ReserveIDs(decodeIDKeys(n.IDs))
+		t.dispatcher.core.ReserveIDs(n.IDs)
 	case n.Mark != nil:
 		t.dispatcher.bans.MergeUpdate(*n.Mark)
 	case n.OutOfService != nil:
@@ -186,11 +186,11 @@
 
 // shareIDs collects the request IDs that this process uses from now on for the other process, and returns those in use.
 func (t *processHandover) shareIDs() []core.IDKey {
-	sharer := &idSharer{}
+	sharer := &handoff.IDSharer{}
 	t.mu.Lock()
 	t.ids = sharer
 	t.mu.Unlock()
-	return t.dispatcher.core.ShareIDs(sharer.add)
+	return t.dispatcher.core.ShareIDs(sharer.Add)
 }
 
 // stopSharing ends what is sent to the other process, which is gone.
@@ -203,7 +203,7 @@
 func (t *processHandover) handleJoined(l *handoff.Link) {
 	t.mu.Lock()
 	t.peer = l
-	t.ids.attach(l)
+	t.ids.Attach(l)
 	t.mu.Unlock()
 	for _, m := range t.dispatcher.bans.ShareWith(func(m maintenance.Mark) { _ = l.Send(handover.StatusUpdate{Mark: &m}) }) {
 		_ = l.Send(handover.StatusUpdate{Mark: &m})
@@ -258,8 +258,8 @@
 		return
 	}
 	t.dispatcher.log.Error().Stringer("stage", before).Err(reason).Msg("hand-over: given up, ends")
+	t.server.LeavePath()
 	if before == handover.HandedOver {
-		t.server.LeavePath()
 		t.dispatcher.releaseRoles()
 	}
 	t.dispatcher.service.HandOver()
--- a/cmd/tinsail/id_upgrade_test.go
+++ b/cmd/tinsail/id_upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -68,7 +69,7 @@
 	}
 	defer link.Close()
 	key := sha256.Sum256([]byte("theirs"))
-	require.NoError(t, link.Send(handover.StatusUpdate{IDs: key[:idKeyBytes]}))
+	require.NoError(t, link.Send(handover.StatusUpdate{IDs: handover.IDKeys{binary.BigEndian.Uint64(key[:])}}))
 	require.NoError(t, link.Send(handover.StatusUpdate{Mark: &maintenance.Mark{Name: "b2", Banned: true, At: 1}}))
 	old.awaitBanned(t, "b2") // the update before it is handled as well
 	assert.Equal(t, 409, h.sendOnce("theirs"))
--- a/internal/core/ids.go
+++ b/internal/core/ids.go
@@ -18,11 +18,11 @@
 
 // IDKey stands for the ID of a request. Keys are the same in all processes, so that they can be shared; IDs with the same key cannot
 // be found for an ID that somebody else uses.
-type IDKey uint64
+type IDKey = uint64
 
 func keyOf(id string) IDKey {
 	sum := sha256.Sum256([]byte(id))
-	return IDKey(binary.BigEndian.Uint64(sum[:]))
+	return binary.BigEndian.Uint64(sum[:])
 }
 
 // ids holds the IDs of requests that are open, have attempts outstanding, or ended recently. Fronts use it from many
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -133,3 +133,23 @@
 		}
 	})
 }
+
+// TestIDKeys checks that keys survive a message, that they stand there as they always did, and that a text that is no whole number of
+// them is an error that names the key.
+func TestIDKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := StatusUpdate{IDs: rapid.SliceOfN(rapid.Uint64(), 1, 50).Draw(t, "keys")}
+		text, err := json.Marshal(want)
+		require.NoError(t, err)
+		var got StatusUpdate
+		require.NoError(t, json.Unmarshal(text, &got))
+		assert.Equal(t, want, got)
+	})
+	text, err := json.Marshal(StatusUpdate{IDs: IDKeys{1, 1 << 63}})
+	require.NoError(t, err)
+	assert.JSONEq(t, `{"ids":"AAAAAAAAAAGAAAAAAAAAAA=="}`, string(text))
+	for _, bad := range []string{`{"ids":"AAAA"}`, `{"ids":"?"}`, `{"ids":7}`} {
+		var update StatusUpdate
+		assert.ErrorContains(t, json.Unmarshal([]byte(bad), &update), "ids")
+	}
+}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -44,7 +44,7 @@
 	OutOfService bool               `json:"out"`     // the operators took the dispatcher out of service
 	Marks        []maintenance.Mark `json:"marks,omitempty"`
 	List         []Backend          `json:"list,omitempty"`
-	IDs          []byte             `json:"ids,omitempty"` // keys of the request IDs in use
+	IDs          IDKeys             `json:"ids,omitempty"` // keys of the request IDs in use
 }
 
 // Backend is one entry of the list of backends, as the source reports it.
@@ -66,7 +66,7 @@
 	MaxSockets       int               `json:"sockets,omitempty"`  // from the old process: descriptors that the new one may hold from now on
 	Mark             *maintenance.Mark `json:"mark,omitempty"`     // from either
 	OutOfService     *bool             `json:"out,omitempty"`      // from either: taken out of service, or returned
-	IDs              []byte            `json:"ids,omitempty"`      // from either: keys of request IDs that are in use from now on, or were until now
+	IDs              IDKeys            `json:"ids,omitempty"`      // from either: keys of request IDs that are in use from now on, or were until now
 	GivenUp          bool              `json:"given_up,omitempty"` // from the old process: it serves on, and the new one has to end
 }
 
--- a/internal/network/handoff/server.go
+++ b/internal/network/handoff/server.go
@@ -43,11 +43,14 @@
 	return s.listen()
 }
 
-// LeavePath leaves the path to another process.
+// LeavePath stops the server, and leaves the path to another process: Listen does not take it any more.
 func (s *Server) LeavePath() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pathTaken = true
+	s.closed = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
 }
 
 // listen is Listen, also used again after another process had the path. s.mu is held.
