faultnet: the UDP relay reads on after a refused datagram

What was seen: TestSharesOverUDPUnderFaults (KNOWN-RED) failed in 11 of 287 plays: a holder got no grant any more. Cause, as its entry traced it: the relay's reader of replies ended at its first error, and a datagram that reaches the keeper's port while it restarts is answered "connection refused".

Change: only the close of the socket ends the reader.

--- a/internal/faultnet/udp.go
+++ b/internal/faultnet/udp.go
@@ -1,6 +1,7 @@
 package faultnet
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -150,9 +151,12 @@
 		buf := make([]byte, 64<<10)
 		for {
 			n, err := c.Read(buf)
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil { // a datagram was refused, as the target's port is closed for the moment
+				continue
+			}
 			r.send(r.listener, from, buf[:n])
 		}
 	}()
